--- /dev/null
+++ b/Source/Base/Json.cpp
@@ -0,0 +1,157 @@
+#include "Base/Json.h"
+
+namespace Plantainpier {
+
+Result<Json> parseJsonObject(const std::string& text)
+{
+    Json json = Json::parse(text, nullptr, false);
+    if (json.is_discarded())
+        return Error { ErrorCode::MalformedBody, "the text is not valid JSON" };
+    if (!json.is_object())
+        return Error { ErrorCode::MalformedBody, "the JSON is not an object" };
+    return json;
+}
+
+JsonReader::JsonReader(const Json& object, std::string path)
+    : m_object(object)
+    , m_path(std::move(path))
+{
+}
+
+std::string JsonReader::pathOf(const std::string& key) const { return m_path + "/" + key; }
+
+void JsonReader::fault(ErrorCode code, const std::string& key, const std::string& text)
+{
+    m_faults.push_back(Error { code, pathOf(key) + ": " + text });
+}
+
+void JsonReader::adopt(const std::vector<Error>& faults)
+{
+    m_faults.insert(m_faults.end(), faults.begin(), faults.end());
+}
+
+const Json* JsonReader::find(const std::string& key, bool required)
+{
+    m_asked.insert(key);
+    Json::const_iterator it = m_object.find(key);
+    if (it != m_object.end())
+        return &*it;
+    if (required)
+        fault(ErrorCode::MissingField, key, "is required");
+    return nullptr;
+}
+
+std::string JsonReader::checkString(const std::string& key, const Json& value, std::size_t maximumLength)
+{
+    if (!value.is_string()) {
+        fault(ErrorCode::InvalidField, key, "must be a string");
+        return {};
+    }
+    std::string text = value.get<std::string>();
+    if (text.size() > maximumLength)
+        fault(ErrorCode::InvalidField, key, "must have at most " + std::to_string(maximumLength) + " bytes");
+    return text;
+}
+
+std::int64_t JsonReader::checkInteger(
+    const std::string& key, const Json& value, std::int64_t minimum, std::int64_t maximum)
+{
+    const bool fits = value.is_number_integer()
+        && !(value.is_number_unsigned()
+            && value.get<std::uint64_t>() > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()));
+    if (fits && value.get<std::int64_t>() >= minimum && value.get<std::int64_t>() <= maximum)
+        return value.get<std::int64_t>();
+    fault(ErrorCode::InvalidField, key,
+        "must be a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+    return minimum;
+}
+
+bool JsonReader::checkBool(const std::string& key, const Json& value)
+{
+    if (value.is_boolean())
+        return value.get<bool>();
+    fault(ErrorCode::InvalidField, key, "must be true or false");
+    return false;
+}
+
+std::string JsonReader::requiredString(const std::string& key, std::size_t maximumLength)
+{
+    const Json* value = find(key, true);
+    if (!value)
+        return {};
+    std::string text = checkString(key, *value, maximumLength);
+    if (value->is_string() && text.empty())
+        fault(ErrorCode::InvalidField, key, "must not be empty");
+    return text;
+}
+
+std::string JsonReader::optionalString(const std::string& key, std::size_t maximumLength, const std::string& otherwise)
+{
+    const Json* value = find(key, false);
+    return value ? checkString(key, *value, maximumLength) : otherwise;
+}
+
+std::int64_t JsonReader::requiredInteger(const std::string& key, std::int64_t minimum, std::int64_t maximum)
+{
+    const Json* value = find(key, true);
+    return value ? checkInteger(key, *value, minimum, maximum) : minimum;
+}
+
+std::int64_t JsonReader::optionalInteger(
+    const std::string& key, std::int64_t minimum, std::int64_t maximum, std::int64_t otherwise)
+{
+    const Json* value = find(key, false);
+    return value ? checkInteger(key, *value, minimum, maximum) : otherwise;
+}
+
+bool JsonReader::optionalBool(const std::string& key, bool otherwise)
+{
+    const Json* value = find(key, false);
+    return value ? checkBool(key, *value) : otherwise;
+}
+
+bool JsonReader::requiredBool(const std::string& key)
+{
+    const Json* value = find(key, true);
+    return value && checkBool(key, *value);
+}
+
+Json JsonReader::optionalObject(const std::string& key)
+{
+    const Json* value = find(key, false);
+    if (!value)
+        return {};
+    if (value->is_object())
+        return *value;
+    fault(ErrorCode::InvalidField, key, "must be an object");
+    return {};
+}
+
+Json JsonReader::optionalArray(const std::string& key)
+{
+    const Json* value = find(key, false);
+    if (!value)
+        return {};
+    if (value->is_array())
+        return *value;
+    fault(ErrorCode::InvalidField, key, "must be an array");
+    return {};
+}
+
+void JsonReader::finish()
+{
+    for (Json::const_iterator it = m_object.begin(); it != m_object.end(); ++it) {
+        if (!m_asked.contains(it.key()))
+            fault(ErrorCode::UnknownField, it.key(), "is not known here");
+    }
+}
+
+Error joinFaults(const std::vector<Error>& faults)
+{
+    Error joined { faults.front().code, faults.front().message };
+    for (std::size_t n = 1; n < faults.size(); ++n)
+        joined.message += "; " + faults[n].message;
+    return joined;
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/CommandLine/main.cpp
@@ -0,0 +1,23 @@
+/// plantainpier: the tool of operators and callers.
+#include "CommandLine/Command.h"
+
+#include <iostream>
+#include <sodium.h>
+
+int main(int argc, char** argv)
+{
+    using namespace Plantainpier;
+    if (sodium_init() < 0)
+        return static_cast<int>(ExitCode::Failed);
+    const std::string commandName = argc > 1 ? argv[1] : "";
+    const CommandArguments arguments(argv + std::min(argc, 2), argv + argc);
+    if (commandName == "--help")
+        return static_cast<int>(runHelpCommand({}));
+    for (const Command& command : commandTable()) {
+        if (command.name == commandName)
+            return static_cast<int>(command.run(arguments));
+    }
+    std::cerr << "plantainpier: " << (commandName.empty() ? "give a command" : "no command " + commandName)
+              << "; see plantainpier help\n";
+    return static_cast<int>(ExitCode::Usage);
+}
--- /dev/null
+++ b/Source/Decision/Connection/LinkMonitor.cpp
@@ -0,0 +1,42 @@
+#include "Decision/Connection/LinkMonitor.h"
+
+namespace Plantainpier {
+
+LinkMonitor::LinkMonitor(const LinkTiming& timing, Instant now)
+    : m_timing(timing)
+    , m_waitingSince(now)
+    , m_lastHeartbeat(now)
+    , m_lastTick(now)
+{
+}
+
+void LinkMonitor::onUp(Instant now)
+{
+    m_up = true;
+    m_waitingSince = now;
+    m_lastHeartbeat = now - m_timing.idleHeartbeat;
+}
+
+void LinkMonitor::onHeard(Instant now) { m_waitingSince = now; }
+
+LinkVerdict LinkMonitor::tick(Instant now, bool busy)
+{
+    // A gap between ticks is a pause of this process, not silence of the peer: what was sent meanwhile still waits
+    // in the receive buffer, so the peer gets a fresh wait. So does a peer that nothing was asked of until now.
+    const bool paused = now - m_lastTick > m_timing.busySilence / 2;
+    if (paused || (busy && !m_busy))
+        m_waitingSince = now;
+    m_lastTick = now;
+    m_busy = busy;
+    const Duration silence = busy ? m_timing.busySilence : m_timing.idleSilence;
+    if (now - m_waitingSince > (m_up ? silence : m_timing.connect))
+        return LinkVerdict::Suspect;
+    const Duration heartbeat = busy ? m_timing.busyHeartbeat : m_timing.idleHeartbeat;
+    if (!m_up || now - m_lastHeartbeat < heartbeat)
+        return LinkVerdict::Fine;
+    m_lastHeartbeat = now;
+    ++m_heartbeatNumber;
+    return LinkVerdict::SendHeartbeat;
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Job/AttemptKeeper.cpp
@@ -0,0 +1,285 @@
+#include "Decision/Job/AttemptKeeper.h"
+
+#include "Base/LogLine.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Plantainpier {
+
+namespace {
+
+    /// An attempt found on the worker after a restart runs on this long for its leader to claim it.
+    constexpr Duration adoptionHold = seconds(30);
+    /// How long an attempt that is over is remembered, so that a late start of it is refused.
+    constexpr Duration endedKeep = seconds(600);
+    /// Hosts' clocks may differ in rate by this many parts per thousand.
+    constexpr int clockRatePerMille = 10;
+    /// A start that the worker has not listed after this long has not happened: its lease is over.
+    constexpr int startWaitLeases = 2;
+
+    /// The end of a hold that the leader gave on the basis of what it heard from here at that time.
+    Instant heldUntil(std::int64_t basisMicroseconds, std::int64_t holdMicroseconds)
+    {
+        return Instant(Duration(basisMicroseconds)) + Duration(holdMicroseconds);
+    }
+
+    bool isOver(Wire::AttemptState::type state)
+    {
+        return state == Wire::AttemptState::Completed || state == Wire::AttemptState::Failed
+            || state == Wire::AttemptState::Stopped || state == Wire::AttemptState::Absent;
+    }
+
+} // namespace
+
+AttemptKeeper::AttemptKeeper(std::string sideId, std::int64_t incarnation, const LeaseTiming& timing)
+    : m_sideId(std::move(sideId))
+    , m_incarnation(incarnation)
+    , m_timing(timing)
+{
+}
+
+bool AttemptKeeper::acceptTerm(std::int64_t term)
+{
+    if (term < m_newestTerm)
+        return false;
+    m_newestTerm = term;
+    return true;
+}
+
+void AttemptKeeper::onReserve(Instant now, LinkId link, const Wire::ReserveRequest& request, Actions& actions)
+{
+    const AttemptId id { request.taskId, request.attempt };
+    ErrorCode code = ErrorCode::Ok;
+    std::map<AttemptId, Attempt>::iterator it = m_attempts.find(id);
+    if (!acceptTerm(request.term))
+        code = ErrorCode::StaleTerm;
+    else if (!isReady() || m_leaving)
+        code = ErrorCode::Leaving;
+    else if (it != m_attempts.end() && isOver(it->second.state))
+        code = ErrorCode::Fenced;
+    else if (!m_ledger.commit(id, request.demand))
+        code = ErrorCode::HostFull;
+    if (code == ErrorCode::Ok) {
+        Attempt& attempt = m_attempts[id];
+        attempt.link = link;
+        if (attempt.state == Wire::AttemptState::Absent)
+            attempt.state = Wire::AttemptState::Reserved;
+        attempt.heldUntil = std::max(attempt.heldUntil, now + Duration(request.validMicroseconds));
+    }
+    Wire::ReserveAnswer answer;
+    answer.taskId = request.taskId;
+    answer.attempt = request.attempt;
+    answer.granted = code == ErrorCode::Ok;
+    answer.reason = std::string(name(code));
+    answer.free = m_ledger.free();
+    answer.sideClockMicroseconds = now.time_since_epoch().count();
+    actions.push_back(SendMessage { link, std::move(answer) });
+    LogLine line("reserve");
+    line.add("job", id.jobId).add("attempt", id.number).add("side", m_sideId).add("decision", name(code));
+    line.add("free_milli_processors", m_ledger.free().milliProcessors).add("free_mb", m_ledger.free().memoryMegabytes);
+    actions.push_back(WriteLog { line.add("term", request.term).text() });
+}
+
+std::int64_t AttemptKeeper::leaseEnd(Instant now, const Attempt& attempt) const
+{
+    // The worker's clock may run ahead by the rate difference since it was read, so the time since then counts less.
+    const Duration sinceRead = now - m_clock->at;
+    const Duration held = std::max(Duration::zero(), attempt.heldUntil - now);
+    const Duration ahead = sinceRead + std::min(m_timing.lease, held);
+    const Duration safe = ahead - ahead * clockRatePerMille / 1000;
+    return m_clock->milliseconds + toMilliseconds(safe);
+}
+
+void AttemptKeeper::onStart(Instant now, LinkId link, const Wire::StartRequest& request, Actions& actions)
+{
+    const AttemptId id { request.taskId, request.attempt };
+    std::map<AttemptId, Attempt>::iterator it = m_attempts.find(id);
+    const bool known = it != m_attempts.end();
+    if (!acceptTerm(request.term) || !isReady())
+        return;
+    if (!known) {
+        // Reserved by an earlier incarnation of this process, or the reservation has lapsed: it never starts here.
+        Attempt& fenced = m_attempts[id];
+        fenced.link = link;
+        fenced.heldUntil = now + endedKeep;
+        report(now, id, fenced, actions);
+        return;
+    }
+    Attempt& attempt = it->second;
+    attempt.link = link;
+    if (attempt.state != Wire::AttemptState::Reserved) {
+        report(now, id, attempt, actions);
+        return;
+    }
+    attempt.heldUntil = heldUntil(request.basisMicroseconds, request.holdMicroseconds);
+    if (attempt.heldUntil <= now) {
+        end(now, id, attempt, Wire::AttemptState::Absent, actions);
+        return;
+    }
+    attempt.state = Wire::AttemptState::Running;
+    attempt.lastRenewed = now;
+    attempt.startSentAt = now;
+    StartTask start { id.jobId, id.number, leaseEnd(now, attempt), request.demand, request.payload,
+        request.checkpoint };
+    LogLine line("start");
+    line.add("job", id.jobId).add("attempt", id.number).add("side", m_sideId).add("term", request.term);
+    actions.push_back(WriteLog { line.add("lease_until_ms", start.leaseUntilMilliseconds).text() });
+    actions.push_back(std::move(start));
+    report(now, id, attempt, actions);
+}
+
+void AttemptKeeper::onHold(Instant now, LinkId link, const Wire::HoldRequest& request, Actions& actions)
+{
+    if (!acceptTerm(request.term) || !isReady())
+        return;
+    const AttemptId id { request.taskId, request.attempt };
+    // An attempt that is not here is fenced by being recorded as absent.
+    const bool known = m_attempts.contains(id);
+    Attempt& attempt = m_attempts[id];
+    attempt.link = link;
+    if (!known)
+        attempt.heldUntil = now + endedKeep;
+    if (!isOver(attempt.state))
+        attempt.heldUntil = std::max(attempt.heldUntil, heldUntil(request.basisMicroseconds, request.holdMicroseconds));
+    report(now, id, attempt, actions);
+}
+
+void AttemptKeeper::onStop(Instant now, LinkId link, const Wire::StopRequest& request, Actions& actions)
+{
+    if (!acceptTerm(request.term) || !isReady())
+        return;
+    const AttemptId id { request.taskId, request.attempt };
+    const bool known = m_attempts.contains(id);
+    Attempt& attempt = m_attempts[id];
+    attempt.link = link;
+    if (!known)
+        attempt.heldUntil = now + endedKeep;
+    if (attempt.state == Wire::AttemptState::Running)
+        actions.push_back(StopTask { id.jobId, id.number, request.checkpoint });
+    else if (attempt.state == Wire::AttemptState::Reserved)
+        end(now, id, attempt, Wire::AttemptState::Stopped, actions);
+    else
+        report(now, id, attempt, actions);
+}
+
+void AttemptKeeper::report(Instant now, const AttemptId& id, Attempt& attempt, Actions& actions)
+{
+    attempt.lastReported = now;
+    Wire::AttemptReport message;
+    message.taskId = id.jobId;
+    message.attempt = id.number;
+    message.state = attempt.state;
+    message.result = attempt.result;
+    message.checkpoint = attempt.checkpoint;
+    message.sideIncarnation = m_incarnation;
+    message.sideId = m_sideId;
+    message.sideClockMicroseconds = now.time_since_epoch().count();
+    if (attempt.link != noLink)
+        actions.push_back(SendMessage { attempt.link, std::move(message) });
+}
+
+void AttemptKeeper::end(
+    Instant now, const AttemptId& id, Attempt& attempt, Wire::AttemptState::type state, Actions& actions)
+{
+    attempt.state = state;
+    attempt.heldUntil = now + endedKeep;
+    attempt.startSentAt.reset();
+    m_ledger.release(id);
+    LogLine line("attempt_over");
+    line.add("job", id.jobId).add("attempt", id.number).add("side", m_sideId).add("state", static_cast<int>(state));
+    actions.push_back(WriteLog { line.text() });
+    report(now, id, attempt, actions);
+}
+
+void AttemptKeeper::adopt(Instant now, const WorkerTask& task, Actions& actions)
+{
+    Attempt& attempt = m_attempts[task.id];
+    attempt.state = Wire::AttemptState::Running;
+    attempt.heldUntil = now + adoptionHold;
+    attempt.lastRenewed = now - m_timing.renewEvery;
+    m_ledger.adopt(task.id, task.demand);
+    LogLine line("adopt");
+    line.add("job", task.id.jobId).add("attempt", task.id.number).add("side", m_sideId);
+    actions.push_back(WriteLog { line.text() });
+}
+
+void AttemptKeeper::observe(Instant now, const WorkerTask& task, Actions& actions)
+{
+    std::map<AttemptId, Attempt>::iterator it = m_attempts.find(task.id);
+    if (it == m_attempts.end()) {
+        if (task.state == Wire::AttemptState::Running) {
+            adopt(now, task, actions);
+            return;
+        }
+        // It ended while no side process watched; its leader will ask.
+        Attempt& ended = m_attempts[task.id];
+        ended.result = task.result;
+        ended.checkpoint = task.checkpoint;
+        end(now, task.id, ended, task.state, actions);
+        return;
+    }
+    Attempt& attempt = it->second;
+    if (isOver(attempt.state))
+        return;
+    attempt.startSentAt.reset();
+    attempt.checkpoint = task.checkpoint;
+    attempt.result = task.result;
+    if (isOver(task.state))
+        end(now, task.id, attempt, task.state, actions);
+}
+
+void AttemptKeeper::endUnlisted(Instant now, const WorkerListing& listing, Actions& actions)
+{
+    std::set<AttemptId> listed;
+    for (const WorkerTask& task : listing.tasks)
+        listed.insert(task.id);
+    for (std::pair<const AttemptId, Attempt>& entry : m_attempts) {
+        Attempt& attempt = entry.second;
+        if (attempt.state != Wire::AttemptState::Running || listed.contains(entry.first))
+            continue;
+        const bool mayStillStart = attempt.startSentAt && now - *attempt.startSentAt < m_timing.lease * startWaitLeases;
+        if (!mayStillStart)
+            end(now, entry.first, attempt, Wire::AttemptState::Stopped, actions);
+    }
+}
+
+void AttemptKeeper::onListing(Instant now, const WorkerListing& listing, Actions& actions)
+{
+    m_clock = WorkerClock { listing.clockMilliseconds, now };
+    for (const WorkerTask& task : listing.tasks)
+        observe(now, task, actions);
+    endUnlisted(now, listing, actions);
+}
+
+void AttemptKeeper::renew(Instant now, const AttemptId& id, Attempt& attempt, Actions& actions)
+{
+    const bool due = now - attempt.lastRenewed >= m_timing.renewEvery;
+    if (!due || attempt.heldUntil <= now)
+        return;
+    attempt.lastRenewed = now;
+    actions.push_back(RenewTask { id.jobId, id.number, leaseEnd(now, attempt) });
+}
+
+void AttemptKeeper::tick(Instant now, Actions& actions)
+{
+    if (now - m_lastListed >= m_timing.listEvery) {
+        m_lastListed = now;
+        actions.push_back(ListTasks {});
+    }
+    if (!isReady())
+        return;
+    for (std::map<AttemptId, Attempt>::iterator it = m_attempts.begin(); it != m_attempts.end();) {
+        Attempt& attempt = it->second;
+        if (attempt.state == Wire::AttemptState::Running)
+            renew(now, it->first, attempt, actions);
+        if (attempt.state == Wire::AttemptState::Reserved && attempt.heldUntil <= now)
+            end(now, it->first, attempt, Wire::AttemptState::Absent, actions);
+        if (isOver(attempt.state) && attempt.heldUntil <= now)
+            it = m_attempts.erase(it);
+        else
+            ++it;
+    }
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Job/HostLedger.cpp
@@ -0,0 +1,30 @@
+#include "Decision/Job/HostLedger.h"
+
+namespace Plantainpier {
+
+bool HostLedger::commit(const AttemptId& id, const Wire::Resources& demand)
+{
+    if (m_commitments.contains(id))
+        return true;
+    if (!fits(demand, free()))
+        return false;
+    adopt(id, demand);
+    return true;
+}
+
+void HostLedger::adopt(const AttemptId& id, const Wire::Resources& demand)
+{
+    if (m_commitments.emplace(id, demand).second)
+        m_committed = plus(m_committed, demand);
+}
+
+void HostLedger::release(const AttemptId& id)
+{
+    std::map<AttemptId, Wire::Resources>::iterator it = m_commitments.find(id);
+    if (it == m_commitments.end())
+        return;
+    m_committed = minus(m_committed, it->second);
+    m_commitments.erase(it);
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Job/JobBook.cpp
@@ -0,0 +1,159 @@
+#include "Decision/Job/JobBook.h"
+
+#include <array>
+
+namespace Plantainpier {
+
+namespace {
+
+    /// Attempts that may fail by the task's own fault before the job counts as failed.
+    constexpr int maximumFailures = 3;
+
+    struct JobStatusRow {
+        JobStatus status;
+        std::string_view name;
+    };
+    constexpr std::array jobStatusTable {
+        JobStatusRow { JobStatus::Queued, "queued" },
+        JobStatusRow { JobStatus::Running, "running" },
+        JobStatusRow { JobStatus::Completed, "completed" },
+        JobStatusRow { JobStatus::Failed, "failed" },
+        JobStatusRow { JobStatus::Cancelled, "cancelled" },
+    };
+
+    JobStatus statusAfter(const Job& job, AttemptEnd end)
+    {
+        if (end == AttemptEnd::Completed)
+            return JobStatus::Completed;
+        if (job.cancelRequested)
+            return JobStatus::Cancelled;
+        return job.failures >= maximumFailures ? JobStatus::Failed : JobStatus::Queued;
+    }
+
+} // namespace
+
+std::string_view name(JobStatus status)
+{
+    for (const JobStatusRow& row : jobStatusTable) {
+        if (row.status == status)
+            return row.name;
+    }
+    return "unknown";
+}
+
+JobBook::JobBook(std::string cell)
+    : m_cell(std::move(cell))
+{
+}
+
+BookEffect JobBook::apply(const LogRecord& record)
+{
+    return std::visit([this](const auto& kind) { return applyRecord(kind); }, record);
+}
+
+const Job* JobBook::find(const std::string& jobId) const
+{
+    std::map<std::string, Job>::const_iterator it = m_jobs.find(jobId);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+Wire::Resources JobBook::usageOf(const std::string& team) const
+{
+    std::unordered_map<std::string, Wire::Resources>::const_iterator it = m_usage.find(team);
+    return it == m_usage.end() ? Wire::Resources() : it->second;
+}
+
+bool JobBook::isCurrent(const std::string& cell, std::int64_t term) const
+{
+    return cell == m_cell && term == m_leader.term;
+}
+
+JobBook::QueueKey JobBook::keyOf(const Job& job) const
+{
+    return { job.record.priority, job.sequence, job.record.jobId };
+}
+
+void JobBook::enqueue(Job& job) { m_queue.insert(keyOf(job)); }
+
+BookEffect JobBook::applyRecord(const JobRecord& record)
+{
+    if (record.cell != m_cell)
+        return BookEffect::None;
+    if (m_jobs.contains(record.jobId))
+        return BookEffect::JobRepeated;
+    Job& job = m_jobs[record.jobId];
+    job.record = record;
+    job.sequence = ++m_lastSequence;
+    enqueue(job);
+    return BookEffect::JobAccepted;
+}
+
+BookEffect JobBook::applyRecord(const LeaderRecord& record)
+{
+    if (record.cell != m_cell || record.term <= m_leader.term)
+        return BookEffect::None;
+    m_leader = Leader { record.term, record.entryId, record.incarnation };
+    return BookEffect::LeaderChanged;
+}
+
+BookEffect JobBook::applyRecord(const LeaderHeartbeatRecord& record) const
+{
+    return isCurrent(record.cell, record.term) ? BookEffect::LeaderAlive : BookEffect::None;
+}
+
+BookEffect JobBook::applyRecord(const EntryStartedRecord&) const { return BookEffect::EntryStarted; }
+
+BookEffect JobBook::applyRecord(const BundleRecord&) const { return BookEffect::None; }
+
+BookEffect JobBook::applyRecord(const AttemptRecord& record)
+{
+    std::map<std::string, Job>::iterator it = m_jobs.find(record.jobId);
+    if (!isCurrent(record.cell, record.term) || it == m_jobs.end())
+        return BookEffect::None;
+    Job& job = it->second;
+    if (job.status != JobStatus::Queued || record.attempt != job.attempt + 1)
+        return BookEffect::None;
+    m_queue.erase(keyOf(job));
+    m_running.insert(record.jobId);
+    m_usage[job.record.team] = plus(m_usage[job.record.team], job.record.demand);
+    job.status = JobStatus::Running;
+    job.attempt = record.attempt;
+    job.sideId = record.sideId;
+    return BookEffect::AttemptRecorded;
+}
+
+BookEffect JobBook::applyRecord(const EndedRecord& record)
+{
+    std::map<std::string, Job>::iterator it = m_jobs.find(record.jobId);
+    if (!isCurrent(record.cell, record.term) || it == m_jobs.end())
+        return BookEffect::None;
+    Job& job = it->second;
+    if (job.status != JobStatus::Running || record.attempt != job.attempt)
+        return BookEffect::None;
+    m_running.erase(record.jobId);
+    m_usage[job.record.team] = minus(m_usage[job.record.team], job.record.demand);
+    job.failures += record.end == AttemptEnd::Failed ? 1 : 0;
+    if (!record.checkpoint.empty())
+        job.checkpoint = record.checkpoint;
+    job.result = record.result;
+    job.status = statusAfter(job, record.end);
+    if (job.status == JobStatus::Queued)
+        enqueue(job);
+    return BookEffect::AttemptOver;
+}
+
+BookEffect JobBook::applyRecord(const CancelRecord& record)
+{
+    std::map<std::string, Job>::iterator it = m_jobs.find(record.jobId);
+    if (record.cell != m_cell || it == m_jobs.end())
+        return BookEffect::None;
+    Job& job = it->second;
+    job.cancelRequested = true;
+    if (job.status == JobStatus::Queued) {
+        m_queue.erase(keyOf(job));
+        job.status = JobStatus::Cancelled;
+    }
+    return BookEffect::CancelRecorded;
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Process/EntryCore.cpp
@@ -0,0 +1,384 @@
+#include "Decision/Process/EntryCore.h"
+
+#include "Base/LogLine.h"
+
+namespace Plantainpier {
+
+namespace {
+
+    /// Links that the decision logic opens count up from here; links that were accepted have smaller ids.
+    constexpr LinkId firstOwnLink = LinkId(1) << 32;
+    /// Silence of the log after which it counts as away.
+    constexpr Duration logAwayAfter = seconds(3);
+    /// How long an operator waits for a roll-out to be read back.
+    constexpr Duration rollOutWait = seconds(5);
+
+} // namespace
+
+EntryCore::EntryCore(EntryIdentity identity, BundleRegistry bundles, RandomBelow randomBelow)
+    : m_identity(std::move(identity))
+    , m_bundles(std::move(bundles))
+    , m_membership(MembershipTiming {})
+    , m_requests(m_identity.entryId, m_identity.incarnation, m_membership,
+          Router(RouterSettings {}, m_identity.zone, std::move(randomBelow)), m_bundles)
+    , m_book(m_identity.cell)
+    , m_desk(m_identity.cell, m_membership, m_bundles)
+    , m_scheduler(
+          m_identity.cell, m_identity.entryId, m_identity.incarnation, m_membership, m_bundles, SchedulerTiming {})
+    , m_appends(AppendLimits {})
+    , m_lastLink(firstOwnLink)
+{
+}
+
+bool EntryCore::isLogAway(Instant now) const { return !m_logContact || now - *m_logContact > logAwayAfter; }
+
+bool EntryCore::isReady(Instant now) const
+{
+    if (m_leaving || !m_bundles.current())
+        return false;
+    for (const std::pair<const std::string, SideView>& entry : m_membership.sides()) {
+        if (entry.second.isLinkUp() && m_membership.isPresent(entry.second, now))
+            return true;
+    }
+    return false;
+}
+
+bool EntryCore::isDrained() const
+{
+    return m_requests.inProgress() == 0 && m_desk.waiting() == 0 && m_rollOuts.empty();
+}
+
+void EntryCore::leave()
+{
+    m_leaving = true;
+    m_requests.leave();
+    m_desk.leave();
+}
+
+void EntryCore::reply(CallerToken caller, ErrorCode code, const std::string& text, Actions& actions) const
+{
+    const Json body { { "code", static_cast<int>(code) }, { "reason", name(code) }, { "text", text },
+        { "bundle", m_bundles.version() } };
+    actions.push_back(ReplyToCaller { caller, code, body.dump(), {} });
+}
+
+// Callers and operators.
+
+void EntryCore::onRequest(Instant now, CallerToken caller, CallerRequest request, Actions& actions)
+{
+    m_requests.submit(now, caller, std::move(request), actions);
+}
+
+void EntryCore::onQuestion(Instant now, CallerToken caller, const std::string& key, Actions& actions)
+{
+    m_requests.ask(now, caller, key, actions);
+}
+
+void EntryCore::onJob(Instant now, CallerToken caller, const JobSubmission& submission, Actions& actions)
+{
+    m_desk.submit(now, caller, submission, m_book, isLogAway(now), actions);
+    appendQueued(now, actions);
+}
+
+void EntryCore::onJobQuestion(CallerToken caller, const std::string& jobId, Actions& actions) const
+{
+    m_desk.describe(caller, jobId, m_book, actions);
+}
+
+void EntryCore::onJobCancel(Instant now, CallerToken caller, const std::string& jobId, Actions& actions)
+{
+    m_desk.cancel(now, caller, jobId, m_book, isLogAway(now), actions);
+    appendQueued(now, actions);
+}
+
+void EntryCore::onRollOut(Instant now, CallerToken caller, const std::string& envelope, Actions& actions)
+{
+    BundleRegistry trial = m_bundles;
+    const Result<Success> offered = trial.offer(envelope);
+    if (!isOk(offered)) {
+        reply(caller, errorOf(offered).code, errorOf(offered).message, actions);
+        return;
+    }
+    if (trial.version() == m_bundles.version()) {
+        reply(caller, ErrorCode::Ok, "this bundle is in force already", actions);
+        return;
+    }
+    if (isLogAway(now)) {
+        reply(caller, ErrorCode::LogUnavailable, "not rolled out: the log service is away", actions);
+        return;
+    }
+    m_rollOuts.push_back(RollOut { caller, trial.version(), envelope, now + rollOutWait });
+    actions.push_back(AppendRecords { { BundleRecord { envelope } } });
+    appendQueued(now, actions);
+}
+
+void EntryCore::onStatus(Instant now, CallerToken caller, Actions& actions) const
+{
+    Json sides = Json::array();
+    for (const std::pair<const std::string, SideView>& entry : m_membership.sides()) {
+        const SideView& side = entry.second;
+        sides.push_back({ { "side", side.sideId }, { "zone", side.zone }, { "rack", side.rack },
+            { "incarnation", side.incarnation }, { "present", m_membership.isPresent(side, now) },
+            { "link_up", side.isLinkUp() }, { "leaving", side.leaving }, { "target", side.targetPresent },
+            { "bundle", side.bundleVersion }, { "in_flight", side.load.inFlight }, { "queued", side.load.queued },
+            { "slots", side.load.slots }, { "latency_us", side.load.latencyMicroseconds },
+            { "free_milli_processors", side.free.milliProcessors }, { "free_memory_mb", side.free.memoryMegabytes },
+            { "free_accelerators", side.free.accelerators } });
+    }
+    const Json body { { "entry", m_identity.entryId }, { "incarnation", m_identity.incarnation },
+        { "zone", m_identity.zone }, { "cell", m_identity.cell }, { "bundle", m_bundles.version() },
+        { "ready", isReady(now) }, { "log_away", isLogAway(now) }, { "requests_in_progress", m_requests.inProgress() },
+        { "leader", m_book.leader().entryId }, { "term", m_book.leader().term }, { "jobs", m_book.jobs().size() },
+        { "jobs_queued", m_book.queue().size() }, { "jobs_running", m_book.running().size() }, { "sides", sides } };
+    actions.push_back(ReplyToCaller { caller, ErrorCode::Ok, body.dump(), {} });
+}
+
+// Sides and the connections to them.
+
+void EntryCore::openDataLink(Instant now, SideView& side, Actions& actions)
+{
+    side.link = ++m_lastLink;
+    side.monitor.emplace(LinkTiming {}, now);
+    actions.push_back(OpenLink { side.link, side.address, side.port });
+}
+
+void EntryCore::loseDataLink(Instant now, SideView& side, std::string_view why, Actions& actions)
+{
+    LogLine line("link_lost");
+    line.add("entry", m_identity.entryId).add("side", side.sideId).add("link", side.link).add("why", why);
+    line.add("in_flight", side.ownInFlight);
+    actions.push_back(WriteLog { line.text() });
+    actions.push_back(CloseLink { side.link });
+    side.link = noLink;
+    side.monitor.reset();
+    m_requests.onLinkLost(now, side.sideId, actions);
+}
+
+void EntryCore::watchDataLink(Instant now, SideView& side, Actions& actions)
+{
+    if (side.link == noLink) {
+        if (now >= side.nextDial) {
+            side.nextDial = now + LinkTiming {}.connect;
+            openDataLink(now, side, actions);
+        }
+        return;
+    }
+    switch (side.monitor->tick(now, side.ownInFlight > 0)) {
+    case LinkVerdict::Fine:
+        break;
+    case LinkVerdict::SendHeartbeat: {
+        Wire::Ping ping;
+        ping.number = side.monitor->heartbeatNumber();
+        actions.push_back(SendMessage { side.link, ping });
+        break;
+    }
+    case LinkVerdict::Suspect:
+        loseDataLink(now, side, "silent", actions);
+        break;
+    }
+}
+
+void EntryCore::onAnnouncement(Instant now, LinkId link, const Wire::Announcement& message, Actions& actions)
+{
+    const AnnouncementEffect effect = m_membership.onAnnouncement(now, link, message);
+    Wire::AnnouncementAck ack;
+    ack.entryId = m_identity.entryId;
+    ack.bundleVersion = m_bundles.version();
+    actions.push_back(SendMessage { link, std::move(ack) });
+    if (effect == AnnouncementEffect::Stale)
+        return;
+    if (message.bundleVersion < m_bundles.version())
+        sendBundle(link, actions);
+    SideView& side = *m_membership.find(message.sideId);
+    if (effect == AnnouncementEffect::Refreshed)
+        return;
+    LogLine line("membership");
+    line.add("entry", m_identity.entryId).add("side", side.sideId).add("incarnation", side.incarnation);
+    line.add("target", side.targetPresent).add("leaving", side.leaving).add("zone", side.zone);
+    actions.push_back(WriteLog { line.text() });
+    if (effect == AnnouncementEffect::Restarted && side.link != noLink)
+        loseDataLink(now, side, "restarted", actions);
+    if (side.link == noLink)
+        openDataLink(now, side, actions);
+}
+
+void EntryCore::onLinkUp(Instant now, LinkId link, Actions& actions)
+{
+    SideView* side = m_membership.findByLink(link);
+    if (!side || side->link != link)
+        return;
+    side->monitor->onUp(now);
+    m_requests.onLinkUp(now, side->sideId, actions);
+}
+
+void EntryCore::onLinkDown(Instant now, LinkId link, Actions& actions)
+{
+    SideView* side = m_membership.findByLink(link);
+    if (side && side->link == link)
+        loseDataLink(now, *side, "closed", actions);
+}
+
+void EntryCore::onMessage(Instant now, LinkId link, const PeerMessage& message, Actions& actions)
+{
+    SideView* side = m_membership.findByLink(link);
+    if (side && side->link == link)
+        side->monitor->onHeard(now);
+    const std::string sideId = side ? side->sideId : std::string();
+    std::visit(Overloaded {
+                   [&](const Wire::Announcement& announcement) { onAnnouncement(now, link, announcement, actions); },
+                   [&](const Wire::RunAnswer& answer) { m_requests.onAnswer(now, sideId, answer, actions); },
+                   [&](const Wire::ClaimAnswer& answer) { m_requests.onClaimAnswer(now, answer, actions); },
+                   [&](const Wire::BundleNotice& notice) { offerBundle(notice.envelope, "side", actions); },
+                   [&](const Wire::ReserveAnswer& answer) {
+                       m_scheduler.onReserveAnswer(now, sideId, answer, m_book, actions);
+                   },
+                   [&](const Wire::AttemptReport& report) { m_scheduler.onReport(now, report, m_book, actions); },
+                   [](const auto&) {},
+               },
+        message);
+    appendQueued(now, actions);
+}
+
+// Bundles.
+
+void EntryCore::sendBundle(LinkId link, Actions& actions) const
+{
+    Wire::BundleNotice notice;
+    notice.version = m_bundles.version();
+    notice.envelope = m_bundles.envelope();
+    actions.push_back(SendMessage { link, std::move(notice) });
+}
+
+void EntryCore::offerBundle(const std::string& envelope, std::string_view source, Actions& actions)
+{
+    const std::int64_t before = m_bundles.version();
+    const Result<Success> offered = m_bundles.offer(envelope);
+    if (isOk(offered) && m_bundles.version() == before)
+        return;
+    LogLine line("bundle");
+    line.add("entry", m_identity.entryId).add("source", source).add("version", m_bundles.version());
+    if (!isOk(offered)) {
+        line.add("decision", name(errorOf(offered).code)).add("text", errorOf(offered).message);
+        actions.push_back(WriteLog { line.text() });
+        return;
+    }
+    actions.push_back(WriteLog { line.add("decision", "activate").text() });
+    for (const std::pair<const std::string, SideView>& entry : m_membership.sides()) {
+        if (entry.second.bundleVersion < m_bundles.version())
+            sendBundle(entry.second.announcementLink, actions);
+    }
+}
+
+void EntryCore::onBundleRecord(const BundleRecord& record, Actions& actions)
+{
+    offerBundle(record.envelope, "log", actions);
+    answerRollOuts(m_bundles.version(), actions);
+}
+
+void EntryCore::answerRollOuts(std::int64_t version, Actions& actions)
+{
+    for (std::vector<RollOut>::iterator it = m_rollOuts.begin(); it != m_rollOuts.end();) {
+        if (it->version > version) {
+            ++it;
+            continue;
+        }
+        if (it->envelope == m_bundles.envelope())
+            reply(it->caller, ErrorCode::Ok, "in force", actions);
+        else
+            reply(it->caller, ErrorCode::RollOutLost,
+                "another bundle of version " + std::to_string(it->version) + " or newer was logged first", actions);
+        it = m_rollOuts.erase(it);
+    }
+}
+
+// The log.
+
+void EntryCore::applyText(Instant now, const std::string& text, Actions& actions)
+{
+    m_appends.onRead(text);
+    const Result<LogRecord> decoded = decodeRecord(text);
+    if (!isOk(decoded)) {
+        LogLine line("log_record_ignored");
+        line.add("entry", m_identity.entryId).add("text", errorOf(decoded).message);
+        actions.push_back(WriteLog { line.text() });
+        return;
+    }
+    const LogRecord& record = valueOf(decoded);
+    const BundleRecord* bundle = std::get_if<BundleRecord>(&record);
+    if (bundle)
+        onBundleRecord(*bundle, actions);
+    const BookEffect effect = m_book.apply(record);
+    m_desk.onRecord(record, effect, m_book, actions);
+    m_scheduler.onRecord(now, record, effect, m_book, actions);
+}
+
+void EntryCore::onLogRead(Instant now, const LogRead& read, Actions& actions)
+{
+    for (const std::string& text : read.texts)
+        applyText(now, text, actions);
+    if (read.reachedEnd) {
+        m_logContact = now;
+        m_scheduler.onLogContact(now);
+        m_appends.onReadToEnd(read.began);
+        if (!m_startRecorded)
+            actions.push_back(AppendRecords { { EntryStartedRecord { m_identity.entryId, m_identity.incarnation } } });
+        m_startRecorded = true;
+    }
+    appendQueued(now, actions);
+}
+
+void EntryCore::onAppendResult(Instant now, AppendResult result, Actions& actions)
+{
+    m_appends.onResult(now, result);
+    if (result != AppendResult::Stored) {
+        LogLine line("append");
+        line.add("entry", m_identity.entryId);
+        line.add("result", result == AppendResult::Refused ? "refused" : "uncertain");
+        line.add("waiting", m_appends.size());
+        actions.push_back(WriteLog { line.text() });
+    }
+    appendQueued(now, actions);
+}
+
+void EntryCore::appendQueued(Instant now, Actions& actions)
+{
+    const auto takeOut = [this](const Action& action) {
+        const AppendRecords* append = std::get_if<AppendRecords>(&action);
+        if (append)
+            m_appends.add(append->records);
+        return append != nullptr;
+    };
+    std::erase_if(actions, takeOut);
+    std::optional<std::vector<std::string>> batch = m_appends.nextBatch(now);
+    if (batch)
+        actions.push_back(AppendBatch { std::move(*batch) });
+}
+
+// Time.
+
+void EntryCore::tick(Instant now, Actions& actions)
+{
+    for (std::pair<const std::string, SideView>& entry : m_membership.sides())
+        watchDataLink(now, entry.second, actions);
+    for (const std::string& sideId : m_membership.expired(now)) {
+        SideView& side = *m_membership.find(sideId);
+        if (side.link != noLink)
+            loseDataLink(now, side, "forgotten", actions);
+        m_membership.remove(sideId);
+    }
+    m_requests.tick(now, actions);
+    m_desk.tick(now, actions);
+    m_scheduler.tick(now, m_book, actions);
+    for (std::vector<RollOut>::iterator it = m_rollOuts.begin(); it != m_rollOuts.end();) {
+        if (now < it->until) {
+            ++it;
+            continue;
+        }
+        reply(it->caller, ErrorCode::LogUnavailable,
+            "not confirmed in time: it may still take effect; rolling the same bundle out again is safe", actions);
+        it = m_rollOuts.erase(it);
+    }
+    appendQueued(now, actions);
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Process/EntryCore.h
@@ -0,0 +1,97 @@
+/// The whole decision logic of an entry process: events in, actions out.
+#pragma once
+
+#include "Decision/Job/AppendQueue.h"
+#include "Decision/Job/CellScheduler.h"
+#include "Decision/Job/JobDesk.h"
+#include "Decision/Request/RequestCoordinator.h"
+
+namespace Plantainpier {
+
+/// What an entry process is told at its start.
+struct EntryIdentity {
+    std::string entryId;
+    /// Grows with every start of the process.
+    std::int64_t incarnation = 0;
+    std::string zone;
+    /// The cell whose jobs this entry takes and may schedule.
+    std::string cell;
+};
+
+/// One read of the log.
+struct LogRead {
+    Instant began;
+    std::vector<std::string> texts;
+    /// These were all records up to the newest.
+    bool reachedEnd = false;
+};
+
+/// An entry process without clock, threads and sockets. Lives for the process.
+class EntryCore {
+public:
+    EntryCore(EntryIdentity identity, BundleRegistry bundles, RandomBelow randomBelow);
+
+    void onRequest(Instant now, CallerToken caller, CallerRequest request, Actions& actions);
+    void onQuestion(Instant now, CallerToken caller, const std::string& key, Actions& actions);
+    void onJob(Instant now, CallerToken caller, const JobSubmission& submission, Actions& actions);
+    void onJobQuestion(CallerToken caller, const std::string& jobId, Actions& actions) const;
+    void onJobCancel(Instant now, CallerToken caller, const std::string& jobId, Actions& actions);
+    void onRollOut(Instant now, CallerToken caller, const std::string& envelope, Actions& actions);
+    void onStatus(Instant now, CallerToken caller, Actions& actions) const;
+
+    void onMessage(Instant now, LinkId link, const PeerMessage& message, Actions& actions);
+    void onLinkUp(Instant now, LinkId link, Actions& actions);
+    void onLinkDown(Instant now, LinkId link, Actions& actions);
+    void onLogRead(Instant now, const LogRead& read, Actions& actions);
+    void onAppendResult(Instant now, AppendResult result, Actions& actions);
+    void tick(Instant now, Actions& actions);
+    /// Graceful shutdown: refuse new work, finish what is in progress.
+    void leave();
+
+    bool isDrained() const;
+    bool isReady(Instant now) const;
+    bool isLogAway(Instant now) const;
+    const Membership& membership() const { return m_membership; }
+    const BundleRegistry& bundles() const { return m_bundles; }
+    const JobBook& book() const { return m_book; }
+    const CellScheduler& scheduler() const { return m_scheduler; }
+    const AppendQueue& appends() const { return m_appends; }
+    RequestCoordinator& requests() { return m_requests; }
+    const RequestCoordinator& requests() const { return m_requests; }
+
+private:
+    struct RollOut {
+        CallerToken caller = 0;
+        std::int64_t version = 0;
+        std::string envelope;
+        Instant until;
+    };
+
+    void onAnnouncement(Instant now, LinkId link, const Wire::Announcement& message, Actions& actions);
+    void openDataLink(Instant now, SideView& side, Actions& actions);
+    void loseDataLink(Instant now, SideView& side, std::string_view why, Actions& actions);
+    void watchDataLink(Instant now, SideView& side, Actions& actions);
+    void sendBundle(LinkId link, Actions& actions) const;
+    void offerBundle(const std::string& envelope, std::string_view source, Actions& actions);
+    void onBundleRecord(const BundleRecord& record, Actions& actions);
+    void answerRollOuts(std::int64_t version, Actions& actions);
+    void applyText(Instant now, const std::string& text, Actions& actions);
+    void appendQueued(Instant now, Actions& actions);
+    void reply(CallerToken caller, ErrorCode code, const std::string& text, Actions& actions) const;
+
+    EntryIdentity m_identity;
+    BundleRegistry m_bundles;
+    Membership m_membership;
+    RequestCoordinator m_requests;
+    JobBook m_book;
+    JobDesk m_desk;
+    CellScheduler m_scheduler;
+    AppendQueue m_appends;
+    std::vector<RollOut> m_rollOuts;
+    LinkId m_lastLink;
+    std::optional<Instant> m_logContact;
+    bool m_startRecorded = false;
+    bool m_leaving = false;
+};
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Process/Membership.cpp
@@ -0,0 +1,84 @@
+#include "Decision/Process/Membership.h"
+
+namespace Plantainpier {
+
+Membership::Membership(const MembershipTiming& timing)
+    : m_timing(timing)
+{
+}
+
+AnnouncementEffect Membership::onAnnouncement(Instant now, LinkId link, const Wire::Announcement& message)
+{
+    std::map<std::string, SideView>::iterator it = m_sides.find(message.sideId);
+    const bool isNew = it == m_sides.end();
+    if (isNew)
+        it = m_sides.emplace(message.sideId, SideView {}).first;
+    SideView& side = it->second;
+    if (!isNew && message.incarnation < side.incarnation)
+        return AnnouncementEffect::Stale;
+    const bool restarted = !isNew && message.incarnation > side.incarnation;
+    const bool left = message.leaving && !side.leaving;
+    if (isNew || restarted) {
+        side.firstHeard = now;
+        side.avoidUntil = Instant {};
+    }
+    side.announcementLink = link;
+    side.sideId = message.sideId;
+    side.address = message.address;
+    side.port = message.port;
+    side.zone = message.zone;
+    side.rack = message.rack;
+    side.incarnation = message.incarnation;
+    side.targetPresent = message.targetPresent;
+    side.leaving = message.leaving;
+    side.bundleVersion = message.bundleVersion;
+    side.load = message.load;
+    side.capacity = message.capacity;
+    side.free = message.free;
+    side.lastHeard = now;
+    if (isNew)
+        return AnnouncementEffect::Joined;
+    if (restarted)
+        return AnnouncementEffect::Restarted;
+    return left ? AnnouncementEffect::Left : AnnouncementEffect::Refreshed;
+}
+
+std::vector<std::string> Membership::expired(Instant now) const
+{
+    std::vector<std::string> ids;
+    for (const std::pair<const std::string, SideView>& entry : m_sides) {
+        if (now - entry.second.lastHeard > m_timing.forgetAfter)
+            ids.push_back(entry.first);
+    }
+    return ids;
+}
+
+void Membership::remove(const std::string& sideId) { m_sides.erase(sideId); }
+
+SideView* Membership::find(const std::string& sideId)
+{
+    std::map<std::string, SideView>::iterator it = m_sides.find(sideId);
+    return it == m_sides.end() ? nullptr : &it->second;
+}
+
+const SideView* Membership::find(const std::string& sideId) const
+{
+    std::map<std::string, SideView>::const_iterator it = m_sides.find(sideId);
+    return it == m_sides.end() ? nullptr : &it->second;
+}
+
+SideView* Membership::findByLink(LinkId link)
+{
+    for (std::pair<const std::string, SideView>& entry : m_sides) {
+        if (entry.second.link == link || entry.second.announcementLink == link)
+            return &entry.second;
+    }
+    return nullptr;
+}
+
+bool Membership::isPresent(const SideView& side, Instant now) const
+{
+    return !side.leaving && now - side.lastHeard <= m_timing.suspectAfter;
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Process/Membership.h
@@ -0,0 +1,86 @@
+/// What an entry knows of the sides: who is there, how loaded, over which connection.
+#pragma once
+
+#include "Decision/Connection/LinkMonitor.h"
+#include "Decision/Process/Message.h"
+
+#include <map>
+#include <optional>
+
+namespace Plantainpier {
+
+/// One side as this entry sees it. Everything here is an estimate; the side itself has the last word.
+struct SideView {
+    std::string sideId;
+    std::string address;
+    int port = 0;
+    std::string zone;
+    std::string rack;
+    std::int64_t incarnation = 0;
+    bool targetPresent = false;
+    bool leaving = false;
+    std::int64_t bundleVersion = 0;
+    Wire::Load load;
+    Wire::Resources capacity;
+    Wire::Resources free;
+    Instant lastHeard;
+    Instant firstHeard;
+    /// Requests of this entry that are dispatched and unanswered.
+    int ownInFlight = 0;
+    /// Until then the side gets no new request because a dispatch to it just failed.
+    Instant avoidUntil;
+    /// The connection that the side announces itself on.
+    LinkId announcementLink = noLink;
+    /// The data link; noLink while there is none.
+    LinkId link = noLink;
+    std::optional<LinkMonitor> monitor;
+
+    /// When the next data link is dialled at the earliest.
+    Instant nextDial;
+
+    bool isLinkUp() const { return monitor && monitor->isUp(); }
+};
+
+/// How long a silent side counts as present.
+struct MembershipTiming {
+    /// Silence on the announcement link after which a side gets nothing new.
+    Duration suspectAfter = milliseconds(1500);
+    /// Silence after which a side is forgotten.
+    Duration forgetAfter = seconds(60);
+};
+
+/// What an announcement changed.
+enum class AnnouncementEffect {
+    Refreshed,
+    Joined,
+    Restarted,
+    Left,
+    /// From an incarnation that has been replaced; ignored.
+    Stale,
+};
+
+/// The sides known to one entry. Lives for the process; holds no decision beyond who is present.
+class Membership {
+public:
+    explicit Membership(const MembershipTiming& timing);
+
+    AnnouncementEffect onAnnouncement(Instant now, LinkId link, const Wire::Announcement& message);
+    /// Sides to forget; the caller closes their links before it removes them.
+    std::vector<std::string> expired(Instant now) const;
+    void remove(const std::string& sideId);
+
+    SideView* find(const std::string& sideId);
+    const SideView* find(const std::string& sideId) const;
+    /// The side that this connection leads to, as data or announcement link.
+    SideView* findByLink(LinkId link);
+    /// Present, not leaving and heard of lately. Says nothing about its data link.
+    bool isPresent(const SideView& side, Instant now) const;
+    std::map<std::string, SideView>& sides() { return m_sides; }
+    const std::map<std::string, SideView>& sides() const { return m_sides; }
+
+private:
+    MembershipTiming m_timing;
+    std::map<std::string, SideView> m_sides;
+};
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Process/SideCore.cpp
@@ -0,0 +1,258 @@
+#include "Decision/Process/SideCore.h"
+
+#include "Base/LogLine.h"
+
+namespace Plantainpier {
+
+namespace {
+
+    constexpr Duration announceEvery = milliseconds(500);
+    constexpr Duration redialAfter = milliseconds(300);
+    /// Silence after which a target that did not say goodbye counts as gone.
+    constexpr Duration targetSilence = seconds(3);
+    /// Links of the decision logic's own count up from here; links that were accepted have smaller ids.
+    constexpr LinkId firstOwnLink = LinkId(1) << 32;
+    /// How long keys are vouched for while no bundle says otherwise.
+    constexpr Duration keepWithoutBundle = seconds(600);
+
+} // namespace
+
+SideCore::SideCore(SideIdentity identity, BundleRegistry bundles, Instant now)
+    : m_identity(std::move(identity))
+    , m_bundles(std::move(bundles))
+    , m_requests(m_identity.sideId, m_identity.incarnation)
+    , m_witness(m_identity.sideId, now)
+    , m_attempts(m_identity.sideId, m_identity.incarnation, LeaseTiming {})
+    , m_lastLink(firstOwnLink)
+{
+    for (const PeerAddress& address : m_identity.entries) {
+        m_entries.emplace_back();
+        m_entries.back().address = address;
+        m_entries.back().nextDial = now;
+    }
+}
+
+// The target beside this process.
+
+bool SideCore::isTargetPresent(Instant now) const
+{
+    return m_targetHeard && !m_targetLeaving && now - *m_targetHeard <= targetSilence;
+}
+
+void SideCore::onTargetAnnouncement(Instant now, const TargetAnnouncement& announcement, Actions& actions)
+{
+    m_targetHeard = now;
+    m_targetSlots = announcement.slots;
+    m_targetLeaving = announcement.leaving;
+    updateSlots(now, actions);
+}
+
+void SideCore::updateSlots(Instant now, Actions& actions)
+{
+    const bool present = isTargetPresent(now);
+    m_requests.setSlots(now, present ? m_targetSlots : 0, actions);
+    if (present == m_targetWasPresent)
+        return;
+    m_targetWasPresent = present;
+    LogLine line("target");
+    line.add("side", m_identity.sideId).add("present", present).add("leaving", m_targetLeaving);
+    actions.push_back(WriteLog { line.add("slots", m_targetSlots).text() });
+    announceToAll(now, actions);
+}
+
+void SideCore::onTargetResult(Instant now, const std::string& dispatchId, const TargetResult& result, Actions& actions)
+{
+    if (result.kind == TargetResult::Kind::NotStarted) {
+        // It accepts no connection: it is gone until it announces itself again.
+        m_targetHeard.reset();
+        updateSlots(now, actions);
+    }
+    m_requests.onTargetResult(now, dispatchId, result, actions);
+}
+
+void SideCore::onWorkerListing(Instant now, const WorkerListing& listing, Actions& actions)
+{
+    m_attempts.onListing(now, listing, actions);
+}
+
+// Entries.
+
+SideCore::EntryLink* SideCore::findEntry(LinkId link)
+{
+    for (EntryLink& entry : m_entries) {
+        if (entry.link == link)
+            return &entry;
+    }
+    return nullptr;
+}
+
+void SideCore::dialEntries(Instant now, Actions& actions)
+{
+    for (EntryLink& entry : m_entries) {
+        if (entry.link != noLink || now < entry.nextDial)
+            continue;
+        entry.link = ++m_lastLink;
+        entry.monitor.emplace(LinkTiming {}, now);
+        actions.push_back(OpenLink { entry.link, entry.address.address, entry.address.port });
+    }
+}
+
+void SideCore::drop(Instant now, EntryLink& entry)
+{
+    entry.link = noLink;
+    entry.monitor.reset();
+    entry.nextDial = now + redialAfter;
+}
+
+void SideCore::watch(Instant now, EntryLink& entry, Actions& actions)
+{
+    if (!entry.monitor)
+        return;
+    // Announcements are this link's heartbeat, so the monitor's own are not sent.
+    if (entry.monitor->tick(now, false) == LinkVerdict::Suspect) {
+        LogLine line("link_suspect");
+        line.add("side", m_identity.sideId).add("entry_port", entry.address.port).add("link", entry.link);
+        actions.push_back(WriteLog { line.text() });
+        actions.push_back(CloseLink { entry.link });
+        drop(now, entry);
+        return;
+    }
+    if (entry.monitor->isUp() && now - entry.lastAnnounced >= announceEvery)
+        announce(now, entry, actions);
+}
+
+void SideCore::announce(Instant now, EntryLink& entry, Actions& actions)
+{
+    entry.lastAnnounced = now;
+    Wire::Announcement message;
+    message.sideId = m_identity.sideId;
+    message.address = m_identity.listen.address;
+    message.port = m_identity.listen.port;
+    message.zone = m_identity.zone;
+    message.rack = m_identity.rack;
+    message.incarnation = m_identity.incarnation;
+    message.targetPresent = isTargetPresent(now);
+    message.leaving = m_leaving;
+    message.bundleVersion = m_bundles.version();
+    message.load = m_requests.load();
+    message.capacity = m_identity.capacity;
+    if (m_attempts.isReady())
+        message.free = m_attempts.free();
+    actions.push_back(SendMessage { entry.link, std::move(message) });
+}
+
+void SideCore::announceToAll(Instant now, Actions& actions)
+{
+    for (EntryLink& entry : m_entries) {
+        if (entry.monitor && entry.monitor->isUp())
+            announce(now, entry, actions);
+    }
+}
+
+void SideCore::onLinkUp(Instant now, LinkId link, Actions& actions)
+{
+    EntryLink* entry = findEntry(link);
+    if (!entry)
+        return;
+    entry->monitor->onUp(now);
+    announce(now, *entry, actions);
+}
+
+void SideCore::onLinkDown(Instant now, LinkId link, Actions&)
+{
+    EntryLink* entry = findEntry(link);
+    if (entry)
+        drop(now, *entry);
+}
+
+void SideCore::onMessage(Instant now, LinkId link, const PeerMessage& message, Actions& actions)
+{
+    EntryLink* entry = findEntry(link);
+    if (entry && entry->monitor)
+        entry->monitor->onHeard(now);
+    const Duration keep = m_bundles.current() ? m_bundles.current()->keepAnswers() : keepWithoutBundle;
+    std::visit(Overloaded {
+                   [&](const Wire::Ping& ping) {
+                       Wire::Pong pong;
+                       pong.number = ping.number;
+                       actions.push_back(SendMessage { link, pong });
+                   },
+                   [&](const Wire::AnnouncementAck& ack) { passBundleOn(link, ack.bundleVersion, actions); },
+                   [&](const Wire::RunRequest& request) { m_requests.onRun(now, link, request, actions); },
+                   [&](const Wire::ResolveRequest& request) { m_requests.onResolve(now, link, request, actions); },
+                   [&](const Wire::ClaimRequest& request) {
+                       actions.push_back(SendMessage { link, m_witness.claim(now, request, keep) });
+                   },
+                   [&](const Wire::KeyQuery& request) {
+                       actions.push_back(SendMessage { link, m_witness.query(now, request) });
+                   },
+                   [&](const Wire::BundleNotice& notice) { onBundle(now, link, notice, actions); },
+                   [&](const Wire::ReserveRequest& request) { m_attempts.onReserve(now, link, request, actions); },
+                   [&](const Wire::StartRequest& request) { m_attempts.onStart(now, link, request, actions); },
+                   [&](const Wire::HoldRequest& request) { m_attempts.onHold(now, link, request, actions); },
+                   [&](const Wire::StopRequest& request) { m_attempts.onStop(now, link, request, actions); },
+                   [](const auto&) {},
+               },
+        message);
+}
+
+// Bundles.
+
+void SideCore::onBundle(Instant now, LinkId link, const Wire::BundleNotice& notice, Actions& actions)
+{
+    if (notice.version <= m_bundles.version())
+        return;
+    const Result<Success> offered = m_bundles.offer(notice.envelope);
+    LogLine line("bundle");
+    line.add("side", m_identity.sideId).add("version", notice.version).add("link", link);
+    if (!isOk(offered)) {
+        line.add("decision", name(errorOf(offered).code)).add("text", errorOf(offered).message);
+        actions.push_back(WriteLog { line.text() });
+        return;
+    }
+    actions.push_back(WriteLog { line.add("decision", "activate").text() });
+    activate(now, actions);
+}
+
+void SideCore::passBundleOn(LinkId link, std::int64_t version, Actions& actions) const
+{
+    if (version >= m_bundles.version())
+        return;
+    Wire::BundleNotice notice;
+    notice.version = m_bundles.version();
+    notice.envelope = m_bundles.envelope();
+    actions.push_back(SendMessage { link, std::move(notice) });
+}
+
+void SideCore::activate(Instant now, Actions& actions)
+{
+    m_requests.setBundle(m_bundles.current());
+    m_attempts.setLimit(percentOf(m_identity.capacity, m_bundles.current()->batchPercent()));
+    announceToAll(now, actions);
+}
+
+// Time.
+
+void SideCore::tick(Instant now, Actions& actions)
+{
+    updateSlots(now, actions);
+    m_requests.tick(now, actions);
+    m_witness.expire(now);
+    m_attempts.tick(now, actions);
+    dialEntries(now, actions);
+    for (EntryLink& entry : m_entries)
+        watch(now, entry, actions);
+}
+
+void SideCore::leave(Instant now, Actions& actions)
+{
+    m_leaving = true;
+    m_requests.leave();
+    m_attempts.leave();
+    announceToAll(now, actions);
+    LogLine line("leaving");
+    line.add("side", m_identity.sideId).add("in_progress", m_requests.inProgress());
+    actions.push_back(WriteLog { line.text() });
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Request/CallerRequest.cpp
@@ -0,0 +1,97 @@
+#include "Decision/Request/CallerRequest.h"
+
+#include <array>
+#include <sodium.h>
+
+namespace Plantainpier {
+
+namespace {
+
+    constexpr std::size_t maximumNameBytes = 256;
+    constexpr std::int64_t longestDeadlineMilliseconds = 600'000;
+
+    struct OutcomeRow {
+        Wire::Outcome::type outcome;
+        std::string_view name;
+    };
+    constexpr std::array outcomeTable {
+        OutcomeRow { Wire::Outcome::Done, "done" },
+        OutcomeRow { Wire::Outcome::NotRun, "not_run" },
+        OutcomeRow { Wire::Outcome::Unknown, "unknown" },
+        OutcomeRow { Wire::Outcome::Running, "running" },
+    };
+
+    std::string toBase64(const std::string& bytes)
+    {
+        constexpr int variant = sodium_base64_VARIANT_ORIGINAL;
+        std::string text(sodium_base64_encoded_len(bytes.size(), variant), '\0');
+        sodium_bin2base64(
+            text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), variant);
+        text.pop_back();
+        return text;
+    }
+
+    /// The JSON text of an answer that may hold bytes which are no UTF-8.
+    std::string dumpWithBody(Json json, const std::string& body)
+    {
+        json["answer"] = body;
+        try {
+            return json.dump();
+        } catch (const Json::type_error&) {
+            json.erase("answer");
+            json["answer_base64"] = toBase64(body);
+            return json.dump();
+        }
+    }
+
+} // namespace
+
+std::string_view name(Wire::Outcome::type outcome)
+{
+    for (const OutcomeRow& row : outcomeTable) {
+        if (row.outcome == outcome)
+            return row.name;
+    }
+    return "unknown";
+}
+
+Result<CallerRequest> parseCallerRequest(const std::string& text)
+{
+    const Result<Json> parsed = parseJsonObject(text);
+    if (!isOk(parsed))
+        return errorOf(parsed);
+    JsonReader reader(valueOf(parsed), "");
+    CallerRequest request;
+    request.key = reader.optionalString("key", maximumNameBytes, "");
+    request.caller = reader.requiredString("caller", maximumNameBytes);
+    request.className = reader.requiredString("class", maximumNameBytes);
+    request.idempotent = reader.requiredBool("idempotent");
+    request.resend = reader.optionalBool("resend", false);
+    request.deadline = milliseconds(reader.requiredInteger("deadline_ms", 1, longestDeadlineMilliseconds));
+    request.body = reader.optionalString("body", maximumBodyBytes, "");
+    reader.finish();
+    if (!request.idempotent && request.key.empty())
+        reader.fault(ErrorCode::MissingField, "key", "is required when idempotent is false");
+    if (!reader.faults().empty())
+        return joinFaults(reader.faults());
+    return request;
+}
+
+std::string encodeCallerAnswer(const CallerAnswer& answer)
+{
+    Json json { { "outcome", name(answer.outcome) }, { "request", answer.requestId },
+        { "bundle", answer.bundleVersion } };
+    if (answer.outcome == Wire::Outcome::Done) {
+        json["side"] = answer.sideId;
+        json["status"] = answer.status;
+        return dumpWithBody(std::move(json), answer.body);
+    }
+    json["code"] = static_cast<int>(answer.code);
+    json["reason"] = name(answer.code);
+    json["text"] = errorCodeRow(answer.code).meaning;
+    if (answer.retryAfter > Duration::zero())
+        json["retry_after_ms"] = toMilliseconds(answer.retryAfter);
+    return json.dump();
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Request/DispatchLedger.cpp
@@ -0,0 +1,67 @@
+#include "Decision/Request/DispatchLedger.h"
+
+namespace Plantainpier {
+
+namespace {
+
+    /// Bodies of kept answers; the oldest are dropped first.
+    constexpr std::size_t maximumKeptBytes = 16U << 20;
+
+} // namespace
+
+Dispatch* DispatchLedger::find(const std::string& dispatchId)
+{
+    std::unordered_map<std::string, Dispatch>::iterator it = m_dispatches.find(dispatchId);
+    return it == m_dispatches.end() ? nullptr : &it->second;
+}
+
+Dispatch& DispatchLedger::add(const std::string& dispatchId) { return m_dispatches[dispatchId]; }
+
+void DispatchLedger::close(const std::string& dispatchId, Instant keepUntil)
+{
+    Dispatch* dispatch = find(dispatchId);
+    dispatch->body.clear();
+    dispatch->body.shrink_to_fit();
+    m_expiries.emplace(keepUntil, dispatchId);
+    if (dispatch->answer.body.empty())
+        return;
+    m_keptBytes += dispatch->answer.body.size();
+    m_bodies.push_back(dispatchId);
+    dropBodies();
+}
+
+void DispatchLedger::dropBody(Dispatch& dispatch)
+{
+    m_keptBytes -= dispatch.answer.body.size();
+    dispatch.answer.body.clear();
+    dispatch.answer.body.shrink_to_fit();
+}
+
+void DispatchLedger::dropBodies()
+{
+    while (!m_bodies.empty()) {
+        Dispatch* oldest = find(m_bodies.front());
+        if (oldest && m_keptBytes <= maximumKeptBytes)
+            return;
+        if (oldest) {
+            dropBody(*oldest);
+            oldest->state = DispatchState::Forgotten;
+        }
+        m_bodies.pop_front();
+    }
+}
+
+void DispatchLedger::expire(Instant now)
+{
+    while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
+        Dispatch* dispatch = find(m_expiries.begin()->second);
+        if (dispatch) {
+            dropBody(*dispatch);
+            m_dispatches.erase(m_expiries.begin()->second);
+        }
+        m_expiries.erase(m_expiries.begin());
+    }
+    dropBodies();
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Request/SideRequests.cpp
@@ -0,0 +1,258 @@
+#include "Decision/Request/SideRequests.h"
+
+#include "Base/LogLine.h"
+
+namespace Plantainpier {
+
+namespace {
+
+    /// How long the side waits for the target past the caller's deadline, so that a late answer can still be kept.
+    constexpr Duration targetGrace = seconds(5);
+    /// How long a dispatch is kept that no caller can resend as the same one.
+    constexpr Duration shortKeep = seconds(10);
+    constexpr Duration longKeepWithoutBundle = seconds(600);
+
+} // namespace
+
+SideRequests::SideRequests(std::string sideId, std::int64_t incarnation)
+    : m_sideId(std::move(sideId))
+    , m_incarnation(incarnation)
+{
+}
+
+void SideRequests::setBundle(std::shared_ptr<const Bundle> bundle)
+{
+    m_bundle = std::move(bundle);
+    m_queue.setBundle(m_bundle);
+}
+
+void SideRequests::setSlots(Instant now, int slots, Actions& actions)
+{
+    m_queue.setSlots(slots);
+    if (slots > 0 && m_bundle)
+        advanceQueue(now, actions);
+}
+
+Wire::Load SideRequests::load() const
+{
+    Wire::Load load;
+    load.inFlight = m_queue.running();
+    load.queued = m_queue.waiting();
+    load.slots = m_queue.slots();
+    load.latencyMicroseconds = m_queue.serviceTime().count();
+    return load;
+}
+
+Wire::RunAnswer SideRequests::makeAnswer(
+    const std::string& dispatchId, Wire::Outcome::type outcome, ErrorCode code) const
+{
+    Wire::RunAnswer answer;
+    answer.dispatchId = dispatchId;
+    answer.outcome = outcome;
+    answer.code = static_cast<int>(code);
+    answer.reason = std::string(name(code));
+    answer.sideIncarnation = m_incarnation;
+    answer.bundleVersion = m_bundle ? m_bundle->version() : 0;
+    return answer;
+}
+
+void SideRequests::send(LinkId link, Wire::RunAnswer answer, Actions& actions) const
+{
+    answer.load = load();
+    actions.push_back(SendMessage { link, std::move(answer) });
+}
+
+ErrorCode SideRequests::refusalOf(const Wire::RunRequest& request) const
+{
+    if (request.sideIncarnation != m_incarnation)
+        return ErrorCode::StaleIncarnation;
+    if (!m_bundle)
+        return ErrorCode::NoBundle;
+    if (m_leaving)
+        return ErrorCode::Leaving;
+    if (m_queue.slots() == 0)
+        return ErrorCode::NoTarget;
+    if (request.workClass < 0 || request.workClass >= static_cast<int>(m_bundle->classes().size()))
+        return ErrorCode::NotAdmitted;
+    return ErrorCode::Ok;
+}
+
+void SideRequests::onRun(Instant now, LinkId link, const Wire::RunRequest& request, Actions& actions)
+{
+    Dispatch* known = m_ledger.find(request.dispatchId);
+    if (known) {
+        answerState(now, link, request.dispatchId, *known, false, actions);
+        return;
+    }
+    const ErrorCode code = refusalOf(request);
+    if (code == ErrorCode::Ok) {
+        admit(now, link, request, actions);
+        return;
+    }
+    // A refused dispatch id stays refused: a copy of it that arrives later must not run either.
+    Dispatch& dispatch = m_ledger.add(request.dispatchId);
+    dispatch.link = link;
+    refuse(now, request.dispatchId, dispatch, code, Duration::zero(), actions);
+}
+
+void SideRequests::admit(Instant now, LinkId link, const Wire::RunRequest& request, Actions& actions)
+{
+    Dispatch& dispatch = m_ledger.add(request.dispatchId);
+    dispatch.classIndex = request.workClass;
+    dispatch.deadline = now + Duration(request.budgetMicroseconds);
+    dispatch.link = link;
+    dispatch.idempotent = request.idempotent;
+    const AdmissionAnswer admission = m_queue.offer(now, request.dispatchId, request.workClass, dispatch.deadline);
+    LogLine line("admission");
+    line.add("dispatch", request.dispatchId).add("side", m_sideId);
+    line.add("class", m_bundle->classes()[static_cast<std::size_t>(request.workClass)].name);
+    line.add("in_flight", m_queue.running()).add("queued", m_queue.waiting()).add("slots", m_queue.slots());
+    line.add("budget_us", request.budgetMicroseconds).add("bundle", m_bundle->version());
+    switch (admission.kind) {
+    case AdmissionAnswer::Kind::Start:
+        actions.push_back(WriteLog { line.add("decision", "start").text() });
+        dispatch.body = request.body;
+        callTarget(now, request.dispatchId, dispatch, actions);
+        break;
+    case AdmissionAnswer::Kind::Wait:
+        actions.push_back(WriteLog { line.add("decision", "wait").text() });
+        dispatch.body = request.body;
+        break;
+    case AdmissionAnswer::Kind::Refuse:
+        line.add("decision", "refuse").add("code", name(admission.code));
+        actions.push_back(WriteLog { line.text() });
+        refuse(now, request.dispatchId, dispatch, admission.code, admission.retryAfter, actions);
+        break;
+    }
+}
+
+void SideRequests::callTarget(Instant now, const std::string& dispatchId, Dispatch& dispatch, Actions& actions)
+{
+    dispatch.state = DispatchState::Running;
+    dispatch.startedAt = now;
+    const Duration timeout = dispatch.deadline - now + targetGrace;
+    actions.push_back(CallTarget { dispatchId, dispatch.idempotent, std::move(dispatch.body), timeout });
+    dispatch.body.clear();
+}
+
+void SideRequests::refuse(Instant now, const std::string& dispatchId, Dispatch& dispatch, ErrorCode code,
+    Duration retryAfter, Actions& actions)
+{
+    dispatch.state = DispatchState::Refused;
+    dispatch.answer = makeAnswer(dispatchId, Wire::Outcome::NotRun, code);
+    dispatch.answer.retryAfterMicroseconds = retryAfter.count();
+    finish(now, dispatchId, dispatch, actions);
+}
+
+void SideRequests::finish(Instant now, const std::string& dispatchId, Dispatch& dispatch, Actions& actions)
+{
+    send(dispatch.link, dispatch.answer, actions);
+    // A refused or idempotent dispatch is only asked about by the entry that sent it.
+    const bool askedLater = dispatch.state == DispatchState::Finished && !dispatch.idempotent;
+    m_ledger.close(dispatchId, now + (askedLater ? longKeep() : shortKeep));
+}
+
+Duration SideRequests::longKeep() const { return m_bundle ? m_bundle->keepAnswers() : longKeepWithoutBundle; }
+
+void SideRequests::fence(Instant now, const std::string& dispatchId)
+{
+    Dispatch& dispatch = m_ledger.add(dispatchId);
+    dispatch.state = DispatchState::Refused;
+    dispatch.answer = makeAnswer(dispatchId, Wire::Outcome::NotRun, ErrorCode::Fenced);
+    // The fenced message may still wait in a connection that went silent, and arrive much later.
+    m_ledger.close(dispatchId, now + longKeep());
+}
+
+void SideRequests::onResolve(Instant now, LinkId link, const Wire::ResolveRequest& request, Actions& actions)
+{
+    if (request.sideIncarnation != m_incarnation) {
+        send(link, makeAnswer(request.dispatchId, Wire::Outcome::Unknown, ErrorCode::StaleIncarnation), actions);
+        return;
+    }
+    Dispatch* known = m_ledger.find(request.dispatchId);
+    if (known) {
+        answerState(now, link, request.dispatchId, *known, request.fence, actions);
+        return;
+    }
+    if (!request.fence) {
+        send(link, makeAnswer(request.dispatchId, Wire::Outcome::Unknown, ErrorCode::KeyUnknown), actions);
+        return;
+    }
+    fence(now, request.dispatchId);
+    actions.push_back(WriteLog { LogLine("fence").add("dispatch", request.dispatchId).add("side", m_sideId).text() });
+    send(link, makeAnswer(request.dispatchId, Wire::Outcome::NotRun, ErrorCode::Fenced), actions);
+}
+
+void SideRequests::answerState(
+    Instant now, LinkId link, const std::string& dispatchId, Dispatch& dispatch, bool fence, Actions& actions)
+{
+    switch (dispatch.state) {
+    case DispatchState::Waiting:
+        dispatch.link = link;
+        if (fence && m_queue.withdraw(dispatchId))
+            refuse(now, dispatchId, dispatch, ErrorCode::Fenced, Duration::zero(), actions);
+        else
+            send(link, makeAnswer(dispatchId, Wire::Outcome::Running, ErrorCode::Ok), actions);
+        break;
+    case DispatchState::Running:
+        dispatch.link = link;
+        send(link, makeAnswer(dispatchId, Wire::Outcome::Running, ErrorCode::Ok), actions);
+        break;
+    case DispatchState::Finished:
+    case DispatchState::Refused:
+        send(link, dispatch.answer, actions);
+        break;
+    case DispatchState::Forgotten:
+        send(link, makeAnswer(dispatchId, Wire::Outcome::Unknown, ErrorCode::OutcomeUnknown), actions);
+        break;
+    }
+}
+
+void SideRequests::onTargetResult(
+    Instant now, const std::string& dispatchId, const TargetResult& result, Actions& actions)
+{
+    Dispatch* dispatch = m_ledger.find(dispatchId);
+    if (!dispatch || dispatch->state != DispatchState::Running)
+        return;
+    switch (result.kind) {
+    case TargetResult::Kind::Answered:
+        m_queue.onFinished(dispatch->classIndex, now - dispatch->startedAt);
+        dispatch->state = DispatchState::Finished;
+        dispatch->answer = makeAnswer(dispatchId, Wire::Outcome::Done, ErrorCode::Ok);
+        dispatch->answer.body = result.body;
+        dispatch->answer.status = result.status;
+        finish(now, dispatchId, *dispatch, actions);
+        break;
+    case TargetResult::Kind::NotStarted:
+        m_queue.onAborted(dispatch->classIndex);
+        refuse(now, dispatchId, *dispatch, ErrorCode::TargetUnreachable, Duration::zero(), actions);
+        break;
+    case TargetResult::Kind::Uncertain:
+        m_queue.onAborted(dispatch->classIndex);
+        dispatch->state = DispatchState::Finished;
+        dispatch->answer = makeAnswer(dispatchId, Wire::Outcome::Unknown, ErrorCode::OutcomeUnknown);
+        finish(now, dispatchId, *dispatch, actions);
+        break;
+    }
+    advanceQueue(now, actions);
+}
+
+void SideRequests::advanceQueue(Instant now, Actions& actions)
+{
+    for (const QueueExit& exit : m_queue.advance(now)) {
+        Dispatch* dispatch = m_ledger.find(exit.dispatchId);
+        if (exit.start)
+            callTarget(now, exit.dispatchId, *dispatch, actions);
+        else
+            refuse(now, exit.dispatchId, *dispatch, ErrorCode::DeadlineTooShort, m_queue.serviceTime(), actions);
+    }
+}
+
+void SideRequests::tick(Instant now, Actions& actions)
+{
+    if (m_bundle)
+        advanceQueue(now, actions);
+    m_ledger.expire(now);
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Shell/Connection/HttpServer.cpp
@@ -0,0 +1,145 @@
+#include "Shell/Connection/HttpServer.h"
+
+#include "Base/Json.h"
+
+#include <atomic>
+#include <pistache/endpoint.h>
+#include <pistache/http.h>
+
+namespace Plantainpier {
+
+namespace {
+
+    /// Larger than any allowed body, so that a body over the limit still gets a numbered error.
+    constexpr std::size_t maximumRequestBytes = 4U << 20;
+    constexpr std::size_t maximumResponseBytes = 64U << 20;
+    constexpr Duration headerTimeout = seconds(5);
+    constexpr Duration bodyTimeout = seconds(10);
+    constexpr int listenBacklog = 1024;
+
+    std::string methodName(Pistache::Http::Method method) { return Pistache::Http::methodString(method); }
+
+    /// A Pistache request with its response writer.
+    class PistacheCall : public HttpCall {
+    public:
+        PistacheCall(const Pistache::Http::Request& request, Pistache::Http::ResponseWriter&& response)
+            : m_response(std::move(response))
+        {
+            method = methodName(request.method());
+            path = request.resource();
+            query = request.query().as_str();
+            if (!query.empty() && query.front() == '?')
+                query.erase(0, 1);
+            body = request.body();
+        }
+
+        bool reply(int status, const std::string& text, Duration retryAfter) override
+        {
+            if (m_answered.exchange(true))
+                return false;
+            try {
+                if (retryAfter > Duration::zero()) {
+                    const long long secondsUp = (toMilliseconds(retryAfter) + 999) / 1000;
+                    m_response.headers().addRaw(Pistache::Http::Header::Raw("Retry-After", std::to_string(secondsUp)));
+                }
+                const bool isJson = !text.empty() && text.front() == '{';
+                const Pistache::Http::Mime::MediaType mime = isJson ? MIME(Application, Json) : MIME(Text, Plain);
+                m_response.send(static_cast<Pistache::Http::Code>(status), text, mime);
+                return true;
+            } catch (const std::exception&) {
+                return false;
+            }
+        }
+
+    private:
+        Pistache::Http::ResponseWriter m_response;
+        std::atomic<bool> m_answered { false };
+    };
+
+    class CallHandler : public Pistache::Http::Handler {
+    public:
+        HTTP_PROTOTYPE(CallHandler)
+
+        explicit CallHandler(HttpServer::OnCall onCall)
+            : m_onCall(std::move(onCall))
+        {
+        }
+
+        void onRequest(const Pistache::Http::Request& request, Pistache::Http::ResponseWriter response) override
+        {
+            m_onCall(std::make_shared<PistacheCall>(request, std::move(response)));
+        }
+
+    private:
+        HttpServer::OnCall m_onCall;
+    };
+
+    class PistacheServer : public HttpServer {
+    public:
+        PistacheServer(const std::string& address, int port, int threads, OnCall onCall)
+            : m_endpoint(Pistache::Address(address, Pistache::Port(static_cast<std::uint16_t>(port))))
+        {
+            Pistache::Http::Endpoint::Options options
+                = Pistache::Http::Endpoint::options()
+                      .threads(threads)
+                      .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay)
+                      .backlog(listenBacklog)
+                      .maxRequestSize(maximumRequestBytes)
+                      .maxResponseSize(maximumResponseBytes)
+                      .headerTimeout(headerTimeout)
+                      .bodyTimeout(bodyTimeout);
+            m_endpoint.init(options);
+            m_endpoint.setHandler(std::make_shared<CallHandler>(std::move(onCall)));
+            m_endpoint.serveThreaded();
+        }
+
+        ~PistacheServer() override { stop(); }
+        PistacheServer(const PistacheServer&) = delete;
+        PistacheServer& operator=(const PistacheServer&) = delete;
+
+        void stop() override
+        {
+            if (!m_stopped.exchange(true))
+                m_endpoint.shutdown();
+        }
+
+    private:
+        Pistache::Http::Endpoint m_endpoint;
+        std::atomic<bool> m_stopped { false };
+    };
+
+} // namespace
+
+bool HttpCall::reply(const Error& error)
+{
+    const Json json { { "code", static_cast<int>(error.code) }, { "reason", name(error.code) },
+        { "text", error.message } };
+    return reply(errorCodeRow(error.code).httpStatus, json.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::create(const std::string& address, int port, int threads, OnCall onCall)
+{
+    try {
+        std::unique_ptr<HttpServer> server
+            = std::make_unique<PistacheServer>(address, port, threads, std::move(onCall));
+        return server;
+    } catch (const std::exception& exception) {
+        return Error { ErrorCode::AddressInUse,
+            "cannot listen on " + address + ":" + std::to_string(port) + ": " + exception.what() };
+    }
+}
+
+std::string queryValue(const std::string& query, const std::string& key)
+{
+    std::size_t begin = 0;
+    while (begin < query.size()) {
+        const std::size_t end = std::min(query.find('&', begin), query.size());
+        const std::string pair = query.substr(begin, end - begin);
+        if (pair.compare(0, key.size() + 1, key + "=") == 0)
+            return pair.substr(key.size() + 1);
+        begin = end + 1;
+    }
+    return {};
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Shell/Connection/HttpServer.h
@@ -0,0 +1,47 @@
+/// The HTTP side of every program, by Pistache. Answers may be given later and from another thread.
+#pragma once
+
+#include "Base/Result.h"
+#include "Base/Time.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Plantainpier {
+
+/// One request that waits for its answer. Shared by whoever may give the answer; the first one counts.
+class HttpCall {
+public:
+    virtual ~HttpCall() = default;
+
+    /// Answers. False when the caller has gone.
+    virtual bool reply(int status, const std::string& body, Duration retryAfter) = 0;
+    bool reply(int status, const std::string& body) { return reply(status, body, Duration::zero()); }
+    /// Answers with a numbered error.
+    bool reply(const Error& error);
+
+    std::string method;
+    std::string path;
+    /// Without the question mark.
+    std::string query;
+    std::string body;
+};
+
+/// A listening HTTP port. Lives for the process.
+class HttpServer {
+public:
+    /// Hook: called on one of the server's threads for every request.
+    using OnCall = std::function<void(const std::shared_ptr<HttpCall>& call)>;
+
+    static Result<std::unique_ptr<HttpServer>> create(const std::string& address, int port, int threads, OnCall onCall);
+    virtual ~HttpServer() = default;
+
+    /// Closes the port and its connections.
+    virtual void stop() = 0;
+};
+
+/// The value of a query parameter; empty when absent.
+std::string queryValue(const std::string& query, const std::string& key);
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Shell/Process/DecisionLoop.cpp
@@ -0,0 +1,52 @@
+#include "Shell/Process/DecisionLoop.h"
+
+#include "Shell/Process/Clock.h"
+
+namespace Plantainpier {
+
+namespace {
+
+    constexpr std::size_t ringCapacity = 65'536;
+    constexpr Duration tickInterval = milliseconds(5);
+
+} // namespace
+
+DecisionLoop::DecisionLoop(Event tick, Perform perform)
+    : m_tick(std::move(tick))
+    , m_perform(std::move(perform))
+    , m_ring(ringCapacity)
+{
+}
+
+bool DecisionLoop::post(Event event) { return m_ring.push(std::move(event)); }
+
+void DecisionLoop::decide(const Event& event)
+{
+    Actions actions;
+    event(steadyNow(), actions);
+    for (Action& action : actions)
+        m_perform(std::move(action));
+}
+
+void DecisionLoop::run()
+{
+    Instant nextTick = steadyNow();
+    while (!m_stopping) {
+        const Duration wait = nextTick - steadyNow();
+        const std::optional<Event> event = wait > Duration::zero() ? m_ring.pop(wait) : std::nullopt;
+        if (event)
+            decide(*event);
+        if (steadyNow() < nextTick)
+            continue;
+        decide(m_tick);
+        nextTick = steadyNow() + tickInterval;
+    }
+}
+
+void DecisionLoop::stop()
+{
+    m_stopping = true;
+    m_ring.close();
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Tests/Unit/AttemptKeeperTest.cpp
@@ -0,0 +1,168 @@
+/// One place at a time: leases never outlive holds, late messages extend nothing, and hosts are never overcommitted.
+#include "Decision/Job/AttemptKeeper.h"
+#include "Support/VirtualTime.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Plantainpier;
+
+class AttemptKeeperTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(AttemptKeeperTest);
+    CPPUNIT_TEST(neverCommitsBeyondTheHost);
+    CPPUNIT_TEST(reservesNothingBeforeItKnowsTheWorker);
+    CPPUNIT_TEST(aLateHoldExtendsNothing);
+    CPPUNIT_TEST(aLateStartStartsNothing);
+    CPPUNIT_TEST(anUnknownAttemptIsFencedByAHold);
+    CPPUNIT_TEST(theLeaseEndsWithTheHold);
+    CPPUNIT_TEST(anOldLeaderIsRefused);
+    CPPUNIT_TEST(aNewSideAdoptsWhatRuns);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr LinkId link = 1;
+    static constexpr std::int64_t holdMicroseconds = 30'000'000;
+    std::optional<AttemptKeeper> m_keeper;
+
+public:
+    void setUp() override
+    {
+        m_keeper.emplace("side-1", 7, LeaseTiming {});
+        m_keeper->setLimit(makeResources(8000, 8000, 1));
+    }
+
+private:
+    Actions list(long long now, std::vector<WorkerTask> tasks = {})
+    {
+        Actions actions;
+        // The worker's clock is an hour off on purpose.
+        m_keeper->onListing(at(now), WorkerListing { 3'600'000 + now, std::move(tasks) }, actions);
+        return actions;
+    }
+    bool reserve(long long now, const std::string& job, std::int64_t milliProcessors, std::int64_t term = 1)
+    {
+        Wire::ReserveRequest request;
+        request.taskId = job;
+        request.attempt = 1;
+        request.term = term;
+        request.demand = makeResources(milliProcessors, 100, 0);
+        request.validMicroseconds = 10'000'000;
+        Actions actions;
+        m_keeper->onReserve(at(now), link, request, actions);
+        return messagesOf<Wire::ReserveAnswer>(actions).front().granted;
+    }
+    Actions start(long long now, const std::string& job, long long basis)
+    {
+        Wire::StartRequest request;
+        request.taskId = job;
+        request.attempt = 1;
+        request.term = 1;
+        request.holdMicroseconds = holdMicroseconds;
+        request.basisMicroseconds = at(basis).time_since_epoch().count();
+        Actions actions;
+        m_keeper->onStart(at(now), link, request, actions);
+        return actions;
+    }
+    Actions hold(long long now, const std::string& job, long long basis)
+    {
+        Wire::HoldRequest request;
+        request.taskId = job;
+        request.attempt = 1;
+        request.term = 1;
+        request.holdMicroseconds = holdMicroseconds;
+        request.basisMicroseconds = at(basis).time_since_epoch().count();
+        Actions actions;
+        m_keeper->onHold(at(now), link, request, actions);
+        return actions;
+    }
+    static WorkerTask running(const std::string& job)
+    {
+        WorkerTask task;
+        task.id = AttemptId { job, 1 };
+        task.state = Wire::AttemptState::Running;
+        task.demand = makeResources(6000, 100, 0);
+        return task;
+    }
+    /// The last lease end asked for until then, on the worker's clock less its offset; 0 when none.
+    long long lastLease(long long from, long long until)
+    {
+        long long last = 0;
+        for (long long n = from; n <= until; n += 100) {
+            list(n, { running("a") });
+            Actions actions;
+            m_keeper->tick(at(n), actions);
+            for (const RenewTask& renew : actionsOf<RenewTask>(actions))
+                last = renew.leaseUntilMilliseconds - 3'600'000;
+        }
+        return last;
+    }
+
+    void neverCommitsBeyondTheHost()
+    {
+        list(0);
+        CPPUNIT_ASSERT(reserve(0, "a", 5000));
+        CPPUNIT_ASSERT(!reserve(0, "b", 4000));
+        CPPUNIT_ASSERT(reserve(0, "c", 3000));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), m_keeper->free().milliProcessors);
+        Actions actions;
+        m_keeper->tick(at(20'000), actions);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("lapsed reservations", std::int64_t(8000), m_keeper->free().milliProcessors);
+    }
+
+    void reservesNothingBeforeItKnowsTheWorker() { CPPUNIT_ASSERT(!reserve(0, "a", 1000)); }
+
+    void aLateHoldExtendsNothing()
+    {
+        list(0);
+        reserve(0, "a", 6000);
+        start(0, "a", 0);
+        // Sent at 1 s, it waited in a silent connection until 29 s: the hold still ends at 31 s.
+        lastLease(0, 29'000);
+        hold(29'000, "a", 1'000);
+        CPPUNIT_ASSERT(lastLease(29'000, 60'000) <= 31'000);
+    }
+
+    void aLateStartStartsNothing()
+    {
+        list(0);
+        reserve(0, "a", 6000);
+        Actions actions;
+        m_keeper->tick(at(11'000), actions);
+        const Actions late = start(11'000, "a", 0);
+        CPPUNIT_ASSERT(actionsOf<StartTask>(late).empty());
+        CPPUNIT_ASSERT(messagesOf<Wire::AttemptReport>(late).front().state == Wire::AttemptState::Absent);
+    }
+
+    void anUnknownAttemptIsFencedByAHold()
+    {
+        list(0);
+        CPPUNIT_ASSERT(messagesOf<Wire::AttemptReport>(hold(0, "a", 0)).front().state == Wire::AttemptState::Absent);
+        CPPUNIT_ASSERT_MESSAGE("fenced: it must not run here later", !reserve(1, "a", 1000));
+        CPPUNIT_ASSERT(actionsOf<StartTask>(start(1, "a", 1)).empty());
+    }
+
+    void theLeaseEndsWithTheHold()
+    {
+        list(0);
+        reserve(0, "a", 6000);
+        const Actions started = start(0, "a", 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), actionsOf<StartTask>(started).size());
+        const long long last = lastLease(100, 60'000);
+        CPPUNIT_ASSERT(last > 25'000);
+        CPPUNIT_ASSERT_MESSAGE("the worker must stop it before the leader counts it as over", last <= 30'000);
+    }
+
+    void anOldLeaderIsRefused()
+    {
+        list(0);
+        CPPUNIT_ASSERT(reserve(0, "a", 1000, 5));
+        CPPUNIT_ASSERT(!reserve(1, "b", 1000, 4));
+    }
+
+    void aNewSideAdoptsWhatRuns()
+    {
+        list(0, { running("a") });
+        CPPUNIT_ASSERT(!reserve(1, "b", 4000));
+        CPPUNIT_ASSERT(reserve(1, "c", 2000));
+        CPPUNIT_ASSERT(messagesOf<Wire::AttemptReport>(hold(2, "a", 2)).front().state == Wire::AttemptState::Running);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(AttemptKeeperTest);
--- /dev/null
+++ b/Tests/Unit/BundleRegistryTest.cpp
@@ -0,0 +1,90 @@
+/// Only signed, newer, valid bundles take effect, and the refusal names why.
+#include "Support/TestBundle.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Plantainpier;
+
+class BundleRegistryTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(BundleRegistryTest);
+    CPPUNIT_TEST(activatesASignedBundle);
+    CPPUNIT_TEST(neverGoesBack);
+    CPPUNIT_TEST(keepsTheFirstOfTwoWithTheSameVersion);
+    CPPUNIT_TEST(refusesForgeries);
+    CPPUNIT_TEST(namesEveryFaultWithItsPath);
+    CPPUNIT_TEST(survivesEveryTruncation);
+    CPPUNIT_TEST_SUITE_END();
+
+    static ErrorCode refusal(BundleRegistry& registry, const std::string& envelope)
+    {
+        const Result<Success> offered = registry.offer(envelope);
+        return isOk(offered) ? ErrorCode::Ok : errorOf(offered).code;
+    }
+
+    void activatesASignedBundle()
+    {
+        const BundleRegistry registry = testRegistry(7);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(7), registry.version());
+        CPPUNIT_ASSERT(registry.current()->findClass("urgent") != nullptr);
+    }
+
+    void neverGoesBack()
+    {
+        BundleRegistry registry = testRegistry(7);
+        CPPUNIT_ASSERT(refusal(registry, signedBundle(testBundleContent(6))) == ErrorCode::VersionNotNewer);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(7), registry.version());
+        CPPUNIT_ASSERT(refusal(registry, signedBundle(testBundleContent(8))) == ErrorCode::Ok);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(8), registry.version());
+    }
+
+    void keepsTheFirstOfTwoWithTheSameVersion()
+    {
+        BundleRegistry registry = testRegistry(7);
+        Json other = testBundleContent(7);
+        other["retry_percent"] = 50;
+        CPPUNIT_ASSERT(refusal(registry, signedBundle(other)) == ErrorCode::VersionNotNewer);
+        CPPUNIT_ASSERT(refusal(registry, signedBundle(testBundleContent(7))) == ErrorCode::Ok);
+        CPPUNIT_ASSERT_EQUAL(10, registry.current()->retryPercent());
+    }
+
+    void refusesForgeries()
+    {
+        BundleRegistry registry = testRegistry(1);
+        const SigningKey stranger = takeValue(SigningKey::generate());
+        CPPUNIT_ASSERT(refusal(registry, signedBundle(testBundleContent(2), stranger)) == ErrorCode::SignerUnknown);
+        const std::string borrowed = makeEnvelope(
+            testBundleContent(2), testKey().keyId(), testKey().sign(canonicalText(testBundleContent(3))));
+        CPPUNIT_ASSERT(refusal(registry, borrowed) == ErrorCode::SignatureInvalid);
+        CPPUNIT_ASSERT(refusal(registry, "[]") == ErrorCode::BundleInvalid);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), registry.version());
+    }
+
+    void namesEveryFaultWithItsPath()
+    {
+        Json content = testBundleContent(1);
+        content["classes"][0]["guaranteed_percent"] = 60;
+        content["classes"][1]["colour"] = "red";
+        content["retry_percent"] = 1000;
+        const Result<Bundle> bundle = Bundle::parse(content);
+        CPPUNIT_ASSERT(!isOk(bundle));
+        const std::string text = errorOf(bundle).message;
+        CPPUNIT_ASSERT(text.find("/classes: guarantees 120%") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("/classes/1/colour") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("/retry_percent") != std::string::npos);
+    }
+
+    void survivesEveryTruncation()
+    {
+        BundleRegistry registry = testRegistry(1);
+        const std::string envelope = signedBundle(testBundleContent(2));
+        for (std::size_t n = 0; n < envelope.size(); ++n)
+            CPPUNIT_ASSERT(refusal(registry, envelope.substr(0, n)) != ErrorCode::Ok);
+        for (std::size_t n = 0; n < envelope.size(); ++n) {
+            std::string flipped = envelope;
+            flipped[n] = static_cast<char>(flipped[n] ^ 1);
+            CPPUNIT_ASSERT(refusal(registry, flipped) != ErrorCode::Ok);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), registry.version());
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(BundleRegistryTest);
--- /dev/null
+++ b/Tests/Unit/JobBookTest.cpp
@@ -0,0 +1,115 @@
+/// The log decides: first valid record wins, old terms are void, repetitions change nothing.
+#include "Decision/Job/JobBook.h"
+#include "Decision/Job/ResourceMath.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Plantainpier;
+
+class JobBookTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(JobBookTest);
+    CPPUNIT_TEST(aRepeatedJobIsTheSameJob);
+    CPPUNIT_TEST(theFirstClaimOfATermWins);
+    CPPUNIT_TEST(recordsOfAnOldTermAreVoid);
+    CPPUNIT_TEST(aTaskRunsOneAttemptAtATime);
+    CPPUNIT_TEST(completionCountsOnce);
+    CPPUNIT_TEST(aPoisonJobStops);
+    CPPUNIT_TEST(everyRecordSurvivesTheLog);
+    CPPUNIT_TEST_SUITE_END();
+
+    JobBook m_book { "cell" };
+
+public:
+    void setUp() override
+    {
+        m_book = JobBook("cell");
+        m_book.apply(LeaderRecord { "cell", 1, "entry-1", 10 });
+        m_book.apply(job("a"));
+    }
+
+private:
+    static JobRecord job(const std::string& id)
+    {
+        JobRecord record;
+        record.jobId = id;
+        record.cell = "cell";
+        record.team = "team";
+        record.demand = makeResources(1000, 512, 1);
+        record.payload = "{\"run_ms\": 5}";
+        return record;
+    }
+    static AttemptRecord attempt(int number, std::int64_t term = 1)
+    {
+        return AttemptRecord { "cell", term, "a", number, "side-1" };
+    }
+    static EndedRecord ended(int number, AttemptEnd end, std::int64_t term = 1)
+    {
+        return EndedRecord { "cell", term, "a", number, end, "result", "" };
+    }
+
+    void aRepeatedJobIsTheSameJob()
+    {
+        CPPUNIT_ASSERT(m_book.apply(job("a")) == BookEffect::JobRepeated);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_book.queue().size());
+    }
+
+    void theFirstClaimOfATermWins()
+    {
+        CPPUNIT_ASSERT(m_book.apply(LeaderRecord { "cell", 1, "entry-2", 20 }) == BookEffect::None);
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-1"), m_book.leader().entryId);
+        CPPUNIT_ASSERT(m_book.apply(LeaderRecord { "cell", 2, "entry-2", 20 }) == BookEffect::LeaderChanged);
+    }
+
+    void recordsOfAnOldTermAreVoid()
+    {
+        m_book.apply(LeaderRecord { "cell", 2, "entry-2", 20 });
+        CPPUNIT_ASSERT(m_book.apply(attempt(1, 1)) == BookEffect::None);
+        CPPUNIT_ASSERT(m_book.apply(attempt(1, 2)) == BookEffect::AttemptRecorded);
+        CPPUNIT_ASSERT(m_book.apply(ended(1, AttemptEnd::Lost, 1)) == BookEffect::None);
+    }
+
+    void aTaskRunsOneAttemptAtATime()
+    {
+        CPPUNIT_ASSERT(m_book.apply(attempt(1)) == BookEffect::AttemptRecorded);
+        CPPUNIT_ASSERT(m_book.apply(attempt(2)) == BookEffect::None);
+        CPPUNIT_ASSERT(m_book.usageOf("team") == makeResources(1000, 512, 1));
+        m_book.apply(ended(1, AttemptEnd::Evicted));
+        CPPUNIT_ASSERT(m_book.apply(attempt(1)) == BookEffect::None);
+        CPPUNIT_ASSERT(m_book.apply(attempt(2)) == BookEffect::AttemptRecorded);
+    }
+
+    void completionCountsOnce()
+    {
+        m_book.apply(attempt(1));
+        CPPUNIT_ASSERT(m_book.apply(ended(1, AttemptEnd::Completed)) == BookEffect::AttemptOver);
+        CPPUNIT_ASSERT(m_book.apply(ended(1, AttemptEnd::Completed)) == BookEffect::None);
+        CPPUNIT_ASSERT(m_book.find("a")->status == JobStatus::Completed);
+        CPPUNIT_ASSERT(m_book.usageOf("team") == Wire::Resources());
+    }
+
+    void aPoisonJobStops()
+    {
+        for (int n = 1; n <= 3; ++n) {
+            CPPUNIT_ASSERT(m_book.apply(attempt(n)) == BookEffect::AttemptRecorded);
+            m_book.apply(ended(n, AttemptEnd::Failed));
+        }
+        CPPUNIT_ASSERT(m_book.find("a")->status == JobStatus::Failed);
+    }
+
+    void everyRecordSurvivesTheLog()
+    {
+        const std::vector<LogRecord> records { job("b"), LeaderRecord { "cell", 3, "entry", 9 },
+            LeaderHeartbeatRecord { "cell", 3, 4 }, EntryStartedRecord { "entry", 9 }, attempt(1),
+            ended(1, AttemptEnd::Evicted), CancelRecord { "cell", "b" }, BundleRecord { "{\"content\":{}}" } };
+        for (const LogRecord& record : records) {
+            const std::string text = encodeRecord(record);
+            const Result<LogRecord> decoded = decodeRecord(text);
+            CPPUNIT_ASSERT_MESSAGE(text, isOk(decoded));
+            CPPUNIT_ASSERT_EQUAL(record.index(), valueOf(decoded).index());
+            CPPUNIT_ASSERT_EQUAL(text, encodeRecord(valueOf(decoded)));
+        }
+        CPPUNIT_ASSERT(!isOk(decodeRecord("{\"type\":\"surprise\"}")));
+        CPPUNIT_ASSERT(!isOk(decodeRecord("no json")));
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(JobBookTest);
--- /dev/null
+++ b/Tests/Unit/LinkMonitorTest.cpp
@@ -0,0 +1,64 @@
+/// A silent connection is found within its bound; a pause of the watcher is no silence of the peer.
+#include "Decision/Connection/LinkMonitor.h"
+#include "Support/VirtualTime.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Plantainpier;
+
+class LinkMonitorTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(LinkMonitorTest);
+    CPPUNIT_TEST(findsSilenceWithinTheBound);
+    CPPUNIT_TEST(keepsALinkThatAnswers);
+    CPPUNIT_TEST(doesNotBlameThePeerForItsOwnPause);
+    CPPUNIT_TEST(givesUpAConnectionThatIsNotMade);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Ticks every 5 ms; the time of the first suspicion, or -1.
+    static long long suspectAt(LinkMonitor& monitor, long long from, long long until, bool busy)
+    {
+        for (long long n = from; n <= until; n += 5) {
+            if (monitor.tick(at(n), busy) == LinkVerdict::Suspect)
+                return n;
+        }
+        return -1;
+    }
+
+    void findsSilenceWithinTheBound()
+    {
+        LinkMonitor monitor(LinkTiming {}, at(0));
+        monitor.onUp(at(0));
+        const long long found = suspectAt(monitor, 0, 5000, true);
+        CPPUNIT_ASSERT(found > 0);
+        CPPUNIT_ASSERT(milliseconds(found) <= LinkTiming {}.busySilence + milliseconds(10));
+    }
+
+    void keepsALinkThatAnswers()
+    {
+        LinkMonitor monitor(LinkTiming {}, at(0));
+        monitor.onUp(at(0));
+        for (long long n = 0; n < 10'000; n += 5) {
+            const LinkVerdict verdict = monitor.tick(at(n), true);
+            CPPUNIT_ASSERT(verdict != LinkVerdict::Suspect);
+            if (verdict == LinkVerdict::SendHeartbeat)
+                monitor.onHeard(at(n));
+        }
+    }
+
+    void doesNotBlameThePeerForItsOwnPause()
+    {
+        LinkMonitor monitor(LinkTiming {}, at(0));
+        monitor.onUp(at(0));
+        CPPUNIT_ASSERT_EQUAL(-1LL, suspectAt(monitor, 0, 500, true));
+        CPPUNIT_ASSERT(monitor.tick(at(60'000), true) != LinkVerdict::Suspect);
+        CPPUNIT_ASSERT_EQUAL(-1LL, suspectAt(monitor, 60'005, 60'600, true));
+        CPPUNIT_ASSERT(suspectAt(monitor, 60'605, 62'000, true) > 0);
+    }
+
+    void givesUpAConnectionThatIsNotMade()
+    {
+        LinkMonitor monitor(LinkTiming {}, at(0));
+        CPPUNIT_ASSERT(suspectAt(monitor, 0, 1000, false) > 0);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(LinkMonitorTest);
