Tests: Kill, freeze and cut real processes under load

Cause: the whole path had only been tried with everything healthy.

What is here: a cluster of real processes for tests (3 entries, 6 sides with target and worker each, the log), a relay that makes existing connections silent in one or both directions, and callers whose every outcome is judged against what the targets wrote down at the start of each run.

Ruled out: judging by the targets' own list; it dies with a killed target, so each run is written to a file that outlives it.

--- a/Source/Shell/Process/Settings.cpp
+++ b/Source/Shell/Process/Settings.cpp
@@ -78,6 +78,8 @@
         settings.listenAddress = readIpAddress(reader, "address");
         settings.httpPort = readPort(reader, "http_port");
         settings.peerPort = readPort(reader, "peer_port");
+        settings.announcedPeerPort
+            = static_cast<int>(reader.optionalInteger("announced_peer_port", 1, maximumPort, settings.peerPort));
         reader.finish();
         if (settings.httpPort == settings.peerPort)
             reader.fault(ErrorCode::InvalidField, "peer_port", "must differ from http_port");
--- a/Source/Shell/Process/Settings.h
+++ b/Source/Shell/Process/Settings.h
@@ -30,6 +30,8 @@
     std::string listenAddress;
     int httpPort = 0;
     int peerPort = 0;
+    /// Where peers reach the peer port, when something between translates it.
+    int announcedPeerPort = 0;
     std::vector<std::string> trustedKeys;
     std::string logLevel;
     /// Entry only.
--- a/Source/Shell/Process/SideDaemon.cpp
+++ b/Source/Shell/Process/SideDaemon.cpp
@@ -15,8 +15,9 @@
 
     SideIdentity identityOf(const Settings& settings)
     {
-        return SideIdentity { settings.id, makeIncarnation(), PeerAddress { settings.listenAddress, settings.peerPort },
-            settings.zone, settings.rack, settings.capacity, settings.entries };
+        return SideIdentity { settings.id, makeIncarnation(),
+            PeerAddress { settings.listenAddress, settings.announcedPeerPort }, settings.zone, settings.rack,
+            settings.capacity, settings.entries };
     }
 
     TargetResult resultOf(HttpResponse&& response)
--- /dev/null
+++ b/Tests/Process/Cluster.cpp
@@ -0,0 +1,292 @@
+#include "Process/Cluster.h"
+
+#include "Support/TestBundle.h"
+
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Plantainpier {
+
+namespace {
+
+    constexpr const char* host = "127.0.0.1";
+    constexpr std::chrono::seconds startLimit(20);
+    constexpr std::chrono::milliseconds awaitPoll(20);
+    constexpr Duration callTimeout = seconds(10);
+    /// Below the range that the system gives to outgoing connections.
+    constexpr int firstPort = 12'000;
+    constexpr int lastPort = 32'000;
+
+    bool isFree(int port)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int on = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        const bool free = ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+        ::close(socket);
+        return free;
+    }
+
+    int takePort()
+    {
+        static std::mt19937 engine(static_cast<unsigned>(::getpid()));
+        static std::set<int> taken;
+        while (true) {
+            const int port = std::uniform_int_distribution<int>(firstPort, lastPort)(engine);
+            if (taken.insert(port).second && isFree(port))
+                return port;
+        }
+    }
+
+    std::vector<int> takePorts(int count)
+    {
+        std::vector<int> ports;
+        for (int n = 0; n < count; ++n)
+            ports.push_back(takePort());
+        return ports;
+    }
+
+    void writeFile(const std::string& path, const Json& json) { std::ofstream(path) << json.dump(2) << "\n"; }
+
+} // namespace
+
+Cluster::Cluster(const ClusterOptions& options)
+    : m_options(options)
+    , m_http(takeValue(HttpClient::create()))
+    , m_logPort(takePort())
+    , m_entryPorts(takePorts(options.entries))
+    , m_entryPeerPorts(takePorts(options.entries))
+    , m_sidePorts(takePorts(options.sides))
+    , m_sidePeerPorts(takePorts(options.sides))
+    , m_relayPorts(takePorts(options.sides))
+    , m_workerPorts(takePorts(options.sides))
+    , m_targetPorts(takePorts(options.sides))
+{
+    std::string pattern = std::filesystem::temp_directory_path().string() + "/plantainpier-XXXXXX";
+    m_directory = ::mkdtemp(pattern.data());
+}
+
+Cluster::~Cluster()
+{
+    m_targets.clear();
+    m_sides.clear();
+    m_entries.clear();
+    m_workers.clear();
+    m_log.reset();
+    if (!std::getenv("PLANTAINPIER_KEEP_LOGS"))
+        std::filesystem::remove_all(m_directory);
+}
+
+void Cluster::writeEntrySettings(int n) const
+{
+    const std::size_t at = static_cast<std::size_t>(n);
+    writeFile(path("entry-" + std::to_string(n) + ".json"),
+        { { "role", "entry" }, { "id", "entry-" + std::to_string(n) },
+            { "zone", "zone-" + std::to_string(n % m_options.zones) }, { "cell", "cell" },
+            { "listen",
+                { { "address", host }, { "http_port", m_entryPorts[at] }, { "peer_port", m_entryPeerPorts[at] } } },
+            { "log", { { "address", host }, { "port", m_logPort } } }, { "trusted_keys", { testKey().publicHex() } } });
+}
+
+void Cluster::writeSideSettings(int n) const
+{
+    const std::size_t at = static_cast<std::size_t>(n);
+    Json entries = Json::array();
+    for (int port : m_entryPeerPorts)
+        entries.push_back({ { "address", host }, { "port", port } });
+    Json listen { { "address", host }, { "http_port", m_sidePorts[at] }, { "peer_port", m_sidePeerPorts[at] } };
+    if (m_options.relays)
+        listen["announced_peer_port"] = m_relayPorts[at];
+    writeFile(path("side-" + std::to_string(n) + ".json"),
+        { { "role", "side" }, { "id", "side-" + std::to_string(n) },
+            { "zone", "zone-" + std::to_string(n % m_options.zones) }, { "rack", "rack-" + std::to_string(n / 3) },
+            { "listen", listen }, { "worker", { { "address", host }, { "port", m_workerPorts[at] } } },
+            { "capacity",
+                { { "milli_processors", m_options.milliProcessors }, { "memory_mb", m_options.memoryMegabytes } } },
+            { "entries", entries }, { "trusted_keys", { testKey().publicHex() } } });
+}
+
+void Cluster::startEntry(int n)
+{
+    const std::string name = "entry-" + std::to_string(n);
+    writeEntrySettings(n);
+    m_entries.insert_or_assign(
+        n, ChildProcess({ DAEMON_PROGRAM, "--config", path(name + ".json") }, path(name + ".log")));
+}
+
+void Cluster::startSide(int n)
+{
+    const std::string name = "side-" + std::to_string(n);
+    writeSideSettings(n);
+    m_sides.insert_or_assign(
+        n, ChildProcess({ DAEMON_PROGRAM, "--config", path(name + ".json") }, path(name + ".log")));
+}
+
+void Cluster::startTarget(int n)
+{
+    const std::size_t at = static_cast<std::size_t>(n);
+    const std::string name = "target-" + std::to_string(n);
+    m_targets.insert_or_assign(n,
+        ChildProcess(
+            { STAND_IN_PROGRAM, "target", "--id", name, "--port", std::to_string(m_targetPorts[at]), "--side-port",
+                std::to_string(m_sidePorts[at]), "--worker-port", std::to_string(m_workerPorts[at]), "--service-ms",
+                std::to_string(m_options.serviceMilliseconds), "--audit-file", path(name + ".audit") },
+            path(name + ".log")));
+}
+
+void Cluster::start()
+{
+    m_log.emplace(
+        std::vector<std::string> { STAND_IN_PROGRAM, "log", "--port", std::to_string(m_logPort) }, path("log.log"));
+    for (int n = 0; n < m_options.sides; ++n) {
+        const std::size_t at = static_cast<std::size_t>(n);
+        m_workers.emplace(n,
+            ChildProcess({ STAND_IN_PROGRAM, "worker", "--port", std::to_string(m_workerPorts[at]) },
+                path("worker-" + std::to_string(n) + ".log")));
+        if (m_options.relays)
+            m_relays[n] = std::make_unique<Relay>(m_relayPorts[at], m_sidePeerPorts[at]);
+    }
+    for (int n = 0; n < m_options.entries; ++n)
+        startEntry(n);
+    for (int n = 0; n < m_options.sides; ++n) {
+        startSide(n);
+        startTarget(n);
+    }
+    CPPUNIT_ASSERT(await(startLimit, [this] { return status(0).value("log_away", true) == false; }));
+    rollOut(1);
+    CPPUNIT_ASSERT(await(startLimit, [this] { return isComplete(); }));
+}
+
+void Cluster::rollOut(std::int64_t version)
+{
+    const HttpResponse response = call(entryPort(0), "POST", "/v1/bundles", signedBundle(testBundleContent(version)));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, 200, response.status);
+}
+
+void Cluster::setInRotation(int entry, bool inRotation)
+{
+    std::lock_guard<std::mutex> lock(m_rotationMutex);
+    if (inRotation)
+        m_outOfRotation.erase(entry);
+    else
+        m_outOfRotation.insert(entry);
+}
+
+std::vector<int> Cluster::entriesInRotation()
+{
+    std::lock_guard<std::mutex> lock(m_rotationMutex);
+    std::vector<int> entries;
+    for (int n = 0; n < m_options.entries; ++n) {
+        if (!m_outOfRotation.contains(n))
+            entries.push_back(n);
+    }
+    return entries;
+}
+
+bool Cluster::isComplete() const
+{
+    for (int n = 0; n < m_options.entries; ++n) {
+        if (!m_entries.contains(n) || !m_entries.at(n).isRunning())
+            continue;
+        int usable = 0;
+        for (const Json& side : status(n).value("sides", Json::array())) {
+            const bool able = side.value("present", false) && side.value("link_up", false)
+                && side.value("target", false) && side.value("bundle", 0) > 0;
+            usable += able ? 1 : 0;
+        }
+        if (usable < m_options.sides)
+            return false;
+    }
+    return true;
+}
+
+HttpResponse Cluster::call(int port, const std::string& method, const std::string& path, const std::string& body) const
+{
+    HttpRequest request;
+    request.method = method;
+    request.address = host;
+    request.port = port;
+    request.path = path;
+    request.body = body;
+    request.timeout = callTimeout;
+    request.mayRepeat = false;
+    return m_http->fetch(std::move(request));
+}
+
+Json Cluster::callJson(int port, const std::string& method, const std::string& path, const Json& body) const
+{
+    const HttpResponse response = call(port, method, path, body.is_null() ? "" : body.dump());
+    const Json json = Json::parse(response.body, nullptr, false);
+    return json.is_object() ? json : Json::object();
+}
+
+std::map<std::string, int> Cluster::runs() const
+{
+    std::map<std::string, int> counts;
+    for (int n = 0; n < m_options.sides; ++n) {
+        std::ifstream file(path("target-" + std::to_string(n) + ".audit"));
+        std::string line;
+        while (std::getline(file, line))
+            ++counts[line];
+    }
+    return counts;
+}
+
+std::vector<Json> Cluster::starts() const
+{
+    std::vector<Json> all;
+    for (int n = 0; n < m_options.sides; ++n) {
+        const Json audit = callJson(m_workerPorts[static_cast<std::size_t>(n)], "GET", "/v1/starts");
+        for (Json start : audit.value("starts", Json::array())) {
+            start["worker"] = n;
+            all.push_back(start);
+        }
+    }
+    return all;
+}
+
+bool Cluster::await(std::chrono::milliseconds limit, const std::function<bool()>& condition)
+{
+    const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(awaitPoll);
+    }
+    return condition();
+}
+
+int Cluster::logLines(const std::string& process, const std::string& text) const
+{
+    std::ifstream file(path(process + ".log"));
+    std::string line;
+    int found = 0;
+    while (std::getline(file, line))
+        found += line.find(text) != std::string::npos ? 1 : 0;
+    return found;
+}
+
+std::string Cluster::runTool(const std::vector<std::string>& arguments, int& exitCode) const
+{
+    std::vector<std::string> command { TOOL_PROGRAM };
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    const std::string output = path("tool.out");
+    std::filesystem::remove(output);
+    ChildProcess child(command, output);
+    exitCode = child.wait();
+    std::ostringstream text;
+    text << std::ifstream(output).rdbuf();
+    return text.str();
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Tests/Process/Relay.cpp
@@ -0,0 +1,122 @@
+#include "Process/Relay.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Plantainpier {
+
+namespace {
+
+    constexpr int backlog = 64;
+    constexpr int pollMilliseconds = 50;
+
+    sockaddr_in loopback(int port)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+
+    bool isReadable(int file)
+    {
+        pollfd entry { file, POLLIN, 0 };
+        return ::poll(&entry, 1, pollMilliseconds) > 0;
+    }
+
+} // namespace
+
+Relay::Relay(int listenPort, int targetPort)
+    : m_targetPort(targetPort)
+{
+    const int on = 1;
+    const sockaddr_in address = loopback(listenPort);
+    m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    ::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    ::listen(m_listener, backlog);
+    m_acceptor = std::thread([this] { accept(); });
+}
+
+Relay::~Relay()
+{
+    m_stopping = true;
+    m_acceptor.join();
+    ::close(m_listener);
+    for (const std::shared_ptr<Connection>& connection : m_connections) {
+        connection->closed = true;
+        connection->forward.join();
+        connection->backward.join();
+        ::close(connection->caller);
+        ::close(connection->target);
+    }
+}
+
+void Relay::accept()
+{
+    while (!m_stopping) {
+        if (!isReadable(m_listener))
+            continue;
+        const std::shared_ptr<Connection> connection = std::make_shared<Connection>();
+        const sockaddr_in address = loopback(m_targetPort);
+        const int on = 1;
+        connection->caller = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        connection->target = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        ::setsockopt(connection->caller, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        ::setsockopt(connection->target, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        if (::connect(connection->target, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+            connection->closed = true;
+        connection->forward = std::thread([connection] {
+            pump(*connection, connection->caller, connection->target, connection->silentTowardsTarget);
+        });
+        connection->backward = std::thread([connection] {
+            pump(*connection, connection->target, connection->caller, connection->silentTowardsCaller);
+        });
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_connections.push_back(connection);
+    }
+}
+
+void Relay::pump(Connection& connection, int from, int to, const std::atomic<bool>& silent)
+{
+    char buf[65536];
+    while (!connection.closed) {
+        if (!isReadable(from))
+            continue;
+        const ssize_t n = ::recv(from, buf, sizeof buf, 0);
+        if (n <= 0)
+            break;
+        for (ssize_t sent = 0; sent < n && !silent;) {
+            const ssize_t written = ::send(to, buf + sent, static_cast<std::size_t>(n - sent), MSG_NOSIGNAL);
+            if (written <= 0)
+                break;
+            sent += written;
+        }
+    }
+    // A silent connection does not even tell its other end that this one has gone.
+    if (!silent) {
+        connection.closed = true;
+        ::shutdown(to, SHUT_RDWR);
+    }
+}
+
+void Relay::silenceExisting(bool towardsTarget, bool towardsCaller)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    for (const std::shared_ptr<Connection>& connection : m_connections) {
+        connection->silentTowardsTarget = connection->silentTowardsTarget || towardsTarget;
+        connection->silentTowardsCaller = connection->silentTowardsCaller || towardsCaller;
+    }
+}
+
+int Relay::connections()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return static_cast<int>(m_connections.size());
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Tests/Process/Relay.h
@@ -0,0 +1,46 @@
+/// A TCP relay between two processes that can go silent, one way or both, for connections that exist.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace Plantainpier {
+
+/// Listens on one loopback port and passes bytes on to another.
+class Relay {
+public:
+    Relay(int listenPort, int targetPort);
+    ~Relay();
+    Relay(const Relay&) = delete;
+    Relay& operator=(const Relay&) = delete;
+
+    /// Connections that exist now carry nothing any more, in the directions given, and stay open. New ones work.
+    void silenceExisting(bool towardsTarget, bool towardsCaller);
+    int connections();
+
+private:
+    struct Connection {
+        int caller = -1;
+        int target = -1;
+        std::atomic<bool> silentTowardsTarget { false };
+        std::atomic<bool> silentTowardsCaller { false };
+        std::atomic<bool> closed { false };
+        std::thread forward;
+        std::thread backward;
+    };
+
+    void accept();
+    static void pump(Connection& connection, int from, int to, const std::atomic<bool>& silent);
+
+    int m_listener = -1;
+    int m_targetPort;
+    std::atomic<bool> m_stopping { false };
+    std::mutex m_mutex;
+    std::vector<std::shared_ptr<Connection>> m_connections;
+    std::thread m_acceptor;
+};
+
+} // namespace Plantainpier
--- a/Utilities/StandIns/TargetStandIn.cpp
+++ b/Utilities/StandIns/TargetStandIn.cpp
@@ -26,6 +26,8 @@
     : m_options(options)
     , m_http(std::move(http))
 {
+    if (!m_options.auditFile.empty())
+        m_audit.open(m_options.auditFile, std::ios::app);
     m_server = std::thread([this] { serve(); });
     m_announcer = std::thread([this] { announceRepeatedly(); });
 }
@@ -70,6 +72,8 @@
 void TargetStandIn::begin(const std::shared_ptr<HttpCall>& call)
 {
     m_runs.push_back(call->body);
+    if (m_audit.is_open())
+        m_audit << call->body << std::endl;
     m_running.emplace(Clock::now() + serviceTimeOf(call->body), call);
 }
 
--- a/Utilities/StandIns/TargetStandIn.h
+++ b/Utilities/StandIns/TargetStandIn.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <fstream>
 #include <map>
 
 namespace Plantainpier {
@@ -23,6 +24,8 @@
     int slots = 8;
     int connections = 64;
     std::chrono::milliseconds service { 10 };
+    /// Gets a line for each run at its start; outlives the process. Empty: none.
+    std::string auditFile;
     /// Growth of the service time when batch uses this many thousandths of a processor.
     std::int64_t doublesAtMilliProcessors = 32'000;
 };
@@ -59,6 +62,7 @@
     std::multimap<Clock::time_point, std::shared_ptr<HttpCall>> m_running;
     std::deque<std::shared_ptr<HttpCall>> m_waiting;
     std::deque<std::string> m_runs;
+    std::ofstream m_audit;
     std::atomic<std::int64_t> m_usedMilliProcessors { 0 };
     std::atomic<bool> m_leaving { false };
     std::atomic<bool> m_stopping { false };
--- a/Utilities/StandIns/main.cpp
+++ b/Utilities/StandIns/main.cpp
@@ -69,6 +69,7 @@
     settings.port = options["port"].as<int>();
     settings.sidePort = options["side-port"].as<int>();
     settings.workerPort = options["worker-port"].as<int>();
+    settings.auditFile = options["audit-file"].as<std::string>();
     settings.slots = options["slots"].as<int>();
     settings.service = std::chrono::milliseconds(options["service-ms"].as<int>());
     const Result<std::shared_ptr<HttpClient>> http = HttpClient::create();
@@ -91,9 +92,10 @@
         "retained-records", "records that the log keeps", cxxopts::value<std::size_t>()->default_value("1000000"))(
         "appends-per-second", "append limit of the log", cxxopts::value<int>()->default_value("500"))(
         "usage-lag-ms", "age of the worker's usage reports", cxxopts::value<int>()->default_value("1000"))(
-        "id", "name of the target", cxxopts::value<std::string>()->default_value("target"))(
-        "side-port", "HTTP port of the side beside the target", cxxopts::value<int>()->default_value("0"))(
-        "worker-port", "HTTP port of the worker beside the target", cxxopts::value<int>()->default_value("0"))(
+        "id", "name of the target", cxxopts::value<std::string>()->default_value("target"))("side-port",
+        "HTTP port of the side beside the target", cxxopts::value<int>()->default_value("0"))("worker-port",
+        "HTTP port of the worker beside the target", cxxopts::value<int>()->default_value("0"))("audit-file",
+        "file that gets a line for each run of the target", cxxopts::value<std::string>()->default_value(""))(
         "slots", "requests that the target runs at once", cxxopts::value<int>()->default_value("8"))(
         "service-ms", "time the target takes for a request", cxxopts::value<int>()->default_value("10"));
     options.parse_positional({ "kind" });
