Request: Choose witnesses only from a view that is nearly whole

First trace: an entry that had just restarted knew one side, took it as the only witness and got its grant. Second, 1 in about 2,500 histories with 7 witnesses: several connections went silent at once, every entry dropped different sides after 1.5 s and their choices of witnesses had too little in common.

Ruled out: a fault in fencing (each fenced dispatch stayed refused in the traces) and too few witnesses alone (7 instead of 5 did not mend it).

Change: sides pass on the largest number of living sides that an entry has told them of within 5 s; an entry chooses witnesses only if it sees at most two fewer and has been up for 1.5 s, and is not ready before. Witnesses are chosen among sides heard within 5 s instead of 1.5 s. Seven witnesses by default: a key runs once while restarts and differences are at most four.

What it refuses: non-idempotent requests for up to 5 s at an entry that sees three or more sides fewer than another one (a lost rack). Left: views of equal size with different members are not told apart.

SideCore now also takes a bundle that it is started with; before, histories with such sides ran nothing and proved nothing.

--- a/Source/Decision/Process/EntryCore.cpp
+++ b/Source/Decision/Process/EntryCore.cpp
@@ -15,10 +15,10 @@
 
 } // namespace
 
-EntryCore::EntryCore(EntryIdentity identity, BundleRegistry bundles, RandomBelow randomBelow)
+EntryCore::EntryCore(EntryIdentity identity, BundleRegistry bundles, RandomBelow randomBelow, Instant now)
     : m_identity(std::move(identity))
     , m_bundles(std::move(bundles))
-    , m_membership(MembershipTiming {})
+    , m_membership(MembershipTiming {}, now)
     , m_requests(m_identity.entryId, m_identity.incarnation, m_membership,
           Router(RouterSettings {}, m_identity.zone, std::move(randomBelow)), m_bundles)
     , m_book(m_identity.cell)
@@ -34,7 +34,7 @@
 
 bool EntryCore::isReady(Instant now) const
 {
-    if (m_leaving || !m_bundles.current())
+    if (m_leaving || !m_bundles.current() || !m_membership.isViewComplete(now))
         return false;
     for (const std::pair<const std::string, SideView>& entry : m_membership.sides()) {
         if (entry.second.isLinkUp() && m_membership.isPresent(entry.second, now))
@@ -184,6 +184,7 @@
     Wire::AnnouncementAck ack;
     ack.entryId = m_identity.entryId;
     ack.bundleVersion = m_bundles.version();
+    ack.sidesPresent = m_membership.witnessSides(now);
     actions.push_back(SendMessage { link, std::move(ack) });
     if (effect == AnnouncementEffect::Stale)
         return;
--- a/Source/Decision/Process/EntryCore.h
+++ b/Source/Decision/Process/EntryCore.h
@@ -29,7 +29,7 @@
 /// An entry process without clock, threads and sockets. Lives for the process.
 class EntryCore {
 public:
-    EntryCore(EntryIdentity identity, BundleRegistry bundles, RandomBelow randomBelow);
+    EntryCore(EntryIdentity identity, BundleRegistry bundles, RandomBelow randomBelow, Instant now);
 
     void onRequest(Instant now, CallerToken caller, CallerRequest request, Actions& actions);
     void onQuestion(Instant now, CallerToken caller, const std::string& key, Actions& actions);
--- a/Source/Decision/Process/Membership.cpp
+++ b/Source/Decision/Process/Membership.cpp
@@ -1,9 +1,12 @@
 #include "Decision/Process/Membership.h"
 
+#include <algorithm>
+
 namespace Plantainpier {
 
-Membership::Membership(const MembershipTiming& timing)
+Membership::Membership(const MembershipTiming& timing, Instant now)
     : m_timing(timing)
+    , m_startedAt(now)
 {
 }
 
@@ -32,6 +35,7 @@
     side.targetPresent = message.targetPresent;
     side.leaving = message.leaving;
     side.bundleVersion = message.bundleVersion;
+    side.sidesReported = message.sidesReported;
     side.load = message.load;
     side.capacity = message.capacity;
     side.free = message.free;
@@ -76,6 +80,31 @@
     return nullptr;
 }
 
+bool Membership::isWitness(const SideView& side, Instant now) const
+{
+    return !side.leaving && now - side.lastHeard <= m_timing.witnessAfter;
+}
+
+int Membership::witnessSides(Instant now) const
+{
+    int count = 0;
+    for (const std::pair<const std::string, SideView>& entry : m_sides)
+        count += isWitness(entry.second, now) ? 1 : 0;
+    return count;
+}
+
+bool Membership::isViewComplete(Instant now) const
+{
+    if (now - m_startedAt < m_timing.settle)
+        return false;
+    int reported = 0;
+    for (const std::pair<const std::string, SideView>& entry : m_sides) {
+        if (isWitness(entry.second, now))
+            reported = std::max(reported, entry.second.sidesReported);
+    }
+    return witnessSides(now) + m_timing.missingSides >= reported;
+}
+
 bool Membership::isPresent(const SideView& side, Instant now) const
 {
     return !side.leaving && now - side.lastHeard <= m_timing.suspectAfter;
--- a/Source/Decision/Process/Membership.h
+++ b/Source/Decision/Process/Membership.h
@@ -20,6 +20,8 @@
     bool targetPresent = false;
     bool leaving = false;
     std::int64_t bundleVersion = 0;
+    /// The most present sides that an entry told this side of.
+    int sidesReported = 0;
     Wire::Load load;
     Wire::Resources capacity;
     Wire::Resources free;
@@ -49,8 +51,15 @@
 struct MembershipTiming {
     /// Silence on the announcement link after which a side gets nothing new.
     Duration suspectAfter = milliseconds(1500);
+    /// Silence after which a side is no witness any more. Long, so that the entries' choices of witnesses stay alike
+    /// while connections come and go.
+    Duration witnessAfter = seconds(5);
     /// Silence after which a side is forgotten.
     Duration forgetAfter = seconds(60);
+    /// Time after the start in which every living side has announced itself.
+    Duration settle = milliseconds(1500);
+    /// So many sides fewer than another entry sees may be missing from a view that decides about keys.
+    int missingSides = 2;
 };
 
 /// What an announcement changed.
@@ -66,7 +75,7 @@
 /// The sides known to one entry. Lives for the process; holds no decision beyond who is present.
 class Membership {
 public:
-    explicit Membership(const MembershipTiming& timing);
+    Membership(const MembershipTiming& timing, Instant now);
 
     AnnouncementEffect onAnnouncement(Instant now, LinkId link, const Wire::Announcement& message);
     /// Sides to forget; the caller closes their links before it removes them.
@@ -79,11 +88,17 @@
     SideView* findByLink(LinkId link);
     /// Present, not leaving and heard of lately. Says nothing about its data link.
     bool isPresent(const SideView& side, Instant now) const;
+    /// Whether the side is among those that witnesses of keys are chosen from.
+    bool isWitness(const SideView& side, Instant now) const;
+    int witnessSides(Instant now) const;
+    /// Whether this view is near enough to what other entries see for witnesses to be chosen from it.
+    bool isViewComplete(Instant now) const;
     std::map<std::string, SideView>& sides() { return m_sides; }
     const std::map<std::string, SideView>& sides() const { return m_sides; }
 
 private:
     MembershipTiming m_timing;
+    Instant m_startedAt;
     std::map<std::string, SideView> m_sides;
 };
 
--- a/Source/Decision/Process/SideCore.cpp
+++ b/Source/Decision/Process/SideCore.cpp
@@ -2,11 +2,17 @@
 
 #include "Base/LogLine.h"
 
+#include <algorithm>
+
 namespace Plantainpier {
 
 namespace {
 
     constexpr Duration announceEvery = milliseconds(500);
+    /// How long an entry's count of sides is passed on.
+    constexpr Duration reportValidity = seconds(5);
+    /// An entry acknowledges each announcement, so silence shows sooner than on a data link.
+    constexpr LinkTiming announcementTiming { .idleSilence = milliseconds(1200) };
     constexpr Duration redialAfter = milliseconds(300);
     /// Silence after which a target that did not say goodbye counts as gone.
     constexpr Duration targetSilence = seconds(3);
@@ -30,6 +36,8 @@
         m_entries.back().address = address;
         m_entries.back().nextDial = now;
     }
+    if (m_bundles.current())
+        applyBundle();
 }
 
 // The target beside this process.
@@ -92,7 +100,7 @@
         if (entry.link != noLink || now < entry.nextDial)
             continue;
         entry.link = ++m_lastLink;
-        entry.monitor.emplace(LinkTiming {}, now);
+        entry.monitor.emplace(announcementTiming, now);
         actions.push_back(OpenLink { entry.link, entry.address.address, entry.address.port });
     }
 }
@@ -121,6 +129,16 @@
         announce(now, entry, actions);
 }
 
+int SideCore::sidesReported(Instant now) const
+{
+    int reported = 0;
+    for (const EntryLink& entry : m_entries) {
+        if (now - entry.acknowledgedAt <= reportValidity)
+            reported = std::max(reported, entry.sidesPresent);
+    }
+    return reported;
+}
+
 void SideCore::announce(Instant now, EntryLink& entry, Actions& actions)
 {
     entry.lastAnnounced = now;
@@ -134,6 +152,7 @@
     message.targetPresent = isTargetPresent(now);
     message.leaving = m_leaving;
     message.bundleVersion = m_bundles.version();
+    message.sidesReported = sidesReported(now);
     message.load = m_requests.load();
     message.capacity = m_identity.capacity;
     if (m_attempts.isReady())
@@ -177,7 +196,7 @@
                        pong.number = ping.number;
                        actions.push_back(SendMessage { link, pong });
                    },
-                   [&](const Wire::AnnouncementAck& ack) { passBundleOn(link, ack.bundleVersion, actions); },
+                   [&](const Wire::AnnouncementAck& ack) { onAcknowledgement(now, link, ack, actions); },
                    [&](const Wire::RunRequest& request) { m_requests.onRun(now, link, request, actions); },
                    [&](const Wire::ResolveRequest& request) { m_requests.onResolve(now, link, request, actions); },
                    [&](const Wire::ClaimRequest& request) {
@@ -196,6 +215,16 @@
         message);
 }
 
+void SideCore::onAcknowledgement(Instant now, LinkId link, const Wire::AnnouncementAck& ack, Actions& actions)
+{
+    EntryLink* entry = findEntry(link);
+    if (entry) {
+        entry->sidesPresent = ack.sidesPresent;
+        entry->acknowledgedAt = now;
+    }
+    passBundleOn(link, ack.bundleVersion, actions);
+}
+
 // Bundles.
 
 void SideCore::onBundle(Instant now, LinkId link, const Wire::BundleNotice& notice, Actions& actions)
@@ -211,7 +240,8 @@
         return;
     }
     actions.push_back(WriteLog { line.add("decision", "activate").text() });
-    activate(now, actions);
+    applyBundle();
+    announceToAll(now, actions);
 }
 
 void SideCore::passBundleOn(LinkId link, std::int64_t version, Actions& actions) const
@@ -224,11 +254,10 @@
     actions.push_back(SendMessage { link, std::move(notice) });
 }
 
-void SideCore::activate(Instant now, Actions& actions)
+void SideCore::applyBundle()
 {
     m_requests.setBundle(m_bundles.current());
     m_attempts.setLimit(percentOf(m_identity.capacity, m_bundles.current()->batchPercent()));
-    announceToAll(now, actions);
 }
 
 // Time.
--- a/Source/Decision/Process/SideCore.h
+++ b/Source/Decision/Process/SideCore.h
@@ -64,15 +64,21 @@
         std::optional<LinkMonitor> monitor;
         Instant nextDial;
         Instant lastAnnounced;
+        /// The last acknowledgement: how many sides the entry sees.
+        int sidesPresent = 0;
+        Instant acknowledgedAt;
     };
 
+    void onAcknowledgement(Instant now, LinkId link, const Wire::AnnouncementAck& ack, Actions& actions);
     void onBundle(Instant now, LinkId link, const Wire::BundleNotice& notice, Actions& actions);
     /// An entry that is behind gets the bundle from here, in case it cannot read the log.
     void passBundleOn(LinkId link, std::int64_t version, Actions& actions) const;
-    void activate(Instant now, Actions& actions);
+    void applyBundle();
     void dialEntries(Instant now, Actions& actions);
     void watch(Instant now, EntryLink& entry, Actions& actions);
     void drop(Instant now, EntryLink& entry);
+    /// The most sides that an entry reported of late.
+    int sidesReported(Instant now) const;
     void announce(Instant now, EntryLink& entry, Actions& actions);
     void announceToAll(Instant now, Actions& actions);
     void updateSlots(Instant now, Actions& actions);
--- a/Source/Decision/Request/RequestCoordinator.cpp
+++ b/Source/Decision/Request/RequestCoordinator.cpp
@@ -159,9 +159,6 @@
     RequestSession& session = openSession(now, caller, std::move(question));
     session.state = RequestState::AskingWitnesses;
     session.mayHaveRun = true;
-    const std::size_t count = static_cast<std::size_t>(session.bundle->witnessCount());
-    for (const std::string& witness : chooseWitnesses(m_membership, now, key, count))
-        session.witnesses[witness] = false;
     askWitnesses(now, session, actions);
 }
 
@@ -199,16 +196,24 @@
 {
     session.state = RequestState::Claiming;
     session.witnesses.clear();
+    sendClaims(now, session, actions);
+}
+
+void RequestCoordinator::pickWitnesses(Instant now, RequestSession& session)
+{
+    // Witnesses chosen from a view that lacks many sides might not be those that another entry asks.
+    if (!session.witnesses.empty() || !m_membership.isViewComplete(now))
+        return;
     const std::size_t count = static_cast<std::size_t>(session.bundle->witnessCount());
     for (const std::string& witness : chooseWitnesses(m_membership, now, session.request.key, count))
         session.witnesses[witness] = false;
-    sendClaims(now, session, actions);
 }
 
 void RequestCoordinator::sendClaims(Instant now, RequestSession& session, Actions& actions)
 {
     session.lastAsked = now;
     schedule(session, std::min(now + askInterval, session.deadlineAt));
+    pickWitnesses(now, session);
     for (const std::pair<const std::string, bool>& witness : session.witnesses) {
         const SideView* side = witness.second ? nullptr : reachable(now, witness.first);
         if (!side)
@@ -318,6 +323,7 @@
 {
     session.lastAsked = now;
     schedule(session, std::min(now + askInterval, session.giveUpAt));
+    pickWitnesses(now, session);
     for (const std::pair<const std::string, bool>& witness : session.witnesses) {
         const SideView* side = witness.second ? nullptr : reachable(now, witness.first);
         if (!side)
--- a/Source/Decision/Request/RequestCoordinator.h
+++ b/Source/Decision/Request/RequestCoordinator.h
@@ -61,6 +61,8 @@
 
     void beginDispatch(Instant now, RequestSession& session, std::string_view why, Actions& actions);
     void claim(Instant now, RequestSession& session, Actions& actions);
+    /// Chooses the witnesses of the key, once the view of the sides allows it.
+    void pickWitnesses(Instant now, RequestSession& session);
     void sendClaims(Instant now, RequestSession& session, Actions& actions);
     void sendDispatch(Instant now, RequestSession& session, Actions& actions);
     void retryElsewhere(Instant now, RequestSession& session, Actions& actions);
--- a/Source/Decision/Version/Bundle.cpp
+++ b/Source/Decision/Version/Bundle.cpp
@@ -11,8 +11,8 @@
     constexpr int maximumQueueLimit = 10'000;
     constexpr int defaultQueueLimit = 64;
     constexpr int defaultRetryPercent = 10;
-    constexpr int defaultWitnessCount = 5;
-    constexpr int maximumWitnessCount = 7;
+    constexpr int defaultWitnessCount = 7;
+    constexpr int maximumWitnessCount = 15;
     constexpr int defaultKeepSeconds = 600;
     constexpr int maximumKeepSeconds = 86'400;
     constexpr int defaultBatchPercent = 80;
--- a/Source/Shell/Process/EntryDaemon.cpp
+++ b/Source/Shell/Process/EntryDaemon.cpp
@@ -53,7 +53,7 @@
 
 EntryDaemon::EntryDaemon(const Settings& settings, BundleRegistry bundles)
     : Daemon(settings)
-    , m_core(identityOf(settings), std::move(bundles), makeRandom())
+    , m_core(identityOf(settings), std::move(bundles), makeRandom(), steadyNow())
 {
     m_core.requests().setOnAnswered(
         [this](const CallerAnswer& answer, Duration elapsed) { metrics().observe(answer.outcome, elapsed); });
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -447,6 +447,10 @@
 void Announcement::__set_rack(const std::string& val) {
   this->rack = val;
 }
+
+void Announcement::__set_sidesReported(const int32_t val) {
+  this->sidesReported = val;
+}
 std::ostream& operator<<(std::ostream& out, const Announcement& obj)
 {
   obj.printTo(out);
@@ -571,6 +575,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sidesReported);
+          this->__isset.sidesReported = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -636,6 +648,10 @@
   xfer += oprot->writeString(this->rack);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sidesReported", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->sidesReported);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -655,6 +671,7 @@
   swap(a.capacity, b.capacity);
   swap(a.free, b.free);
   swap(a.rack, b.rack);
+  swap(a.sidesReported, b.sidesReported);
   swap(a.__isset, b.__isset);
 }
 
@@ -671,6 +688,7 @@
   capacity = other8.capacity;
   free = other8.free;
   rack = other8.rack;
+  sidesReported = other8.sidesReported;
   __isset = other8.__isset;
 }
 Announcement::Announcement(Announcement&& other9) noexcept {
@@ -686,6 +704,7 @@
   capacity = std::move(other9.capacity);
   free = std::move(other9.free);
   rack = std::move(other9.rack);
+  sidesReported = other9.sidesReported;
   __isset = other9.__isset;
 }
 Announcement& Announcement::operator=(const Announcement& other10) {
@@ -701,6 +720,7 @@
   capacity = other10.capacity;
   free = other10.free;
   rack = other10.rack;
+  sidesReported = other10.sidesReported;
   __isset = other10.__isset;
   return *this;
 }
@@ -717,6 +737,7 @@
   capacity = std::move(other11.capacity);
   free = std::move(other11.free);
   rack = std::move(other11.rack);
+  sidesReported = other11.sidesReported;
   __isset = other11.__isset;
   return *this;
 }
@@ -735,6 +756,7 @@
   out << ", " << "capacity=" << to_string(capacity);
   out << ", " << "free=" << to_string(free);
   out << ", " << "rack=" << to_string(rack);
+  out << ", " << "sidesReported=" << to_string(sidesReported);
   out << ")";
 }
 
@@ -750,6 +772,10 @@
 void AnnouncementAck::__set_bundleVersion(const int64_t val) {
   this->bundleVersion = val;
 }
+
+void AnnouncementAck::__set_sidesPresent(const int32_t val) {
+  this->sidesPresent = val;
+}
 std::ostream& operator<<(std::ostream& out, const AnnouncementAck& obj)
 {
   obj.printTo(out);
@@ -794,6 +820,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sidesPresent);
+          this->__isset.sidesPresent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -819,6 +853,10 @@
   xfer += oprot->writeI64(this->bundleVersion);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sidesPresent", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->sidesPresent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -828,28 +866,33 @@
   using ::std::swap;
   swap(a.entryId, b.entryId);
   swap(a.bundleVersion, b.bundleVersion);
+  swap(a.sidesPresent, b.sidesPresent);
   swap(a.__isset, b.__isset);
 }
 
 AnnouncementAck::AnnouncementAck(const AnnouncementAck& other12) {
   entryId = other12.entryId;
   bundleVersion = other12.bundleVersion;
+  sidesPresent = other12.sidesPresent;
   __isset = other12.__isset;
 }
 AnnouncementAck::AnnouncementAck(AnnouncementAck&& other13) noexcept {
   entryId = std::move(other13.entryId);
   bundleVersion = other13.bundleVersion;
+  sidesPresent = other13.sidesPresent;
   __isset = other13.__isset;
 }
 AnnouncementAck& AnnouncementAck::operator=(const AnnouncementAck& other14) {
   entryId = other14.entryId;
   bundleVersion = other14.bundleVersion;
+  sidesPresent = other14.sidesPresent;
   __isset = other14.__isset;
   return *this;
 }
 AnnouncementAck& AnnouncementAck::operator=(AnnouncementAck&& other15) noexcept {
   entryId = std::move(other15.entryId);
   bundleVersion = other15.bundleVersion;
+  sidesPresent = other15.sidesPresent;
   __isset = other15.__isset;
   return *this;
 }
@@ -858,6 +901,7 @@
   out << "AnnouncementAck(";
   out << "entryId=" << to_string(entryId);
   out << ", " << "bundleVersion=" << to_string(bundleVersion);
+  out << ", " << "sidesPresent=" << to_string(sidesPresent);
   out << ")";
 }
 
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -217,7 +217,7 @@
 std::ostream& operator<<(std::ostream& out, const Resources& obj);
 
 typedef struct _Announcement__isset {
-  _Announcement__isset() : sideId(false), address(false), port(false), zone(false), incarnation(false), targetPresent(false), leaving(false), bundleVersion(false), load(false), capacity(false), free(false), rack(false) {}
+  _Announcement__isset() : sideId(false), address(false), port(false), zone(false), incarnation(false), targetPresent(false), leaving(false), bundleVersion(false), load(false), capacity(false), free(false), rack(false), sidesReported(false) {}
   bool sideId :1;
   bool address :1;
   bool port :1;
@@ -230,6 +230,7 @@
   bool capacity :1;
   bool free :1;
   bool rack :1;
+  bool sidesReported :1;
 } _Announcement__isset;
 
 class Announcement : public virtual ::apache::thrift::TBase {
@@ -248,7 +249,8 @@
                  targetPresent(0),
                  leaving(0),
                  bundleVersion(0),
-                 rack() {
+                 rack(),
+                 sidesReported(0) {
   }
 
   virtual ~Announcement() noexcept;
@@ -264,6 +266,7 @@
   Resources capacity;
   Resources free;
   std::string rack;
+  int32_t sidesReported;
 
   _Announcement__isset __isset;
 
@@ -291,6 +294,8 @@
 
   void __set_rack(const std::string& val);
 
+  void __set_sidesReported(const int32_t val);
+
   bool operator == (const Announcement & rhs) const
   {
     if (!(sideId == rhs.sideId))
@@ -317,6 +322,8 @@
       return false;
     if (!(rack == rhs.rack))
       return false;
+    if (!(sidesReported == rhs.sidesReported))
+      return false;
     return true;
   }
   bool operator != (const Announcement &rhs) const {
@@ -336,9 +343,10 @@
 std::ostream& operator<<(std::ostream& out, const Announcement& obj);
 
 typedef struct _AnnouncementAck__isset {
-  _AnnouncementAck__isset() : entryId(false), bundleVersion(false) {}
+  _AnnouncementAck__isset() : entryId(false), bundleVersion(false), sidesPresent(false) {}
   bool entryId :1;
   bool bundleVersion :1;
+  bool sidesPresent :1;
 } _AnnouncementAck__isset;
 
 class AnnouncementAck : public virtual ::apache::thrift::TBase {
@@ -350,12 +358,14 @@
   AnnouncementAck& operator=(AnnouncementAck&&) noexcept;
   AnnouncementAck() noexcept
                   : entryId(),
-                    bundleVersion(0) {
+                    bundleVersion(0),
+                    sidesPresent(0) {
   }
 
   virtual ~AnnouncementAck() noexcept;
   std::string entryId;
   int64_t bundleVersion;
+  int32_t sidesPresent;
 
   _AnnouncementAck__isset __isset;
 
@@ -363,12 +373,16 @@
 
   void __set_bundleVersion(const int64_t val);
 
+  void __set_sidesPresent(const int32_t val);
+
   bool operator == (const AnnouncementAck & rhs) const
   {
     if (!(entryId == rhs.entryId))
       return false;
     if (!(bundleVersion == rhs.bundleVersion))
       return false;
+    if (!(sidesPresent == rhs.sidesPresent))
+      return false;
     return true;
   }
   bool operator != (const AnnouncementAck &rhs) const {
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -21,7 +21,8 @@
   3: i32 accelerators
 }
 
-// Side to entry, repeated as the heartbeat: who is here and what it can take.
+// Side to entry, repeated as the heartbeat: who is here and what it can take. sidesReported is the largest
+// number of living sides that any entry has told this side of late, so that an entry that sees fewer knows.
 struct Announcement {
   1: string sideId
   2: string address
@@ -35,12 +36,14 @@
   10: Resources capacity
   11: Resources free
   12: string rack
+  13: i32 sidesReported
 }
 
 // Entry to side: the heartbeat's answer on the announcement link.
 struct AnnouncementAck {
   1: string entryId
   2: i64 bundleVersion
+  3: i32 sidesPresent
 }
 
 // Either direction: heartbeat on a data link, answered with the same number.
--- a/Tests/Process/Cluster.cpp
+++ b/Tests/Process/Cluster.cpp
@@ -198,8 +198,11 @@
     for (int n = 0; n < m_options.entries; ++n) {
         if (!m_entries.contains(n) || !m_entries.at(n).isRunning())
             continue;
+        const Json seen = status(n);
+        if (!seen.value("ready", false))
+            return false;
         int usable = 0;
-        for (const Json& side : status(n).value("sides", Json::array())) {
+        for (const Json& side : seen.value("sides", Json::array())) {
             const bool able = side.value("present", false) && side.value("link_up", false)
                 && side.value("target", false) && side.value("bundle", 0) > 0;
             usable += able ? 1 : 0;
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -16,7 +16,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr LinkId link = 9;
-    Membership m_membership { MembershipTiming {} };
+    Membership m_membership { MembershipTiming {}, at(0) };
     BundleRegistry m_bundles = testRegistry(1);
     JobBook m_book { "cell" };
     std::optional<CellScheduler> m_scheduler;
@@ -24,7 +24,7 @@
 public:
     void setUp() override
     {
-        m_membership = Membership(MembershipTiming {});
+        m_membership = Membership(MembershipTiming {}, at(0));
         m_book = JobBook("cell");
         m_scheduler.emplace("cell", "entry-1", 10, m_membership, m_bundles, SchedulerTiming {});
     }
--- a/Tests/Unit/RouterTest.cpp
+++ b/Tests/Unit/RouterTest.cpp
@@ -14,10 +14,10 @@
     CPPUNIT_TEST(ignoresAnOldIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
-    Membership m_membership { MembershipTiming {} };
+    Membership m_membership { MembershipTiming {}, at(0) };
 
 public:
-    void setUp() override { m_membership = Membership(MembershipTiming {}); }
+    void setUp() override { m_membership = Membership(MembershipTiming {}, at(0)); }
 
 private:
     SideView& addSide(const std::string& id, const std::string& zone, int inFlight)
