--- a/Tests/Process/Cluster.cpp
+++ b/Tests/Process/Cluster.cpp
@@ -6,7 +6,6 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -19,9 +18,10 @@
     constexpr std::chrono::seconds startLimit(20);
     constexpr std::chrono::milliseconds awaitPoll(20);
     constexpr Duration callTimeout = seconds(10);
-    /// Below the range that the system gives to outgoing connections.
+    /// Below the range that the system gives to outgoing connections; each test process has a slice of its own.
     constexpr int firstPort = 12'000;
-    constexpr int lastPort = 32'000;
+    constexpr int portsPerSlice = 200;
+    constexpr int slices = 100;
 
     bool isFree(int port)
     {
@@ -39,11 +39,11 @@
 
     int takePort()
     {
-        static std::mt19937 engine(static_cast<unsigned>(::getpid()));
-        static std::set<int> taken;
+        static const int sliceBegin = firstPort + ::getpid() % slices * portsPerSlice;
+        static int taken = 0;
         while (true) {
-            const int port = std::uniform_int_distribution<int>(firstPort, lastPort)(engine);
-            if (taken.insert(port).second && isFree(port))
+            const int port = sliceBegin + taken++ % portsPerSlice;
+            if (isFree(port))
                 return port;
         }
     }
@@ -245,11 +245,16 @@
     return counts;
 }
 
+Json Cluster::workerAudit(int n) const
+{
+    return callJson(m_workerPorts[static_cast<std::size_t>(n)], "GET", "/v1/starts");
+}
+
 std::vector<Json> Cluster::starts() const
 {
     std::vector<Json> all;
     for (int n = 0; n < m_options.sides; ++n) {
-        const Json audit = callJson(m_workerPorts[static_cast<std::size_t>(n)], "GET", "/v1/starts");
+        const Json audit = workerAudit(n);
         for (Json start : audit.value("starts", Json::array())) {
             start["worker"] = n;
             all.push_back(start);
--- a/Tests/Process/Cluster.h
+++ b/Tests/Process/Cluster.h
@@ -64,6 +64,8 @@
     void setLog(const Json& switches) const { callJson(m_logPort, "POST", "/v1/switches", switches); }
     /// How often each body ran, on all targets there ever were.
     std::map<std::string, int> runs() const;
+    /// The worker's clock and every start there ever was on it.
+    Json workerAudit(int n) const;
     /// Every start of all workers that still live, with the worker's number.
     std::vector<Json> starts() const;
     /// True once the condition holds; false after the limit.
