--- /dev/null
+++ b/Tests/Benchmark/ClockBenchmarks.cpp
@@ -0,0 +1,228 @@
+#include "Benchmark/Figure.h"
+#include "Decision/Job/CellScheduler.h"
+#include "Process/Cluster.h"
+#include "Support/TestBundle.h"
+#include "Support/VirtualTime.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <fstream>
+#include <malloc.h>
+#include <unistd.h>
+
+namespace Plantainpier {
+
+namespace {
+
+    using Clock = std::chrono::steady_clock;
+    using Microseconds = std::chrono::microseconds;
+
+    constexpr double bytesPerMegabyte = 1 << 20;
+    constexpr double memoryBoundMegabytes = 64;
+    /// 1% of a core.
+    constexpr double idleProcessorBound = 0.01;
+
+    double heapBytes() { return static_cast<double>(mallinfo2().uordblks); }
+
+    // The decision library alone.
+
+    /// Microseconds a placement by a leader that knows so many sides.
+    double placementMicroseconds(int sides)
+    {
+        Membership membership(MembershipTiming {}, at(0));
+        const BundleRegistry bundles = testRegistry(1);
+        CellScheduler scheduler("cell", "entry", 1, membership, bundles, SchedulerTiming {});
+        JobBook book("cell");
+        Actions actions;
+        for (int n = 0; n < sides; ++n) {
+            Wire::Announcement message;
+            message.sideId = "side-" + std::to_string(n);
+            message.incarnation = 1;
+            message.capacity = makeResources(64'000, 250'000, 2);
+            message.free = makeResources(64'000 - n % 1000, 250'000, 2);
+            membership.onAnnouncement(at(0), 1, message);
+            SideView& side = *membership.find(message.sideId);
+            side.monitor.emplace(LinkTiming {}, at(0));
+            side.monitor->onUp(at(0));
+        }
+        const LeaderRecord leader { "cell", 1, "entry", 1 };
+        scheduler.onRecord(at(0), leader, book.apply(leader), book, actions);
+        scheduler.onLogContact(at(0));
+        constexpr int jobs = 320;
+        for (int n = 0; n < jobs; ++n) {
+            JobRecord record;
+            record.jobId = "job-" + std::to_string(n);
+            record.cell = "cell";
+            record.team = "team-" + std::to_string(n % 140);
+            record.demand = makeResources(1000, 1000, 0);
+            book.apply(record);
+        }
+        actions.clear();
+        const Clock::time_point began = Clock::now();
+        scheduler.tick(at(1), book, actions);
+        const Microseconds elapsed = std::chrono::duration_cast<Microseconds>(Clock::now() - began);
+        return static_cast<double>(elapsed.count()) / jobs;
+    }
+
+    std::vector<Figure> placementTime()
+    {
+        // 320 placements a second in a tenth of one core of the leading entry.
+        constexpr double bound = 1e6 / 320 / 10;
+        return { { "placement_us_100_sides", placementMicroseconds(100), "us", bound },
+            { "placement_us_970_sides", placementMicroseconds(970), "us", bound },
+            { "placement_us_10000_sides", placementMicroseconds(10'000), "us", 1e6 / 320 } };
+    }
+
+    std::vector<Figure> stateBytes()
+    {
+        constexpr int tasks = 13'800;
+        constexpr int sides = 970;
+        const double before = heapBytes();
+        JobBook book("cell");
+        book.apply(LeaderRecord { "cell", 1, "entry", 1 });
+        for (int n = 0; n < tasks; ++n) {
+            JobRecord record;
+            record.jobId = "job-" + std::to_string(n);
+            record.cell = "cell";
+            record.team = "team-" + std::to_string(n % 140);
+            record.payload = std::string(100, 'x');
+            book.apply(record);
+            book.apply(AttemptRecord { "cell", 1, record.jobId, 1, "side-" + std::to_string(n % sides) });
+        }
+        const double withTasks = heapBytes();
+        Membership membership(MembershipTiming {}, at(0));
+        for (int n = 0; n < sides; ++n) {
+            Wire::Announcement message;
+            message.sideId = "side-" + std::to_string(n);
+            message.zone = "zone-11";
+            message.rack = "rack-320";
+            message.address = "10.11.12.13";
+            membership.onAnnouncement(at(0), 1, message);
+        }
+        const double withSides = heapBytes();
+        return { { "entry_bytes_per_task", (withTasks - before) / tasks, "B",
+                     memoryBoundMegabytes / 2 * bytesPerMegabyte / tasks },
+            { "entry_bytes_per_side", (withSides - withTasks) / sides, "B",
+                memoryBoundMegabytes / 4 * bytesPerMegabyte / sides } };
+    }
+
+    // Real processes.
+
+    double processorSeconds(pid_t pid)
+    {
+        std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+        std::string word;
+        std::vector<std::string> words;
+        while (file >> word)
+            words.push_back(word);
+        constexpr std::size_t userTime = 13;
+        constexpr std::size_t systemTime = 14;
+        const double ticks = std::stod(words.at(userTime)) + std::stod(words.at(systemTime));
+        return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+    }
+
+    double residentMegabytes(pid_t pid)
+    {
+        std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
+        double total = 0;
+        double resident = 0;
+        file >> total >> resident;
+        return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / bytesPerMegabyte;
+    }
+
+    /// Sorted latencies of requests with so many in flight, over kept connections.
+    std::vector<Microseconds> closedLoop(const Cluster& cluster, const std::vector<int>& ports, const std::string& path,
+        const std::string& body, int concurrency, int count)
+    {
+        std::mutex mutex;
+        std::condition_variable finished;
+        std::vector<Microseconds> elapsed;
+        int sent = 0;
+        std::function<void()> send = [&] {
+            HttpRequest request;
+            request.method = "POST";
+            request.address = "127.0.0.1";
+            request.port = ports[static_cast<std::size_t>(sent++) % ports.size()];
+            request.path = path;
+            request.body = body;
+            const Clock::time_point began = Clock::now();
+            cluster.http()->submit(std::move(request), [&, began](HttpResponse&&) {
+                std::lock_guard<std::mutex> lock(mutex);
+                elapsed.push_back(std::chrono::duration_cast<Microseconds>(Clock::now() - began));
+                if (sent < count)
+                    send();
+                finished.notify_all();
+            });
+        };
+        std::unique_lock<std::mutex> lock(mutex);
+        for (int n = 0; n < concurrency; ++n)
+            send();
+        finished.wait(lock, [&] { return static_cast<int>(elapsed.size()) >= count; });
+        std::sort(elapsed.begin(), elapsed.end());
+        return elapsed;
+    }
+
+    double percentile(const std::vector<Microseconds>& sorted, std::size_t percent)
+    {
+        return static_cast<double>(sorted[sorted.size() * percent / 100].count());
+    }
+
+    std::vector<Figure> pathAndProcesses()
+    {
+        constexpr int count = 10'000;
+        constexpr int halfOfTheSlots = 12;
+        constexpr double addedBoundMicroseconds = 1000;
+        Cluster cluster(ClusterOptions { .entries = 2, .sides = 3, .serviceMilliseconds = 10 });
+        cluster.start();
+        const double entryBegan = processorSeconds(cluster.entry(0).pid());
+        const double sideBegan = processorSeconds(cluster.side(0).pid());
+        constexpr std::chrono::seconds idleTime(10);
+        std::this_thread::sleep_for(idleTime);
+        const double idle = static_cast<double>(idleTime.count());
+        std::vector<Figure> figures {
+            { "entry_idle_cores", (processorSeconds(cluster.entry(0).pid()) - entryBegan) / idle, "cores",
+                idleProcessorBound },
+            { "side_idle_cores", (processorSeconds(cluster.side(0).pid()) - sideBegan) / idle, "cores",
+                idleProcessorBound },
+        };
+        const std::vector<Microseconds> direct
+            = closedLoop(cluster, { cluster.targetPort(0), cluster.targetPort(1), cluster.targetPort(2) }, "/v1/run",
+                "direct", halfOfTheSlots, count);
+        const Json request { { "caller", "benchmark" }, { "class", "checks" }, { "idempotent", true },
+            { "deadline_ms", 1000 }, { "body", "through" } };
+        const double sideLoadBegan = processorSeconds(cluster.side(0).pid());
+        const Clock::time_point loadBegan = Clock::now();
+        const std::vector<Microseconds> through = closedLoop(cluster, { cluster.entryPort(0), cluster.entryPort(1) },
+            "/v1/requests", request.dump(), halfOfTheSlots, count);
+        const double loadSeconds = std::chrono::duration<double>(Clock::now() - loadBegan).count();
+        const double sideCores = (processorSeconds(cluster.side(0).pid()) - sideLoadBegan) / loadSeconds;
+        const double ratio = percentile(through, 99) / percentile(direct, 99);
+        const double direct99 = percentile(direct, 99);
+        figures.push_back(
+            { "path_added_p50_us", percentile(through, 50) - percentile(direct, 50), "us", addedBoundMicroseconds });
+        figures.push_back({ "path_added_p99_us", percentile(through, 99) - direct99, "us", addedBoundMicroseconds });
+        figures.push_back({ "path_p99_ratio", ratio, "ratio", (direct99 + addedBoundMicroseconds) / direct99 });
+        figures.push_back({ "side_loaded_cores", sideCores, "cores", 1 });
+        figures.push_back(
+            { "entry_resident_mb", residentMegabytes(cluster.entry(0).pid()), "MB", memoryBoundMegabytes });
+        figures.push_back({ "side_resident_mb", residentMegabytes(cluster.side(0).pid()), "MB", memoryBoundMegabytes });
+        return figures;
+    }
+
+} // namespace
+
+bool runClockBenchmarks(const std::string& only)
+{
+    bool ok = true;
+    for (std::vector<Figure> (*measure)() : { placementTime, stateBytes, pathAndProcesses }) {
+        for (const Figure& figure : measure()) {
+            if (!only.empty() && figure.name != only)
+                continue;
+            print(figure);
+            ok = ok && figure.isOk();
+        }
+    }
+    return ok;
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Tests/Benchmark/DeterministicBenchmarks.cpp
@@ -0,0 +1,212 @@
+#include "Benchmark/Figure.h"
+#include "Support/VirtualSystem.h"
+#include "Wire/Generated/Peer.h"
+
+#include <functional>
+#include <iostream>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace Plantainpier {
+
+namespace {
+
+    using apache::thrift::protocol::TCompactProtocol;
+    using apache::thrift::transport::TFramedTransport;
+    using apache::thrift::transport::TMemoryBuffer;
+
+    /// TCP and IP headers of a small segment.
+    constexpr double headerBytes = 52;
+    /// Sizes of the aim: entries that a side announces itself to, and of today.
+    constexpr double entriesAtAim = 33;
+    constexpr double announcementsPerSecond = 2;
+    constexpr double idleHeartbeatsPerSecond = 1;
+    constexpr double controlBytesBound = 5'000;
+
+    /// Bytes on the wire of one call, headers included.
+    double wireBytes(const std::function<void(Wire::PeerClient&)>& call)
+    {
+        const std::shared_ptr<TMemoryBuffer> buffer = std::make_shared<TMemoryBuffer>();
+        Wire::PeerClient client(std::make_shared<TCompactProtocol>(std::make_shared<TFramedTransport>(buffer)));
+        call(client);
+        return static_cast<double>(buffer->available_read()) + headerBytes;
+    }
+
+    /// A side's announcement as a running system fills it in.
+    Wire::Announcement fullAnnouncement()
+    {
+        Wire::Announcement message;
+        message.sideId = "side-0123";
+        message.address = "10.11.12.13";
+        message.port = 18'501;
+        message.zone = "zone-11";
+        message.rack = "rack-320";
+        message.incarnation = 1'796'366'244'810'827;
+        message.targetPresent = true;
+        message.bundleVersion = 175'200;
+        message.load.inFlight = 8;
+        message.load.queued = 64;
+        message.load.slots = 8;
+        message.load.latencyMicroseconds = 12'345;
+        message.capacity = makeResources(64'000, 250'000, 8);
+        message.free = message.capacity;
+        message.sidesReported = 970;
+        return message;
+    }
+
+    /// Control bytes a second of one idle side, both directions, for each entry that it announces itself to.
+    double sideBytesPerEntry()
+    {
+        const double announcement = wireBytes([](Wire::PeerClient& client) { client.announce(fullAnnouncement()); });
+        const double ack = wireBytes([](Wire::PeerClient& client) {
+            Wire::AnnouncementAck message;
+            message.entryId = "entry-33";
+            message.bundleVersion = 175'200;
+            message.sidesPresent = 970;
+            client.acknowledge(message);
+        });
+        const double ping = wireBytes([](Wire::PeerClient& client) {
+            Wire::Ping message;
+            message.number = 100'000;
+            client.ping(message);
+        });
+        return announcementsPerSecond * (announcement + ack) + idleHeartbeatsPerSecond * 2 * ping;
+    }
+
+    Figure sideControlBytesToday()
+    {
+        constexpr double entriesToday = 4;
+        return { "side_control_bytes_today", sideBytesPerEntry() * entriesToday, "B/s", controlBytesBound };
+    }
+
+    Figure sideControlBytesAtAim()
+    {
+        return { "side_control_bytes_at_33_entries", sideBytesPerEntry() * entriesAtAim, "B/s", controlBytesBound };
+    }
+
+    Figure appendsAtPeak()
+    {
+        constexpr int startsPerSecond = 320;
+        constexpr int lengthSeconds = 10;
+        AppendQueue queue(AppendLimits {});
+        int number = 0;
+        for (int n = 0; n < lengthSeconds * 1000; ++n) {
+            const int due = (n + 1) * startsPerSecond / 1000 - n * startsPerSecond / 1000;
+            for (int count = 0; count < due; ++count)
+                queue.add({ AttemptRecord { "cell", 1, "job-" + std::to_string(++number), 1, "side" } });
+            if (queue.nextBatch(at(n)))
+                queue.onResult(at(n), AppendResult::Stored);
+        }
+        return { "appends_at_320_starts", static_cast<double>(queue.appends()) / lengthSeconds, "1/s", 100 };
+    }
+
+    /// Dispatches for each request while every target refuses every connection.
+    Figure retryAmplification()
+    {
+        VirtualOptions options;
+        options.entries = 1;
+        options.sides = 11;
+        options.targetsFail = true;
+        VirtualSystem system(options);
+        system.runFor(seconds(2));
+        constexpr int requests = 5000;
+        for (int n = 0; n < requests; ++n) {
+            CallerRequest request;
+            request.caller = "benchmark";
+            request.className = "checks";
+            request.idempotent = true;
+            request.deadline = milliseconds(500);
+            system.request(0, request);
+            system.runFor(milliseconds(1));
+        }
+        system.runFor(seconds(2));
+        const RequestTotals& totals = system.entryCore(0).requests().totals();
+        const double tried = static_cast<double>(totals.dispatches);
+        const double first = std::max(1.0, tried - static_cast<double>(totals.retries));
+        return { "retry_amplification_all_failing", tried / first, "ratio", 1.1 };
+    }
+
+    /// From the roll-out at one entry to the bundle in force at every process, in virtual time.
+    Figure rollOutTime()
+    {
+        VirtualOptions options;
+        options.entries = 4;
+        options.sides = 11;
+        options.bundleVersion = 0;
+        VirtualSystem system(options);
+        system.runFor(seconds(2));
+        system.rollOut(0, signedBundle(testBundleContent(1)));
+        const auto inForceEverywhere = [&system, &options] {
+            for (int n = 0; n < options.entries; ++n) {
+                if (system.entryCore(n).bundles().version() == 0)
+                    return false;
+            }
+            for (int n = 0; n < options.sides; ++n) {
+                if (system.sideCore(n).bundles().version() == 0)
+                    return false;
+            }
+            return true;
+        };
+        const Instant began = system.now();
+        while (!inForceEverywhere() && system.now() - began < seconds(20))
+            system.runFor(milliseconds(1));
+        return { "roll_out_virtual_ms", static_cast<double>(toMilliseconds(system.now() - began)), "ms", 5000 };
+    }
+
+    /// From a host's death to the last request that it makes wait, in virtual time, 11 sides under steady load.
+    Figure failedHostTime()
+    {
+        VirtualOptions options;
+        options.entries = 1;
+        options.sides = 11;
+        VirtualSystem system(options);
+        system.runFor(seconds(2));
+        std::map<CallerToken, Instant> sent;
+        const Instant failed = system.now();
+        // The host is gone without a word: its connections stay open and silent.
+        system.silence(system.side(0));
+        system.pause(system.side(0), seconds(60));
+        for (int n = 0; n < 3000; ++n) {
+            CallerRequest request;
+            request.caller = "benchmark";
+            request.className = "checks";
+            request.idempotent = true;
+            request.deadline = milliseconds(5000);
+            sent[system.request(0, request)] = system.now();
+            system.runFor(milliseconds(2));
+        }
+        system.runFor(seconds(6));
+        constexpr Duration slow = milliseconds(100);
+        Duration last {};
+        for (const std::pair<const CallerToken, Instant>& entry : sent) {
+            const VirtualAnswer* answer = system.answerTo(entry.first);
+            if (!answer || answer->at - entry.second > slow)
+                last = std::max(last, entry.second - failed);
+        }
+        return { "failed_host_last_slow_request_ms", static_cast<double>(toMilliseconds(last)), "ms", 2000 };
+    }
+
+} // namespace
+
+void print(const Figure& figure)
+{
+    const Json json { { "name", figure.name }, { "value", figure.value }, { "unit", figure.unit },
+        { "bound", figure.bound }, { "ok", figure.isOk() } };
+    std::cout << json.dump() << std::endl;
+}
+
+bool runDeterministicBenchmarks(const std::string& only)
+{
+    bool ok = true;
+    for (Figure (*measure)() : { sideControlBytesToday, sideControlBytesAtAim, appendsAtPeak, retryAmplification,
+             rollOutTime, failedHostTime }) {
+        const Figure figure = measure();
+        if (!only.empty() && figure.name != only)
+            continue;
+        print(figure);
+        ok = ok && figure.isOk();
+    }
+    return ok;
+}
+
+} // namespace Plantainpier
--- a/Tests/Process/ChildProcess.h
+++ b/Tests/Process/ChildProcess.h
@@ -30,6 +30,7 @@
     /// SIGTERM without waiting.
     void askToStop() const;
     bool isRunning() const { return m_pid > 0; }
+    pid_t pid() const { return m_pid; }
 
 private:
     pid_t m_pid = -1;
--- a/Tests/Support/VirtualSystem.cpp
+++ b/Tests/Support/VirtualSystem.cpp
@@ -289,11 +289,16 @@
 
 void VirtualSystem::callTarget(int process, const CallTarget& target)
 {
-    m_runs.push_back(target.body);
-    const TargetResult result { TargetResult::Kind::Answered, 200, "ran:" + target.body };
-    deliver(m_now + m_options.service, process,
-        [this, dispatchId = target.dispatchId, result](
-            Process& self, Actions& actions) { self.side->onTargetResult(m_now, dispatchId, result, actions); });
+    TargetResult result { TargetResult::Kind::NotStarted, 0, {} };
+    Duration service = m_options.delay;
+    if (!m_options.targetsFail) {
+        m_runs.push_back(target.body);
+        result = TargetResult { TargetResult::Kind::Answered, 200, "ran:" + target.body };
+        service = m_options.service;
+    }
+    deliver(m_now + service, process, [this, dispatchId = target.dispatchId, result](Process& self, Actions& actions) {
+        self.side->onTargetResult(m_now, dispatchId, result, actions);
+    });
 }
 
 void VirtualSystem::perform(int process, Action& action)
--- a/Tests/Support/VirtualSystem.h
+++ b/Tests/Support/VirtualSystem.h
@@ -22,6 +22,8 @@
     /// Whether requests get a bundle with the default rules at the start.
     std::int64_t bundleVersion = 1;
     bool recordLog = false;
+    /// Every target refuses every connection, yet goes on announcing itself.
+    bool targetsFail = false;
 };
 
 /// The final answer to one caller.
