Request: Earn retries by dispatches, count other entries' requests apart

Cause: with every target failing, retries were earned by requests that were refused without a dispatch, and ten were saved up from the start: 1.96 dispatches for each first one. The estimate of a side's load took the larger of its report and this entry's own requests, so another entry's requests were lost whenever this one had more. And a daemon looked at its timers every 5 ms with nothing to do (0.009 cores an idle entry).

--- a/Source/Decision/Process/Membership.cpp
+++ b/Source/Decision/Process/Membership.cpp
@@ -36,7 +36,7 @@
     side.leaving = message.leaving;
     side.bundleVersion = message.bundleVersion;
     side.sidesReported = message.sidesReported;
-    side.load = message.load;
+    side.setLoad(message.load, side.ownInFlight);
     side.capacity = message.capacity;
     side.free = message.free;
     side.lastHeard = now;
--- a/Source/Decision/Process/Membership.h
+++ b/Source/Decision/Process/Membership.h
@@ -4,6 +4,7 @@
 #include "Decision/Connection/LinkMonitor.h"
 #include "Decision/Process/Message.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -29,6 +30,8 @@
     Instant firstHeard;
     /// Requests of this entry that are dispatched and unanswered.
     int ownInFlight = 0;
+    /// Requests of other entries there, as of the last report.
+    int othersInFlight = 0;
     /// Until then an answer that is given at once is awaited on the data link.
     Instant awaitedUntil;
     /// Until then the side gets no new request because a dispatch to it just failed.
@@ -42,6 +45,13 @@
     /// When the next data link is dialled at the earliest.
     Instant nextDial;
 
+    /// A report of the side's load; own is how many of this entry's requests it counts in.
+    void setLoad(const Wire::Load& reported, int own)
+    {
+        load = reported;
+        othersInFlight = std::max(0, reported.inFlight + reported.queued - own);
+    }
+    int expectedInFlight() const { return ownInFlight + othersInFlight; }
     /// Silence of the data link means something now.
     bool isAwaited(Instant now) const { return ownInFlight > 0 || now < awaitedUntil; }
     bool isLinkUp() const { return monitor && monitor->isUp(); }
--- a/Source/Decision/Request/RequestCoordinator.cpp
+++ b/Source/Decision/Request/RequestCoordinator.cpp
@@ -140,7 +140,6 @@
         return;
     RequestSession& session = openSession(now, caller, std::move(request));
     session.classIndex = session.bundle->indexOfClass(session.request.className);
-    m_retryBudget.onRequest(session.bundle->retryPercent());
     if (!session.request.idempotent)
         m_byKey[session.request.key] = session.requestId;
     beginDispatch(now, session, "first", actions);
@@ -175,7 +174,8 @@
             giveUp(now, session, actions);
         return;
     }
-    ++session.dispatches;
+    if (++session.dispatches == 1)
+        m_retryBudget.onFirstDispatch(session.bundle->retryPercent());
     const SideView& side = *m_membership.find(choice->sideId);
     session.place
         = DispatchPlace { session.requestId + "." + std::to_string(session.dispatches), side.sideId, side.incarnation };
@@ -184,7 +184,7 @@
     line.add("request", session.requestId).add("dispatch", session.place.dispatchId).add("side", side.sideId);
     line.add("why", why).add("cost_us", choice->cost.count()).add("candidates", choice->candidates);
     line.add("compared", choice->compared).add("own_zone", choice->ownZone).add("in_flight", side.ownInFlight);
-    line.add("reported", side.load.inFlight + side.load.queued).add("bundle", session.bundle->version());
+    line.add("others", side.othersInFlight).add("bundle", session.bundle->version());
     actions.push_back(WriteLog { line.text() });
     if (session.request.idempotent)
         sendDispatch(now, session, actions);
@@ -408,7 +408,9 @@
 {
     SideView* side = m_membership.find(sideId);
     if (side && side->incarnation == answer.sideIncarnation) {
-        side->load = answer.load;
+        // The dispatch that is answered here is no longer counted by the side, but still by this entry.
+        const bool ends = answer.outcome != Wire::Outcome::Running;
+        side->setLoad(answer.load, side->ownInFlight - (ends ? 1 : 0));
         if (answer.code == static_cast<int>(ErrorCode::TargetUnreachable))
             side->avoidUntil = now + avoidAfterFailure;
         if (answer.code == static_cast<int>(ErrorCode::Leaving))
--- a/Source/Decision/Request/Router.cpp
+++ b/Source/Decision/Request/Router.cpp
@@ -27,13 +27,10 @@
 
 Duration Router::costOf(const SideView& side) const
 {
-    // The last report holds this entry's requests of that time too, so the larger of the two is the better estimate.
-    const int reported = side.load.inFlight + side.load.queued;
-    const int occupied = std::max(reported, side.ownInFlight);
     const int slots = std::max(1, side.load.slots);
     const Duration service
         = side.load.latencyMicroseconds > 0 ? Duration(side.load.latencyMicroseconds) : m_settings.assumedLatency;
-    const Duration queued = service * occupied / slots;
+    const Duration queued = service * side.expectedInFlight() / slots;
     const Duration hop = side.zone == m_zone ? Duration::zero() : m_settings.zoneHop;
     return service + queued + hop;
 }
--- a/Source/Shell/Process/Daemon.cpp
+++ b/Source/Shell/Process/Daemon.cpp
@@ -38,7 +38,7 @@
 Daemon::Daemon(Settings settings)
     : m_settings(std::move(settings))
     , m_loop([this](Instant now, Actions& actions) { tick(now, actions); },
-          [this](Action&& action) { perform(std::move(action)); })
+          [this](Action&& action) { perform(std::move(action)); }, [this] { return !isDrained(); })
 {
 }
 
--- a/Source/Shell/Process/DecisionLoop.cpp
+++ b/Source/Shell/Process/DecisionLoop.cpp
@@ -7,13 +7,15 @@
 namespace {
 
     constexpr std::size_t ringCapacity = 65'536;
-    constexpr Duration tickInterval = milliseconds(5);
+    constexpr Duration busyTick = milliseconds(5);
+    constexpr Duration idleTick = milliseconds(20);
 
 } // namespace
 
-DecisionLoop::DecisionLoop(Event tick, Perform perform)
+DecisionLoop::DecisionLoop(Event tick, Perform perform, IsBusy isBusy)
     : m_tick(std::move(tick))
     , m_perform(std::move(perform))
+    , m_isBusy(std::move(isBusy))
     , m_ring(ringCapacity)
 {
 }
@@ -39,7 +41,7 @@
         if (steadyNow() < nextTick)
             continue;
         decide(m_tick);
-        nextTick = steadyNow() + tickInterval;
+        nextTick = steadyNow() + (m_isBusy() ? busyTick : idleTick);
     }
 }
 
--- a/Source/Shell/Process/DecisionLoop.h
+++ b/Source/Shell/Process/DecisionLoop.h
@@ -16,7 +16,10 @@
     /// Hook: carries one action out; called on the loop's thread.
     using Perform = std::function<void(Action&& action)>;
 
-    DecisionLoop(Event tick, Perform perform);
+    /// Hook: whether somebody waits for an answer, so that time must be looked at often.
+    using IsBusy = std::function<bool()>;
+
+    DecisionLoop(Event tick, Perform perform, IsBusy isBusy);
 
     /// False when the ring is full: the caller must say so to whoever waits.
     bool post(Event event);
@@ -29,6 +32,7 @@
 
     Event m_tick;
     Perform m_perform;
+    IsBusy m_isBusy;
     BoundedRing<Event> m_ring;
     std::atomic<bool> m_stopping { false };
 };
--- a/Tests/Support/VirtualSystem.cpp
+++ b/Tests/Support/VirtualSystem.cpp
@@ -289,7 +289,7 @@
 
 void VirtualSystem::callTarget(int process, const CallTarget& target)
 {
-    TargetResult result { TargetResult::Kind::NotStarted, 0, {} };
+    TargetResult result { TargetResult::Kind::Uncertain, 0, {} };
     Duration service = m_options.delay;
     if (!m_options.targetsFail) {
         m_runs.push_back(target.body);
--- a/Tests/Support/VirtualSystem.h
+++ b/Tests/Support/VirtualSystem.h
@@ -22,7 +22,7 @@
     /// Whether requests get a bundle with the default rules at the start.
     std::int64_t bundleVersion = 1;
     bool recordLog = false;
-    /// Every target refuses every connection, yet goes on announcing itself.
+    /// Every target takes each request and breaks the connection before it answers.
     bool targetsFail = false;
 };
 
--- a/Tests/Unit/RouterTest.cpp
+++ b/Tests/Unit/RouterTest.cpp
@@ -56,7 +56,7 @@
         addSide("far", "there", 0);
         SideView& near = addSide("near", "here", 0);
         CPPUNIT_ASSERT_EQUAL(std::string("near"), choose());
-        near.load.inFlight = 8;
+        near.othersInFlight = 8;
         CPPUNIT_ASSERT_EQUAL(std::string("far"), choose());
     }
 
