Request: Answer everybody who asked, and let one of two claims go first

Change: a claim that meets another one made within 50 ms goes on if its dispatch id is the lesser, with pauses of 5 ms; the other one releases its claims (new message; safe because its dispatch was never sent) and follows. A side answers on every connection that a dispatch came or was asked about on.

Ruled out: letting both wait at random; it needs longer waits than one service time to part them reliably.

Also here: names of enumerators in one kind of table (NameTable); a worker's unknown state and a log record's unknown end are errors instead of defaults; one place in AttemptKeeper fences unknown attempts; a test with an entry that is frozen while a target leaves.

--- /dev/null
+++ b/Source/Base/NameTable.h
@@ -0,0 +1,37 @@
+/// Names of enumerators, in one table an enumeration.
+#pragma once
+
+#include <array>
+#include <string_view>
+
+namespace Plantainpier {
+
+/// One enumerator and its name in logs, settings, answers and the platform's protocols.
+template <typename Enum> struct NamedValue {
+    Enum value;
+    std::string_view name;
+};
+
+/// The name of a value; "unknown" for one that the table lacks (from a newer peer).
+template <typename Enum, std::size_t size>
+constexpr std::string_view nameIn(const std::array<NamedValue<Enum>, size>& table, Enum value)
+{
+    for (const NamedValue<Enum>& row : table) {
+        if (row.value == value)
+            return row.name;
+    }
+    return "unknown";
+}
+
+/// The value of a name; null when the table lacks it.
+template <typename Enum, std::size_t size>
+constexpr const Enum* valueIn(const std::array<NamedValue<Enum>, size>& table, std::string_view name)
+{
+    for (const NamedValue<Enum>& row : table) {
+        if (row.name == name)
+            return &row.value;
+    }
+    return nullptr;
+}
+
+} // namespace Plantainpier
--- a/Source/Decision/Job/AttemptKeeper.cpp
+++ b/Source/Decision/Job/AttemptKeeper.cpp
@@ -94,20 +94,10 @@
 void AttemptKeeper::onStart(Instant now, LinkId link, const Wire::StartRequest& request, Actions& actions)
 {
     const AttemptId id { request.taskId, request.attempt };
-    std::map<AttemptId, Attempt>::iterator it = m_attempts.find(id);
-    const bool known = it != m_attempts.end();
     if (!acceptTerm(request.term) || !isReady())
         return;
-    if (!known) {
-        // Reserved by an earlier incarnation of this process, or the reservation has lapsed: it never starts here.
-        Attempt& fenced = m_attempts[id];
-        fenced.link = link;
-        fenced.heldUntil = now + endedKeep;
-        report(now, id, fenced, actions);
-        return;
-    }
-    Attempt& attempt = it->second;
-    attempt.link = link;
+    // Not known: reserved by an earlier incarnation of this process, or the reservation has lapsed.
+    Attempt& attempt = findOrFence(now, link, id);
     if (attempt.state != Wire::AttemptState::Reserved) {
         report(now, id, attempt, actions);
         return;
@@ -129,17 +119,22 @@
     report(now, id, attempt, actions);
 }
 
-void AttemptKeeper::onHold(Instant now, LinkId link, const Wire::HoldRequest& request, Actions& actions)
+AttemptKeeper::Attempt& AttemptKeeper::findOrFence(Instant now, LinkId link, const AttemptId& id)
 {
-    if (!acceptTerm(request.term) || !isReady())
-        return;
-    const AttemptId id { request.taskId, request.attempt };
-    // An attempt that is not here is fenced by being recorded as absent.
     const bool known = m_attempts.contains(id);
     Attempt& attempt = m_attempts[id];
     attempt.link = link;
     if (!known)
         attempt.heldUntil = now + endedKeep;
+    return attempt;
+}
+
+void AttemptKeeper::onHold(Instant now, LinkId link, const Wire::HoldRequest& request, Actions& actions)
+{
+    if (!acceptTerm(request.term) || !isReady())
+        return;
+    const AttemptId id { request.taskId, request.attempt };
+    Attempt& attempt = findOrFence(now, link, id);
     if (!isOver(attempt.state))
         attempt.heldUntil = std::max(attempt.heldUntil, heldUntil(request.basisMicroseconds, request.holdMicroseconds));
     report(now, id, attempt, actions);
@@ -150,11 +145,7 @@
     if (!acceptTerm(request.term) || !isReady())
         return;
     const AttemptId id { request.taskId, request.attempt };
-    const bool known = m_attempts.contains(id);
-    Attempt& attempt = m_attempts[id];
-    attempt.link = link;
-    if (!known)
-        attempt.heldUntil = now + endedKeep;
+    Attempt& attempt = findOrFence(now, link, id);
     if (attempt.state == Wire::AttemptState::Running)
         actions.push_back(StopTask { id.jobId, id.number, request.checkpoint });
     else if (attempt.state == Wire::AttemptState::Reserved)
--- a/Source/Decision/Job/AttemptKeeper.h
+++ b/Source/Decision/Job/AttemptKeeper.h
@@ -78,6 +78,8 @@
     };
 
     bool acceptTerm(std::int64_t term);
+    /// The attempt; one that is not here is recorded as absent, so that it never starts here later.
+    Attempt& findOrFence(Instant now, LinkId link, const AttemptId& id);
     std::int64_t leaseEnd(Instant now, const Attempt& attempt) const;
     void renew(Instant now, const AttemptId& id, Attempt& attempt, Actions& actions);
     void report(Instant now, const AttemptId& id, Attempt& attempt, Actions& actions);
--- a/Source/Decision/Job/JobBook.cpp
+++ b/Source/Decision/Job/JobBook.cpp
@@ -1,6 +1,6 @@
 #include "Decision/Job/JobBook.h"
 
-#include <array>
+#include "Base/NameTable.h"
 
 namespace Plantainpier {
 
@@ -9,16 +9,12 @@
     /// Attempts that may fail by the task's own fault before the job counts as failed.
     constexpr int maximumFailures = 3;
 
-    struct JobStatusRow {
-        JobStatus status;
-        std::string_view name;
-    };
     constexpr std::array jobStatusTable {
-        JobStatusRow { JobStatus::Queued, "queued" },
-        JobStatusRow { JobStatus::Running, "running" },
-        JobStatusRow { JobStatus::Completed, "completed" },
-        JobStatusRow { JobStatus::Failed, "failed" },
-        JobStatusRow { JobStatus::Cancelled, "cancelled" },
+        NamedValue { JobStatus::Queued, "queued" },
+        NamedValue { JobStatus::Running, "running" },
+        NamedValue { JobStatus::Completed, "completed" },
+        NamedValue { JobStatus::Failed, "failed" },
+        NamedValue { JobStatus::Cancelled, "cancelled" },
     };
 
     JobStatus statusAfter(const Job& job, AttemptEnd end)
@@ -32,14 +28,7 @@
 
 } // namespace
 
-std::string_view name(JobStatus status)
-{
-    for (const JobStatusRow& row : jobStatusTable) {
-        if (row.status == status)
-            return row.name;
-    }
-    return "unknown";
-}
+std::string_view name(JobStatus status) { return nameIn(jobStatusTable, status); }
 
 JobBook::JobBook(std::string cell)
     : m_cell(std::move(cell))
--- a/Source/Decision/Job/LogRecord.cpp
+++ b/Source/Decision/Job/LogRecord.cpp
@@ -1,6 +1,6 @@
 #include "Decision/Job/LogRecord.h"
 
-#include <array>
+#include "Base/NameTable.h"
 
 namespace Plantainpier {
 
@@ -9,15 +9,11 @@
     constexpr std::size_t maximumTextBytes = 1 << 20;
     constexpr std::int64_t maximumNumber = std::numeric_limits<std::int64_t>::max();
 
-    struct AttemptEndRow {
-        AttemptEnd end;
-        std::string_view name;
-    };
     constexpr std::array attemptEndTable {
-        AttemptEndRow { AttemptEnd::Completed, "completed" },
-        AttemptEndRow { AttemptEnd::Failed, "failed" },
-        AttemptEndRow { AttemptEnd::Evicted, "evicted" },
-        AttemptEndRow { AttemptEnd::Lost, "lost" },
+        NamedValue { AttemptEnd::Completed, "completed" },
+        NamedValue { AttemptEnd::Failed, "failed" },
+        NamedValue { AttemptEnd::Evicted, "evicted" },
+        NamedValue { AttemptEnd::Lost, "lost" },
     };
 
     Json encodeResources(const Wire::Resources& resources)
@@ -99,10 +95,11 @@
         record.jobId = reader.requiredString("job", maximumTextBytes);
         record.attempt = static_cast<int>(reader.requiredInteger("attempt", 1, 1'000'000));
         const std::string end = reader.requiredString("end", maximumTextBytes);
-        for (const AttemptEndRow& row : attemptEndTable) {
-            if (row.name == end)
-                record.end = row.end;
-        }
+        const AttemptEnd* known = valueIn(attemptEndTable, end);
+        if (known)
+            record.end = *known;
+        else
+            reader.fault(ErrorCode::InvalidField, "end", end + " is no way in which an attempt ends");
         record.result = reader.optionalString("result", maximumTextBytes, "");
         record.checkpoint = reader.optionalString("checkpoint", maximumTextBytes, "");
         return record;
@@ -175,14 +172,7 @@
 
 } // namespace
 
-std::string_view name(AttemptEnd end)
-{
-    for (const AttemptEndRow& row : attemptEndTable) {
-        if (row.end == end)
-            return row.name;
-    }
-    return "unknown";
-}
+std::string_view name(AttemptEnd end) { return nameIn(attemptEndTable, end); }
 
 std::string encodeRecord(const LogRecord& record)
 {
--- a/Source/Decision/Process/Message.h
+++ b/Source/Decision/Process/Message.h
@@ -15,9 +15,9 @@
 
 /// Every message of Wire/plantainpier.thrift.
 using PeerMessage = std::variant<Wire::Announcement, Wire::AnnouncementAck, Wire::Ping, Wire::Pong, Wire::RunRequest,
-    Wire::RunAnswer, Wire::ResolveRequest, Wire::ClaimRequest, Wire::ClaimAnswer, Wire::KeyQuery, Wire::BundleNotice,
-    Wire::ReserveRequest, Wire::ReserveAnswer, Wire::StartRequest, Wire::HoldRequest, Wire::StopRequest,
-    Wire::AttemptReport>;
+    Wire::RunAnswer, Wire::ResolveRequest, Wire::ClaimRequest, Wire::ClaimAnswer, Wire::ClaimRelease, Wire::KeyQuery,
+    Wire::BundleNotice, Wire::ReserveRequest, Wire::ReserveAnswer, Wire::StartRequest, Wire::HoldRequest,
+    Wire::StopRequest, Wire::AttemptReport>;
 
 /// Names one connection for as long as the process lives; never used twice.
 using LinkId = std::uint64_t;
--- a/Source/Decision/Process/SideCore.cpp
+++ b/Source/Decision/Process/SideCore.cpp
@@ -202,6 +202,7 @@
                    [&](const Wire::ClaimRequest& request) {
                        actions.push_back(SendMessage { link, m_witness.claim(now, request, keep) });
                    },
+                   [&](const Wire::ClaimRelease& release) { m_witness.release(release); },
                    [&](const Wire::KeyQuery& request) {
                        actions.push_back(SendMessage { link, m_witness.query(now, request) });
                    },
--- a/Source/Decision/Request/CallerRequest.cpp
+++ b/Source/Decision/Request/CallerRequest.cpp
@@ -1,6 +1,7 @@
 #include "Decision/Request/CallerRequest.h"
 
-#include <array>
+#include "Base/NameTable.h"
+
 #include <sodium.h>
 
 namespace Plantainpier {
@@ -10,15 +11,11 @@
     constexpr std::size_t maximumNameBytes = 256;
     constexpr std::int64_t longestDeadlineMilliseconds = 600'000;
 
-    struct OutcomeRow {
-        Wire::Outcome::type outcome;
-        std::string_view name;
-    };
     constexpr std::array outcomeTable {
-        OutcomeRow { Wire::Outcome::Done, "done" },
-        OutcomeRow { Wire::Outcome::NotRun, "not_run" },
-        OutcomeRow { Wire::Outcome::Unknown, "unknown" },
-        OutcomeRow { Wire::Outcome::Running, "running" },
+        NamedValue { Wire::Outcome::Done, "done" },
+        NamedValue { Wire::Outcome::NotRun, "not_run" },
+        NamedValue { Wire::Outcome::Unknown, "unknown" },
+        NamedValue { Wire::Outcome::Running, "running" },
     };
 
     std::string toBase64(const std::string& bytes)
@@ -46,14 +43,7 @@
 
 } // namespace
 
-std::string_view name(Wire::Outcome::type outcome)
-{
-    for (const OutcomeRow& row : outcomeTable) {
-        if (row.outcome == outcome)
-            return row.name;
-    }
-    return "unknown";
-}
+std::string_view name(Wire::Outcome::type outcome) { return nameIn(outcomeTable, outcome); }
 
 Result<CallerRequest> parseCallerRequest(const std::string& text)
 {
--- a/Source/Decision/Request/DispatchLedger.h
+++ b/Source/Decision/Request/DispatchLedger.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -30,8 +31,8 @@
     bool idempotent = false;
     Instant deadline;
     Instant startedAt;
-    /// The connection that its answer goes to: where it was last asked about.
-    std::uint64_t link = 0;
+    /// The connections that its answer goes to: all that it came on or was asked about on.
+    std::set<std::uint64_t> links;
     std::string body;
     /// Set once it is finished or refused.
     Wire::RunAnswer answer;
--- a/Source/Decision/Request/KeyWitness.cpp
+++ b/Source/Decision/Request/KeyWitness.cpp
@@ -29,6 +29,7 @@
     answer.holderDispatchId = it->second.dispatchId;
     answer.holderSideId = it->second.sideId;
     answer.holderSideIncarnation = it->second.sideIncarnation;
+    answer.holderAgeMicroseconds = (now - it->second.claimedAt).count();
     return answer;
 }
 
@@ -46,11 +47,18 @@
         return answer;
     const Instant keepUntil = now + keep;
     m_claims[request.key]
-        = Claim { request.claimId, request.dispatchId, request.runSideId, request.runSideIncarnation, keepUntil };
+        = Claim { request.claimId, request.dispatchId, request.runSideId, request.runSideIncarnation, now, keepUntil };
     m_expiries.push_back(Expiry { request.key, keepUntil });
     return answer;
 }
 
+void KeyWitness::release(const Wire::ClaimRelease& release)
+{
+    std::unordered_map<std::string, Claim>::iterator it = m_claims.find(release.key);
+    if (it != m_claims.end() && it->second.dispatchId == release.dispatchId)
+        m_claims.erase(it);
+}
+
 Wire::ClaimAnswer KeyWitness::query(Instant now, const Wire::KeyQuery& request) const
 {
     return makeAnswer(now, request.key, request.queryId);
--- a/Source/Decision/Request/KeyWitness.h
+++ b/Source/Decision/Request/KeyWitness.h
@@ -17,6 +17,8 @@
 
     /// Grants a key that is free, held by the same claim, or held by the dispatch that the claim names as fenced.
     Wire::ClaimAnswer claim(Instant now, const Wire::ClaimRequest& request, Duration keep);
+    /// Frees a key whose holding dispatch was never sent.
+    void release(const Wire::ClaimRelease& release);
     /// Who holds the key; nothing changes.
     Wire::ClaimAnswer query(Instant now, const Wire::KeyQuery& request) const;
     void expire(Instant now);
@@ -28,6 +30,7 @@
         std::string dispatchId;
         std::string sideId;
         std::int64_t sideIncarnation = 0;
+        Instant claimedAt;
         Instant keepUntil;
     };
     struct Expiry {
--- a/Source/Decision/Request/RequestCoordinator.cpp
+++ b/Source/Decision/Request/RequestCoordinator.cpp
@@ -1,10 +1,10 @@
 #include "Decision/Request/RequestCoordinator.h"
 
 #include "Base/LogLine.h"
+#include "Base/NameTable.h"
 #include "Decision/Request/WitnessSet.h"
 
 #include <algorithm>
-#include <array>
 
 namespace Plantainpier {
 
@@ -14,6 +14,11 @@
     constexpr int maximumDispatches = 4;
     /// Between two questions about the same dispatch or key.
     constexpr Duration askInterval = milliseconds(100);
+    /// Claims of one key that are made within this time of each other contest it.
+    constexpr Duration contestWindow = milliseconds(50);
+    constexpr Duration contestPause = milliseconds(5);
+    /// Pauses before a claim follows the other one after all.
+    constexpr int maximumContests = 8;
     /// How long the answer to a question is awaited that a side gives at once.
     constexpr Duration answerWait = seconds(1);
     /// How long past its deadline the truth about a request is looked for before its caller hears "unknown".
@@ -31,28 +36,17 @@
     /// elsewhere amplifies nothing.
     bool costsNothing(ErrorCode refusal) { return refusal == ErrorCode::Fenced || refusal == ErrorCode::Leaving; }
 
-    struct RequestStateRow {
-        RequestState state;
-        std::string_view name;
-    };
     constexpr std::array requestStateTable {
-        RequestStateRow { RequestState::Claiming, "claiming" },
-        RequestStateRow { RequestState::Dispatched, "dispatched" },
-        RequestStateRow { RequestState::Resolving, "resolving" },
-        RequestStateRow { RequestState::FollowingHolder, "following_holder" },
-        RequestStateRow { RequestState::AskingWitnesses, "asking_witnesses" },
+        NamedValue { RequestState::Claiming, "claiming" },
+        NamedValue { RequestState::Dispatched, "dispatched" },
+        NamedValue { RequestState::Resolving, "resolving" },
+        NamedValue { RequestState::FollowingHolder, "following_holder" },
+        NamedValue { RequestState::AskingWitnesses, "asking_witnesses" },
     };
 
 } // namespace
 
-std::string_view name(RequestState state)
-{
-    for (const RequestStateRow& row : requestStateTable) {
-        if (row.state == state)
-            return row.name;
-    }
-    return "unknown";
-}
+std::string_view name(RequestState state) { return nameIn(requestStateTable, state); }
 
 RequestCoordinator::RequestCoordinator(
     std::string entryId, std::int64_t incarnation, Membership& membership, Router router, const BundleRegistry& bundles)
@@ -379,10 +373,39 @@
         finishUnknown(now, session, ErrorCode::KeyUnknown, actions);
 }
 
+bool RequestCoordinator::holdsOut(Instant now, RequestSession& session, const Wire::ClaimAnswer& answer)
+{
+    const bool atTheSameTime = Duration(answer.holderAgeMicroseconds) < contestWindow;
+    const bool goesFirst = session.place.dispatchId < answer.holderDispatchId;
+    if (!atTheSameTime || !goesFirst || session.contests >= maximumContests)
+        return false;
+    ++session.contests;
+    // The other one is told of this claim by its own witnesses and gives way; then the claims are sent again.
+    session.lastAsked = now + contestPause - askInterval;
+    schedule(session, now + contestPause);
+    return true;
+}
+
+void RequestCoordinator::releaseClaims(RequestSession& session, Actions& actions)
+{
+    for (const std::pair<const std::string, bool>& witness : session.witnesses) {
+        const SideView* side = m_membership.find(witness.first);
+        if (!side || !side->isLinkUp())
+            continue;
+        Wire::ClaimRelease message;
+        message.key = session.request.key;
+        message.dispatchId = session.place.dispatchId;
+        actions.push_back(SendMessage { side->link, std::move(message) });
+    }
+}
+
 void RequestCoordinator::onGrantAnswer(
     Instant now, RequestSession& session, const Wire::ClaimAnswer& answer, Actions& actions)
 {
     if (!answer.granted && answer.known) {
+        if (holdsOut(now, session, answer))
+            return;
+        releaseClaims(session, actions);
         follow(now, session, answer, actions);
         return;
     }
--- a/Source/Decision/Request/RequestCoordinator.h
+++ b/Source/Decision/Request/RequestCoordinator.h
@@ -73,6 +73,9 @@
 
     void onKeyAnswer(Instant now, RequestSession& session, const Wire::ClaimAnswer& answer, Actions& actions);
     void onGrantAnswer(Instant now, RequestSession& session, const Wire::ClaimAnswer& answer, Actions& actions);
+    /// Two claims made at the same time meet: the one with the lesser dispatch id goes on, the other one gives way.
+    bool holdsOut(Instant now, RequestSession& session, const Wire::ClaimAnswer& answer);
+    void releaseClaims(RequestSession& session, Actions& actions);
     /// Marks the witness as heard; true once enough of them are.
     static bool enoughAnswered(RequestSession& session, const std::string& witnessId);
 
--- a/Source/Decision/Request/RequestSession.h
+++ b/Source/Decision/Request/RequestSession.h
@@ -53,6 +53,8 @@
     std::set<std::string> excluded;
     /// Witnesses asked, and whether each has granted the key.
     std::map<std::string, bool> witnesses;
+    /// How often its claim met another one made at the same time.
+    int contests = 0;
     /// The fenced dispatch of another claim that this one takes over; empty when there is none.
     std::string replacesDispatchId;
     /// The current dispatch may have started.
--- a/Source/Decision/Request/SideRequests.cpp
+++ b/Source/Decision/Request/SideRequests.cpp
@@ -91,7 +91,7 @@
     }
     // A refused dispatch id stays refused: a copy of it that arrives later must not run either.
     Dispatch& dispatch = m_ledger.add(request.dispatchId);
-    dispatch.link = link;
+    dispatch.links.insert(link);
     refuse(now, request.dispatchId, dispatch, code, Duration::zero(), actions);
 }
 
@@ -100,7 +100,7 @@
     Dispatch& dispatch = m_ledger.add(request.dispatchId);
     dispatch.classIndex = request.workClass;
     dispatch.deadline = now + Duration(request.budgetMicroseconds);
-    dispatch.link = link;
+    dispatch.links.insert(link);
     dispatch.idempotent = request.idempotent;
     const AdmissionAnswer admission = m_queue.offer(now, request.dispatchId, request.workClass, dispatch.deadline);
     LogLine line("admission");
@@ -146,7 +146,8 @@
 
 void SideRequests::finish(Instant now, const std::string& dispatchId, Dispatch& dispatch, Actions& actions)
 {
-    send(dispatch.link, dispatch.answer, actions);
+    for (LinkId link : dispatch.links)
+        send(link, dispatch.answer, actions);
     // A refused or idempotent dispatch is only asked about by the entry that sent it.
     const bool askedLater = dispatch.state == DispatchState::Finished && !dispatch.idempotent;
     m_ledger.close(dispatchId, now + (askedLater ? longKeep() : shortKeep));
@@ -188,14 +189,14 @@
 {
     switch (dispatch.state) {
     case DispatchState::Waiting:
-        dispatch.link = link;
+        dispatch.links.insert(link);
         if (fence && m_queue.withdraw(dispatchId))
             refuse(now, dispatchId, dispatch, ErrorCode::Fenced, Duration::zero(), actions);
         else
             send(link, makeAnswer(dispatchId, Wire::Outcome::Running, ErrorCode::Ok), actions);
         break;
     case DispatchState::Running:
-        dispatch.link = link;
+        dispatch.links.insert(link);
         send(link, makeAnswer(dispatchId, Wire::Outcome::Running, ErrorCode::Ok), actions);
         break;
     case DispatchState::Finished:
--- a/Source/Shell/Connection/Link.cpp
+++ b/Source/Shell/Connection/Link.cpp
@@ -43,6 +43,7 @@
         void resolve(const Wire::ResolveRequest& message) override { m_onMessage(message); }
         void claim(const Wire::ClaimRequest& message) override { m_onMessage(message); }
         void claimed(const Wire::ClaimAnswer& message) override { m_onMessage(message); }
+        void releaseClaim(const Wire::ClaimRelease& message) override { m_onMessage(message); }
         void queryKey(const Wire::KeyQuery& message) override { m_onMessage(message); }
         void publishBundle(const Wire::BundleNotice& message) override { m_onMessage(message); }
         void reserve(const Wire::ReserveRequest& message) override { m_onMessage(message); }
@@ -73,6 +74,7 @@
         void operator()(const Wire::ResolveRequest& message) const { m_client.resolve(message); }
         void operator()(const Wire::ClaimRequest& message) const { m_client.claim(message); }
         void operator()(const Wire::ClaimAnswer& message) const { m_client.claimed(message); }
+        void operator()(const Wire::ClaimRelease& message) const { m_client.releaseClaim(message); }
         void operator()(const Wire::KeyQuery& message) const { m_client.queryKey(message); }
         void operator()(const Wire::BundleNotice& message) const { m_client.publishBundle(message); }
         void operator()(const Wire::ReserveRequest& message) const { m_client.reserve(message); }
--- a/Source/Shell/Connection/WorkerClient.cpp
+++ b/Source/Shell/Connection/WorkerClient.cpp
@@ -1,8 +1,7 @@
 #include "Shell/Connection/WorkerClient.h"
 
 #include "Base/Json.h"
-
-#include <array>
+#include "Base/NameTable.h"
 
 namespace Plantainpier {
 
@@ -13,15 +12,11 @@
     constexpr std::int64_t maximumNumber = std::numeric_limits<std::int64_t>::max();
     constexpr int httpOk = 200;
 
-    struct StateRow {
-        Wire::AttemptState::type state;
-        std::string_view name;
-    };
     constexpr std::array stateTable {
-        StateRow { Wire::AttemptState::Running, "running" },
-        StateRow { Wire::AttemptState::Completed, "completed" },
-        StateRow { Wire::AttemptState::Failed, "failed" },
-        StateRow { Wire::AttemptState::Stopped, "stopped" },
+        NamedValue { Wire::AttemptState::Running, "running" },
+        NamedValue { Wire::AttemptState::Completed, "completed" },
+        NamedValue { Wire::AttemptState::Failed, "failed" },
+        NamedValue { Wire::AttemptState::Stopped, "stopped" },
     };
 
     WorkerTask parseTask(const Json& entry, JsonReader& outer)
@@ -31,10 +26,11 @@
         task.id.jobId = reader.requiredString("job", maximumTextBytes);
         task.id.number = static_cast<std::int32_t>(reader.requiredInteger("attempt", 1, 1'000'000));
         const std::string state = reader.requiredString("state", maximumTextBytes);
-        for (const StateRow& row : stateTable) {
-            if (row.name == state)
-                task.state = row.state;
-        }
+        const Wire::AttemptState::type* known = valueIn(stateTable, state);
+        if (known)
+            task.state = *known;
+        else
+            reader.fault(ErrorCode::InvalidField, "state", state + " is no state of a task");
         task.demand.milliProcessors = reader.requiredInteger("milli_processors", 0, maximumNumber);
         task.demand.memoryMegabytes = reader.requiredInteger("memory_mb", 0, maximumNumber);
         task.demand.accelerators = static_cast<std::int32_t>(reader.requiredInteger("accelerators", 0, 1'000'000));
--- a/Source/Shell/Process/Settings.cpp
+++ b/Source/Shell/Process/Settings.cpp
@@ -1,6 +1,7 @@
 #include "Shell/Process/Settings.h"
 
 #include "Base/Json.h"
+#include "Base/NameTable.h"
 #include "Decision/Version/Signature.h"
 
 #include <arpa/inet.h>
@@ -21,13 +22,9 @@
     constexpr std::int64_t maximumMemoryMegabytes = 100'000'000;
     constexpr std::int64_t maximumAccelerators = 1'000;
 
-    struct RoleRow {
-        Role role;
-        std::string_view name;
-    };
     constexpr std::array roleTable {
-        RoleRow { Role::Entry, "entry" },
-        RoleRow { Role::Side, "side" },
+        NamedValue { Role::Entry, "entry" },
+        NamedValue { Role::Side, "side" },
     };
     constexpr std::array<std::string_view, 5> logLevels { "debug", "info", "warn", "error", "off" };
 
@@ -144,17 +141,12 @@
     void readRole(JsonReader& reader, Settings& settings)
     {
         const std::string text = reader.requiredString("role", maximumNameBytes);
-        bool known = false;
-        for (const RoleRow& row : roleTable) {
-            if (row.name != text)
-                continue;
-            settings.role = row.role;
-            known = true;
-        }
+        const Role* known = valueIn(roleTable, text);
         if (!known) {
             reader.fault(ErrorCode::InvalidField, "role", "must be entry or side");
             return;
         }
+        settings.role = *known;
         if (settings.role == Role::Entry) {
             settings.cell = reader.requiredString("cell", maximumNameBytes);
             settings.log = readService(reader, "log");
@@ -178,14 +170,7 @@
 
 } // namespace
 
-std::string_view name(Role role)
-{
-    for (const RoleRow& row : roleTable) {
-        if (row.role == role)
-            return row.name;
-    }
-    return "unknown";
-}
+std::string_view name(Role role) { return nameIn(roleTable, role); }
 
 const std::vector<std::string>& settingKeys()
 {
--- a/Source/Wire/Generated/Peer.cpp
+++ b/Source/Wire/Generated/Peer.cpp
@@ -720,6 +720,85 @@
 }
 
 
+Peer_releaseClaim_args::~Peer_releaseClaim_args() noexcept {
+}
+
+
+uint32_t Peer_releaseClaim_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->message.read(iprot);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_releaseClaim_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_releaseClaim_args");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->message.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_releaseClaim_pargs::~Peer_releaseClaim_pargs() noexcept {
+}
+
+
+uint32_t Peer_releaseClaim_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_releaseClaim_pargs");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->message)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
 Peer_queryKey_args::~Peer_queryKey_args() noexcept {
 }
 
@@ -1522,6 +1601,25 @@
   oprot_->getTransport()->flush();
 }
 
+void PeerClient::releaseClaim(const ClaimRelease& message)
+{
+  send_releaseClaim(message);
+}
+
+void PeerClient::send_releaseClaim(const ClaimRelease& message)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("releaseClaim", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_releaseClaim_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
 void PeerClient::queryKey(const KeyQuery& message)
 {
   send_queryKey(message);
@@ -2026,6 +2124,43 @@
   return;
 }
 
+void PeerProcessor::process_releaseClaim(int32_t, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol*, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.releaseClaim", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.releaseClaim");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.releaseClaim");
+  }
+
+  Peer_releaseClaim_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.releaseClaim", bytes);
+  }
+
+  try {
+    iface_->releaseClaim(args.message);
+  } catch (const std::exception&) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.releaseClaim");
+    }
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->asyncComplete(ctx, "Peer.releaseClaim");
+  }
+
+  return;
+}
+
 void PeerProcessor::process_queryKey(int32_t, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol*, void* callContext)
 {
   void* ctx = nullptr;
@@ -2527,6 +2662,28 @@
   sentry.commit();
 }
 
+void PeerConcurrentClient::releaseClaim(const ClaimRelease& message)
+{
+  send_releaseClaim(message);
+}
+
+void PeerConcurrentClient::send_releaseClaim(const ClaimRelease& message)
+{
+  int32_t cseqid = 0;
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("releaseClaim", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_releaseClaim_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+}
+
 void PeerConcurrentClient::queryKey(const KeyQuery& message)
 {
   send_queryKey(message);
--- a/Source/Wire/Generated/Peer.h
+++ b/Source/Wire/Generated/Peer.h
@@ -31,6 +31,7 @@
   virtual void resolve(const ResolveRequest& message) = 0;
   virtual void claim(const ClaimRequest& message) = 0;
   virtual void claimed(const ClaimAnswer& message) = 0;
+  virtual void releaseClaim(const ClaimRelease& message) = 0;
   virtual void queryKey(const KeyQuery& message) = 0;
   virtual void publishBundle(const BundleNotice& message) = 0;
   virtual void reserve(const ReserveRequest& message) = 0;
@@ -95,6 +96,9 @@
   void claimed(const ClaimAnswer& /* message */) override {
     return;
   }
+  void releaseClaim(const ClaimRelease& /* message */) override {
+    return;
+  }
   void queryKey(const KeyQuery& /* message */) override {
     return;
   }
@@ -580,6 +584,57 @@
 
 };
 
+typedef struct _Peer_releaseClaim_args__isset {
+  _Peer_releaseClaim_args__isset() : message(false) {}
+  bool message :1;
+} _Peer_releaseClaim_args__isset;
+
+class Peer_releaseClaim_args {
+ public:
+
+  Peer_releaseClaim_args(const Peer_releaseClaim_args&);
+  Peer_releaseClaim_args(Peer_releaseClaim_args&&) noexcept;
+  Peer_releaseClaim_args& operator=(const Peer_releaseClaim_args&);
+  Peer_releaseClaim_args& operator=(Peer_releaseClaim_args&&) noexcept;
+  Peer_releaseClaim_args() noexcept {
+  }
+
+  virtual ~Peer_releaseClaim_args() noexcept;
+  ClaimRelease message;
+
+  _Peer_releaseClaim_args__isset __isset;
+
+  void __set_message(const ClaimRelease& val);
+
+  bool operator == (const Peer_releaseClaim_args & rhs) const
+  {
+    if (!(message == rhs.message))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_releaseClaim_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_releaseClaim_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_releaseClaim_pargs {
+ public:
+
+
+  virtual ~Peer_releaseClaim_pargs() noexcept;
+  const ClaimRelease* message;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
 typedef struct _Peer_queryKey_args__isset {
   _Peer_queryKey_args__isset() : message(false) {}
   bool message :1;
@@ -1031,6 +1086,8 @@
   void send_claim(const ClaimRequest& message);
   void claimed(const ClaimAnswer& message) override;
   void send_claimed(const ClaimAnswer& message);
+  void releaseClaim(const ClaimRelease& message) override;
+  void send_releaseClaim(const ClaimRelease& message);
   void queryKey(const KeyQuery& message) override;
   void send_queryKey(const KeyQuery& message);
   void publishBundle(const BundleNotice& message) override;
@@ -1071,6 +1128,7 @@
   void process_resolve(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_claim(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_claimed(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_releaseClaim(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_queryKey(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_publishBundle(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_reserve(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
@@ -1091,6 +1149,7 @@
     processMap_["resolve"] = &PeerProcessor::process_resolve;
     processMap_["claim"] = &PeerProcessor::process_claim;
     processMap_["claimed"] = &PeerProcessor::process_claimed;
+    processMap_["releaseClaim"] = &PeerProcessor::process_releaseClaim;
     processMap_["queryKey"] = &PeerProcessor::process_queryKey;
     processMap_["publishBundle"] = &PeerProcessor::process_publishBundle;
     processMap_["reserve"] = &PeerProcessor::process_reserve;
@@ -1208,6 +1267,15 @@
     ifaces_[i]->claimed(message);
   }
 
+  void releaseClaim(const ClaimRelease& message) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->releaseClaim(message);
+    }
+    ifaces_[i]->releaseClaim(message);
+  }
+
   void queryKey(const KeyQuery& message) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -1330,6 +1398,8 @@
   void send_claim(const ClaimRequest& message);
   void claimed(const ClaimAnswer& message) override;
   void send_claimed(const ClaimAnswer& message);
+  void releaseClaim(const ClaimRelease& message) override;
+  void send_releaseClaim(const ClaimRelease& message);
   void queryKey(const KeyQuery& message) override;
   void send_queryKey(const KeyQuery& message);
   void publishBundle(const BundleNotice& message) override;
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -75,6 +75,8 @@
 
 class ClaimAnswer;
 
+class ClaimRelease;
+
 class KeyQuery;
 
 class BundleNotice;
@@ -843,7 +845,7 @@
 std::ostream& operator<<(std::ostream& out, const ClaimRequest& obj);
 
 typedef struct _ClaimAnswer__isset {
-  _ClaimAnswer__isset() : key(false), claimId(false), granted(false), holderDispatchId(false), holderSideId(false), holderSideIncarnation(false), witnessUptimeMicroseconds(false), witnessId(false), known(false), dispatchId(false) {}
+  _ClaimAnswer__isset() : key(false), claimId(false), granted(false), holderDispatchId(false), holderSideId(false), holderSideIncarnation(false), witnessUptimeMicroseconds(false), witnessId(false), known(false), dispatchId(false), holderAgeMicroseconds(false) {}
   bool key :1;
   bool claimId :1;
   bool granted :1;
@@ -854,6 +856,7 @@
   bool witnessId :1;
   bool known :1;
   bool dispatchId :1;
+  bool holderAgeMicroseconds :1;
 } _ClaimAnswer__isset;
 
 class ClaimAnswer : public virtual ::apache::thrift::TBase {
@@ -873,7 +876,8 @@
                 witnessUptimeMicroseconds(0),
                 witnessId(),
                 known(0),
-                dispatchId() {
+                dispatchId(),
+                holderAgeMicroseconds(0) {
   }
 
   virtual ~ClaimAnswer() noexcept;
@@ -887,6 +891,7 @@
   std::string witnessId;
   bool known;
   std::string dispatchId;
+  int64_t holderAgeMicroseconds;
 
   _ClaimAnswer__isset __isset;
 
@@ -910,6 +915,8 @@
 
   void __set_dispatchId(const std::string& val);
 
+  void __set_holderAgeMicroseconds(const int64_t val);
+
   bool operator == (const ClaimAnswer & rhs) const
   {
     if (!(key == rhs.key))
@@ -932,6 +939,8 @@
       return false;
     if (!(dispatchId == rhs.dispatchId))
       return false;
+    if (!(holderAgeMicroseconds == rhs.holderAgeMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const ClaimAnswer &rhs) const {
@@ -950,6 +959,58 @@
 
 std::ostream& operator<<(std::ostream& out, const ClaimAnswer& obj);
 
+typedef struct _ClaimRelease__isset {
+  _ClaimRelease__isset() : key(false), dispatchId(false) {}
+  bool key :1;
+  bool dispatchId :1;
+} _ClaimRelease__isset;
+
+class ClaimRelease : public virtual ::apache::thrift::TBase {
+ public:
+
+  ClaimRelease(const ClaimRelease&);
+  ClaimRelease(ClaimRelease&&) noexcept;
+  ClaimRelease& operator=(const ClaimRelease&);
+  ClaimRelease& operator=(ClaimRelease&&) noexcept;
+  ClaimRelease() noexcept
+               : key(),
+                 dispatchId() {
+  }
+
+  virtual ~ClaimRelease() noexcept;
+  std::string key;
+  std::string dispatchId;
+
+  _ClaimRelease__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_dispatchId(const std::string& val);
+
+  bool operator == (const ClaimRelease & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(dispatchId == rhs.dispatchId))
+      return false;
+    return true;
+  }
+  bool operator != (const ClaimRelease &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ClaimRelease & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ClaimRelease &a, ClaimRelease &b);
+
+std::ostream& operator<<(std::ostream& out, const ClaimRelease& obj);
+
 typedef struct _KeyQuery__isset {
   _KeyQuery__isset() : key(false), queryId(false) {}
   bool key :1;
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -108,8 +108,12 @@
   8: string witnessId
   9: bool known
   10: string dispatchId
+  11: i64 holderAgeMicroseconds
 }
 
+// Entry to side (as witness): this claim's dispatch was never sent and never will be, so the key is free again.
+struct ClaimRelease { 1: string key, 2: string dispatchId }
+
 // Entry to side: ask without claiming where a key was dispatched.
 struct KeyQuery { 1: string key, 2: string queryId }
 
@@ -192,6 +196,7 @@
   oneway void resolve(1: ResolveRequest message)
   oneway void claim(1: ClaimRequest message)
   oneway void claimed(1: ClaimAnswer message)
+  oneway void releaseClaim(1: ClaimRelease message)
   oneway void queryKey(1: KeyQuery message)
   oneway void publishBundle(1: BundleNotice message)
   oneway void reserve(1: ReserveRequest message)
--- a/Tests/Process/ChildProcess.cpp
+++ b/Tests/Process/ChildProcess.cpp
@@ -19,6 +19,7 @@
 ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& outputFile)
 {
     std::vector<char*> words;
+    words.reserve(command.size() + 1);
     for (const std::string& word : command)
         words.push_back(const_cast<char*>(word.c_str()));
     words.push_back(nullptr);
--- a/Tests/Process/Cluster.cpp
+++ b/Tests/Process/Cluster.cpp
@@ -2,6 +2,7 @@
 
 #include "Support/TestBundle.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cstdlib>
 #include <filesystem>
@@ -51,6 +52,7 @@
     std::vector<int> takePorts(int count)
     {
         std::vector<int> ports;
+        ports.reserve(static_cast<std::size_t>(count));
         for (int n = 0; n < count; ++n)
             ports.push_back(takePort());
         return ports;
@@ -132,14 +134,18 @@
         n, ChildProcess({ DAEMON_PROGRAM, "--config", path(name + ".json") }, path(name + ".log")));
 }
 
-void Cluster::startTarget(int n)
+void Cluster::startTarget(int n) { launchTarget(n, m_sidePorts[static_cast<std::size_t>(n)]); }
+
+void Cluster::startSilentTarget(int n) { launchTarget(n, takePort()); }
+
+void Cluster::launchTarget(int n, int announcedTo)
 {
     const std::size_t at = static_cast<std::size_t>(n);
     const std::string name = "target-" + std::to_string(n);
     m_targets.insert_or_assign(n,
         ChildProcess(
             { STAND_IN_PROGRAM, "target", "--id", name, "--port", std::to_string(m_targetPorts[at]), "--side-port",
-                std::to_string(m_sidePorts[at]), "--worker-port", std::to_string(m_workerPorts[at]), "--service-ms",
+                std::to_string(announcedTo), "--worker-port", std::to_string(m_workerPorts[at]), "--service-ms",
                 std::to_string(m_options.serviceMilliseconds), "--audit-file", path(name + ".audit") },
             path(name + ".log")));
 }
@@ -245,6 +251,12 @@
     return counts;
 }
 
+int Cluster::runsOfTarget(int n) const
+{
+    std::ifstream file(path("target-" + std::to_string(n) + ".audit"));
+    return static_cast<int>(std::count(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>(), '\n'));
+}
+
 Json Cluster::workerAudit(int n) const
 {
     return callJson(m_workerPorts[static_cast<std::size_t>(n)], "GET", "/v1/starts");
--- a/Tests/Process/Cluster.h
+++ b/Tests/Process/Cluster.h
@@ -38,6 +38,8 @@
     void startEntry(int n);
     void startSide(int n);
     void startTarget(int n);
+    /// A target that listens where the other one did and tells nobody.
+    void startSilentTarget(int n);
     void rollOut(std::int64_t version);
     /// The platform's balancer: entries out of rotation get no new callers. All are in it at first.
     void setInRotation(int entry, bool inRotation);
@@ -64,6 +66,8 @@
     void setLog(const Json& switches) const { callJson(m_logPort, "POST", "/v1/switches", switches); }
     /// How often each body ran, on all targets there ever were.
     std::map<std::string, int> runs() const;
+    /// How often target n ran something.
+    int runsOfTarget(int n) const;
     /// The worker's clock and every start there ever was on it.
     Json workerAudit(int n) const;
     /// Every start of all workers that still live, with the worker's number.
@@ -79,6 +83,7 @@
 
 private:
     std::string path(const std::string& file) const { return m_directory + "/" + file; }
+    void launchTarget(int n, int announcedTo);
     void writeEntrySettings(int n) const;
     void writeSideSettings(int n) const;
 
--- a/Tests/Process/JobFaultTest.cpp
+++ b/Tests/Process/JobFaultTest.cpp
@@ -207,6 +207,7 @@
             submit(cluster, n);
         const std::int64_t before = cluster.callJson(cluster.logPort(), "GET", "/v1/switches")["appends"];
         std::vector<std::thread> callers;
+        callers.reserve(jobs);
         for (int n = 0; n < jobs; ++n) {
             callers.emplace_back([&cluster, n] {
                 cluster.call(cluster.entryPort(n % entries), "DELETE", "/v1/jobs/job-" + std::to_string(n));
--- a/Tests/Process/Relay.cpp
+++ b/Tests/Process/Relay.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -37,8 +38,9 @@
     const sockaddr_in address = loopback(listenPort);
     m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    ::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-    ::listen(m_listener, backlog);
+    if (::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0
+        || ::listen(m_listener, backlog) != 0)
+        throw std::runtime_error("the relay cannot listen");
     m_acceptor = std::thread([this] { accept(); });
 }
 
--- a/Tests/Process/WholePathTest.cpp
+++ b/Tests/Process/WholePathTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(servesARequestAndAJob);
     CPPUNIT_TEST(refusesBadInputAndLives);
     CPPUNIT_TEST(gracefulStopsCutNothing);
+    CPPUNIT_TEST(aFrozenEntrySendsNothingToATargetThatLeft);
     CPPUNIT_TEST(refusesBadSettingsBeforeAnyPort);
     CPPUNIT_TEST_SUITE_END();
 
@@ -129,6 +130,33 @@
             CPPUNIT_ASSERT_EQUAL(0, cluster.entry(n).stop(limit));
     }
 
+    void aFrozenEntrySendsNothingToATargetThatLeft()
+    {
+        Cluster cluster(ClusterOptions { .entries = 2, .sides = 4, .serviceMilliseconds = 5 });
+        cluster.start();
+        LoadOptions options;
+        options.requests = 10'000;
+        options.resend = false;
+        options.deadlineMilliseconds = 5'000;
+        CallerLoad load(cluster, options);
+        load.start();
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        cluster.entry(0).freeze();
+        cluster.setInRotation(0, false);
+        CPPUNIT_ASSERT_EQUAL(0, cluster.target(0).stop(limit));
+        // It listens again, so that a late dispatch would run and be seen.
+        cluster.startSilentTarget(0);
+        std::this_thread::sleep_for(std::chrono::seconds(3));
+        const int runsBefore = cluster.runsOfTarget(0);
+        cluster.entry(0).wake();
+        cluster.setInRotation(0, true);
+        load.await();
+        load.judge("an entry frozen while a target leaves");
+        CPPUNIT_ASSERT_EQUAL(0, load.count("unknown"));
+        CPPUNIT_ASSERT_EQUAL(0, load.count(""));
+        CPPUNIT_ASSERT_EQUAL(runsBefore, cluster.runsOfTarget(0));
+    }
+
     void refusesBadSettingsBeforeAnyPort()
     {
         Cluster cluster(ClusterOptions { .entries = 1, .sides = 0 });
--- a/Tests/Unit/RequestHistoryTest.cpp
+++ b/Tests/Unit/RequestHistoryTest.cpp
@@ -171,8 +171,42 @@
 class RequestHistoryTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(RequestHistoryTest);
     CPPUNIT_TEST(tellsTheTruthInRandomHistories);
+    CPPUNIT_TEST(twoCallersAtOnceWithOneKeyAreBothAnswered);
     CPPUNIT_TEST_SUITE_END();
 
+    void twoCallersAtOnceWithOneKeyAreBothAnswered()
+    {
+        constexpr unsigned seeds = 200;
+        for (unsigned seed = 1; seed <= seeds; ++seed) {
+            VirtualOptions options;
+            options.entries = 3;
+            options.sides = 8;
+            options.seed = seed;
+            VirtualSystem system(options);
+            system.runFor(seconds(2));
+            CallerRequest request;
+            request.caller = "test";
+            request.className = "checks";
+            request.deadline = milliseconds(800);
+            request.body = "pad";
+            request.key = "pad";
+            const CallerToken first = system.request(0, request);
+            system.runFor(microseconds(seed * 20));
+            const CallerToken second = system.request(1, request);
+            const Instant asked = system.now();
+            system.runFor(seconds(2));
+            for (CallerToken caller : { first, second }) {
+                const VirtualAnswer* answer = system.answerTo(caller);
+                const std::string text = "seed " + std::to_string(seed) + " " + (answer ? answer->body.dump() : "none");
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    text, std::string("done"), answer ? answer->body.value("outcome", "") : "");
+                // One service time, the claims, and the pauses of a contest.
+                CPPUNIT_ASSERT_MESSAGE(text, answer->at - asked < milliseconds(200));
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), system.runs().size());
+        }
+    }
+
     void tellsTheTruthInRandomHistories()
     {
         // A long run: RC_PARAMS="seed=7 max_success=100000" plantainpier-unit-tests RequestHistoryTest
