Request: Give claims of keys a class of their own

A newcomer had to read two state machines at once.

Change: KeyClaims chooses and asks the witnesses and judges their answers to a verdict; the coordinator acts on it. Claims and questions share one loop.

--- a/Source/Base/NameTable.h
+++ b/Source/Base/NameTable.h
@@ -11,6 +11,7 @@
     Enum value;
     std::string_view name;
 };
+template <typename Enum> NamedValue(Enum, std::string_view) -> NamedValue<Enum>;
 
 /// The name of a value; "unknown" for one that the table lacks (from a newer peer).
 template <typename Enum, std::size_t size>
--- a/Source/Decision/Process/Membership.cpp
+++ b/Source/Decision/Process/Membership.cpp
@@ -4,6 +4,13 @@
 
 namespace Plantainpier {
 
+namespace {
+
+    /// How long an answer is awaited that a side gives at once.
+    constexpr Duration answerWait = seconds(1);
+
+} // namespace
+
 Membership::Membership(const MembershipTiming& timing, Instant now)
     : m_timing(timing)
     , m_startedAt(now)
@@ -105,6 +112,15 @@
     return witnessSides(now) + m_timing.missingSides >= reported;
 }
 
+SideView* Membership::awaitAnswerFrom(Instant now, const std::string& sideId)
+{
+    SideView* side = find(sideId);
+    if (!side || !side->isLinkUp())
+        return nullptr;
+    side->awaitedUntil = now + answerWait;
+    return side;
+}
+
 bool Membership::isPresent(const SideView& side, Instant now) const
 {
     return !side.leaving && now - side.lastHeard <= m_timing.suspectAfter;
--- a/Source/Decision/Process/Membership.h
+++ b/Source/Decision/Process/Membership.h
@@ -96,6 +96,8 @@
     const SideView* find(const std::string& sideId) const;
     /// The side that this connection leads to, as data or announcement link.
     SideView* findByLink(LinkId link);
+    /// The side, if a message can be sent to it now whose answer it gives at once; its silence counts from then on.
+    SideView* awaitAnswerFrom(Instant now, const std::string& sideId);
     /// Present, not leaving and heard of lately. Says nothing about its data link.
     bool isPresent(const SideView& side, Instant now) const;
     /// Whether the side is among those that witnesses of keys are chosen from.
--- a/Source/Decision/Request/RequestCoordinator.cpp
+++ b/Source/Decision/Request/RequestCoordinator.cpp
@@ -2,7 +2,6 @@
 
 #include "Base/LogLine.h"
 #include "Base/NameTable.h"
-#include "Decision/Request/WitnessSet.h"
 
 #include <algorithm>
 
@@ -14,13 +13,8 @@
     constexpr int maximumDispatches = 4;
     /// Between two questions about the same dispatch or key.
     constexpr Duration askInterval = milliseconds(100);
-    /// Claims of one key that are made within this time of each other contest it.
-    constexpr Duration contestWindow = milliseconds(50);
+    /// Before a contested claim is sent again.
     constexpr Duration contestPause = milliseconds(5);
-    /// Pauses before a claim follows the other one after all.
-    constexpr int maximumContests = 8;
-    /// How long the answer to a question is awaited that a side gives at once.
-    constexpr Duration answerWait = seconds(1);
     /// How long past its deadline the truth about a request is looked for before its caller hears "unknown".
     constexpr Duration resolveGrace = milliseconds(300);
     /// A side whose target refused connections gets nothing new for this long.
@@ -55,6 +49,7 @@
     , m_membership(membership)
     , m_router(std::move(router))
     , m_bundles(bundles)
+    , m_claims(membership)
 {
 }
 
@@ -190,37 +185,15 @@
 {
     session.state = RequestState::Claiming;
     session.witnesses.clear();
-    sendClaims(now, session, actions);
-}
-
-void RequestCoordinator::pickWitnesses(Instant now, RequestSession& session)
-{
-    // Witnesses chosen from a view that lacks many sides might not be those that another entry asks.
-    if (!session.witnesses.empty() || !m_membership.isViewComplete(now))
-        return;
-    const std::size_t count = static_cast<std::size_t>(session.bundle->witnessCount());
-    for (const std::string& witness : chooseWitnesses(m_membership, now, session.request.key, count))
-        session.witnesses[witness] = false;
+    askWitnesses(now, session, actions);
 }
 
-void RequestCoordinator::sendClaims(Instant now, RequestSession& session, Actions& actions)
+void RequestCoordinator::askWitnesses(Instant now, RequestSession& session, Actions& actions)
 {
     session.lastAsked = now;
-    schedule(session, std::min(now + askInterval, session.deadlineAt));
-    pickWitnesses(now, session);
-    for (const std::pair<const std::string, bool>& witness : session.witnesses) {
-        const SideView* side = witness.second ? nullptr : reachable(now, witness.first);
-        if (!side)
-            continue;
-        Wire::ClaimRequest message;
-        message.key = session.request.key;
-        message.claimId = session.requestId;
-        message.dispatchId = session.place.dispatchId;
-        message.runSideId = session.place.sideId;
-        message.runSideIncarnation = session.place.sideIncarnation;
-        message.replacesDispatchId = session.replacesDispatchId;
-        actions.push_back(SendMessage { side->link, std::move(message) });
-    }
+    const bool isQuestion = session.state == RequestState::AskingWitnesses;
+    schedule(session, std::min(now + askInterval, isQuestion ? session.giveUpAt : session.deadlineAt));
+    m_claims.ask(now, session, actions);
 }
 
 void RequestCoordinator::sendDispatch(Instant now, RequestSession& session, Actions& actions)
@@ -267,15 +240,6 @@
         giveUp(now, session, actions);
 }
 
-SideView* RequestCoordinator::reachable(Instant now, const std::string& sideId)
-{
-    SideView* side = m_membership.find(sideId);
-    if (!side || !side->isLinkUp())
-        return nullptr;
-    side->awaitedUntil = now + answerWait;
-    return side;
-}
-
 void RequestCoordinator::leaveFlight(RequestSession& session)
 {
     if (session.state != RequestState::Dispatched)
@@ -303,7 +267,7 @@
 {
     session.lastAsked = now;
     schedule(session, std::min(now + askInterval, session.giveUpAt));
-    const SideView* side = reachable(now, session.place.sideId);
+    const SideView* side = m_membership.awaitAnswerFrom(now, session.place.sideId);
     if (!side)
         return;
     Wire::ResolveRequest message;
@@ -313,22 +277,6 @@
     actions.push_back(SendMessage { side->link, std::move(message) });
 }
 
-void RequestCoordinator::askWitnesses(Instant now, RequestSession& session, Actions& actions)
-{
-    session.lastAsked = now;
-    schedule(session, std::min(now + askInterval, session.giveUpAt));
-    pickWitnesses(now, session);
-    for (const std::pair<const std::string, bool>& witness : session.witnesses) {
-        const SideView* side = witness.second ? nullptr : reachable(now, witness.first);
-        if (!side)
-            continue;
-        Wire::KeyQuery message;
-        message.key = session.request.key;
-        message.queryId = session.requestId;
-        actions.push_back(SendMessage { side->link, std::move(message) });
-    }
-}
-
 void RequestCoordinator::follow(Instant now, RequestSession& session, const Wire::ClaimAnswer& holder, Actions& actions)
 {
     const bool isQuestion = session.state == RequestState::AskingWitnesses;
@@ -348,80 +296,33 @@
 void RequestCoordinator::onClaimAnswer(Instant now, const Wire::ClaimAnswer& answer, Actions& actions)
 {
     RequestSession* session = find(answer.claimId);
-    if (!session || !session->witnesses.contains(answer.witnessId))
-        return;
-    if (session->state == RequestState::AskingWitnesses)
-        onKeyAnswer(now, *session, answer, actions);
-    else if (session->state == RequestState::Claiming && answer.dispatchId == session->place.dispatchId)
-        onGrantAnswer(now, *session, answer, actions);
-}
-
-bool RequestCoordinator::enoughAnswered(RequestSession& session, const std::string& witnessId)
-{
-    session.witnesses[witnessId] = true;
-    const std::ptrdiff_t answered = std::count_if(session.witnesses.begin(), session.witnesses.end(),
-        [](const std::pair<const std::string, bool>& entry) { return entry.second; });
-    return static_cast<std::size_t>(answered) >= neededGrants(session.witnesses.size());
-}
-
-void RequestCoordinator::onKeyAnswer(
-    Instant now, RequestSession& session, const Wire::ClaimAnswer& answer, Actions& actions)
-{
-    if (answer.known)
-        follow(now, session, answer, actions);
-    else if (enoughAnswered(session, answer.witnessId))
-        finishUnknown(now, session, ErrorCode::KeyUnknown, actions);
-}
-
-bool RequestCoordinator::holdsOut(Instant now, RequestSession& session, const Wire::ClaimAnswer& answer)
-{
-    const bool atTheSameTime = Duration(answer.holderAgeMicroseconds) < contestWindow;
-    const bool goesFirst = session.place.dispatchId < answer.holderDispatchId;
-    if (!atTheSameTime || !goesFirst || session.contests >= maximumContests)
-        return false;
-    ++session.contests;
-    // The other one is told of this claim by its own witnesses and gives way; then the claims are sent again.
-    session.lastAsked = now + contestPause - askInterval;
-    schedule(session, now + contestPause);
-    return true;
-}
-
-void RequestCoordinator::releaseClaims(RequestSession& session, Actions& actions)
-{
-    for (const std::pair<const std::string, bool>& witness : session.witnesses) {
-        const SideView* side = m_membership.find(witness.first);
-        if (!side || !side->isLinkUp())
-            continue;
-        Wire::ClaimRelease message;
-        message.key = session.request.key;
-        message.dispatchId = session.place.dispatchId;
-        actions.push_back(SendMessage { side->link, std::move(message) });
-    }
-}
-
-void RequestCoordinator::onGrantAnswer(
-    Instant now, RequestSession& session, const Wire::ClaimAnswer& answer, Actions& actions)
-{
-    if (!answer.granted && answer.known) {
-        if (holdsOut(now, session, answer))
-            return;
-        releaseClaims(session, actions);
-        follow(now, session, answer, actions);
-        return;
-    }
-    if (!answer.granted) {
-        finishNotRun(now, session, ErrorCode::Overloaded, actions);
+    if (!session)
         return;
+    switch (m_claims.onAnswer(*session, answer)) {
+    case ClaimVerdict::Pending:
+        break;
+    case ClaimVerdict::Granted:
+        sendDispatch(now, *session, actions);
+        break;
+    case ClaimVerdict::Unvouched:
+        finishUnknown(now, *session, ErrorCode::OutcomeUnknown, actions);
+        break;
+    case ClaimVerdict::Taken:
+        if (session->state == RequestState::Claiming)
+            m_claims.release(*session, actions);
+        follow(now, *session, answer, actions);
+        break;
+    case ClaimVerdict::Contested:
+        session->lastAsked = now + contestPause - askInterval;
+        schedule(*session, now + contestPause);
+        break;
+    case ClaimVerdict::Full:
+        finishNotRun(now, *session, ErrorCode::Overloaded, actions);
+        break;
+    case ClaimVerdict::NobodyKnows:
+        finishUnknown(now, *session, ErrorCode::KeyUnknown, actions);
+        break;
     }
-    session.longestWitnessUptime = std::max(session.longestWitnessUptime, Duration(answer.witnessUptimeMicroseconds));
-    if (!enoughAnswered(session, answer.witnessId))
-        return;
-    // Nobody knows the key; for a resend that is only worth something if a witness was there all the time.
-    const bool vouched = session.longestWitnessUptime >= session.bundle->keepAnswers();
-    if (session.request.resend && session.replacesDispatchId.empty() && !vouched)
-        finishUnknown(now, session, ErrorCode::OutcomeUnknown, actions);
-    else
-        sendDispatch(now, session, actions);
 }
 
 // Answers.
@@ -561,7 +462,7 @@
         if (asks && session.place.sideId == sideId)
             askSide(now, session, session.state == RequestState::Resolving, actions);
         else if (session.state == RequestState::Claiming && session.witnesses.contains(sideId))
-            sendClaims(now, session, actions);
+            askWitnesses(now, session, actions);
     }
 }
 
@@ -615,7 +516,7 @@
         if (now >= session.deadlineAt)
             finishNotRun(now, session, ErrorCode::WitnessUnreachable, actions);
         else if (now >= nextQuestion)
-            sendClaims(now, session, actions);
+            askWitnesses(now, session, actions);
         break;
     case RequestState::AskingWitnesses:
         if (now >= nextQuestion)
--- a/Source/Decision/Request/RequestCoordinator.h
+++ b/Source/Decision/Request/RequestCoordinator.h
@@ -1,6 +1,7 @@
 /// Latency-critical requests at an entry: routing, retries, and finding out the truth about lost answers.
 #pragma once
 
+#include "Decision/Request/KeyClaims.h"
 #include "Decision/Request/RequestSession.h"
 #include "Decision/Request/RetryBudget.h"
 #include "Decision/Request/Router.h"
@@ -61,9 +62,6 @@
 
     void beginDispatch(Instant now, RequestSession& session, std::string_view why, Actions& actions);
     void claim(Instant now, RequestSession& session, Actions& actions);
-    /// Chooses the witnesses of the key, once the view of the sides allows it.
-    void pickWitnesses(Instant now, RequestSession& session);
-    void sendClaims(Instant now, RequestSession& session, Actions& actions);
     void sendDispatch(Instant now, RequestSession& session, Actions& actions);
     void retryElsewhere(Instant now, RequestSession& session, Actions& actions);
     void resolve(Instant now, RequestSession& session, Actions& actions);
@@ -71,14 +69,6 @@
     void askWitnesses(Instant now, RequestSession& session, Actions& actions);
     void follow(Instant now, RequestSession& session, const Wire::ClaimAnswer& holder, Actions& actions);
 
-    void onKeyAnswer(Instant now, RequestSession& session, const Wire::ClaimAnswer& answer, Actions& actions);
-    void onGrantAnswer(Instant now, RequestSession& session, const Wire::ClaimAnswer& answer, Actions& actions);
-    /// Two claims made at the same time meet: the one with the lesser dispatch id goes on, the other one gives way.
-    bool holdsOut(Instant now, RequestSession& session, const Wire::ClaimAnswer& answer);
-    void releaseClaims(RequestSession& session, Actions& actions);
-    /// Marks the witness as heard; true once enough of them are.
-    static bool enoughAnswered(RequestSession& session, const std::string& witnessId);
-
     void onDone(Instant now, RequestSession& session, const std::string& sideId, const Wire::RunAnswer& answer,
         Actions& actions);
     void onNotRun(Instant now, RequestSession& session, const Wire::RunAnswer& answer, Actions& actions);
@@ -93,8 +83,6 @@
     void finishNotRun(Instant now, RequestSession& session, ErrorCode code, Actions& actions);
     void finishUnknown(Instant now, RequestSession& session, ErrorCode code, Actions& actions);
     void giveUp(Instant now, RequestSession& session, Actions& actions);
-    /// The side, marked as awaited, if a question can be sent to it now; null otherwise.
-    SideView* reachable(Instant now, const std::string& sideId);
     void leaveFlight(RequestSession& session);
     void replyAtOnce(CallerToken caller, Wire::Outcome::type outcome, ErrorCode code, Actions& actions);
     void forgetDispatch(const std::string& dispatchId, const std::string& requestId);
@@ -105,6 +93,7 @@
     Membership& m_membership;
     Router m_router;
     const BundleRegistry& m_bundles;
+    KeyClaims m_claims;
     RetryBudget m_retryBudget;
     OnAnswered m_onAnswered;
     bool m_leaving = false;
