--- a/Tests/Process/CallerLoad.cpp
+++ b/Tests/Process/CallerLoad.cpp
@@ -12,6 +12,8 @@
     constexpr Duration answerGrace = seconds(5);
     constexpr std::chrono::seconds loadLimit(120);
     constexpr std::size_t largeEvery = 100;
+    /// Bytes of an answer that a failure shows.
+    constexpr std::size_t answerShown = 60;
 
 } // namespace
 
@@ -142,7 +144,8 @@
         doneWithoutRun += view.outcome == "done" && count == 0 ? 1 : 0;
         if (bad && example.empty())
             example = view.body + " outcome=" + view.outcome + " runs=" + std::to_string(count)
-                + " resends=" + std::to_string(view.resends) + " reason=" + view.reason;
+                + " resends=" + std::to_string(view.resends) + " reason=" + view.reason
+                + " answer=" + view.answer.substr(0, answerShown);
         if (view.outcome == "not_run" || view.outcome == "unknown")
             ++reasons[view.reason];
         if (view.outcome == "done")
