Tests: Run one benchmark alone, fail on a missing record of a target

Cause: each benchmark test measured all figures and printed one (3.5 s each). In the flaky frozen-entry case a target's audit file that could not be opened would have counted as no runs without a word.

Change: benchmarks are found by name before they measure; a missing audit file is a failure of its own.

--- a/Tests/Benchmark/DeterministicBenchmarks.cpp
+++ b/Tests/Benchmark/DeterministicBenchmarks.cpp
@@ -2,6 +2,7 @@
 #include "Support/VirtualSystem.h"
 #include "Wire/Generated/Peer.h"
 
+#include <array>
 #include <functional>
 #include <iostream>
 #include <thrift/protocol/TCompactProtocol.h>
@@ -186,6 +187,20 @@
         return { "failed_host_last_slow_request_ms", static_cast<double>(toMilliseconds(last)), "ms", 2000 };
     }
 
+    /// A benchmark by the name of its figure, so that one can be run alone.
+    struct Benchmark {
+        std::string_view name;
+        Figure (*measure)();
+    };
+    constexpr std::array benchmarks {
+        Benchmark { "side_control_bytes_today", sideControlBytesToday },
+        Benchmark { "side_control_bytes_at_33_entries", sideControlBytesAtAim },
+        Benchmark { "appends_at_320_starts", appendsAtPeak },
+        Benchmark { "retry_amplification_all_failing", retryAmplification },
+        Benchmark { "roll_out_virtual_ms", rollOutTime },
+        Benchmark { "failed_host_last_slow_request_ms", failedHostTime },
+    };
+
 } // namespace
 
 void print(const Figure& figure)
@@ -198,11 +213,10 @@
 bool runDeterministicBenchmarks(const std::string& only)
 {
     bool ok = true;
-    for (Figure (*measure)() : { sideControlBytesToday, sideControlBytesAtAim, appendsAtPeak, retryAmplification,
-             rollOutTime, failedHostTime }) {
-        const Figure figure = measure();
-        if (!only.empty() && figure.name != only)
+    for (const Benchmark& benchmark : benchmarks) {
+        if (!only.empty() && benchmark.name != only)
             continue;
+        const Figure figure = benchmark.measure();
         print(figure);
         ok = ok && figure.isOk();
     }
--- a/Tests/Process/Cluster.cpp
+++ b/Tests/Process/Cluster.cpp
@@ -244,6 +244,7 @@
     std::map<std::string, int> counts;
     for (int n = 0; n < m_options.sides; ++n) {
         std::ifstream file(path("target-" + std::to_string(n) + ".audit"));
+        CPPUNIT_ASSERT_MESSAGE("no record of target " + std::to_string(n), file.is_open());
         std::string line;
         while (std::getline(file, line))
             ++counts[line];
