--- a/Tests/Process/Cluster.cpp
+++ b/Tests/Process/Cluster.cpp
@@ -1,9 +1,9 @@
 #include "Process/Cluster.h"
 
+#include "Process/Loopback.h"
 #include "Support/TestBundle.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -26,10 +26,7 @@
 
     bool isFree(int port)
     {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<std::uint16_t>(port));
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const sockaddr_in address = loopback(port);
         const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
         ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
--- a/Tests/Process/Relay.cpp
+++ b/Tests/Process/Relay.cpp
@@ -1,6 +1,7 @@
 #include "Process/Relay.h"
 
-#include <arpa/inet.h>
+#include "Process/Loopback.h"
+
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdexcept>
@@ -14,15 +15,6 @@
     constexpr int backlog = 64;
     constexpr int pollMilliseconds = 50;
 
-    sockaddr_in loopback(int port)
-    {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<std::uint16_t>(port));
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        return address;
-    }
-
     bool isReadable(int file)
     {
         pollfd entry { file, POLLIN, 0 };
--- a/Tests/Process/WholePathTest.cpp
+++ b/Tests/Process/WholePathTest.cpp
@@ -1,7 +1,7 @@
 /// One request and one job from end to end through real processes, bad input, and graceful shutdown.
 #include "Process/CallerLoad.h"
+#include "Process/Loopback.h"
 
-#include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fstream>
 #include <sys/socket.h>
@@ -65,10 +65,7 @@
     /// Sends raw bytes to a port and closes.
     static void sendRaw(int port, const std::string& bytes)
     {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<std::uint16_t>(port));
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const sockaddr_in address = loopback(port);
         const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         CPPUNIT_ASSERT_EQUAL(0, ::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address));
         ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
