--- a/Tests/Process/Relay.cpp
+++ b/Tests/Process/Relay.cpp
@@ -107,10 +107,4 @@
     }
 }
 
-int Relay::connections()
-{
-    std::lock_guard<std::mutex> lock(m_mutex);
-    return static_cast<int>(m_connections.size());
-}
-
 } // namespace Plantainpier
--- a/Tests/Process/Relay.h
+++ b/Tests/Process/Relay.h
@@ -19,7 +19,6 @@
 
     /// Connections that exist now carry nothing any more, in the directions given, and stay open. New ones work.
     void silenceExisting(bool towardsTarget, bool towardsCaller);
-    int connections();
 
 private:
     struct Connection {
