Membership: Drop a time that nothing reads

Cause: SideView.firstHeard was written and never read.

Change: it is gone. A new side starts with no time of avoidance anyway, so only a restart resets it. Behaviour stays.

--- a/Source/Decision/Process/Membership.cpp
+++ b/Source/Decision/Process/Membership.cpp
@@ -28,10 +28,8 @@
         return AnnouncementEffect::Stale;
     const bool restarted = !isNew && message.incarnation > side.incarnation;
     const bool left = message.leaving && !side.leaving;
-    if (isNew || restarted) {
-        side.firstHeard = now;
+    if (restarted)
         side.avoidUntil = Instant {};
-    }
     side.announcementLink = link;
     side.sideId = message.sideId;
     side.address = message.address;
--- a/Source/Decision/Process/Membership.h
+++ b/Source/Decision/Process/Membership.h
@@ -27,7 +27,6 @@
     Wire::Resources capacity;
     Wire::Resources free;
     Instant lastHeard;
-    Instant firstHeard;
     /// Requests of this entry that are dispatched and unanswered.
     int ownInFlight = 0;
     /// Requests of other entries there, as of the last report.
