--- a/Source/Base/BoundedRing.h
+++ b/Source/Base/BoundedRing.h
@@ -3,8 +3,8 @@
 
 #include "Base/Time.h"
 
-#include <boost/circular_buffer.hpp>
 #include <condition_variable>
+#include <deque>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -15,7 +15,7 @@
 template <typename T> class BoundedRing {
 public:
     explicit BoundedRing(std::size_t capacity)
-        : m_items(capacity)
+        : m_capacity(capacity)
     {
     }
 
@@ -24,7 +24,7 @@
     {
         {
             std::lock_guard<std::mutex> lock(m_mutex);
-            if (m_closed || m_items.full())
+            if (m_closed || m_items.size() >= m_capacity)
                 return false;
             m_items.push_back(std::move(item));
         }
@@ -63,7 +63,9 @@
 private:
     mutable std::mutex m_mutex;
     std::condition_variable m_filled;
-    boost::circular_buffer<T> m_items;
+    const std::size_t m_capacity;
+    /// Grows and shrinks with what waits: a preallocated ring would stay resident in every small process.
+    std::deque<T> m_items;
     bool m_closed = false;
 };
 
--- /dev/null
+++ b/Source/Decision/Job/HostBook.cpp
@@ -0,0 +1,58 @@
+#include "Decision/Job/HostBook.h"
+
+#include <optional>
+
+namespace Plantainpier {
+
+namespace {
+
+    void commit(Host& host, const HostRun& run, std::int64_t sign)
+    {
+        if (run.filler)
+            host.fillerMilliCores += sign * run.demand.milliProcessors;
+        else
+            host.committed.milliProcessors += sign * run.demand.milliProcessors;
+        host.committed.memoryMegabytes += sign * run.demand.memoryMegabytes;
+        host.committed.accelerators += static_cast<std::int32_t>(sign) * run.demand.accelerators;
+    }
+
+} // namespace
+
+Host* HostBook::find(const std::string& hostId)
+{
+    std::map<std::string, Host>::iterator it = m_hosts.find(hostId);
+    return it == m_hosts.end() ? nullptr : &it->second;
+}
+
+HostRun& HostBook::addRun(Host& host, HostRun run)
+{
+    commit(host, run, 1);
+    const RunKey key = runKey(run.task, run.run);
+    return host.runs.insert_or_assign(key, std::move(run)).first->second;
+}
+
+std::optional<HostRun> HostBook::removeRun(Host& host, const RunKey& key)
+{
+    std::map<RunKey, HostRun>::iterator it = host.runs.find(key);
+    if (it == host.runs.end())
+        return std::nullopt;
+    HostRun run = std::move(it->second);
+    host.runs.erase(it);
+    commit(host, run, -1);
+    return run;
+}
+
+int HostBook::runsOfStep(const Host& host, const std::string& jobId, int occurrence, int step)
+{
+    int count = 0;
+    const RunKey first { jobId, occurrence, step, 0, 0 };
+    for (std::map<RunKey, HostRun>::const_iterator it = host.runs.lower_bound(first); it != host.runs.end(); ++it) {
+        const Wire::TaskName& task = it->second.task;
+        if (task.jobId != jobId || task.occurrence != occurrence || task.step != step)
+            break;
+        ++count;
+    }
+    return count;
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Job/JobState.cpp
@@ -0,0 +1,204 @@
+#include "Decision/Job/JobState.h"
+
+#include <algorithm>
+
+namespace Plantainpier {
+
+namespace {
+
+    /// Latest chain from the start of each step to the end; steps only come after earlier ones.
+    std::vector<Duration> remainingChains(const std::vector<Wire::StepDefinition>& steps)
+    {
+        std::vector<Duration> chains(steps.size());
+        for (std::size_t n = steps.size(); n-- > 0;) {
+            Duration behind {};
+            for (std::size_t later = n + 1; later < steps.size(); ++later) {
+                const std::vector<std::int32_t>& after = steps[later].after;
+                if (std::find(after.begin(), after.end(), static_cast<std::int32_t>(n)) != after.end())
+                    behind = std::max(behind, chains[later]);
+            }
+            chains[n] = milliseconds(steps[n].estimateMilliseconds) + behind;
+        }
+        return chains;
+    }
+
+    double coreSeconds(const Wire::StepDefinition& step)
+    {
+        /// An accelerator is worth eight cores.
+        constexpr double milliCoresPerAccelerator = 8000;
+        const double milliCores = static_cast<double>(step.demand.milliProcessors)
+            + milliCoresPerAccelerator * static_cast<double>(step.demand.accelerators);
+        return milliCores / 1000 * static_cast<double>(step.estimateMilliseconds) / 1000 * step.count;
+    }
+
+} // namespace
+
+JobState::JobState(Wire::JobDefinition definition, Instant accepted, std::int64_t acceptedUnixMilliseconds)
+    : m_definition(std::move(definition))
+    , m_accepted(accepted)
+    , m_acceptedUnixMilliseconds(acceptedUnixMilliseconds)
+    , m_remainingChains(remainingChains(m_definition.steps))
+{
+    for (const Duration chain : m_remainingChains)
+        m_chain = std::max(m_chain, chain);
+    for (const Wire::StepDefinition& step : m_definition.steps)
+        m_workCoreSeconds += coreSeconds(step);
+    const Duration allowed = std::chrono::duration_cast<Duration>(m_chain * m_definition.stretch)
+        + milliseconds(m_definition.objectiveMilliseconds);
+    m_due = accepted + allowed;
+}
+
+bool JobState::addDueOccurrences(Instant now, std::int64_t unixMilliseconds)
+{
+    const Duration allowed = m_due - m_accepted;
+    if (m_definition.occurrences <= 0) {
+        if (m_occurrencesAdded > 0)
+            return false;
+        addOccurrence(now, m_occurrencesAdded++, m_due);
+        return true;
+    }
+    bool added = false;
+    while (m_occurrencesAdded < m_definition.occurrences) {
+        const std::int64_t dueUnix
+            = m_definition.firstDueUnixMilliseconds + m_occurrencesAdded * m_definition.intervalMilliseconds;
+        if (unixMilliseconds < dueUnix)
+            break;
+        addOccurrence(now, m_occurrencesAdded++, now - milliseconds(unixMilliseconds - dueUnix) + allowed);
+        added = true;
+    }
+    return added;
+}
+
+void JobState::addOccurrence(Instant now, int occurrence, Instant due)
+{
+    for (std::size_t n = 0; n < m_definition.steps.size(); ++n) {
+        StepState step;
+        step.occurrence = occurrence;
+        step.step = static_cast<int>(n);
+        step.tasks.resize(static_cast<std::size_t>(m_definition.steps[n].count));
+        for (TaskState& task : step.tasks)
+            task.waitingSince = now;
+        step.waiting = m_definition.steps[n].count;
+        step.due = due;
+        step.remainingChain = m_remainingChains[n];
+        m_steps.push_back(std::move(step));
+    }
+    openSteps(now, occurrence);
+}
+
+StepState* JobState::findStep(int occurrence, int step)
+{
+    const std::size_t n = static_cast<std::size_t>(occurrence) * m_definition.steps.size()
+        + static_cast<std::size_t>(step);
+    const bool exists = occurrence >= 0 && step >= 0 && static_cast<std::size_t>(step) < m_definition.steps.size()
+        && n < m_steps.size();
+    return exists ? &m_steps[n] : nullptr;
+}
+
+TaskState* JobState::findTask(const Wire::TaskName& name)
+{
+    StepState* step = findStep(name.occurrence, name.step);
+    if (!step || name.index < 0 || static_cast<std::size_t>(name.index) >= step->tasks.size())
+        return nullptr;
+    return &step->tasks[static_cast<std::size_t>(name.index)];
+}
+
+void JobState::openSteps(Instant now, int occurrence)
+{
+    for (std::size_t n = 0; n < m_definition.steps.size(); ++n) {
+        StepState& step = *findStep(occurrence, static_cast<int>(n));
+        if (step.open)
+            continue;
+        bool ready = true;
+        for (const std::int32_t before : m_definition.steps[n].after) {
+            const StepState* earlier = findStep(occurrence, before);
+            ready = ready && earlier && earlier->completed == static_cast<int>(earlier->tasks.size());
+        }
+        if (!ready)
+            continue;
+        step.open = true;
+        for (TaskState& task : step.tasks)
+            task.waitingSince = now;
+    }
+}
+
+void JobState::complete(Instant now, StepState& step, std::size_t index)
+{
+    const bool gang = stepDefinition(step).gang;
+    for (std::size_t n = gang ? 0 : index; n < (gang ? step.tasks.size() : index + 1); ++n) {
+        TaskState& task = step.tasks[n];
+        if (task.completed)
+            continue;
+        if (task.runs.empty())
+            --step.waiting;
+        task.completed = true;
+        task.checkpoint.clear();
+        ++step.completed;
+    }
+    progressChanged = true;
+    if (step.completed == static_cast<int>(step.tasks.size()))
+        openSteps(now, step.occurrence);
+}
+
+void JobState::await(Instant now, StepState& step, TaskState& task)
+{
+    if (task.completed || !task.runs.empty())
+        return;
+    ++step.waiting;
+    task.waitingSince = now;
+}
+
+bool JobState::isCompleted() const
+{
+    if (m_occurrencesAdded == 0 || m_occurrencesAdded < m_definition.occurrences)
+        return false;
+    return std::all_of(m_steps.begin(), m_steps.end(),
+        [](const StepState& step) { return step.completed == static_cast<int>(step.tasks.size()); });
+}
+
+Wire::JobProgress JobState::progress() const
+{
+    Wire::JobProgress progress;
+    progress.outcome = m_outcome;
+    for (const StepState& step : m_steps) {
+        for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+            const TaskState& task = step.tasks[n];
+            if (!task.completed && task.failures == 0 && task.checkpoint.empty())
+                continue;
+            Wire::TaskMark mark;
+            mark.occurrence = step.occurrence;
+            mark.step = step.step;
+            mark.index = static_cast<std::int32_t>(n);
+            mark.completed = task.completed;
+            mark.failures = task.failures;
+            mark.checkpoint = task.checkpoint;
+            progress.marks.push_back(std::move(mark));
+        }
+    }
+    return progress;
+}
+
+void JobState::restore(Instant now, const Wire::JobProgress& progress, std::int64_t unixMilliseconds)
+{
+    addDueOccurrences(now, unixMilliseconds);
+    m_outcome = progress.outcome;
+    for (const Wire::TaskMark& mark : progress.marks) {
+        StepState* step = findStep(mark.occurrence, mark.step);
+        if (!step || mark.index < 0 || static_cast<std::size_t>(mark.index) >= step->tasks.size())
+            continue;
+        TaskState& task = step->tasks[static_cast<std::size_t>(mark.index)];
+        task.failures = mark.failures;
+        task.checkpoint = mark.checkpoint;
+        m_started = true;
+        if (!mark.completed)
+            continue;
+        task.completed = true;
+        ++step->completed;
+        --step->waiting;
+    }
+    for (const StepState& step : std::vector<StepState>(m_steps))
+        openSteps(now, step.occurrence);
+    progressChanged = false;
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Job/OwnerState.h
@@ -0,0 +1,123 @@
+/// What the owner of jobs holds in memory; the parts of JobOwner work on it together.
+#pragma once
+
+#include "Base/LogLine.h"
+#include "Decision/Job/HostBook.h"
+#include "Decision/Job/JobState.h"
+#include "Decision/Job/StoreJournal.h"
+#include "Decision/Version/QueuePolicy.h"
+
+#include <functional>
+#include <memory>
+
+namespace Plantainpier {
+
+/// Bounds of the deployment, from its settings, and the owner's own times.
+struct OwnerRules {
+    /// Lease of what runs on a host, from the newest reading of the host's clock; below the platform's longest hold.
+    Duration lease = seconds(5);
+    /// An owner that has not reached the store for this long grants nothing any more; its successor waits it out.
+    Duration ownershipHold = seconds(9);
+    /// Hosts' clocks may be this share slow.
+    double clockSlowness = 0.02;
+    /// A stop takes at most this long.
+    Duration stopTime = milliseconds(900);
+    /// Finished jobs are remembered this long.
+    Duration statusMemory = seconds(120);
+    /// The store counts as away when an append has been tried for this long; a refusal is then quicker than a wait.
+    Duration storeAway = milliseconds(700);
+    /// Told to callers that are refused while the store is away or no owner is known.
+    Duration storeRetryAfter = seconds(1);
+    /// A task that failed by itself is tried again after this, so that a broken host does not use up its attempts.
+    Duration failurePause = milliseconds(50);
+};
+
+/// Counters and latencies that the owner collects; the shell turns them into metrics.
+struct OwnerCounters {
+    std::int64_t accepted = 0;
+    std::int64_t refused = 0;
+    std::int64_t started = 0;
+    std::int64_t completedTasks = 0;
+    std::int64_t failedTasks = 0;
+    std::int64_t lostRuns = 0;
+    std::int64_t lapsedRuns = 0;
+    std::int64_t haltedRuns = 0;
+    std::int64_t completedJobs = 0;
+    std::int64_t failedJobs = 0;
+    std::int64_t pacesSent = 0;
+};
+
+/// Jobs, hosts and the journal of one term.
+struct OwnerState {
+    OwnerState(std::string owner, std::int64_t ownTerm, const OwnerRules& ownRules, Instant now)
+        : nodeId(std::move(owner))
+        , term(ownTerm)
+        , rules(ownRules)
+        , ownedSince(now)
+        , journal(StoreTopic::Jobs, ownTerm, JournalTiming {})
+    {
+    }
+
+    std::string nodeId;
+    std::int64_t term;
+    OwnerRules rules;
+    Instant ownedSince;
+    /// Wall clock at the newest event.
+    std::int64_t unixMilliseconds = 0;
+    std::shared_ptr<const PolicySnapshot> policy;
+    std::map<std::string, std::unique_ptr<JobState>> jobs;
+    /// Jobs whose acceptance is stored and that are not finished.
+    std::map<std::string, JobState*> openJobs;
+    HostBook hosts;
+    StoreJournal journal;
+    /// Jobs with progress that is not in the journal yet.
+    std::set<std::string> dirtyJobs;
+    Instant dirtySince;
+    bool flushNow = false;
+    /// Something changed that may let a task start.
+    bool scheduleDue = true;
+    /// When this process last knew that nobody else owned: the start of the newest append or sign of life that the
+    /// store confirmed.
+    Instant confirmedAt;
+    OwnerCounters counters;
+
+    JobState* findJob(const std::string& jobId)
+    {
+        std::map<std::string, std::unique_ptr<JobState>>::iterator it = jobs.find(jobId);
+        return it == jobs.end() ? nullptr : it->second.get();
+    }
+
+    void markDirty(Instant now, const std::string& jobId, bool waited)
+    {
+        if (dirtyJobs.empty())
+            dirtySince = now;
+        dirtyJobs.insert(jobId);
+        flushNow = flushNow || waited;
+    }
+
+    /// Everything that this owner or an earlier one may have started is known or over.
+    bool hostsAccounted(Instant now) const
+    {
+        for (const std::pair<const std::string, Host>& entry : hosts.hosts()) {
+            if (!entry.second.listed && now < entry.second.lapsesAt)
+                return false;
+        }
+        return true;
+    }
+
+    /// How long whoever was granted a lease must be waited for, by this process's clock.
+    Duration stretched(Duration duration) const
+    {
+        return std::chrono::duration_cast<Duration>(duration * (1 + 1.5 * rules.clockSlowness)) + milliseconds(20);
+    }
+};
+
+/// Keys of the records in the store.
+namespace StoreKey {
+    inline std::string job(const std::string& jobId) { return "j/" + jobId; }
+    inline std::string progress(const std::string& jobId) { return "p/" + jobId; }
+    inline std::string cancellation(const std::string& jobId) { return "c/" + jobId; }
+    inline std::string host(const std::string& hostId) { return "h/" + hostId; }
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Job/Placement.cpp
@@ -0,0 +1,112 @@
+#include "Decision/Job/Placement.h"
+
+#include <algorithm>
+
+namespace Plantainpier {
+
+namespace {
+
+    bool hasLabel(const Host& host, const std::string& label)
+    {
+        return label.empty() || std::find(host.labels.begin(), host.labels.end(), label) != host.labels.end();
+    }
+
+    bool fits(const Wire::Resources& free, const Wire::StepDefinition& step)
+    {
+        return (step.filler || step.demand.milliProcessors <= free.milliProcessors)
+            && step.demand.memoryMegabytes <= free.memoryMegabytes && step.demand.accelerators <= free.accelerators;
+    }
+
+} // namespace
+
+std::int64_t Placement::idleMilliCores(const Host& host) const
+{
+    std::int64_t used = host.fillerMilliCores;
+    for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
+        const HostRun& run = entry.second;
+        if (run.filler)
+            continue;
+        const double share = run.longRunning ? m_rules.servingLoad : 1.0;
+        used += static_cast<std::int64_t>(share * static_cast<double>(run.demand.milliProcessors));
+    }
+    return host.capacity.milliProcessors - used;
+}
+
+bool Placement::isEligible(const Host& host, const PlacementRequest& request, Instant now) const
+{
+    const Wire::StepDefinition& step = request.definition;
+    if (!host.listed || host.draining || host.link == noLink || host.service != request.job.serviceName)
+        return false;
+    if (now - host.heardAt > m_rules.maximumSilence || now < host.health.quarantinedUntil)
+        return false;
+    if (host.health.onTrial && !host.runs.empty())
+        return false;
+    if (!request.rack.empty() && host.rack != request.rack)
+        return false;
+    if (!hasLabel(host, step.requiredLabel))
+        return false;
+    Wire::Resources free;
+    free.milliProcessors = host.freeMilliCores();
+    free.memoryMegabytes = host.freeMegabytes();
+    free.accelerators = host.freeAccelerators();
+    if (!fits(free, step))
+        return false;
+    if (step.filler) {
+        const double reserve = m_rules.memoryReserve * static_cast<double>(host.capacity.memoryMegabytes);
+        if (static_cast<double>(free.memoryMegabytes - step.demand.memoryMegabytes) < reserve)
+            return false;
+        if (idleMilliCores(host) < step.demand.milliProcessors)
+            return false;
+    }
+    for (const RunPlace& place : request.taken) {
+        if (place.hostId == host.hostId)
+            return false;
+    }
+    return step.maximumPerHost <= 0
+        || HostBook::runsOfStep(host, request.job.jobId, request.occurrence, request.step) < step.maximumPerHost;
+}
+
+double Placement::score(const Host& host, const PlacementRequest& request) const
+{
+    const double capacity = static_cast<double>(std::max<std::int64_t>(1, host.capacity.milliProcessors));
+    const double idle = static_cast<double>(idleMilliCores(host)) / capacity;
+    const double memory = static_cast<double>(host.freeMegabytes())
+        / static_cast<double>(std::max<std::int64_t>(1, host.capacity.memoryMegabytes));
+    const double free = static_cast<double>(host.freeMilliCores()) / capacity;
+    double value = request.definition.filler ? idle + 0.3 * memory : free + 0.3 * memory;
+    // Data on another rack makes the work take longer by more than any difference in load.
+    if (!request.definition.dataRack.empty() && host.rack != request.definition.dataRack)
+        value -= 2;
+    if (request.definition.filler)
+        value -= 0.5 * static_cast<double>(100 - host.pacePercent) / 100;
+    return value / host.health.slowness;
+}
+
+Host* Placement::choose(HostBook& hosts, const PlacementRequest& request, Instant now) const
+{
+    Host* best = nullptr;
+    double bestScore = 0;
+    for (std::pair<const std::string, Host>& entry : hosts.hosts()) {
+        Host& host = entry.second;
+        if (!isEligible(host, request, now))
+            continue;
+        const double value = score(host, request);
+        if (!best || value > bestScore) {
+            best = &host;
+            bestScore = value;
+        }
+    }
+    return best;
+}
+
+bool Placement::couldEverFit(const HostBook& hosts, const std::string& service, const Wire::StepDefinition& step)
+{
+    for (const std::pair<const std::string, Host>& entry : hosts.hosts()) {
+        const Host& host = entry.second;
+        if (host.service == service && fits(host.capacity, step) && hasLabel(host, step.requiredLabel))
+            return true;
+    }
+    return false;
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Job/Placement.h
@@ -0,0 +1,56 @@
+/// Chooses the host of a task. Answers the pattern "uneven hosts under mixed load": work with its own processors is
+/// spread by what is left, fillers go where the processors are idle, and hosts that fail or crawl are passed over.
+#pragma once
+
+#include "Decision/Job/HostBook.h"
+#include "Decision/Job/JobState.h"
+
+namespace Plantainpier {
+
+/// What placement needs beside the hosts.
+struct PlacementRules {
+    /// A host whose side has been silent for longer gets nothing new.
+    Duration maximumSilence = milliseconds(1500);
+    /// Work that drains with its host needs this much more time than its estimate.
+    Duration drainMargin = milliseconds(500);
+    /// Share of a serving task's processors that it uses on average; fillers get the rest.
+    double servingLoad = 0.6;
+    /// Memory kept free of fillers, so that urgent work finds room at once: share of the host.
+    double memoryReserve = 0.08;
+};
+
+/// A task that looks for a host.
+struct PlacementRequest {
+    const Wire::JobDefinition& job;
+    const Wire::StepDefinition& definition;
+    int occurrence = 0;
+    int step = 0;
+    /// Hosts that already run the task, for a copy.
+    const std::vector<RunPlace>& taken;
+    /// Only hosts of this rack, when not empty.
+    std::string rack;
+};
+
+/// The pure choice. Used by JobOwner.
+class Placement {
+public:
+    explicit Placement(const PlacementRules& rules)
+        : m_rules(rules)
+    {
+    }
+
+    /// The best host now; null when none is eligible.
+    Host* choose(HostBook& hosts, const PlacementRequest& request, Instant now) const;
+    /// Whether any host that is known could ever hold the task when empty.
+    static bool couldEverFit(const HostBook& hosts, const std::string& service, const Wire::StepDefinition& step);
+    /// Processors of the host that nobody uses, by estimate.
+    std::int64_t idleMilliCores(const Host& host) const;
+
+private:
+    bool isEligible(const Host& host, const PlacementRequest& request, Instant now) const;
+    double score(const Host& host, const PlacementRequest& request) const;
+
+    PlacementRules m_rules;
+};
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -0,0 +1,469 @@
+#include "Decision/Job/RunLedger.h"
+
+#include "Base/NameTable.h"
+#include "Wire/Codec.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Plantainpier {
+
+namespace {
+
+    /// Distinct jobs that fail in a row on a host before it gets no new work: one hopeless job must not brand it.
+    constexpr std::size_t failedJobsToQuarantine = 3;
+    constexpr Duration quarantine = seconds(2);
+    /// A host that was away for this long and holds nothing is forgotten; longer than any bound of the platform.
+    constexpr Duration forgetHostAfter = seconds(30);
+    /// Weight of the newest run in the smoothed slowness of a host.
+    constexpr double slownessWeight = 0.15;
+    constexpr double slownessFloor = 0.7;
+    constexpr double slownessCeiling = 8;
+    /// Room for run numbers of one term: a later owner does not know which its predecessor used.
+    constexpr int runNumbersOfATerm = 64;
+
+    constexpr std::array runEndNames {
+        NamedValue { Wire::RunEnd::Completed, "completed" },
+        NamedValue { Wire::RunEnd::Failed, "failed" },
+        NamedValue { Wire::RunEnd::Stopped, "stopped" },
+        NamedValue { Wire::RunEnd::Lapsed, "lapsed" },
+        NamedValue { Wire::RunEnd::GangBroken, "gang_broken" },
+        NamedValue { Wire::RunEnd::GangAlone, "gang_alone" },
+    };
+
+    LogLine& addTask(LogLine& line, const Wire::TaskName& task)
+    {
+        return line.add("job", task.jobId)
+            .add("occurrence", task.occurrence)
+            .add("step", task.step)
+            .add("task", task.index);
+    }
+
+    std::string_view outcomeName(Wire::JobOutcome::type outcome)
+    {
+        switch (outcome) {
+        case Wire::JobOutcome::Open:
+            return "open";
+        case Wire::JobOutcome::Completed:
+            return "completed";
+        case Wire::JobOutcome::Failed:
+            return "failed";
+        case Wire::JobOutcome::Cancelled:
+            return "cancelled";
+        }
+        return "unknown";
+    }
+
+} // namespace
+
+Host& RunLedger::enter(Instant now, LinkId link, const Wire::HostReport& report, Actions& actions)
+{
+    Host* known = m_state.hosts.find(report.hostId);
+    if (known && known->incarnation < report.incarnation) {
+        loseRuns(now, *known, "host_restarted", actions);
+        m_state.hosts.hosts().erase(report.hostId);
+        known = nullptr;
+    }
+    if (!known) {
+        Host host;
+        host.hostId = report.hostId;
+        host.incarnation = report.incarnation;
+        host.lapsesAt = now;
+        Wire::HostRecord record;
+        record.incarnation = report.incarnation;
+        record.term = m_state.term;
+        host.recordTicket = m_state.journal.add(
+            now, StoreRecord { StoreKey::host(report.hostId), Wire::encode(record) }, Urgency::Waited);
+        host.orders.hostId = report.hostId;
+        actions.push_back(WriteLog { LogLine("host_seen")
+                                         .add("host", report.hostId)
+                                         .add("incarnation", report.incarnation)
+                                         .add("rack", report.rack)
+                                         .add("cores_milli", report.capacity.milliProcessors)
+                                         .add("memory_mb", report.capacity.memoryMegabytes)
+                                         .text() });
+        known = &m_state.hosts.hosts().emplace(report.hostId, std::move(host)).first->second;
+    }
+    Host& host = *known;
+    if (host.link != link) {
+        host.link = link;
+        host.listed = false;
+        host.heardAt = now;
+        // Asks for a list under this owner's term before anything else.
+        host.orders.leaseUntilMilliseconds = 0;
+        host.acknowledgeDue = true;
+    }
+    host.service = report.serviceName;
+    host.zone = report.zone;
+    host.rack = report.rack;
+    host.labels = report.labels;
+    host.capacity = report.capacity;
+    host.remaining = milliseconds(report.remainingMilliseconds);
+    host.heardAt = now;
+    return host;
+}
+
+void RunLedger::onReport(Instant now, LinkId link, const Wire::HostReport& report, Actions& actions)
+{
+    if (report.highestTerm > m_state.term)
+        m_fenced = true;
+    Host* known = m_state.hosts.find(report.hostId);
+    if (known && known->incarnation > report.incarnation)
+        return;
+    if (report.state == Wire::HostState::Gone) {
+        if (!known || known->incarnation != report.incarnation)
+            return;
+        loseRuns(now, *known, "host_gone", actions);
+        m_state.journal.add(now, StoreRecord { StoreKey::host(report.hostId), {} }, Urgency::Lazy);
+        m_state.hosts.hosts().erase(report.hostId);
+        m_state.scheduleDue = true;
+        return;
+    }
+    Host& host = enter(now, link, report, actions);
+    for (const Wire::OrderResult& result : report.results)
+        onResult(now, host, result, actions);
+    if (report.listed) {
+        const bool first = !host.listed;
+        host.clockMilliseconds = report.clockMilliseconds;
+        host.clockReadAt = now;
+        for (const Wire::RunningTask& row : report.running)
+            onRunning(now, host, row, actions);
+        for (const Wire::EndedTask& row : report.ended)
+            onEnded(now, host, row, actions);
+        if (first) {
+            haltMissing(now, host, report, actions);
+            host.listed = true;
+        }
+    }
+    const bool draining = report.state == Wire::HostState::Draining;
+    if (draining && !host.draining)
+        actions.push_back(WriteLog {
+            LogLine("host_draining").add("host", host.hostId).add("remaining_ms", report.remainingMilliseconds).text() });
+    host.draining = draining;
+    if (draining)
+        drain(now, host, actions);
+    m_state.scheduleDue = true;
+}
+
+void RunLedger::onResult(Instant now, Host& host, const Wire::OrderResult& result, Actions& actions)
+{
+    const RunKey key = runKey(result.task, result.run);
+    std::map<RunKey, HostRun>::iterator it = host.runs.find(key);
+    if (result.reason == "fence")
+        m_fenced = true;
+    if (it == host.runs.end())
+        return;
+    if (result.outcome == Wire::OrderOutcome::Started) {
+        if (it->second.phase == RunPhase::Ordered) {
+            it->second.phase = RunPhase::Running;
+            it->second.confirmedAt = now;
+        }
+        return;
+    }
+    LogLine line("start_refused");
+    addTask(line, result.task).add("run", result.run).add("host", host.hostId).add("reason", result.reason);
+    actions.push_back(WriteLog { line.text() });
+    const std::string checkpoint = it->second.checkpoint;
+    HostBook::removeRun(host, key);
+    release(now, result.task, result.run, checkpoint);
+    TaskState* task = nullptr;
+    if (JobState* job = m_state.findJob(result.task.jobId))
+        task = job->findTask(result.task);
+    if (task && result.reason == "old")
+        task->lastRun += runNumbersOfATerm;
+    if (task && result.outcome == Wire::OrderOutcome::Refused)
+        task->notBefore = now + m_state.rules.failurePause;
+}
+
+void RunLedger::onRunning(Instant now, Host& host, const Wire::RunningTask& row, Actions& actions)
+{
+    std::map<RunKey, HostRun>::iterator it = host.runs.find(runKey(row.task, row.run));
+    if (it == host.runs.end()) {
+        adopt(now, host, row, actions);
+        return;
+    }
+    HostRun& run = it->second;
+    if (run.phase == RunPhase::Ordered) {
+        run.phase = RunPhase::Running;
+        run.confirmedAt = now;
+    }
+    run.listed = true;
+    run.usage = row.usage;
+    run.percent = row.percent;
+    if (!row.checkpoint.empty())
+        run.checkpoint = row.checkpoint;
+}
+
+void RunLedger::adopt(Instant now, Host& host, const Wire::RunningTask& row, Actions& actions)
+{
+    HostRun run;
+    run.task = row.task;
+    run.run = row.run;
+    run.phase = RunPhase::Running;
+    run.since = now;
+    run.confirmedAt = now;
+    run.listed = true;
+    run.usage = row.usage;
+    run.percent = row.percent;
+    run.checkpoint = row.checkpoint;
+    JobState* job = m_state.findJob(row.task.jobId);
+    StepState* step = job ? job->findStep(row.task.occurrence, row.task.step) : nullptr;
+    TaskState* task = job ? job->findTask(row.task) : nullptr;
+    if (step) {
+        const Wire::StepDefinition& definition = job->stepDefinition(*step);
+        run.demand = definition.demand;
+        run.filler = definition.filler;
+        run.longRunning = definition.longRunning;
+        run.image = definition.image;
+        run.targetMilliseconds = definition.targetMilliseconds;
+        run.estimateMilliseconds = definition.estimateMilliseconds;
+        run.priority = job->definition().priority;
+    }
+    HostRun& added = HostBook::addRun(host, std::move(run));
+    LogLine line("run_adopted");
+    addTask(line, row.task).add("run", row.run).add("host", host.hostId);
+    const bool wanted = task && job->isOpen() && !task->completed
+        && (task->runs.empty() || job->stepDefinition(*step).allowDuplicates);
+    actions.push_back(WriteLog { line.add("wanted", wanted).text() });
+    if (!wanted) {
+        halt(now, host, added, "not_wanted", actions);
+        return;
+    }
+    if (task->runs.empty())
+        --step->waiting;
+    task->runs.push_back(RunPlace { host.hostId, host.incarnation, row.run, now });
+    task->lastRun = std::max(task->lastRun, row.run);
+    job->setStarted();
+}
+
+void RunLedger::release(Instant now, const Wire::TaskName& name, int run, const std::string& checkpoint)
+{
+    JobState* job = m_state.findJob(name.jobId);
+    StepState* step = job ? job->findStep(name.occurrence, name.step) : nullptr;
+    TaskState* task = job ? job->findTask(name) : nullptr;
+    if (!task)
+        return;
+    const std::size_t before = task->runs.size();
+    task->runs.erase(std::remove_if(task->runs.begin(), task->runs.end(),
+                         [run](const RunPlace& place) { return place.run == run; }),
+        task->runs.end());
+    if (task->runs.size() == before || task->completed)
+        return;
+    if (!checkpoint.empty())
+        task->checkpoint = checkpoint;
+    job->await(now, *step, *task);
+    m_state.scheduleDue = true;
+}
+
+void RunLedger::onFailure(Instant now, JobState& job, TaskState& task, const Host& host, Actions& actions)
+{
+    ++task.failures;
+    ++m_state.counters.failedTasks;
+    task.notBefore = now + m_state.rules.failurePause;
+    m_state.markDirty(now, job.definition().jobId, false);
+    if (task.failures >= job.definition().maximumAttempts)
+        finish(now, job, Wire::JobOutcome::Failed, "attempts_used_up_last_on_" + host.hostId, actions);
+}
+
+void RunLedger::learn(Instant now, Host& host, const HostRun& run, Wire::RunEnd::type how, Actions& actions)
+{
+    if (how == Wire::RunEnd::Completed) {
+        host.health.failedJobs.clear();
+        host.health.onTrial = false;
+        if (run.estimateMilliseconds > 0 && !run.filler) {
+            const double taken = static_cast<double>(toMilliseconds(now - run.since));
+            const double ratio = std::clamp(
+                taken / static_cast<double>(run.estimateMilliseconds), slownessFloor, slownessCeiling);
+            host.health.slowness += slownessWeight * (ratio - host.health.slowness);
+        }
+        return;
+    }
+    if (how != Wire::RunEnd::Failed)
+        return;
+    host.health.failedJobs.insert(run.task.jobId);
+    if (host.health.failedJobs.size() < failedJobsToQuarantine && !host.health.onTrial)
+        return;
+    host.health.quarantinedUntil = now + quarantine;
+    host.health.onTrial = true;
+    host.health.failedJobs.clear();
+    actions.push_back(WriteLog { LogLine("host_quarantined")
+                                     .add("host", host.hostId)
+                                     .add("for_ms", toMilliseconds(quarantine))
+                                     .add("why", "tasks of several jobs failed in a row")
+                                     .text() });
+}
+
+void RunLedger::onEnded(Instant now, Host& host, const Wire::EndedTask& row, Actions& actions)
+{
+    if (row.number <= host.seenNumber)
+        return;
+    host.seenNumber = row.number;
+    // Acknowledged only once what it means is stored.
+    host.unstoredEnds.emplace_back(row.number, 0);
+    const std::optional<HostRun> run = HostBook::removeRun(host, runKey(row.task, row.run));
+    LogLine line("run_ended");
+    addTask(line, row.task).add("run", row.run).add("host", host.hostId).add("how", nameIn(runEndNames, row.how));
+    if (run)
+        line.add("after_ms", toMilliseconds(now - run->since));
+    actions.push_back(WriteLog { line.text() });
+    if (run)
+        learn(now, host, *run, row.how, actions);
+    JobState* job = m_state.findJob(row.task.jobId);
+    StepState* step = job ? job->findStep(row.task.occurrence, row.task.step) : nullptr;
+    TaskState* task = job ? job->findTask(row.task) : nullptr;
+    if (!task || !job->isOpen() || task->completed) {
+        release(now, row.task, row.run, {});
+        return;
+    }
+    // A run that was given up because its lease was over no longer counts: the task may run elsewhere by now.
+    if (!run && !task->runs.empty())
+        return;
+    task->lastRun = std::max(task->lastRun, row.run);
+    if (row.how == Wire::RunEnd::Completed && !job->stepDefinition(*step).longRunning) {
+        ++m_state.counters.completedTasks;
+        job->complete(now, *step, static_cast<std::size_t>(row.task.index));
+        release(now, row.task, row.run, {});
+        m_state.markDirty(now, row.task.jobId, false);
+        for (const RunPlace& copy : std::vector<RunPlace>(task->runs)) {
+            Host* other = m_state.hosts.find(copy.hostId);
+            std::map<RunKey, HostRun>::iterator it;
+            if (other && (it = other->runs.find(runKey(row.task, copy.run))) != other->runs.end())
+                halt(now, *other, it->second, "copy_finished_first", actions);
+        }
+        if (job->isCompleted())
+            finish(now, *job, Wire::JobOutcome::Completed, "all_tasks_completed", actions);
+        m_state.scheduleDue = true;
+        return;
+    }
+    if (row.how == Wire::RunEnd::Lapsed)
+        ++m_state.counters.lapsedRuns;
+    release(now, row.task, row.run, row.checkpoint);
+    if (!row.checkpoint.empty())
+        m_state.markDirty(now, row.task.jobId, false);
+    if (row.how == Wire::RunEnd::Failed && !job->stepDefinition(*step).longRunning)
+        onFailure(now, *job, *task, host, actions);
+}
+
+void RunLedger::haltMissing(Instant now, Host& host, const Wire::HostReport& report, Actions& actions)
+{
+    for (std::pair<const RunKey, HostRun>& entry : host.runs) {
+        const bool shown = std::any_of(report.running.begin(), report.running.end(),
+            [&entry](const Wire::RunningTask& row) { return runKey(row.task, row.run) == entry.first; });
+        // Ordered over an earlier link and not there: it may still arrive, unless it is told to stop first.
+        if (!shown || entry.second.phase == RunPhase::Halting)
+            halt(now, host, entry.second, "unresolved_order", actions);
+    }
+}
+
+void RunLedger::halt(Instant now, Host& host, HostRun& run, const char* why, Actions& actions)
+{
+    (void)now;
+    if (run.phase == RunPhase::Halting && std::string_view(why) != "unresolved_order")
+        return;
+    run.phase = RunPhase::Halting;
+    ++m_state.counters.haltedRuns;
+    Wire::HaltOrder order;
+    order.task = run.task;
+    order.run = run.run;
+    host.orders.halts.push_back(std::move(order));
+    LogLine line("halt");
+    addTask(line, run.task).add("run", run.run).add("host", host.hostId).add("why", why);
+    actions.push_back(WriteLog { line.text() });
+}
+
+void RunLedger::haltJob(Instant now, const std::string& jobId)
+{
+    Actions unused;
+    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
+        Host& host = entry.second;
+        const RunKey first { jobId, 0, 0, 0, 0 };
+        for (std::map<RunKey, HostRun>::iterator it = host.runs.lower_bound(first);
+             it != host.runs.end() && it->second.task.jobId == jobId; ++it)
+            halt(now, host, it->second, "job_finished", unused);
+    }
+}
+
+void RunLedger::finish(
+    Instant now, JobState& job, Wire::JobOutcome::type outcome, const std::string& why, Actions& actions)
+{
+    job.setOutcome(outcome);
+    m_state.openJobs.erase(job.definition().jobId);
+    haltJob(now, job.definition().jobId);
+    m_state.markDirty(now, job.definition().jobId, true);
+    if (outcome == Wire::JobOutcome::Completed)
+        ++m_state.counters.completedJobs;
+    if (outcome == Wire::JobOutcome::Failed)
+        ++m_state.counters.failedJobs;
+    actions.push_back(WriteLog { LogLine("job_finished")
+                                     .add("job", job.definition().jobId)
+                                     .add("queue", job.definition().queue)
+                                     .add("outcome", outcomeName(outcome))
+                                     .add("why", why)
+                                     .add("after_ms", toMilliseconds(now - job.accepted()))
+                                     .add("due_in_ms", toMilliseconds(job.due() - now))
+                                     .text() });
+}
+
+void RunLedger::loseRuns(Instant now, Host& host, const char* why, Actions& actions)
+{
+    if (!host.runs.empty())
+        actions.push_back(WriteLog { LogLine("runs_lost")
+                                         .add("host", host.hostId)
+                                         .add("incarnation", host.incarnation)
+                                         .add("runs", host.runs.size())
+                                         .add("why", why)
+                                         .add("silent_ms", toMilliseconds(now - host.heardAt))
+                                         .text() });
+    while (!host.runs.empty()) {
+        const HostRun run = *HostBook::removeRun(host, host.runs.begin()->first);
+        ++m_state.counters.lostRuns;
+        release(now, run.task, run.run, run.checkpoint);
+    }
+}
+
+void RunLedger::drain(Instant now, Host& host, Actions& actions)
+{
+    for (std::pair<const RunKey, HostRun>& entry : host.runs) {
+        HostRun& run = entry.second;
+        if (run.phase != RunPhase::Running)
+            continue;
+        const Duration left = run.since + milliseconds(run.estimateMilliseconds) - now;
+        if (run.longRunning || left > host.remaining)
+            halt(now, host, run, "host_draining", actions);
+    }
+}
+
+void RunLedger::onLinkDown(Instant now, LinkId link)
+{
+    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
+        Host& host = entry.second;
+        if (host.link != link)
+            continue;
+        host.link = noLink;
+        host.heardAt = now;
+        host.orders.starts.clear();
+        host.orders.halts.clear();
+        host.orders.paces.clear();
+    }
+}
+
+void RunLedger::tick(Instant now, Actions& actions)
+{
+    std::map<std::string, Host>& hosts = m_state.hosts.hosts();
+    for (std::map<std::string, Host>::iterator it = hosts.begin(); it != hosts.end();) {
+        Host& host = it->second;
+        if (!host.runs.empty() && now >= host.lapsesAt) {
+            loseRuns(now, host, "lease_over", actions);
+            // What it lists when it comes back is compared anew.
+            host.listed = host.listed && host.link != noLink;
+        }
+        if (host.link == noLink && host.runs.empty() && now >= host.lapsesAt && now - host.heardAt > forgetHostAfter) {
+            m_state.journal.add(now, StoreRecord { StoreKey::host(host.hostId), {} }, Urgency::Lazy);
+            it = hosts.erase(it);
+            continue;
+        }
+        ++it;
+    }
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Job/RunLedger.h
@@ -0,0 +1,47 @@
+/// Keeps jobs and hosts in step: takes reports of hosts in, ends runs, and decides what a run that is over means for its
+/// task. Answers the pattern "late, lost and repeated news": every report may come twice, late or from an earlier life.
+#pragma once
+
+#include "Decision/Job/OwnerState.h"
+
+namespace Plantainpier {
+
+/// The owner's bookkeeping of runs. Lives as long as the term.
+class RunLedger {
+public:
+    explicit RunLedger(OwnerState& state)
+        : m_state(state)
+    {
+    }
+
+    void onReport(Instant now, LinkId link, const Wire::HostReport& report, Actions& actions);
+    void onLinkDown(Instant now, LinkId link);
+    /// Gives up what ran on hosts whose lease is over, forgets hosts that stay away.
+    void tick(Instant now, Actions& actions);
+    /// Orders the end of every run of a job.
+    void haltJob(Instant now, const std::string& jobId);
+    void halt(Instant now, Host& host, HostRun& run, const char* why, Actions& actions);
+    /// Finishes a job as completed, failed or cancelled.
+    void finish(Instant now, JobState& job, Wire::JobOutcome::type outcome, const std::string& why, Actions& actions);
+    /// A fence refused this owner's orders: a later owner has been there.
+    bool isFenced() const { return m_fenced; }
+
+private:
+    Host& enter(Instant now, LinkId link, const Wire::HostReport& report, Actions& actions);
+    void onResult(Instant now, Host& host, const Wire::OrderResult& result, Actions& actions);
+    void onRunning(Instant now, Host& host, const Wire::RunningTask& row, Actions& actions);
+    void adopt(Instant now, Host& host, const Wire::RunningTask& row, Actions& actions);
+    void onEnded(Instant now, Host& host, const Wire::EndedTask& row, Actions& actions);
+    void onFailure(Instant now, JobState& job, TaskState& task, const Host& host, Actions& actions);
+    void learn(Instant now, Host& host, const HostRun& run, Wire::RunEnd::type how, Actions& actions);
+    void haltMissing(Instant now, Host& host, const Wire::HostReport& report, Actions& actions);
+    void loseRuns(Instant now, Host& host, const char* why, Actions& actions);
+    void drain(Instant now, Host& host, Actions& actions);
+    /// Takes the run away from its task. The task waits again if it has no other.
+    void release(Instant now, const Wire::TaskName& name, int run, const std::string& checkpoint);
+
+    OwnerState& m_state;
+    bool m_fenced = false;
+};
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -0,0 +1,235 @@
+#include "Decision/Job/TaskScheduler.h"
+
+#include <algorithm>
+
+namespace Plantainpier {
+
+namespace {
+
+    /// Run numbers that an earlier term may have used for one task; see RunLedger.
+    constexpr int runNumbersOfATerm = 64;
+    /// Runs that one pass may stop to make room for more urgent work.
+    constexpr int maximumHaltsForRoom = 4;
+
+} // namespace
+
+std::vector<TaskScheduler::Candidate> TaskScheduler::collect(Instant now)
+{
+    std::vector<Candidate> candidates;
+    for (const std::pair<const std::string, JobState*>& entry : m_state.openJobs) {
+        JobState& job = *entry.second;
+        job.addDueOccurrences(now, m_state.unixMilliseconds);
+        for (std::size_t n = 0; n < job.steps().size(); ++n) {
+            const StepState& step = job.steps()[n];
+            if (step.open && step.waiting > 0)
+                candidates.push_back(Candidate { workKey(job, step, now), &job, n });
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(),
+        [](const Candidate& one, const Candidate& other) { return one.key < other.key; });
+    return candidates;
+}
+
+void TaskScheduler::pass(Instant now, Actions& actions)
+{
+    const bool accounted = m_state.hostsAccounted(now);
+    int roomMade = 0;
+    for (const Candidate& candidate : collect(now)) {
+        JobState& job = *candidate.job;
+        if (!job.isOpen())
+            continue;
+        StepState& step = job.steps()[candidate.step];
+        if (job.stepDefinition(step).gang)
+            placeGang(now, job, step, actions);
+        else
+            placeStep(now, job, step, accounted, actions);
+        if (step.waiting > 0 && roomMade < maximumHaltsForRoom && makeRoom(now, job, step, actions))
+            ++roomMade;
+    }
+}
+
+int TaskScheduler::nextRun(const JobState& job, const TaskState& task) const
+{
+    const std::int64_t terms = m_state.term - job.definition().acceptedTerm;
+    const int first = 1 + static_cast<int>(terms) * runNumbersOfATerm;
+    return std::max(task.lastRun + 1, first);
+}
+
+PlacementRequest TaskScheduler::request(const JobState& job, const StepState& step, const TaskState& task) const
+{
+    return PlacementRequest { job.definition(), job.stepDefinition(step), step.occurrence, step.step, task.runs, {} };
+}
+
+void TaskScheduler::placeStep(Instant now, JobState& job, StepState& step, bool accounted, Actions& actions)
+{
+    const bool inherited = job.definition().acceptedTerm != m_state.term;
+    const bool copyAllowed = job.stepDefinition(step).allowDuplicates;
+    for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+        TaskState& task = step.tasks[n];
+        if (!task.isWaiting() || now < task.notBefore)
+            continue;
+        // An earlier owner may have started it on a host that has not been heard yet.
+        if (inherited && !accounted && !copyAllowed)
+            return;
+        Host* host = m_placement.choose(m_state.hosts, request(job, step, task), now);
+        if (!host || m_state.journal.stored() < host->recordTicket)
+            return;
+        start(now, job, step, n, nextRun(job, task), *host, actions);
+    }
+}
+
+void TaskScheduler::placeGang(Instant now, JobState& job, StepState& step, Actions& actions)
+{
+    const bool inherited = job.definition().acceptedTerm != m_state.term;
+    if (inherited && !m_state.hostsAccounted(now))
+        return;
+    int run = 0;
+    for (const TaskState& task : step.tasks) {
+        if (!task.isWaiting() || now < task.notBefore)
+            return;
+        run = std::max(run, nextRun(job, task));
+    }
+    // All members or none: the choice is tried on the books and taken back when one finds no host.
+    std::vector<std::string> racks { std::string() };
+    if (job.stepDefinition(step).sameRack) {
+        std::set<std::string> known;
+        for (const std::pair<const std::string, Host>& entry : m_state.hosts.hosts())
+            known.insert(entry.second.rack);
+        racks.insert(racks.begin(), known.begin(), known.end());
+    }
+    for (const std::string& rack : racks) {
+        std::vector<Host*> chosen;
+        for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+            PlacementRequest wanted = request(job, step, step.tasks[n]);
+            wanted.rack = rack;
+            Host* host = m_placement.choose(m_state.hosts, wanted, now);
+            if (!host || m_state.journal.stored() < host->recordTicket)
+                break;
+            HostRun trial;
+            trial.task.jobId = job.definition().jobId;
+            trial.task.occurrence = step.occurrence;
+            trial.task.step = step.step;
+            trial.task.index = static_cast<std::int32_t>(n);
+            trial.run = run;
+            trial.demand = job.stepDefinition(step).demand;
+            trial.filler = job.stepDefinition(step).filler;
+            HostBook::addRun(*host, trial);
+            chosen.push_back(host);
+        }
+        for (std::size_t n = 0; n < chosen.size(); ++n) {
+            Wire::TaskName name;
+            name.jobId = job.definition().jobId;
+            name.occurrence = step.occurrence;
+            name.step = step.step;
+            name.index = static_cast<std::int32_t>(n);
+            HostBook::removeRun(*chosen[n], runKey(name, run));
+        }
+        if (chosen.size() < step.tasks.size())
+            continue;
+        std::string checkpoint;
+        for (const TaskState& task : step.tasks)
+            checkpoint = std::max(checkpoint, task.checkpoint);
+        for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+            step.tasks[n].checkpoint = checkpoint;
+            start(now, job, step, n, run, *chosen[n], actions);
+        }
+        return;
+    }
+}
+
+bool TaskScheduler::makeRoom(Instant now, JobState& job, StepState& step, Actions& actions)
+{
+    const Wire::StepDefinition& definition = job.stepDefinition(step);
+    const int priority = job.definition().priority;
+    Host* bestHost = nullptr;
+    std::vector<HostRun*> bestRuns;
+    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
+        Host& host = entry.second;
+        if (!host.listed || host.draining || host.link == noLink || host.service != job.definition().serviceName)
+            continue;
+        std::int64_t processors = host.freeMilliCores();
+        std::int64_t memory = host.freeMegabytes();
+        std::vector<HostRun*> victims;
+        bool halting = false;
+        for (std::pair<const RunKey, HostRun>& run : host.runs) {
+            halting = halting || run.second.phase == RunPhase::Halting;
+            if (run.second.phase == RunPhase::Running && run.second.priority > priority && !run.second.longRunning)
+                victims.push_back(&run.second);
+        }
+        // What is being stopped makes room soon.
+        if (halting)
+            return false;
+        std::sort(victims.begin(), victims.end(),
+            [](const HostRun* one, const HostRun* other) { return one->since > other->since; });
+        std::vector<HostRun*> chosen;
+        for (HostRun* victim : victims) {
+            const bool enough = memory >= definition.demand.memoryMegabytes
+                && (definition.filler || processors >= definition.demand.milliProcessors);
+            if (enough)
+                break;
+            memory += victim->demand.memoryMegabytes;
+            processors += victim->filler ? 0 : victim->demand.milliProcessors;
+            chosen.push_back(victim);
+        }
+        const bool enough = memory >= definition.demand.memoryMegabytes
+            && (definition.filler || processors >= definition.demand.milliProcessors);
+        if (enough && !chosen.empty() && (!bestHost || chosen.size() < bestRuns.size())) {
+            bestHost = &host;
+            bestRuns = chosen;
+        }
+    }
+    if (!bestHost)
+        return false;
+    for (HostRun* run : bestRuns)
+        m_ledger.halt(now, *bestHost, *run, "room_for_more_urgent_work", actions);
+    return true;
+}
+
+void TaskScheduler::start(
+    Instant now, JobState& job, StepState& step, std::size_t index, int run, Host& host, Actions& actions)
+{
+    const Wire::StepDefinition& definition = job.stepDefinition(step);
+    TaskState& task = step.tasks[index];
+    if (task.runs.empty())
+        --step.waiting;
+    task.lastRun = run;
+    task.runs.push_back(RunPlace { host.hostId, host.incarnation, run, now });
+    HostRun hostRun;
+    hostRun.task.jobId = job.definition().jobId;
+    hostRun.task.occurrence = step.occurrence;
+    hostRun.task.step = step.step;
+    hostRun.task.index = static_cast<std::int32_t>(index);
+    hostRun.run = run;
+    hostRun.demand = definition.demand;
+    hostRun.filler = definition.filler;
+    hostRun.longRunning = definition.longRunning;
+    hostRun.priority = job.definition().priority;
+    hostRun.image = definition.image;
+    hostRun.targetMilliseconds = definition.targetMilliseconds;
+    hostRun.estimateMilliseconds = definition.estimateMilliseconds;
+    hostRun.since = now;
+    hostRun.checkpoint = task.checkpoint;
+    Wire::StartOrder order;
+    order.task = hostRun.task;
+    order.run = run;
+    order.payload = job.definition().payload;
+    order.checkpoint = task.checkpoint;
+    HostBook::addRun(host, std::move(hostRun));
+    job.setStarted();
+    ++m_state.counters.started;
+    actions.push_back(WriteLog { LogLine("place")
+                                     .add("job", job.definition().jobId)
+                                     .add("occurrence", step.occurrence)
+                                     .add("step", step.step)
+                                     .add("task", index)
+                                     .add("run", run)
+                                     .add("host", host.hostId)
+                                     .add("waited_ms", toMilliseconds(now - task.waitingSince))
+                                     .add("host_age_ms", toMilliseconds(now - host.clockReadAt))
+                                     .add("free_milli", host.freeMilliCores())
+                                     .add("free_mb", host.freeMegabytes())
+                                     .text() });
+    host.orders.starts.push_back(std::move(order));
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -0,0 +1,44 @@
+/// Starts waiting tasks on hosts: takes the order of work and the choice of hosts together, pass by pass.
+#pragma once
+
+#include "Decision/Job/OwnerState.h"
+#include "Decision/Job/Placement.h"
+#include "Decision/Job/RunLedger.h"
+#include "Decision/Job/WorkOrder.h"
+
+namespace Plantainpier {
+
+/// The scheduling pass of the owner. Lives as long as the term.
+class TaskScheduler {
+public:
+    TaskScheduler(OwnerState& state, RunLedger& ledger, const PlacementRules& rules)
+        : m_state(state)
+        , m_ledger(ledger)
+        , m_placement(rules)
+    {
+    }
+
+    /// Places what can be placed now.
+    void pass(Instant now, Actions& actions);
+
+private:
+    struct Candidate {
+        WorkKey key;
+        JobState* job;
+        std::size_t step;
+    };
+
+    std::vector<Candidate> collect(Instant now);
+    void placeStep(Instant now, JobState& job, StepState& step, bool accounted, Actions& actions);
+    void placeGang(Instant now, JobState& job, StepState& step, Actions& actions);
+    bool makeRoom(Instant now, JobState& job, StepState& step, Actions& actions);
+    void start(Instant now, JobState& job, StepState& step, std::size_t index, int run, Host& host, Actions& actions);
+    int nextRun(const JobState& job, const TaskState& task) const;
+    PlacementRequest request(const JobState& job, const StepState& step, const TaskState& task) const;
+
+    OwnerState& m_state;
+    RunLedger& m_ledger;
+    Placement m_placement;
+};
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -0,0 +1,376 @@
+#include "Decision/Process/HostAgent.h"
+
+#include "Wire/Codec.h"
+
+#include <algorithm>
+
+namespace Plantainpier {
+
+namespace {
+
+    /// Refused connections in a row after which the host's process counts as ended: its port is closed.
+    constexpr int refusalsOfAnEndedHost = 2;
+
+    Wire::OrderResult makeResult(
+        const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome, const std::string& reason)
+    {
+        Wire::OrderResult result;
+        result.task = task;
+        result.run = run;
+        result.outcome = outcome;
+        result.reason = reason;
+        return result;
+    }
+
+} // namespace
+
+HostAgent::HostAgent(NodeIdentity identity, const HostAgentTiming& timing)
+    : m_identity(std::move(identity))
+    , m_timing(timing)
+    , m_claims(StoreTopic::Owners, WatchTiming {})
+{
+}
+
+Wire::HostReport HostAgent::makeReport() const
+{
+    Wire::HostReport report;
+    report.hostId = m_facts->hostId;
+    report.incarnation = m_facts->incarnation;
+    report.serviceName = m_facts->service;
+    report.zone = m_facts->zone;
+    report.rack = m_facts->rack;
+    report.labels = m_facts->labels;
+    report.capacity = m_facts->capacity;
+    report.state = m_facts->draining ? Wire::HostState::Draining : Wire::HostState::Ready;
+    report.remainingMilliseconds = m_facts->remainingMilliseconds;
+    report.highestTerm = m_term;
+    return report;
+}
+
+void HostAgent::send(Wire::HostReport report, Actions& actions)
+{
+    if (m_link.isUp())
+        actions.push_back(SendMessage { m_link.link(), std::move(report) });
+}
+
+void HostAgent::sendResult(const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome,
+    const std::string& reason, Actions& actions)
+{
+    if (!m_facts)
+        return;
+    Wire::HostReport report = makeReport();
+    report.results.push_back(makeResult(task, run, outcome, reason));
+    send(std::move(report), actions);
+}
+
+void HostAgent::replaceHost(Instant now, const char* why, Actions& actions)
+{
+    actions.push_back(WriteLog { LogLine("host_ended")
+                                     .add("host", m_facts->hostId)
+                                     .add("incarnation", m_facts->incarnation)
+                                     .add("why", why)
+                                     .text() });
+    Wire::HostReport report = makeReport();
+    report.state = Wire::HostState::Gone;
+    send(std::move(report), actions);
+    m_facts.reset();
+    m_halts.clear();
+    m_leaseUntilMilliseconds = 0;
+    m_acknowledgedNumber = 0;
+    m_refusedConnections = 0;
+    m_listWanted = false;
+    m_notBefore = now;
+}
+
+void HostAgent::onAnnouncement(Instant now, const HostFacts& facts, Actions& actions)
+{
+    if (m_facts && facts.incarnation < m_facts->incarnation)
+        return;
+    const bool same = m_facts && m_facts->hostId == facts.hostId && m_facts->incarnation == facts.incarnation;
+    if (same && facts.sequence < m_facts->sequence)
+        return;
+    if (m_facts && !same)
+        replaceHost(now, "announced_anew", actions);
+    const bool news = !same || m_facts->draining != facts.draining;
+    m_facts = facts;
+    if (!news)
+        return;
+    actions.push_back(WriteLog { LogLine("host_announced")
+                                     .add("host", facts.hostId)
+                                     .add("incarnation", facts.incarnation)
+                                     .add("draining", facts.draining)
+                                     .add("remaining_ms", facts.remainingMilliseconds)
+                                     .text() });
+    send(makeReport(), actions);
+}
+
+void HostAgent::onFarewell(Instant now, const std::string& hostId, Actions& actions)
+{
+    if (m_facts && m_facts->hostId == hostId)
+        replaceHost(now, "said_farewell", actions);
+}
+
+void HostAgent::onLinkUp(Instant now, LinkId link, Actions& actions)
+{
+    Wire::NodeHello hello;
+    hello.nodeId = m_identity.nodeId;
+    hello.incarnation = m_identity.incarnation;
+    hello.isSide = true;
+    hello.term = m_owner.term;
+    if (!m_link.onUp(now, link, hello, actions)) {
+        actions.push_back(CloseLink { link });
+        return;
+    }
+    actions.push_back(
+        WriteLog { LogLine("owner_link_up").add("owner", m_owner.claim.nodeId).add("term", m_owner.term).text() });
+    if (m_facts)
+        send(makeReport(), actions);
+}
+
+void HostAgent::onLinkDown(Instant now, LinkId link, Actions& actions)
+{
+    const bool wasUp = m_link.isUp();
+    if (m_link.onDown(now, link) && wasUp)
+        actions.push_back(WriteLog {
+            LogLine("owner_link_lost").add("owner", m_owner.claim.nodeId).add("term", m_owner.term).text() });
+}
+
+void HostAgent::onMessage(Instant now, LinkId link, const PeerMessage& message, Actions& actions)
+{
+    m_link.onHeard(now, link);
+    if (link != m_link.link())
+        return;
+    if (const Wire::HostOrders* orders = std::get_if<Wire::HostOrders>(&message))
+        onOrders(now, *orders, actions);
+}
+
+void HostAgent::onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions)
+{
+    if (orders.term < m_term)
+        return;
+    m_term = orders.term;
+    if (!m_facts || orders.hostId != m_facts->hostId || orders.incarnation != m_facts->incarnation) {
+        // The incarnation that was meant is over: nothing of it runs.
+        Wire::HostReport report;
+        report.hostId = orders.hostId;
+        report.incarnation = orders.incarnation;
+        report.state = Wire::HostState::Gone;
+        report.highestTerm = m_term;
+        if (m_facts)
+            send(std::move(report), actions);
+        return;
+    }
+    m_leaseUntilMilliseconds = std::max(m_leaseUntilMilliseconds, orders.leaseUntilMilliseconds);
+    m_acknowledgedNumber = std::max(m_acknowledgedNumber, orders.acknowledgedNumber);
+    m_listWanted = true;
+    for (const Wire::StartOrder& start : orders.starts) {
+        if (m_facts->draining) {
+            sendResult(start.task, start.run, Wire::OrderOutcome::Refused, "draining", actions);
+            continue;
+        }
+        actions.push_back(
+            StartOnHost { m_facts->hostId, m_facts->incarnation, m_term, m_leaseUntilMilliseconds, start });
+    }
+    for (const Wire::HaltOrder& halt : orders.halts)
+        addHalt(now, halt.task, halt.run);
+    for (const Wire::PaceOrder& pace : orders.paces)
+        actions.push_back(PaceOnHost { m_facts->hostId, m_facts->incarnation, m_term, pace });
+}
+
+void HostAgent::addHalt(Instant now, const Wire::TaskName& task, int run)
+{
+    Halt halt;
+    halt.order.task = task;
+    halt.order.run = run;
+    halt.notBefore = now;
+    m_halts.insert_or_assign(runKey(task, run), std::move(halt));
+}
+
+void HostAgent::onStarted(Instant now, const StartOnHost& order, const HostResponse& response, Actions& actions)
+{
+    const bool current = m_facts && m_facts->hostId == order.hostId && m_facts->incarnation == order.incarnation;
+    if (!current)
+        return;
+    const Wire::StartOrder& start = order.order;
+    switch (response.answer) {
+    case HostAnswer::Done:
+        sendResult(start.task, start.run, Wire::OrderOutcome::Started, {}, actions);
+        return;
+    case HostAnswer::Refused:
+        sendResult(start.task, start.run, Wire::OrderOutcome::Refused, response.reason, actions);
+        return;
+    case HostAnswer::NotListening:
+        sendResult(start.task, start.run, Wire::OrderOutcome::Refused, "not_listening", actions);
+        m_notBefore = now;
+        return;
+    case HostAnswer::OtherIncarnation:
+        replaceHost(now, "other_incarnation_answered", actions);
+        return;
+    case HostAnswer::Uncertain:
+        // It may run or may still come to run: it is told to stop, after which it cannot start any more.
+        actions.push_back(WriteLog { LogLine("start_unanswered")
+                                         .add("job", start.task.jobId)
+                                         .add("step", start.task.step)
+                                         .add("task", start.task.index)
+                                         .add("run", start.run)
+                                         .text() });
+        addHalt(now, start.task, start.run);
+        return;
+    }
+}
+
+void HostAgent::onHalted(Instant now, const HaltOnHost& order, const HostResponse& response, Actions& actions)
+{
+    (void)actions;
+    std::map<RunKey, Halt>::iterator it = m_halts.find(runKey(order.order.task, order.order.run));
+    if (it == m_halts.end())
+        return;
+    it->second.inFlight = false;
+    it->second.answered = response.answer == HostAnswer::Done;
+    it->second.answeredAt = now;
+    it->second.notBefore = now + m_timing.haltPause;
+    if (it->second.answered)
+        m_listWanted = true;
+}
+
+void HostAgent::onPaced(Instant, const PaceOnHost& order, const HostResponse& response, Actions& actions)
+{
+    // The next list tells the owner the pace that holds.
+    if (response.answer != HostAnswer::Done)
+        actions.push_back(WriteLog { LogLine("pace_failed")
+                                         .add("job", order.order.task.jobId)
+                                         .add("percent", order.order.percent)
+                                         .add("reason", response.reason)
+                                         .text() });
+}
+
+void HostAgent::settleHalts(const HostResponse& response, Wire::HostReport& report)
+{
+    for (std::map<RunKey, Halt>::iterator it = m_halts.begin(); it != m_halts.end();) {
+        const bool running = std::any_of(response.running.begin(), response.running.end(),
+            [&it](const Wire::RunningTask& row) { return runKey(row.task, row.run) == it->first; });
+        const bool ended = std::any_of(response.ended.begin(), response.ended.end(),
+            [&it](const Wire::EndedTask& row) { return runKey(row.task, row.run) == it->first; });
+        // Only a list that was asked for after the stop was taken says that the run is not there.
+        const bool decisive = it->second.answered && it->second.answeredAt <= m_listSentAt;
+        if (!decisive || running) {
+            ++it;
+            continue;
+        }
+        if (!ended)
+            report.results.push_back(makeResult(
+                it->second.order.task, it->second.order.run, Wire::OrderOutcome::Absent, "stopped_before_it_ran"));
+        it = m_halts.erase(it);
+    }
+}
+
+void HostAgent::onListed(Instant now, const ListHost& order, const HostResponse& response, Actions& actions)
+{
+    m_listInFlight = false;
+    const bool current = m_facts && m_facts->hostId == order.hostId && m_facts->incarnation == order.incarnation;
+    if (!current)
+        return;
+    switch (response.answer) {
+    case HostAnswer::Done: {
+        m_refusedConnections = 0;
+        if (response.incarnation != 0 && response.incarnation != m_facts->incarnation) {
+            replaceHost(now, "other_incarnation_listed", actions);
+            return;
+        }
+        Wire::HostReport report = makeReport();
+        report.listed = true;
+        report.clockMilliseconds = response.clockMilliseconds;
+        report.running = response.running;
+        report.ended = response.ended;
+        settleHalts(response, report);
+        send(std::move(report), actions);
+        const bool unacknowledged = std::any_of(response.ended.begin(), response.ended.end(),
+            [this](const Wire::EndedTask& row) { return row.number > m_acknowledgedNumber; });
+        m_notBefore = unacknowledged ? now + m_timing.listPause : now;
+        return;
+    }
+    case HostAnswer::NotListening:
+        m_notBefore = now + m_timing.failurePause;
+        if (++m_refusedConnections >= refusalsOfAnEndedHost)
+            replaceHost(now, "its_port_is_closed", actions);
+        return;
+    case HostAnswer::OtherIncarnation:
+        replaceHost(now, "other_incarnation_answered", actions);
+        return;
+    case HostAnswer::Refused: {
+        m_notBefore = now + m_timing.failurePause;
+        actions.push_back(WriteLog {
+            LogLine("list_refused").add("host", order.hostId).add("term", order.term).add("reason", response.reason).text() });
+        return;
+    }
+    case HostAnswer::Uncertain:
+        m_notBefore = now + m_timing.failurePause;
+        return;
+    }
+}
+
+void HostAgent::takeClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions)
+{
+    for (const StoreRecord& record : records) {
+        const std::optional<Wire::OwnerClaim> claim = Wire::decode<Wire::OwnerClaim>(record.value);
+        if (!claim || record.offset + 1 <= m_owner.term)
+            continue;
+        m_owner = CurrentOwner { record.offset + 1, *claim };
+        actions.push_back(
+            WriteLog { LogLine("owner_seen").add("term", m_owner.term).add("owner", claim->nodeId).text() });
+    }
+    if (m_owner.term > 0)
+        m_link.setOwner(now, m_owner.term, m_owner.claim.address, m_owner.claim.port, actions);
+}
+
+void HostAgent::onRead(Instant now, std::uint64_t callId, const ReadResponse& response, Actions& actions)
+{
+    if (callId == m_claimsCall)
+        takeClaims(now, m_claims.onRead(now, response), actions);
+}
+
+void HostAgent::onNewest(Instant now, std::uint64_t callId, const NewestResponse& response, Actions& actions)
+{
+    if (callId == m_claimsCall)
+        takeClaims(now, m_claims.onNewest(now, response), actions);
+}
+
+void HostAgent::tick(Instant now, Actions& actions)
+{
+    if (!m_claims.isReading()) {
+        std::optional<Action> read = m_claims.next(now, m_lastCall + 1);
+        if (read) {
+            m_claimsCall = ++m_lastCall;
+            actions.push_back(std::move(*read));
+        }
+    }
+    m_link.tick(now, false, actions);
+    if (!m_facts)
+        return;
+    for (std::pair<const RunKey, Halt>& entry : m_halts) {
+        Halt& halt = entry.second;
+        if (halt.inFlight || halt.answered || now < halt.notBefore)
+            continue;
+        halt.inFlight = true;
+        actions.push_back(HaltOnHost { m_facts->hostId, m_facts->incarnation, m_term, halt.order });
+    }
+    // Without an owner there is nothing to tell anybody, and no term to look under.
+    const bool due = m_listWanted || m_link.isUp();
+    if (m_term == 0 || m_listInFlight || !due || now < m_notBefore)
+        return;
+    ListHost list;
+    list.hostId = m_facts->hostId;
+    list.incarnation = m_facts->incarnation;
+    list.term = m_term;
+    list.leaseUntilMilliseconds = m_leaseUntilMilliseconds;
+    list.acknowledgedNumber = m_acknowledgedNumber;
+    // A stop that was just taken is looked at soon; else the answer waits for an end.
+    const bool hurried = !m_halts.empty() || m_notBefore == now;
+    list.wait = hurried ? m_timing.listPause : m_timing.listWait;
+    m_listWanted = false;
+    m_listInFlight = true;
+    m_listSentAt = now;
+    actions.push_back(std::move(list));
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Process/HostAgent.h
@@ -0,0 +1,100 @@
+/// The decisions of a side: keeps what the host beside it says of itself, carries the owner's orders out and reports what
+/// runs. It grants nothing by itself: leases are absolute times of the host's clock, only passed on.
+#pragma once
+
+#include "Decision/Job/HostBook.h"
+#include "Decision/Process/Ownership.h"
+#include "Decision/Process/PeerLink.h"
+
+#include <map>
+
+namespace Plantainpier {
+
+/// What a host says of itself.
+struct HostFacts {
+    std::string hostId;
+    std::int64_t incarnation = 0;
+    std::string service;
+    std::string zone;
+    std::string rack;
+    std::vector<std::string> labels;
+    Wire::Resources capacity;
+    bool draining = false;
+    std::int64_t remainingMilliseconds = 0;
+    /// Counts up within an incarnation, so that a late announcement is known as such.
+    std::int64_t sequence = 0;
+};
+
+/// When the host is looked at.
+struct HostAgentTiming {
+    /// A list waits this long for an end; its usage figures are for half a second.
+    Duration listWait = milliseconds(450);
+    /// Pause after a list while ends wait for their acknowledgement, and after one without an answer.
+    Duration listPause = milliseconds(40);
+    Duration failurePause = milliseconds(100);
+    Duration haltPause = milliseconds(150);
+};
+
+/// One side. Lives for the process; no clock, thread or socket.
+class HostAgent {
+public:
+    HostAgent(NodeIdentity identity, const HostAgentTiming& timing);
+
+    /// The host announced itself or said that it leaves.
+    void onAnnouncement(Instant now, const HostFacts& facts, Actions& actions);
+    void onFarewell(Instant now, const std::string& hostId, Actions& actions);
+    void onLinkUp(Instant now, LinkId link, Actions& actions);
+    void onLinkDown(Instant now, LinkId link, Actions& actions);
+    void onMessage(Instant now, LinkId link, const PeerMessage& message, Actions& actions);
+    void onStarted(Instant now, const StartOnHost& order, const HostResponse& response, Actions& actions);
+    void onHalted(Instant now, const HaltOnHost& order, const HostResponse& response, Actions& actions);
+    void onPaced(Instant now, const PaceOnHost& order, const HostResponse& response, Actions& actions);
+    void onListed(Instant now, const ListHost& order, const HostResponse& response, Actions& actions);
+    void onRead(Instant now, std::uint64_t callId, const ReadResponse& response, Actions& actions);
+    void onNewest(Instant now, std::uint64_t callId, const NewestResponse& response, Actions& actions);
+    void tick(Instant now, Actions& actions);
+
+    bool isLinked() const { return m_link.isUp(); }
+    std::int64_t term() const { return m_term; }
+
+private:
+    /// An order to stop, until it is certain that the run is over.
+    struct Halt {
+        Wire::HaltOrder order;
+        bool inFlight = false;
+        bool answered = false;
+        Instant answeredAt;
+        Instant notBefore;
+    };
+
+    void takeClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
+    void onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions);
+    void addHalt(Instant now, const Wire::TaskName& task, int run);
+    void settleHalts(const HostResponse& response, Wire::HostReport& report);
+    void replaceHost(Instant now, const char* why, Actions& actions);
+    Wire::HostReport makeReport() const;
+    void send(Wire::HostReport report, Actions& actions);
+    void sendResult(const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome, const std::string& reason,
+        Actions& actions);
+
+    NodeIdentity m_identity;
+    HostAgentTiming m_timing;
+    StoreWatch m_claims;
+    std::uint64_t m_claimsCall = 0;
+    std::uint64_t m_lastCall = 0;
+    PeerLink m_link;
+    CurrentOwner m_owner;
+    /// The highest term that has given orders.
+    std::int64_t m_term = 0;
+    std::optional<HostFacts> m_facts;
+    std::int64_t m_leaseUntilMilliseconds = 0;
+    std::int64_t m_acknowledgedNumber = 0;
+    bool m_listInFlight = false;
+    bool m_listWanted = false;
+    Instant m_listSentAt;
+    Instant m_notBefore;
+    int m_refusedConnections = 0;
+    std::map<RunKey, Halt> m_halts;
+};
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Process/PeerLink.cpp
@@ -0,0 +1,119 @@
+#include "Decision/Process/PeerLink.h"
+
+#include "Base/LogLine.h"
+
+namespace Plantainpier {
+
+namespace {
+
+    /// Links that are dialled are numbered apart from those that are accepted.
+    constexpr LinkId firstDialledLink = LinkId(1) << 32;
+    constexpr Duration redialPause = milliseconds(150);
+
+    /// Machines of the platform run with a twentieth of a core at times: an answer may take this long.
+    LinkTiming ownerLinkTiming()
+    {
+        LinkTiming timing;
+        timing.busyHeartbeat = milliseconds(200);
+        timing.busySilence = milliseconds(900);
+        timing.idleHeartbeat = milliseconds(700);
+        timing.idleSilence = milliseconds(2000);
+        return timing;
+    }
+
+} // namespace
+
+PeerLink::PeerLink()
+    : m_timing(ownerLinkTiming())
+    , m_lastLink(firstDialledLink)
+{
+}
+
+LinkId PeerLink::newLink() { return ++m_lastLink; }
+
+void PeerLink::setOwner(Instant now, std::int64_t term, const std::string& address, int port, Actions& actions)
+{
+    if (term == m_term && address == m_address && port == m_port)
+        return;
+    clear(actions);
+    m_term = term;
+    m_address = address;
+    m_port = port;
+    m_failures = 0;
+    m_downSince = now;
+    m_notBefore = now;
+}
+
+void PeerLink::clear(Actions& actions)
+{
+    if (m_link != noLink)
+        actions.push_back(CloseLink { m_link });
+    m_link = noLink;
+    m_up = false;
+    m_monitor.reset();
+    m_address.clear();
+    m_term = 0;
+}
+
+bool PeerLink::onUp(Instant now, LinkId link, const Wire::NodeHello& hello, Actions& actions)
+{
+    if (link != m_link)
+        return false;
+    m_up = true;
+    m_failures = 0;
+    m_monitor->onUp(now);
+    actions.push_back(SendMessage { link, hello });
+    return true;
+}
+
+bool PeerLink::onDown(Instant now, LinkId link)
+{
+    if (link != m_link || link == noLink)
+        return false;
+    if (m_up)
+        m_downSince = now;
+    m_link = noLink;
+    m_up = false;
+    ++m_failures;
+    m_monitor.reset();
+    m_notBefore = now + redialPause;
+    return true;
+}
+
+void PeerLink::onHeard(Instant now, LinkId link)
+{
+    if (link == m_link && m_monitor)
+        m_monitor->onHeard(now);
+}
+
+bool PeerLink::tick(Instant now, bool busy, Actions& actions)
+{
+    if (m_address.empty())
+        return false;
+    if (m_link == noLink) {
+        if (now < m_notBefore)
+            return false;
+        m_link = newLink();
+        m_monitor.emplace(m_timing, now);
+        actions.push_back(OpenLink { m_link, m_address, m_port });
+        return false;
+    }
+    switch (m_monitor->tick(now, busy)) {
+    case LinkVerdict::Fine:
+        return false;
+    case LinkVerdict::SendHeartbeat: {
+        Wire::Ping ping;
+        ping.number = m_monitor->heartbeatNumber();
+        actions.push_back(SendMessage { m_link, ping });
+        return false;
+    }
+    case LinkVerdict::Suspect:
+        actions.push_back(WriteLog { LogLine("owner_link_silent").add("owner", m_address).add("busy", busy).text() });
+        actions.push_back(CloseLink { m_link });
+        onDown(now, m_link);
+        return true;
+    }
+    return false;
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Decision/Process/StoreWatch.h
@@ -0,0 +1,56 @@
+/// Follows one topic of the store: the newest record of each key first, then every new one as it comes.
+#pragma once
+
+#include "Decision/Process/Message.h"
+
+#include <optional>
+
+namespace Plantainpier {
+
+/// How a topic is followed.
+struct WatchTiming {
+    /// Longest wait of one read; the store answers at once when a record comes.
+    Duration wait = seconds(25);
+    /// Pause after a read that was not answered.
+    Duration pause = milliseconds(250);
+};
+
+/// Reads of one topic, one at a time. Used by entries and sides for owners and policy.
+class StoreWatch {
+public:
+    StoreWatch(StoreTopic topic, WatchTiming timing)
+        : m_topic(topic)
+        , m_timing(timing)
+    {
+    }
+
+    /// The read to make now, if none is under way.
+    std::optional<Action> next(Instant now, std::uint64_t callId);
+    /// The records of an answer that are new, in order.
+    std::vector<StoreRecord> onRead(Instant now, const ReadResponse& response);
+    std::vector<StoreRecord> onNewest(Instant now, const NewestResponse& response);
+    bool isReading() const { return m_reading; }
+    /// The whole topic has been seen at least once.
+    bool isCurrent() const { return m_current; }
+    /// Where the topic ended when it was last read.
+    std::int64_t end() const { return m_end; }
+    std::int64_t from() const { return m_from; }
+    /// When the store last answered.
+    Instant answeredAt() const { return m_answeredAt; }
+    void setWait(Duration wait) { m_timing.wait = wait; }
+
+private:
+    StoreTopic m_topic;
+    WatchTiming m_timing;
+    bool m_reading = false;
+    bool m_needsNewest = true;
+    bool m_current = false;
+    std::string m_after;
+    std::int64_t m_from = 0;
+    std::int64_t m_firstEnd = 0;
+    std::int64_t m_end = 0;
+    Instant m_notBefore;
+    Instant m_answeredAt;
+};
+
+} // namespace Plantainpier
--- a/Source/Shell/Connection/HttpClient.cpp
+++ b/Source/Shell/Connection/HttpClient.cpp
@@ -43,7 +43,7 @@
             curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
         }
         headers = curl_slist_append(headers, "Expect:");
-        headers = curl_slist_append(headers, "Content-Type: application/json");
+        headers = curl_slist_append(headers, ("Content-Type: " + request.contentType).c_str());
         for (const std::string& header : request.headers)
             headers = curl_slist_append(headers, header.c_str());
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
--- a/Source/Shell/Connection/HttpClient.h
+++ b/Source/Shell/Connection/HttpClient.h
@@ -29,6 +29,7 @@
     /// Whether the library may send the request a second time when a kept connection turns out to be closed. False
     /// makes it use a connection of its own.
     bool mayRepeat = true;
+    std::string contentType = "application/json";
 };
 
 /// How a request ended.
--- a/Source/Shell/Connection/HttpServer.cpp
+++ b/Source/Shell/Connection/HttpServer.cpp
@@ -22,10 +22,20 @@
     /// A Pistache request with its response writer.
     class PistacheCall : public HttpCall {
     public:
-        PistacheCall(const Pistache::Http::Request& request, Pistache::Http::ResponseWriter&& response)
+        PistacheCall(const Pistache::Http::Request& request, Pistache::Http::ResponseWriter&& response,
+            const std::vector<std::string>& keptHeaders)
             : m_response(std::move(response))
         {
             method = methodName(request.method());
+            const std::shared_ptr<const Pistache::Http::Header::Host> host
+                = request.headers().tryGet<Pistache::Http::Header::Host>();
+            if (host)
+                hostName = host->host();
+            for (const std::string& name : keptHeaders) {
+                const std::optional<Pistache::Http::Header::Raw> raw = request.headers().tryGetRaw(name);
+                if (raw)
+                    headers[name] = raw->value();
+            }
             path = request.resource();
             query = request.query().as_str();
             if (!query.empty() && query.front() == '?')
@@ -34,14 +44,21 @@
         }
 
         bool reply(int status, const std::string& text, Duration retryAfter) override
+        {
+            std::vector<std::pair<std::string, std::string>> more;
+            if (retryAfter > Duration::zero())
+                more.emplace_back("Retry-After", std::to_string((toMilliseconds(retryAfter) + 999) / 1000));
+            return replyWithHeaders(status, text, more);
+        }
+
+        bool replyWithHeaders(int status, const std::string& text,
+            const std::vector<std::pair<std::string, std::string>>& more) override
         {
             if (m_answered.exchange(true))
                 return false;
             try {
-                if (retryAfter > Duration::zero()) {
-                    const long long secondsUp = (toMilliseconds(retryAfter) + 999) / 1000;
-                    m_response.headers().addRaw(Pistache::Http::Header::Raw("Retry-After", std::to_string(secondsUp)));
-                }
+                for (const std::pair<std::string, std::string>& header : more)
+                    m_response.headers().addRaw(Pistache::Http::Header::Raw(header.first, header.second));
                 const bool isJson = !text.empty() && text.front() == '{';
                 const Pistache::Http::Mime::MediaType mime = isJson ? MIME(Application, Json) : MIME(Text, Plain);
                 m_response.send(static_cast<Pistache::Http::Code>(status), text, mime);
@@ -60,23 +77,26 @@
     public:
         HTTP_PROTOTYPE(CallHandler)
 
-        explicit CallHandler(HttpServer::OnCall onCall)
+        CallHandler(HttpServer::OnCall onCall, std::vector<std::string> keptHeaders)
             : m_onCall(std::move(onCall))
+            , m_keptHeaders(std::move(keptHeaders))
         {
         }
 
         void onRequest(const Pistache::Http::Request& request, Pistache::Http::ResponseWriter response) override
         {
-            m_onCall(std::make_shared<PistacheCall>(request, std::move(response)));
+            m_onCall(std::make_shared<PistacheCall>(request, std::move(response), m_keptHeaders));
         }
 
     private:
         HttpServer::OnCall m_onCall;
+        std::vector<std::string> m_keptHeaders;
     };
 
     class PistacheServer : public HttpServer {
     public:
-        PistacheServer(const std::string& address, int port, int threads, OnCall onCall)
+        PistacheServer(const std::string& address, int port, int threads, OnCall onCall,
+            std::vector<std::string> keptHeaders)
             : m_endpoint(Pistache::Address(address, Pistache::Port(static_cast<std::uint16_t>(port))))
         {
             Pistache::Http::Endpoint::Options options
@@ -89,7 +109,7 @@
                       .headerTimeout(headerTimeout)
                       .bodyTimeout(bodyTimeout);
             m_endpoint.init(options);
-            m_endpoint.setHandler(std::make_shared<CallHandler>(std::move(onCall)));
+            m_endpoint.setHandler(std::make_shared<CallHandler>(std::move(onCall), std::move(keptHeaders)));
             m_endpoint.serveThreaded();
         }
 
@@ -117,11 +137,12 @@
     return reply(errorCodeRow(error.code).httpStatus, json.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
 
-Result<std::unique_ptr<HttpServer>> HttpServer::create(const std::string& address, int port, int threads, OnCall onCall)
+Result<std::unique_ptr<HttpServer>> HttpServer::create(
+    const std::string& address, int port, int threads, OnCall onCall, std::vector<std::string> keptHeaders)
 {
     try {
         std::unique_ptr<HttpServer> server
-            = std::make_unique<PistacheServer>(address, port, threads, std::move(onCall));
+            = std::make_unique<PistacheServer>(address, port, threads, std::move(onCall), std::move(keptHeaders));
         return server;
     } catch (const std::exception& exception) {
         return Error { ErrorCode::AddressInUse,
--- a/Source/Shell/Connection/HttpServer.h
+++ b/Source/Shell/Connection/HttpServer.h
@@ -5,8 +5,11 @@
 #include "Base/Time.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace Plantainpier {
 
@@ -21,7 +24,16 @@
     /// Answers with a numbered error.
     bool reply(const Error& error);
 
+    /// Answers with a status, a body and further header lines. False when the caller has gone.
+    virtual bool replyWithHeaders(
+        int status, const std::string& body, const std::vector<std::pair<std::string, std::string>>& headers)
+        = 0;
+
     std::string method;
+    /// The host that the caller named, without a port.
+    std::string hostName;
+    /// The headers that the server was told to keep, by name.
+    std::map<std::string, std::string> headers;
     std::string path;
     /// Without the question mark.
     std::string query;
@@ -34,7 +46,8 @@
     /// Hook: called on one of the server's threads for every request.
     using OnCall = std::function<void(const std::shared_ptr<HttpCall>& call)>;
 
-    static Result<std::unique_ptr<HttpServer>> create(const std::string& address, int port, int threads, OnCall onCall);
+    static Result<std::unique_ptr<HttpServer>> create(const std::string& address, int port, int threads, OnCall onCall,
+        std::vector<std::string> keptHeaders = {});
     virtual ~HttpServer() = default;
 
     /// Closes the port and its connections.
--- a/Source/Shell/Connection/Link.cpp
+++ b/Source/Shell/Connection/Link.cpp
@@ -52,6 +52,11 @@
         void hold(const Wire::HoldRequest& message) override { m_onMessage(message); }
         void stop(const Wire::StopRequest& message) override { m_onMessage(message); }
         void report(const Wire::AttemptReport& message) override { m_onMessage(message); }
+        void hello(const Wire::NodeHello& message) override { m_onMessage(message); }
+        void hostReport(const Wire::HostReport& message) override { m_onMessage(message); }
+        void hostOrders(const Wire::HostOrders& message) override { m_onMessage(message); }
+        void jobCall(const Wire::JobCall& message) override { m_onMessage(message); }
+        void jobReply(const Wire::JobReply& message) override { m_onMessage(message); }
 
     private:
         std::function<void(PeerMessage&&)> m_onMessage;
@@ -83,6 +88,11 @@
         void operator()(const Wire::HoldRequest& message) const { m_client.hold(message); }
         void operator()(const Wire::StopRequest& message) const { m_client.stop(message); }
         void operator()(const Wire::AttemptReport& message) const { m_client.report(message); }
+        void operator()(const Wire::NodeHello& message) const { m_client.hello(message); }
+        void operator()(const Wire::HostReport& message) const { m_client.hostReport(message); }
+        void operator()(const Wire::HostOrders& message) const { m_client.hostOrders(message); }
+        void operator()(const Wire::JobCall& message) const { m_client.jobCall(message); }
+        void operator()(const Wire::JobReply& message) const { m_client.jobReply(message); }
 
     private:
         Wire::PeerClient& m_client;
--- a/Source/Shell/Process/Clock.cpp
+++ b/Source/Shell/Process/Clock.cpp
@@ -1,6 +1,7 @@
 #include "Shell/Process/Clock.h"
 
 #include <chrono>
+#include <ctime>
 #include <memory>
 #include <random>
 
@@ -8,7 +9,16 @@
 
 Instant steadyNow()
 {
-    return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    // Unlike the steady clock this one counts the time for which the machine was suspended.
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant(seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+std::int64_t unixMilliseconds()
+{
+    const std::chrono::system_clock::duration sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(sinceEpoch).count();
 }
 
 std::int64_t makeIncarnation()
--- a/Source/Shell/Process/Clock.h
+++ b/Source/Shell/Process/Clock.h
@@ -8,9 +8,12 @@
 
 namespace Plantainpier {
 
-/// Steady time since an arbitrary start.
+/// Time since an arbitrary start; it never goes back and counts suspensions.
 Instant steadyNow();
 
+/// The time of day in milliseconds since 1970.
+std::int64_t unixMilliseconds();
+
 /// A number that grows with every start of a process, from the wall clock in microseconds.
 std::int64_t makeIncarnation();
 
--- /dev/null
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -0,0 +1,114 @@
+#include "Shell/Process/NodeSettings.h"
+
+#include "Base/Json.h"
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace Plantainpier {
+
+namespace {
+
+    constexpr std::size_t maximumNameBytes = 256;
+    constexpr int maximumPort = 65'535;
+    constexpr double millisecondsPerSecond = 1000;
+
+    Endpoint readEndpoint(JsonReader& reader, const std::string& key, bool required)
+    {
+        const std::string text = required ? reader.requiredString(key, maximumNameBytes)
+                                          : reader.optionalString(key, maximumNameBytes, "");
+        Endpoint endpoint;
+        if (text.empty())
+            return endpoint;
+        const std::size_t colon = text.rfind(':');
+        in_addr unused {};
+        endpoint.address = text.substr(0, colon);
+        const char* end = text.data() + text.size();
+        const bool isAddress
+            = colon != std::string::npos && inet_pton(AF_INET, endpoint.address.c_str(), &unused) == 1;
+        const std::from_chars_result port = std::from_chars(
+            isAddress ? text.data() + colon + 1 : end, end, endpoint.port);
+        if (!isAddress || port.ec != std::errc() || port.ptr != end || endpoint.port < 1 || endpoint.port > maximumPort)
+            reader.fault(ErrorCode::InvalidField, key, "must be an IPv4 address and a port, like 10.1.0.13:8161");
+        return endpoint;
+    }
+
+    double readNumber(JsonReader& reader, const Json& object, const std::string& key, double otherwise)
+    {
+        Json::const_iterator it = object.find(key);
+        if (it == object.end())
+            return otherwise;
+        if (it->is_number() && it->get<double>() > 0)
+            return it->get<double>();
+        reader.fault(ErrorCode::InvalidField, key, "must be a number above 0");
+        return otherwise;
+    }
+
+} // namespace
+
+Result<NodeSettings> parseNodeSettings(const std::string& text)
+{
+    const Result<Json> parsed = parseJsonObject(text);
+    if (!isOk(parsed))
+        return Error { ErrorCode::SettingsInvalid, errorOf(parsed).message };
+    const Json& object = valueOf(parsed);
+    JsonReader reader(object, "");
+    NodeSettings settings;
+    settings.id = reader.requiredString("id", maximumNameBytes);
+    settings.zone = reader.requiredString("zone", maximumNameBytes);
+    settings.peers.address = reader.requiredString("address", maximumNameBytes);
+    settings.peers.port = static_cast<int>(reader.requiredInteger("peer_port", 1, maximumPort));
+    settings.store = readEndpoint(reader, "store_address", true);
+    settings.clients = readEndpoint(reader, "client_address", false);
+    settings.health = readEndpoint(reader, "health_address", false);
+    settings.announcements = readEndpoint(reader, "announce_address", false);
+    settings.host = readEndpoint(reader, "host_address", false);
+    settings.advice = readEndpoint(reader, "advice_address", false);
+    settings.machines = readEndpoint(reader, "machines_address", false);
+    settings.service = reader.optionalString("service", maximumNameBytes, "");
+    settings.processorShare = readNumber(reader, object, "processor_share", settings.processorShare);
+    const auto readMilliseconds = [&](const char* key, Duration otherwise) {
+        return milliseconds(static_cast<long long>(
+            readNumber(reader, object, key, static_cast<double>(toMilliseconds(otherwise)))));
+    };
+    const auto readSeconds = [&](const char* key, Duration otherwise) {
+        const double number = readNumber(
+            reader, object, key, static_cast<double>(toMilliseconds(otherwise)) / millisecondsPerSecond);
+        return milliseconds(static_cast<long long>(number * millisecondsPerSecond));
+    };
+    settings.longestLease = readMilliseconds("longest_lease_ms", settings.longestLease);
+    settings.stopTime = readMilliseconds("stop_ms", settings.stopTime);
+    settings.statusMemory = readSeconds("status_memory_s", settings.statusMemory);
+    settings.shutdown = readSeconds("shutdown_s", settings.shutdown);
+    if (!reader.faults().empty()) {
+        Error error = joinFaults(reader.faults());
+        error.code = ErrorCode::SettingsInvalid;
+        return error;
+    }
+    return settings;
+}
+
+Result<NodeSettings> loadNodeSettings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return Error { ErrorCode::SettingsInvalid, path + ": cannot be read; give the path of the settings file" };
+    std::ostringstream text;
+    text << file.rdbuf();
+    Result<NodeSettings> settings = parseNodeSettings(text.str());
+    if (isOk(settings))
+        return settings;
+    return Error { errorOf(settings).code, path + ": " + errorOf(settings).message };
+}
+
+const std::vector<std::string>& nodeSettingKeys()
+{
+    static const std::vector<std::string> keys { "id", "zone", "address", "peer_port", "store_address",
+        "client_address", "health_address", "announce_address", "host_address", "advice_address", "machines_address",
+        "service", "processor_share", "longest_lease_ms", "stop_ms", "status_memory_s", "shutdown_s" };
+    return keys;
+}
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Source/Wire/Codec.h
@@ -0,0 +1,39 @@
+/// Encodes Thrift structures to bytes and back, for records in the store.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace Plantainpier::Wire {
+
+/// The structure as bytes of Thrift's compact protocol.
+template <typename T> std::string encode(const T& value)
+{
+    const std::shared_ptr<apache::thrift::transport::TMemoryBuffer> buffer
+        = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+    value.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+/// The structure of these bytes; nothing for what is no such structure.
+template <typename T> std::optional<T> decode(const std::string& bytes)
+{
+    const std::shared_ptr<apache::thrift::transport::TMemoryBuffer> buffer
+        = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    buffer->resetBuffer(reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())),
+        static_cast<std::uint32_t>(bytes.size()));
+    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+    T value;
+    try {
+        value.read(&protocol);
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace Plantainpier::Wire
--- a/Source/Wire/Generated/Peer.cpp
+++ b/Source/Wire/Generated/Peer.cpp
@@ -1430,6 +1430,401 @@
   return xfer;
 }
 
+
+Peer_hello_args::~Peer_hello_args() noexcept {
+}
+
+
+uint32_t Peer_hello_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->message.read(iprot);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_hello_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_hello_args");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->message.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_hello_pargs::~Peer_hello_pargs() noexcept {
+}
+
+
+uint32_t Peer_hello_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_hello_pargs");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->message)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_hostReport_args::~Peer_hostReport_args() noexcept {
+}
+
+
+uint32_t Peer_hostReport_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->message.read(iprot);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_hostReport_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_hostReport_args");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->message.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_hostReport_pargs::~Peer_hostReport_pargs() noexcept {
+}
+
+
+uint32_t Peer_hostReport_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_hostReport_pargs");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->message)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_hostOrders_args::~Peer_hostOrders_args() noexcept {
+}
+
+
+uint32_t Peer_hostOrders_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->message.read(iprot);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_hostOrders_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_hostOrders_args");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->message.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_hostOrders_pargs::~Peer_hostOrders_pargs() noexcept {
+}
+
+
+uint32_t Peer_hostOrders_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_hostOrders_pargs");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->message)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_jobCall_args::~Peer_jobCall_args() noexcept {
+}
+
+
+uint32_t Peer_jobCall_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->message.read(iprot);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_jobCall_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_jobCall_args");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->message.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_jobCall_pargs::~Peer_jobCall_pargs() noexcept {
+}
+
+
+uint32_t Peer_jobCall_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_jobCall_pargs");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->message)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_jobReply_args::~Peer_jobReply_args() noexcept {
+}
+
+
+uint32_t Peer_jobReply_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->message.read(iprot);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_jobReply_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_jobReply_args");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->message.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_jobReply_pargs::~Peer_jobReply_pargs() noexcept {
+}
+
+
+uint32_t Peer_jobReply_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_jobReply_pargs");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->message)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 void PeerClient::announce(const Announcement& message)
 {
   send_announce(message);
@@ -1663,12 +2058,107 @@
   send_reserve(message);
 }
 
-void PeerClient::send_reserve(const ReserveRequest& message)
+void PeerClient::send_reserve(const ReserveRequest& message)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("reserve", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_reserve_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::reserved(const ReserveAnswer& message)
+{
+  send_reserved(message);
+}
+
+void PeerClient::send_reserved(const ReserveAnswer& message)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("reserved", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_reserved_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::start(const StartRequest& message)
+{
+  send_start(message);
+}
+
+void PeerClient::send_start(const StartRequest& message)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("start", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_start_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::hold(const HoldRequest& message)
+{
+  send_hold(message);
+}
+
+void PeerClient::send_hold(const HoldRequest& message)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("hold", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_hold_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::stop(const StopRequest& message)
+{
+  send_stop(message);
+}
+
+void PeerClient::send_stop(const StopRequest& message)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("stop", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_stop_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::report(const AttemptReport& message)
+{
+  send_report(message);
+}
+
+void PeerClient::send_report(const AttemptReport& message)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("reserve", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+  oprot_->writeMessageBegin("report", ::apache::thrift::protocol::T_ONEWAY, cseqid);
 
-  Peer_reserve_pargs args;
+  Peer_report_pargs args;
   args.message = &message;
   args.write(oprot_);
 
@@ -1677,17 +2167,17 @@
   oprot_->getTransport()->flush();
 }
 
-void PeerClient::reserved(const ReserveAnswer& message)
+void PeerClient::hello(const NodeHello& message)
 {
-  send_reserved(message);
+  send_hello(message);
 }
 
-void PeerClient::send_reserved(const ReserveAnswer& message)
+void PeerClient::send_hello(const NodeHello& message)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("reserved", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+  oprot_->writeMessageBegin("hello", ::apache::thrift::protocol::T_ONEWAY, cseqid);
 
-  Peer_reserved_pargs args;
+  Peer_hello_pargs args;
   args.message = &message;
   args.write(oprot_);
 
@@ -1696,17 +2186,17 @@
   oprot_->getTransport()->flush();
 }
 
-void PeerClient::start(const StartRequest& message)
+void PeerClient::hostReport(const HostReport& message)
 {
-  send_start(message);
+  send_hostReport(message);
 }
 
-void PeerClient::send_start(const StartRequest& message)
+void PeerClient::send_hostReport(const HostReport& message)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("start", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+  oprot_->writeMessageBegin("hostReport", ::apache::thrift::protocol::T_ONEWAY, cseqid);
 
-  Peer_start_pargs args;
+  Peer_hostReport_pargs args;
   args.message = &message;
   args.write(oprot_);
 
@@ -1715,17 +2205,17 @@
   oprot_->getTransport()->flush();
 }
 
-void PeerClient::hold(const HoldRequest& message)
+void PeerClient::hostOrders(const HostOrders& message)
 {
-  send_hold(message);
+  send_hostOrders(message);
 }
 
-void PeerClient::send_hold(const HoldRequest& message)
+void PeerClient::send_hostOrders(const HostOrders& message)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("hold", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+  oprot_->writeMessageBegin("hostOrders", ::apache::thrift::protocol::T_ONEWAY, cseqid);
 
-  Peer_hold_pargs args;
+  Peer_hostOrders_pargs args;
   args.message = &message;
   args.write(oprot_);
 
@@ -1734,17 +2224,17 @@
   oprot_->getTransport()->flush();
 }
 
-void PeerClient::stop(const StopRequest& message)
+void PeerClient::jobCall(const JobCall& message)
 {
-  send_stop(message);
+  send_jobCall(message);
 }
 
-void PeerClient::send_stop(const StopRequest& message)
+void PeerClient::send_jobCall(const JobCall& message)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("stop", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+  oprot_->writeMessageBegin("jobCall", ::apache::thrift::protocol::T_ONEWAY, cseqid);
 
-  Peer_stop_pargs args;
+  Peer_jobCall_pargs args;
   args.message = &message;
   args.write(oprot_);
 
@@ -1753,17 +2243,17 @@
   oprot_->getTransport()->flush();
 }
 
-void PeerClient::report(const AttemptReport& message)
+void PeerClient::jobReply(const JobReply& message)
 {
-  send_report(message);
+  send_jobReply(message);
 }
 
-void PeerClient::send_report(const AttemptReport& message)
+void PeerClient::send_jobReply(const JobReply& message)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("report", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+  oprot_->writeMessageBegin("jobReply", ::apache::thrift::protocol::T_ONEWAY, cseqid);
 
-  Peer_report_pargs args;
+  Peer_jobReply_pargs args;
   args.message = &message;
   args.write(oprot_);
 
@@ -2457,6 +2947,191 @@
   return;
 }
 
+void PeerProcessor::process_hello(int32_t, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol*, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.hello", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.hello");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.hello");
+  }
+
+  Peer_hello_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.hello", bytes);
+  }
+
+  try {
+    iface_->hello(args.message);
+  } catch (const std::exception&) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.hello");
+    }
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->asyncComplete(ctx, "Peer.hello");
+  }
+
+  return;
+}
+
+void PeerProcessor::process_hostReport(int32_t, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol*, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.hostReport", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.hostReport");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.hostReport");
+  }
+
+  Peer_hostReport_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.hostReport", bytes);
+  }
+
+  try {
+    iface_->hostReport(args.message);
+  } catch (const std::exception&) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.hostReport");
+    }
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->asyncComplete(ctx, "Peer.hostReport");
+  }
+
+  return;
+}
+
+void PeerProcessor::process_hostOrders(int32_t, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol*, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.hostOrders", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.hostOrders");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.hostOrders");
+  }
+
+  Peer_hostOrders_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.hostOrders", bytes);
+  }
+
+  try {
+    iface_->hostOrders(args.message);
+  } catch (const std::exception&) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.hostOrders");
+    }
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->asyncComplete(ctx, "Peer.hostOrders");
+  }
+
+  return;
+}
+
+void PeerProcessor::process_jobCall(int32_t, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol*, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.jobCall", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.jobCall");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.jobCall");
+  }
+
+  Peer_jobCall_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.jobCall", bytes);
+  }
+
+  try {
+    iface_->jobCall(args.message);
+  } catch (const std::exception&) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.jobCall");
+    }
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->asyncComplete(ctx, "Peer.jobCall");
+  }
+
+  return;
+}
+
+void PeerProcessor::process_jobReply(int32_t, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol*, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.jobReply", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.jobReply");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.jobReply");
+  }
+
+  Peer_jobReply_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.jobReply", bytes);
+  }
+
+  try {
+    iface_->jobReply(args.message);
+  } catch (const std::exception&) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.jobReply");
+    }
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->asyncComplete(ctx, "Peer.jobReply");
+  }
+
+  return;
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > PeerProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< PeerIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< PeerIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -2860,5 +3535,115 @@
   sentry.commit();
 }
 
+void PeerConcurrentClient::hello(const NodeHello& message)
+{
+  send_hello(message);
+}
+
+void PeerConcurrentClient::send_hello(const NodeHello& message)
+{
+  int32_t cseqid = 0;
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("hello", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_hello_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+}
+
+void PeerConcurrentClient::hostReport(const HostReport& message)
+{
+  send_hostReport(message);
+}
+
+void PeerConcurrentClient::send_hostReport(const HostReport& message)
+{
+  int32_t cseqid = 0;
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("hostReport", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_hostReport_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+}
+
+void PeerConcurrentClient::hostOrders(const HostOrders& message)
+{
+  send_hostOrders(message);
+}
+
+void PeerConcurrentClient::send_hostOrders(const HostOrders& message)
+{
+  int32_t cseqid = 0;
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("hostOrders", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_hostOrders_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+}
+
+void PeerConcurrentClient::jobCall(const JobCall& message)
+{
+  send_jobCall(message);
+}
+
+void PeerConcurrentClient::send_jobCall(const JobCall& message)
+{
+  int32_t cseqid = 0;
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("jobCall", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_jobCall_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+}
+
+void PeerConcurrentClient::jobReply(const JobReply& message)
+{
+  send_jobReply(message);
+}
+
+void PeerConcurrentClient::send_jobReply(const JobReply& message)
+{
+  int32_t cseqid = 0;
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("jobReply", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+
+  Peer_jobReply_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+}
+
 }} // namespace
 
--- a/Source/Wire/Generated/Peer.h
+++ b/Source/Wire/Generated/Peer.h
@@ -40,6 +40,11 @@
   virtual void hold(const HoldRequest& message) = 0;
   virtual void stop(const StopRequest& message) = 0;
   virtual void report(const AttemptReport& message) = 0;
+  virtual void hello(const NodeHello& message) = 0;
+  virtual void hostReport(const HostReport& message) = 0;
+  virtual void hostOrders(const HostOrders& message) = 0;
+  virtual void jobCall(const JobCall& message) = 0;
+  virtual void jobReply(const JobReply& message) = 0;
 };
 
 class PeerIfFactory {
@@ -123,6 +128,21 @@
   void report(const AttemptReport& /* message */) override {
     return;
   }
+  void hello(const NodeHello& /* message */) override {
+    return;
+  }
+  void hostReport(const HostReport& /* message */) override {
+    return;
+  }
+  void hostOrders(const HostOrders& /* message */) override {
+    return;
+  }
+  void jobCall(const JobCall& /* message */) override {
+    return;
+  }
+  void jobReply(const JobReply& /* message */) override {
+    return;
+  }
 };
 
 typedef struct _Peer_announce_args__isset {
@@ -1043,6 +1063,261 @@
 
 };
 
+typedef struct _Peer_hello_args__isset {
+  _Peer_hello_args__isset() : message(false) {}
+  bool message :1;
+} _Peer_hello_args__isset;
+
+class Peer_hello_args {
+ public:
+
+  Peer_hello_args(const Peer_hello_args&);
+  Peer_hello_args(Peer_hello_args&&) noexcept;
+  Peer_hello_args& operator=(const Peer_hello_args&);
+  Peer_hello_args& operator=(Peer_hello_args&&) noexcept;
+  Peer_hello_args() noexcept {
+  }
+
+  virtual ~Peer_hello_args() noexcept;
+  NodeHello message;
+
+  _Peer_hello_args__isset __isset;
+
+  void __set_message(const NodeHello& val);
+
+  bool operator == (const Peer_hello_args & rhs) const
+  {
+    if (!(message == rhs.message))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_hello_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_hello_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_hello_pargs {
+ public:
+
+
+  virtual ~Peer_hello_pargs() noexcept;
+  const NodeHello* message;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_hostReport_args__isset {
+  _Peer_hostReport_args__isset() : message(false) {}
+  bool message :1;
+} _Peer_hostReport_args__isset;
+
+class Peer_hostReport_args {
+ public:
+
+  Peer_hostReport_args(const Peer_hostReport_args&);
+  Peer_hostReport_args(Peer_hostReport_args&&) noexcept;
+  Peer_hostReport_args& operator=(const Peer_hostReport_args&);
+  Peer_hostReport_args& operator=(Peer_hostReport_args&&) noexcept;
+  Peer_hostReport_args() noexcept {
+  }
+
+  virtual ~Peer_hostReport_args() noexcept;
+  HostReport message;
+
+  _Peer_hostReport_args__isset __isset;
+
+  void __set_message(const HostReport& val);
+
+  bool operator == (const Peer_hostReport_args & rhs) const
+  {
+    if (!(message == rhs.message))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_hostReport_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_hostReport_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_hostReport_pargs {
+ public:
+
+
+  virtual ~Peer_hostReport_pargs() noexcept;
+  const HostReport* message;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_hostOrders_args__isset {
+  _Peer_hostOrders_args__isset() : message(false) {}
+  bool message :1;
+} _Peer_hostOrders_args__isset;
+
+class Peer_hostOrders_args {
+ public:
+
+  Peer_hostOrders_args(const Peer_hostOrders_args&);
+  Peer_hostOrders_args(Peer_hostOrders_args&&) noexcept;
+  Peer_hostOrders_args& operator=(const Peer_hostOrders_args&);
+  Peer_hostOrders_args& operator=(Peer_hostOrders_args&&) noexcept;
+  Peer_hostOrders_args() noexcept {
+  }
+
+  virtual ~Peer_hostOrders_args() noexcept;
+  HostOrders message;
+
+  _Peer_hostOrders_args__isset __isset;
+
+  void __set_message(const HostOrders& val);
+
+  bool operator == (const Peer_hostOrders_args & rhs) const
+  {
+    if (!(message == rhs.message))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_hostOrders_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_hostOrders_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_hostOrders_pargs {
+ public:
+
+
+  virtual ~Peer_hostOrders_pargs() noexcept;
+  const HostOrders* message;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_jobCall_args__isset {
+  _Peer_jobCall_args__isset() : message(false) {}
+  bool message :1;
+} _Peer_jobCall_args__isset;
+
+class Peer_jobCall_args {
+ public:
+
+  Peer_jobCall_args(const Peer_jobCall_args&);
+  Peer_jobCall_args(Peer_jobCall_args&&) noexcept;
+  Peer_jobCall_args& operator=(const Peer_jobCall_args&);
+  Peer_jobCall_args& operator=(Peer_jobCall_args&&) noexcept;
+  Peer_jobCall_args() noexcept {
+  }
+
+  virtual ~Peer_jobCall_args() noexcept;
+  JobCall message;
+
+  _Peer_jobCall_args__isset __isset;
+
+  void __set_message(const JobCall& val);
+
+  bool operator == (const Peer_jobCall_args & rhs) const
+  {
+    if (!(message == rhs.message))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_jobCall_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_jobCall_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_jobCall_pargs {
+ public:
+
+
+  virtual ~Peer_jobCall_pargs() noexcept;
+  const JobCall* message;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_jobReply_args__isset {
+  _Peer_jobReply_args__isset() : message(false) {}
+  bool message :1;
+} _Peer_jobReply_args__isset;
+
+class Peer_jobReply_args {
+ public:
+
+  Peer_jobReply_args(const Peer_jobReply_args&);
+  Peer_jobReply_args(Peer_jobReply_args&&) noexcept;
+  Peer_jobReply_args& operator=(const Peer_jobReply_args&);
+  Peer_jobReply_args& operator=(Peer_jobReply_args&&) noexcept;
+  Peer_jobReply_args() noexcept {
+  }
+
+  virtual ~Peer_jobReply_args() noexcept;
+  JobReply message;
+
+  _Peer_jobReply_args__isset __isset;
+
+  void __set_message(const JobReply& val);
+
+  bool operator == (const Peer_jobReply_args & rhs) const
+  {
+    if (!(message == rhs.message))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_jobReply_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_jobReply_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_jobReply_pargs {
+ public:
+
+
+  virtual ~Peer_jobReply_pargs() noexcept;
+  const JobReply* message;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
 class PeerClient : virtual public PeerIf {
  public:
   PeerClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -1104,6 +1379,16 @@
   void send_stop(const StopRequest& message);
   void report(const AttemptReport& message) override;
   void send_report(const AttemptReport& message);
+  void hello(const NodeHello& message) override;
+  void send_hello(const NodeHello& message);
+  void hostReport(const HostReport& message) override;
+  void send_hostReport(const HostReport& message);
+  void hostOrders(const HostOrders& message) override;
+  void send_hostOrders(const HostOrders& message);
+  void jobCall(const JobCall& message) override;
+  void send_jobCall(const JobCall& message);
+  void jobReply(const JobReply& message) override;
+  void send_jobReply(const JobReply& message);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -1137,6 +1422,11 @@
   void process_hold(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_stop(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_report(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_hello(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_hostReport(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_hostOrders(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_jobCall(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_jobReply(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   PeerProcessor(::std::shared_ptr<PeerIf> iface) :
     iface_(iface) {
@@ -1158,6 +1448,11 @@
     processMap_["hold"] = &PeerProcessor::process_hold;
     processMap_["stop"] = &PeerProcessor::process_stop;
     processMap_["report"] = &PeerProcessor::process_report;
+    processMap_["hello"] = &PeerProcessor::process_hello;
+    processMap_["hostReport"] = &PeerProcessor::process_hostReport;
+    processMap_["hostOrders"] = &PeerProcessor::process_hostOrders;
+    processMap_["jobCall"] = &PeerProcessor::process_jobCall;
+    processMap_["jobReply"] = &PeerProcessor::process_jobReply;
   }
 
   virtual ~PeerProcessor() {}
@@ -1348,6 +1643,51 @@
     ifaces_[i]->report(message);
   }
 
+  void hello(const NodeHello& message) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->hello(message);
+    }
+    ifaces_[i]->hello(message);
+  }
+
+  void hostReport(const HostReport& message) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->hostReport(message);
+    }
+    ifaces_[i]->hostReport(message);
+  }
+
+  void hostOrders(const HostOrders& message) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->hostOrders(message);
+    }
+    ifaces_[i]->hostOrders(message);
+  }
+
+  void jobCall(const JobCall& message) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->jobCall(message);
+    }
+    ifaces_[i]->jobCall(message);
+  }
+
+  void jobReply(const JobReply& message) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->jobReply(message);
+    }
+    ifaces_[i]->jobReply(message);
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -1416,6 +1756,16 @@
   void send_stop(const StopRequest& message);
   void report(const AttemptReport& message) override;
   void send_report(const AttemptReport& message);
+  void hello(const NodeHello& message) override;
+  void send_hello(const NodeHello& message);
+  void hostReport(const HostReport& message) override;
+  void send_hostReport(const HostReport& message);
+  void hostOrders(const HostOrders& message) override;
+  void send_hostOrders(const HostOrders& message);
+  void jobCall(const JobCall& message) override;
+  void send_jobCall(const JobCall& message);
+  void jobReply(const JobReply& message) override;
+  void send_jobReply(const JobReply& message);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
