--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -83,6 +83,247 @@
   }
 }
 
+int _kJobOutcomeValues[] = {
+  JobOutcome::Open,
+  JobOutcome::Completed,
+  JobOutcome::Failed,
+  JobOutcome::Cancelled
+};
+const char* _kJobOutcomeNames[] = {
+  "Open",
+  "Completed",
+  "Failed",
+  "Cancelled"
+};
+const std::map<int, const char*> _JobOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kJobOutcomeValues, _kJobOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const JobOutcome::type& val) {
+  std::map<int, const char*>::const_iterator it = _JobOutcome_VALUES_TO_NAMES.find(val);
+  if (it != _JobOutcome_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const JobOutcome::type& val) {
+  std::map<int, const char*>::const_iterator it = _JobOutcome_VALUES_TO_NAMES.find(val);
+  if (it != _JobOutcome_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kRunEndValues[] = {
+  RunEnd::Completed,
+  RunEnd::Failed,
+  RunEnd::Stopped,
+  RunEnd::Lapsed,
+  RunEnd::GangBroken,
+  RunEnd::GangAlone
+};
+const char* _kRunEndNames[] = {
+  "Completed",
+  "Failed",
+  "Stopped",
+  "Lapsed",
+  "GangBroken",
+  "GangAlone"
+};
+const std::map<int, const char*> _RunEnd_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kRunEndValues, _kRunEndNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const RunEnd::type& val) {
+  std::map<int, const char*>::const_iterator it = _RunEnd_VALUES_TO_NAMES.find(val);
+  if (it != _RunEnd_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const RunEnd::type& val) {
+  std::map<int, const char*>::const_iterator it = _RunEnd_VALUES_TO_NAMES.find(val);
+  if (it != _RunEnd_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kOrderOutcomeValues[] = {
+  OrderOutcome::Started,
+  OrderOutcome::Refused,
+  OrderOutcome::Absent
+};
+const char* _kOrderOutcomeNames[] = {
+  "Started",
+  "Refused",
+  "Absent"
+};
+const std::map<int, const char*> _OrderOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kOrderOutcomeValues, _kOrderOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const OrderOutcome::type& val) {
+  std::map<int, const char*>::const_iterator it = _OrderOutcome_VALUES_TO_NAMES.find(val);
+  if (it != _OrderOutcome_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const OrderOutcome::type& val) {
+  std::map<int, const char*>::const_iterator it = _OrderOutcome_VALUES_TO_NAMES.find(val);
+  if (it != _OrderOutcome_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kHostStateValues[] = {
+  HostState::Ready,
+  HostState::Draining,
+  HostState::Gone
+};
+const char* _kHostStateNames[] = {
+  "Ready",
+  "Draining",
+  "Gone"
+};
+const std::map<int, const char*> _HostState_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kHostStateValues, _kHostStateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const HostState::type& val) {
+  std::map<int, const char*>::const_iterator it = _HostState_VALUES_TO_NAMES.find(val);
+  if (it != _HostState_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const HostState::type& val) {
+  std::map<int, const char*>::const_iterator it = _HostState_VALUES_TO_NAMES.find(val);
+  if (it != _HostState_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kJobCallKindValues[] = {
+  JobCallKind::Submit,
+  JobCallKind::Status,
+  JobCallKind::Cancel,
+  JobCallKind::Waiting
+};
+const char* _kJobCallKindNames[] = {
+  "Submit",
+  "Status",
+  "Cancel",
+  "Waiting"
+};
+const std::map<int, const char*> _JobCallKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kJobCallKindValues, _kJobCallKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const JobCallKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _JobCallKind_VALUES_TO_NAMES.find(val);
+  if (it != _JobCallKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const JobCallKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _JobCallKind_VALUES_TO_NAMES.find(val);
+  if (it != _JobCallKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kJobReplyKindValues[] = {
+  JobReplyKind::Accepted,
+  JobReplyKind::Refused,
+  JobReplyKind::Unknown,
+  JobReplyKind::State,
+  JobReplyKind::NoSuchJob,
+  JobReplyKind::WaitingCount,
+  JobReplyKind::NoSuchQueue,
+  JobReplyKind::Invalid
+};
+const char* _kJobReplyKindNames[] = {
+  "Accepted",
+  "Refused",
+  "Unknown",
+  "State",
+  "NoSuchJob",
+  "WaitingCount",
+  "NoSuchQueue",
+  "Invalid"
+};
+const std::map<int, const char*> _JobReplyKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(8, _kJobReplyKindValues, _kJobReplyKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const JobReplyKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _JobReplyKind_VALUES_TO_NAMES.find(val);
+  if (it != _JobReplyKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const JobReplyKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _JobReplyKind_VALUES_TO_NAMES.find(val);
+  if (it != _JobReplyKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kJobPhaseValues[] = {
+  JobPhase::Queued,
+  JobPhase::Running,
+  JobPhase::Completed,
+  JobPhase::Failed,
+  JobPhase::Cancelled
+};
+const char* _kJobPhaseNames[] = {
+  "Queued",
+  "Running",
+  "Completed",
+  "Failed",
+  "Cancelled"
+};
+const std::map<int, const char*> _JobPhase_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kJobPhaseValues, _kJobPhaseNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const JobPhase::type& val) {
+  std::map<int, const char*>::const_iterator it = _JobPhase_VALUES_TO_NAMES.find(val);
+  if (it != _JobPhase_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const JobPhase::type& val) {
+  std::map<int, const char*>::const_iterator it = _JobPhase_VALUES_TO_NAMES.find(val);
+  if (it != _JobPhase_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 Load::~Load() noexcept {
 }
@@ -3999,4 +4240,4271 @@
   out << ")";
 }
 
+
+StepDefinition::~StepDefinition() noexcept {
+}
+
+
+void StepDefinition::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void StepDefinition::__set_demand(const Resources& val) {
+  this->demand = val;
+}
+
+void StepDefinition::__set_estimateMilliseconds(const int64_t val) {
+  this->estimateMilliseconds = val;
+}
+
+void StepDefinition::__set_after(const std::vector<int32_t> & val) {
+  this->after = val;
+}
+
+void StepDefinition::__set_savesProgress(const bool val) {
+  this->savesProgress = val;
+}
+
+void StepDefinition::__set_gang(const bool val) {
+  this->gang = val;
+}
+
+void StepDefinition::__set_sameRack(const bool val) {
+  this->sameRack = val;
+}
+
+void StepDefinition::__set_requiredLabel(const std::string& val) {
+  this->requiredLabel = val;
+}
+
+void StepDefinition::__set_dataRack(const std::string& val) {
+  this->dataRack = val;
+}
+
+void StepDefinition::__set_maximumPerHost(const int32_t val) {
+  this->maximumPerHost = val;
+}
+
+void StepDefinition::__set_allowDuplicates(const bool val) {
+  this->allowDuplicates = val;
+}
+
+void StepDefinition::__set_longRunning(const bool val) {
+  this->longRunning = val;
+}
+
+void StepDefinition::__set_image(const std::string& val) {
+  this->image = val;
+}
+
+void StepDefinition::__set_targetMilliseconds(const int64_t val) {
+  this->targetMilliseconds = val;
+}
+
+void StepDefinition::__set_filler(const bool val) {
+  this->filler = val;
+}
+
+void StepDefinition::__set_mayMiss(const int32_t val) {
+  this->mayMiss = val;
+}
+std::ostream& operator<<(std::ostream& out, const StepDefinition& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StepDefinition::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->demand.read(iprot);
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->estimateMilliseconds);
+          this->__isset.estimateMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->after.clear();
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->after.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
+            {
+              xfer += iprot->readI32(this->after[_i86]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->savesProgress);
+          this->__isset.savesProgress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->gang);
+          this->__isset.gang = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->sameRack);
+          this->__isset.sameRack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requiredLabel);
+          this->__isset.requiredLabel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataRack);
+          this->__isset.dataRack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maximumPerHost);
+          this->__isset.maximumPerHost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->allowDuplicates);
+          this->__isset.allowDuplicates = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->longRunning);
+          this->__isset.longRunning = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->image);
+          this->__isset.image = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetMilliseconds);
+          this->__isset.targetMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->filler);
+          this->__isset.filler = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->mayMiss);
+          this->__isset.mayMiss = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StepDefinition::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StepDefinition");
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->demand.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("estimateMilliseconds", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->estimateMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->after.size()));
+    std::vector<int32_t> ::const_iterator _iter87;
+    for (_iter87 = this->after.begin(); _iter87 != this->after.end(); ++_iter87)
+    {
+      xfer += oprot->writeI32((*_iter87));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("savesProgress", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->savesProgress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gang", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->gang);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sameRack", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->sameRack);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requiredLabel", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->requiredLabel);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataRack", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->dataRack);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maximumPerHost", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->maximumPerHost);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("allowDuplicates", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->allowDuplicates);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("longRunning", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->longRunning);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("image", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeString(this->image);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetMilliseconds", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->targetMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("filler", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->filler);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("mayMiss", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->mayMiss);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StepDefinition &a, StepDefinition &b) {
+  using ::std::swap;
+  swap(a.count, b.count);
+  swap(a.demand, b.demand);
+  swap(a.estimateMilliseconds, b.estimateMilliseconds);
+  swap(a.after, b.after);
+  swap(a.savesProgress, b.savesProgress);
+  swap(a.gang, b.gang);
+  swap(a.sameRack, b.sameRack);
+  swap(a.requiredLabel, b.requiredLabel);
+  swap(a.dataRack, b.dataRack);
+  swap(a.maximumPerHost, b.maximumPerHost);
+  swap(a.allowDuplicates, b.allowDuplicates);
+  swap(a.longRunning, b.longRunning);
+  swap(a.image, b.image);
+  swap(a.targetMilliseconds, b.targetMilliseconds);
+  swap(a.filler, b.filler);
+  swap(a.mayMiss, b.mayMiss);
+  swap(a.__isset, b.__isset);
+}
+
+StepDefinition::StepDefinition(const StepDefinition& other88) {
+  count = other88.count;
+  demand = other88.demand;
+  estimateMilliseconds = other88.estimateMilliseconds;
+  after = other88.after;
+  savesProgress = other88.savesProgress;
+  gang = other88.gang;
+  sameRack = other88.sameRack;
+  requiredLabel = other88.requiredLabel;
+  dataRack = other88.dataRack;
+  maximumPerHost = other88.maximumPerHost;
+  allowDuplicates = other88.allowDuplicates;
+  longRunning = other88.longRunning;
+  image = other88.image;
+  targetMilliseconds = other88.targetMilliseconds;
+  filler = other88.filler;
+  mayMiss = other88.mayMiss;
+  __isset = other88.__isset;
+}
+StepDefinition::StepDefinition(StepDefinition&& other89) noexcept {
+  count = other89.count;
+  demand = std::move(other89.demand);
+  estimateMilliseconds = other89.estimateMilliseconds;
+  after = std::move(other89.after);
+  savesProgress = other89.savesProgress;
+  gang = other89.gang;
+  sameRack = other89.sameRack;
+  requiredLabel = std::move(other89.requiredLabel);
+  dataRack = std::move(other89.dataRack);
+  maximumPerHost = other89.maximumPerHost;
+  allowDuplicates = other89.allowDuplicates;
+  longRunning = other89.longRunning;
+  image = std::move(other89.image);
+  targetMilliseconds = other89.targetMilliseconds;
+  filler = other89.filler;
+  mayMiss = other89.mayMiss;
+  __isset = other89.__isset;
+}
+StepDefinition& StepDefinition::operator=(const StepDefinition& other90) {
+  count = other90.count;
+  demand = other90.demand;
+  estimateMilliseconds = other90.estimateMilliseconds;
+  after = other90.after;
+  savesProgress = other90.savesProgress;
+  gang = other90.gang;
+  sameRack = other90.sameRack;
+  requiredLabel = other90.requiredLabel;
+  dataRack = other90.dataRack;
+  maximumPerHost = other90.maximumPerHost;
+  allowDuplicates = other90.allowDuplicates;
+  longRunning = other90.longRunning;
+  image = other90.image;
+  targetMilliseconds = other90.targetMilliseconds;
+  filler = other90.filler;
+  mayMiss = other90.mayMiss;
+  __isset = other90.__isset;
+  return *this;
+}
+StepDefinition& StepDefinition::operator=(StepDefinition&& other91) noexcept {
+  count = other91.count;
+  demand = std::move(other91.demand);
+  estimateMilliseconds = other91.estimateMilliseconds;
+  after = std::move(other91.after);
+  savesProgress = other91.savesProgress;
+  gang = other91.gang;
+  sameRack = other91.sameRack;
+  requiredLabel = std::move(other91.requiredLabel);
+  dataRack = std::move(other91.dataRack);
+  maximumPerHost = other91.maximumPerHost;
+  allowDuplicates = other91.allowDuplicates;
+  longRunning = other91.longRunning;
+  image = std::move(other91.image);
+  targetMilliseconds = other91.targetMilliseconds;
+  filler = other91.filler;
+  mayMiss = other91.mayMiss;
+  __isset = other91.__isset;
+  return *this;
+}
+void StepDefinition::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StepDefinition(";
+  out << "count=" << to_string(count);
+  out << ", " << "demand=" << to_string(demand);
+  out << ", " << "estimateMilliseconds=" << to_string(estimateMilliseconds);
+  out << ", " << "after=" << to_string(after);
+  out << ", " << "savesProgress=" << to_string(savesProgress);
+  out << ", " << "gang=" << to_string(gang);
+  out << ", " << "sameRack=" << to_string(sameRack);
+  out << ", " << "requiredLabel=" << to_string(requiredLabel);
+  out << ", " << "dataRack=" << to_string(dataRack);
+  out << ", " << "maximumPerHost=" << to_string(maximumPerHost);
+  out << ", " << "allowDuplicates=" << to_string(allowDuplicates);
+  out << ", " << "longRunning=" << to_string(longRunning);
+  out << ", " << "image=" << to_string(image);
+  out << ", " << "targetMilliseconds=" << to_string(targetMilliseconds);
+  out << ", " << "filler=" << to_string(filler);
+  out << ", " << "mayMiss=" << to_string(mayMiss);
+  out << ")";
+}
+
+
+JobDefinition::~JobDefinition() noexcept {
+}
+
+
+void JobDefinition::__set_jobId(const std::string& val) {
+  this->jobId = val;
+}
+
+void JobDefinition::__set_queue(const std::string& val) {
+  this->queue = val;
+}
+
+void JobDefinition::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void JobDefinition::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void JobDefinition::__set_maximumAttempts(const int32_t val) {
+  this->maximumAttempts = val;
+}
+
+void JobDefinition::__set_stretch(const double val) {
+  this->stretch = val;
+}
+
+void JobDefinition::__set_objectiveMilliseconds(const int64_t val) {
+  this->objectiveMilliseconds = val;
+}
+
+void JobDefinition::__set_payload(const std::string& val) {
+  this->payload = val;
+}
+
+void JobDefinition::__set_steps(const std::vector<StepDefinition> & val) {
+  this->steps = val;
+}
+
+void JobDefinition::__set_occurrences(const int32_t val) {
+  this->occurrences = val;
+}
+
+void JobDefinition::__set_firstDueUnixMilliseconds(const int64_t val) {
+  this->firstDueUnixMilliseconds = val;
+}
+
+void JobDefinition::__set_intervalMilliseconds(const int64_t val) {
+  this->intervalMilliseconds = val;
+}
+
+void JobDefinition::__set_acceptedUnixMilliseconds(const int64_t val) {
+  this->acceptedUnixMilliseconds = val;
+}
+
+void JobDefinition::__set_acceptedTerm(const int64_t val) {
+  this->acceptedTerm = val;
+}
+
+void JobDefinition::__set_adviceValidityMilliseconds(const int64_t val) {
+  this->adviceValidityMilliseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobDefinition& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobDefinition::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->jobId);
+          this->__isset.jobId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->queue);
+          this->__isset.queue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maximumAttempts);
+          this->__isset.maximumAttempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->stretch);
+          this->__isset.stretch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->objectiveMilliseconds);
+          this->__isset.objectiveMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->payload);
+          this->__isset.payload = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->steps.clear();
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->steps.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
+            {
+              xfer += this->steps[_i96].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.steps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->occurrences);
+          this->__isset.occurrences = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->firstDueUnixMilliseconds);
+          this->__isset.firstDueUnixMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->intervalMilliseconds);
+          this->__isset.intervalMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acceptedUnixMilliseconds);
+          this->__isset.acceptedUnixMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acceptedTerm);
+          this->__isset.acceptedTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->adviceValidityMilliseconds);
+          this->__isset.adviceValidityMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobDefinition::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobDefinition");
+
+  xfer += oprot->writeFieldBegin("jobId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->jobId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->queue);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maximumAttempts", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->maximumAttempts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stretch", ::apache::thrift::protocol::T_DOUBLE, 6);
+  xfer += oprot->writeDouble(this->stretch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objectiveMilliseconds", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->objectiveMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->payload);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
+    std::vector<StepDefinition> ::const_iterator _iter97;
+    for (_iter97 = this->steps.begin(); _iter97 != this->steps.end(); ++_iter97)
+    {
+      xfer += (*_iter97).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->occurrences);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("firstDueUnixMilliseconds", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->firstDueUnixMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("intervalMilliseconds", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->intervalMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acceptedUnixMilliseconds", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->acceptedUnixMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acceptedTerm", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->acceptedTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adviceValidityMilliseconds", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->adviceValidityMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobDefinition &a, JobDefinition &b) {
+  using ::std::swap;
+  swap(a.jobId, b.jobId);
+  swap(a.queue, b.queue);
+  swap(a.serviceName, b.serviceName);
+  swap(a.priority, b.priority);
+  swap(a.maximumAttempts, b.maximumAttempts);
+  swap(a.stretch, b.stretch);
+  swap(a.objectiveMilliseconds, b.objectiveMilliseconds);
+  swap(a.payload, b.payload);
+  swap(a.steps, b.steps);
+  swap(a.occurrences, b.occurrences);
+  swap(a.firstDueUnixMilliseconds, b.firstDueUnixMilliseconds);
+  swap(a.intervalMilliseconds, b.intervalMilliseconds);
+  swap(a.acceptedUnixMilliseconds, b.acceptedUnixMilliseconds);
+  swap(a.acceptedTerm, b.acceptedTerm);
+  swap(a.adviceValidityMilliseconds, b.adviceValidityMilliseconds);
+  swap(a.__isset, b.__isset);
+}
+
+JobDefinition::JobDefinition(const JobDefinition& other98) {
+  jobId = other98.jobId;
+  queue = other98.queue;
+  serviceName = other98.serviceName;
+  priority = other98.priority;
+  maximumAttempts = other98.maximumAttempts;
+  stretch = other98.stretch;
+  objectiveMilliseconds = other98.objectiveMilliseconds;
+  payload = other98.payload;
+  steps = other98.steps;
+  occurrences = other98.occurrences;
+  firstDueUnixMilliseconds = other98.firstDueUnixMilliseconds;
+  intervalMilliseconds = other98.intervalMilliseconds;
+  acceptedUnixMilliseconds = other98.acceptedUnixMilliseconds;
+  acceptedTerm = other98.acceptedTerm;
+  adviceValidityMilliseconds = other98.adviceValidityMilliseconds;
+  __isset = other98.__isset;
+}
+JobDefinition::JobDefinition(JobDefinition&& other99) noexcept {
+  jobId = std::move(other99.jobId);
+  queue = std::move(other99.queue);
+  serviceName = std::move(other99.serviceName);
+  priority = other99.priority;
+  maximumAttempts = other99.maximumAttempts;
+  stretch = other99.stretch;
+  objectiveMilliseconds = other99.objectiveMilliseconds;
+  payload = std::move(other99.payload);
+  steps = std::move(other99.steps);
+  occurrences = other99.occurrences;
+  firstDueUnixMilliseconds = other99.firstDueUnixMilliseconds;
+  intervalMilliseconds = other99.intervalMilliseconds;
+  acceptedUnixMilliseconds = other99.acceptedUnixMilliseconds;
+  acceptedTerm = other99.acceptedTerm;
+  adviceValidityMilliseconds = other99.adviceValidityMilliseconds;
+  __isset = other99.__isset;
+}
+JobDefinition& JobDefinition::operator=(const JobDefinition& other100) {
+  jobId = other100.jobId;
+  queue = other100.queue;
+  serviceName = other100.serviceName;
+  priority = other100.priority;
+  maximumAttempts = other100.maximumAttempts;
+  stretch = other100.stretch;
+  objectiveMilliseconds = other100.objectiveMilliseconds;
+  payload = other100.payload;
+  steps = other100.steps;
+  occurrences = other100.occurrences;
+  firstDueUnixMilliseconds = other100.firstDueUnixMilliseconds;
+  intervalMilliseconds = other100.intervalMilliseconds;
+  acceptedUnixMilliseconds = other100.acceptedUnixMilliseconds;
+  acceptedTerm = other100.acceptedTerm;
+  adviceValidityMilliseconds = other100.adviceValidityMilliseconds;
+  __isset = other100.__isset;
+  return *this;
+}
+JobDefinition& JobDefinition::operator=(JobDefinition&& other101) noexcept {
+  jobId = std::move(other101.jobId);
+  queue = std::move(other101.queue);
+  serviceName = std::move(other101.serviceName);
+  priority = other101.priority;
+  maximumAttempts = other101.maximumAttempts;
+  stretch = other101.stretch;
+  objectiveMilliseconds = other101.objectiveMilliseconds;
+  payload = std::move(other101.payload);
+  steps = std::move(other101.steps);
+  occurrences = other101.occurrences;
+  firstDueUnixMilliseconds = other101.firstDueUnixMilliseconds;
+  intervalMilliseconds = other101.intervalMilliseconds;
+  acceptedUnixMilliseconds = other101.acceptedUnixMilliseconds;
+  acceptedTerm = other101.acceptedTerm;
+  adviceValidityMilliseconds = other101.adviceValidityMilliseconds;
+  __isset = other101.__isset;
+  return *this;
+}
+void JobDefinition::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobDefinition(";
+  out << "jobId=" << to_string(jobId);
+  out << ", " << "queue=" << to_string(queue);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "maximumAttempts=" << to_string(maximumAttempts);
+  out << ", " << "stretch=" << to_string(stretch);
+  out << ", " << "objectiveMilliseconds=" << to_string(objectiveMilliseconds);
+  out << ", " << "payload=" << to_string(payload);
+  out << ", " << "steps=" << to_string(steps);
+  out << ", " << "occurrences=" << to_string(occurrences);
+  out << ", " << "firstDueUnixMilliseconds=" << to_string(firstDueUnixMilliseconds);
+  out << ", " << "intervalMilliseconds=" << to_string(intervalMilliseconds);
+  out << ", " << "acceptedUnixMilliseconds=" << to_string(acceptedUnixMilliseconds);
+  out << ", " << "acceptedTerm=" << to_string(acceptedTerm);
+  out << ", " << "adviceValidityMilliseconds=" << to_string(adviceValidityMilliseconds);
+  out << ")";
+}
+
+
+TaskName::~TaskName() noexcept {
+}
+
+
+void TaskName::__set_jobId(const std::string& val) {
+  this->jobId = val;
+}
+
+void TaskName::__set_occurrence(const int32_t val) {
+  this->occurrence = val;
+}
+
+void TaskName::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void TaskName::__set_index(const int32_t val) {
+  this->index = val;
+}
+std::ostream& operator<<(std::ostream& out, const TaskName& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TaskName::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->jobId);
+          this->__isset.jobId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->occurrence);
+          this->__isset.occurrence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TaskName::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TaskName");
+
+  xfer += oprot->writeFieldBegin("jobId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->jobId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("occurrence", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->occurrence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TaskName &a, TaskName &b) {
+  using ::std::swap;
+  swap(a.jobId, b.jobId);
+  swap(a.occurrence, b.occurrence);
+  swap(a.step, b.step);
+  swap(a.index, b.index);
+  swap(a.__isset, b.__isset);
+}
+
+TaskName::TaskName(const TaskName& other102) {
+  jobId = other102.jobId;
+  occurrence = other102.occurrence;
+  step = other102.step;
+  index = other102.index;
+  __isset = other102.__isset;
+}
+TaskName::TaskName(TaskName&& other103) noexcept {
+  jobId = std::move(other103.jobId);
+  occurrence = other103.occurrence;
+  step = other103.step;
+  index = other103.index;
+  __isset = other103.__isset;
+}
+TaskName& TaskName::operator=(const TaskName& other104) {
+  jobId = other104.jobId;
+  occurrence = other104.occurrence;
+  step = other104.step;
+  index = other104.index;
+  __isset = other104.__isset;
+  return *this;
+}
+TaskName& TaskName::operator=(TaskName&& other105) noexcept {
+  jobId = std::move(other105.jobId);
+  occurrence = other105.occurrence;
+  step = other105.step;
+  index = other105.index;
+  __isset = other105.__isset;
+  return *this;
+}
+void TaskName::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TaskName(";
+  out << "jobId=" << to_string(jobId);
+  out << ", " << "occurrence=" << to_string(occurrence);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "index=" << to_string(index);
+  out << ")";
+}
+
+
+TaskMark::~TaskMark() noexcept {
+}
+
+
+void TaskMark::__set_occurrence(const int32_t val) {
+  this->occurrence = val;
+}
+
+void TaskMark::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void TaskMark::__set_index(const int32_t val) {
+  this->index = val;
+}
+
+void TaskMark::__set_completed(const bool val) {
+  this->completed = val;
+}
+
+void TaskMark::__set_failures(const int32_t val) {
+  this->failures = val;
+}
+
+void TaskMark::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+std::ostream& operator<<(std::ostream& out, const TaskMark& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TaskMark::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->occurrence);
+          this->__isset.occurrence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->completed);
+          this->__isset.completed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TaskMark::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TaskMark");
+
+  xfer += oprot->writeFieldBegin("occurrence", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->occurrence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->completed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TaskMark &a, TaskMark &b) {
+  using ::std::swap;
+  swap(a.occurrence, b.occurrence);
+  swap(a.step, b.step);
+  swap(a.index, b.index);
+  swap(a.completed, b.completed);
+  swap(a.failures, b.failures);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.__isset, b.__isset);
+}
+
+TaskMark::TaskMark(const TaskMark& other106) {
+  occurrence = other106.occurrence;
+  step = other106.step;
+  index = other106.index;
+  completed = other106.completed;
+  failures = other106.failures;
+  checkpoint = other106.checkpoint;
+  __isset = other106.__isset;
+}
+TaskMark::TaskMark(TaskMark&& other107) noexcept {
+  occurrence = other107.occurrence;
+  step = other107.step;
+  index = other107.index;
+  completed = other107.completed;
+  failures = other107.failures;
+  checkpoint = std::move(other107.checkpoint);
+  __isset = other107.__isset;
+}
+TaskMark& TaskMark::operator=(const TaskMark& other108) {
+  occurrence = other108.occurrence;
+  step = other108.step;
+  index = other108.index;
+  completed = other108.completed;
+  failures = other108.failures;
+  checkpoint = other108.checkpoint;
+  __isset = other108.__isset;
+  return *this;
+}
+TaskMark& TaskMark::operator=(TaskMark&& other109) noexcept {
+  occurrence = other109.occurrence;
+  step = other109.step;
+  index = other109.index;
+  completed = other109.completed;
+  failures = other109.failures;
+  checkpoint = std::move(other109.checkpoint);
+  __isset = other109.__isset;
+  return *this;
+}
+void TaskMark::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TaskMark(";
+  out << "occurrence=" << to_string(occurrence);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "completed=" << to_string(completed);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ")";
+}
+
+
+JobProgress::~JobProgress() noexcept {
+}
+
+
+void JobProgress::__set_marks(const std::vector<TaskMark> & val) {
+  this->marks = val;
+}
+
+void JobProgress::__set_outcome(const JobOutcome::type val) {
+  this->outcome = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobProgress& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobProgress::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->marks.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->marks.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += this->marks[_i114].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.marks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast115;
+          xfer += iprot->readI32(ecast115);
+          this->outcome = static_cast<JobOutcome::type>(ecast115);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobProgress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobProgress");
+
+  xfer += oprot->writeFieldBegin("marks", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->marks.size()));
+    std::vector<TaskMark> ::const_iterator _iter116;
+    for (_iter116 = this->marks.begin(); _iter116 != this->marks.end(); ++_iter116)
+    {
+      xfer += (*_iter116).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobProgress &a, JobProgress &b) {
+  using ::std::swap;
+  swap(a.marks, b.marks);
+  swap(a.outcome, b.outcome);
+  swap(a.__isset, b.__isset);
+}
+
+JobProgress::JobProgress(const JobProgress& other117) {
+  marks = other117.marks;
+  outcome = other117.outcome;
+  __isset = other117.__isset;
+}
+JobProgress::JobProgress(JobProgress&& other118) noexcept {
+  marks = std::move(other118.marks);
+  outcome = other118.outcome;
+  __isset = other118.__isset;
+}
+JobProgress& JobProgress::operator=(const JobProgress& other119) {
+  marks = other119.marks;
+  outcome = other119.outcome;
+  __isset = other119.__isset;
+  return *this;
+}
+JobProgress& JobProgress::operator=(JobProgress&& other120) noexcept {
+  marks = std::move(other120.marks);
+  outcome = other120.outcome;
+  __isset = other120.__isset;
+  return *this;
+}
+void JobProgress::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobProgress(";
+  out << "marks=" << to_string(marks);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ")";
+}
+
+
+HostRecord::~HostRecord() noexcept {
+}
+
+
+void HostRecord::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void HostRecord::__set_term(const int64_t val) {
+  this->term = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostRecord");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostRecord &a, HostRecord &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.term, b.term);
+  swap(a.__isset, b.__isset);
+}
+
+HostRecord::HostRecord(const HostRecord& other121) noexcept {
+  incarnation = other121.incarnation;
+  term = other121.term;
+  __isset = other121.__isset;
+}
+HostRecord::HostRecord(HostRecord&& other122) noexcept {
+  incarnation = other122.incarnation;
+  term = other122.term;
+  __isset = other122.__isset;
+}
+HostRecord& HostRecord::operator=(const HostRecord& other123) noexcept {
+  incarnation = other123.incarnation;
+  term = other123.term;
+  __isset = other123.__isset;
+  return *this;
+}
+HostRecord& HostRecord::operator=(HostRecord&& other124) noexcept {
+  incarnation = other124.incarnation;
+  term = other124.term;
+  __isset = other124.__isset;
+  return *this;
+}
+void HostRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostRecord(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "term=" << to_string(term);
+  out << ")";
+}
+
+
+OwnerClaim::~OwnerClaim() noexcept {
+}
+
+
+void OwnerClaim::__set_nodeId(const std::string& val) {
+  this->nodeId = val;
+}
+
+void OwnerClaim::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void OwnerClaim::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void OwnerClaim::__set_port(const int32_t val) {
+  this->port = val;
+}
+std::ostream& operator<<(std::ostream& out, const OwnerClaim& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OwnerClaim::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->nodeId);
+          this->__isset.nodeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OwnerClaim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OwnerClaim");
+
+  xfer += oprot->writeFieldBegin("nodeId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->nodeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OwnerClaim &a, OwnerClaim &b) {
+  using ::std::swap;
+  swap(a.nodeId, b.nodeId);
+  swap(a.incarnation, b.incarnation);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.__isset, b.__isset);
+}
+
+OwnerClaim::OwnerClaim(const OwnerClaim& other125) {
+  nodeId = other125.nodeId;
+  incarnation = other125.incarnation;
+  address = other125.address;
+  port = other125.port;
+  __isset = other125.__isset;
+}
+OwnerClaim::OwnerClaim(OwnerClaim&& other126) noexcept {
+  nodeId = std::move(other126.nodeId);
+  incarnation = other126.incarnation;
+  address = std::move(other126.address);
+  port = other126.port;
+  __isset = other126.__isset;
+}
+OwnerClaim& OwnerClaim::operator=(const OwnerClaim& other127) {
+  nodeId = other127.nodeId;
+  incarnation = other127.incarnation;
+  address = other127.address;
+  port = other127.port;
+  __isset = other127.__isset;
+  return *this;
+}
+OwnerClaim& OwnerClaim::operator=(OwnerClaim&& other128) noexcept {
+  nodeId = std::move(other128.nodeId);
+  incarnation = other128.incarnation;
+  address = std::move(other128.address);
+  port = other128.port;
+  __isset = other128.__isset;
+  return *this;
+}
+void OwnerClaim::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OwnerClaim(";
+  out << "nodeId=" << to_string(nodeId);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ")";
+}
+
+
+OwnerPulse::~OwnerPulse() noexcept {
+}
+
+
+void OwnerPulse::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void OwnerPulse::__set_resigning(const bool val) {
+  this->resigning = val;
+}
+std::ostream& operator<<(std::ostream& out, const OwnerPulse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OwnerPulse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->resigning);
+          this->__isset.resigning = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OwnerPulse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OwnerPulse");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("resigning", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->resigning);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OwnerPulse &a, OwnerPulse &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.resigning, b.resigning);
+  swap(a.__isset, b.__isset);
+}
+
+OwnerPulse::OwnerPulse(const OwnerPulse& other129) noexcept {
+  term = other129.term;
+  resigning = other129.resigning;
+  __isset = other129.__isset;
+}
+OwnerPulse::OwnerPulse(OwnerPulse&& other130) noexcept {
+  term = other130.term;
+  resigning = other130.resigning;
+  __isset = other130.__isset;
+}
+OwnerPulse& OwnerPulse::operator=(const OwnerPulse& other131) noexcept {
+  term = other131.term;
+  resigning = other131.resigning;
+  __isset = other131.__isset;
+  return *this;
+}
+OwnerPulse& OwnerPulse::operator=(OwnerPulse&& other132) noexcept {
+  term = other132.term;
+  resigning = other132.resigning;
+  __isset = other132.__isset;
+  return *this;
+}
+void OwnerPulse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OwnerPulse(";
+  out << "term=" << to_string(term);
+  out << ", " << "resigning=" << to_string(resigning);
+  out << ")";
+}
+
+
+RunningTask::~RunningTask() noexcept {
+}
+
+
+void RunningTask::__set_task(const TaskName& val) {
+  this->task = val;
+}
+
+void RunningTask::__set_run(const int32_t val) {
+  this->run = val;
+}
+
+void RunningTask::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void RunningTask::__set_percent(const int32_t val) {
+  this->percent = val;
+}
+
+void RunningTask::__set_usage(const int64_t val) {
+  this->usage = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunningTask& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunningTask::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->percent);
+          this->__isset.percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usage);
+          this->__isset.usage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunningTask::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunningTask");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("percent", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->usage);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunningTask &a, RunningTask &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.percent, b.percent);
+  swap(a.usage, b.usage);
+  swap(a.__isset, b.__isset);
+}
+
+RunningTask::RunningTask(const RunningTask& other133) {
+  task = other133.task;
+  run = other133.run;
+  checkpoint = other133.checkpoint;
+  percent = other133.percent;
+  usage = other133.usage;
+  __isset = other133.__isset;
+}
+RunningTask::RunningTask(RunningTask&& other134) noexcept {
+  task = std::move(other134.task);
+  run = other134.run;
+  checkpoint = std::move(other134.checkpoint);
+  percent = other134.percent;
+  usage = other134.usage;
+  __isset = other134.__isset;
+}
+RunningTask& RunningTask::operator=(const RunningTask& other135) {
+  task = other135.task;
+  run = other135.run;
+  checkpoint = other135.checkpoint;
+  percent = other135.percent;
+  usage = other135.usage;
+  __isset = other135.__isset;
+  return *this;
+}
+RunningTask& RunningTask::operator=(RunningTask&& other136) noexcept {
+  task = std::move(other136.task);
+  run = other136.run;
+  checkpoint = std::move(other136.checkpoint);
+  percent = other136.percent;
+  usage = other136.usage;
+  __isset = other136.__isset;
+  return *this;
+}
+void RunningTask::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunningTask(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "percent=" << to_string(percent);
+  out << ", " << "usage=" << to_string(usage);
+  out << ")";
+}
+
+
+EndedTask::~EndedTask() noexcept {
+}
+
+
+void EndedTask::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void EndedTask::__set_task(const TaskName& val) {
+  this->task = val;
+}
+
+void EndedTask::__set_run(const int32_t val) {
+  this->run = val;
+}
+
+void EndedTask::__set_how(const RunEnd::type val) {
+  this->how = val;
+}
+
+void EndedTask::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndedTask& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndedTask::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast137;
+          xfer += iprot->readI32(ecast137);
+          this->how = static_cast<RunEnd::type>(ecast137);
+          this->__isset.how = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndedTask::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndedTask");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("how", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->how));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndedTask &a, EndedTask &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.how, b.how);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.__isset, b.__isset);
+}
+
+EndedTask::EndedTask(const EndedTask& other138) {
+  number = other138.number;
+  task = other138.task;
+  run = other138.run;
+  how = other138.how;
+  checkpoint = other138.checkpoint;
+  __isset = other138.__isset;
+}
+EndedTask::EndedTask(EndedTask&& other139) noexcept {
+  number = other139.number;
+  task = std::move(other139.task);
+  run = other139.run;
+  how = other139.how;
+  checkpoint = std::move(other139.checkpoint);
+  __isset = other139.__isset;
+}
+EndedTask& EndedTask::operator=(const EndedTask& other140) {
+  number = other140.number;
+  task = other140.task;
+  run = other140.run;
+  how = other140.how;
+  checkpoint = other140.checkpoint;
+  __isset = other140.__isset;
+  return *this;
+}
+EndedTask& EndedTask::operator=(EndedTask&& other141) noexcept {
+  number = other141.number;
+  task = std::move(other141.task);
+  run = other141.run;
+  how = other141.how;
+  checkpoint = std::move(other141.checkpoint);
+  __isset = other141.__isset;
+  return *this;
+}
+void EndedTask::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndedTask(";
+  out << "number=" << to_string(number);
+  out << ", " << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "how=" << to_string(how);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ")";
+}
+
+
+OrderResult::~OrderResult() noexcept {
+}
+
+
+void OrderResult::__set_task(const TaskName& val) {
+  this->task = val;
+}
+
+void OrderResult::__set_run(const int32_t val) {
+  this->run = val;
+}
+
+void OrderResult::__set_outcome(const OrderOutcome::type val) {
+  this->outcome = val;
+}
+
+void OrderResult::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+std::ostream& operator<<(std::ostream& out, const OrderResult& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OrderResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast142;
+          xfer += iprot->readI32(ecast142);
+          this->outcome = static_cast<OrderOutcome::type>(ecast142);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OrderResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OrderResult");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OrderResult &a, OrderResult &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.outcome, b.outcome);
+  swap(a.reason, b.reason);
+  swap(a.__isset, b.__isset);
+}
+
+OrderResult::OrderResult(const OrderResult& other143) {
+  task = other143.task;
+  run = other143.run;
+  outcome = other143.outcome;
+  reason = other143.reason;
+  __isset = other143.__isset;
+}
+OrderResult::OrderResult(OrderResult&& other144) noexcept {
+  task = std::move(other144.task);
+  run = other144.run;
+  outcome = other144.outcome;
+  reason = std::move(other144.reason);
+  __isset = other144.__isset;
+}
+OrderResult& OrderResult::operator=(const OrderResult& other145) {
+  task = other145.task;
+  run = other145.run;
+  outcome = other145.outcome;
+  reason = other145.reason;
+  __isset = other145.__isset;
+  return *this;
+}
+OrderResult& OrderResult::operator=(OrderResult&& other146) noexcept {
+  task = std::move(other146.task);
+  run = other146.run;
+  outcome = other146.outcome;
+  reason = std::move(other146.reason);
+  __isset = other146.__isset;
+  return *this;
+}
+void OrderResult::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OrderResult(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "reason=" << to_string(reason);
+  out << ")";
+}
+
+
+HostReport::~HostReport() noexcept {
+}
+
+
+void HostReport::__set_hostId(const std::string& val) {
+  this->hostId = val;
+}
+
+void HostReport::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void HostReport::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void HostReport::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void HostReport::__set_rack(const std::string& val) {
+  this->rack = val;
+}
+
+void HostReport::__set_labels(const std::vector<std::string> & val) {
+  this->labels = val;
+}
+
+void HostReport::__set_capacity(const Resources& val) {
+  this->capacity = val;
+}
+
+void HostReport::__set_state(const HostState::type val) {
+  this->state = val;
+}
+
+void HostReport::__set_remainingMilliseconds(const int64_t val) {
+  this->remainingMilliseconds = val;
+}
+
+void HostReport::__set_listed(const bool val) {
+  this->listed = val;
+}
+
+void HostReport::__set_clockMilliseconds(const int64_t val) {
+  this->clockMilliseconds = val;
+}
+
+void HostReport::__set_running(const std::vector<RunningTask> & val) {
+  this->running = val;
+}
+
+void HostReport::__set_ended(const std::vector<EndedTask> & val) {
+  this->ended = val;
+}
+
+void HostReport::__set_results(const std::vector<OrderResult> & val) {
+  this->results = val;
+}
+
+void HostReport::__set_highestTerm(const int64_t val) {
+  this->highestTerm = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->hostId);
+          this->__isset.hostId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->rack);
+          this->__isset.rack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->labels.clear();
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->labels.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
+            {
+              xfer += iprot->readString(this->labels[_i151]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.labels = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->capacity.read(iprot);
+          this->__isset.capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast152;
+          xfer += iprot->readI32(ecast152);
+          this->state = static_cast<HostState::type>(ecast152);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remainingMilliseconds);
+          this->__isset.remainingMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->listed);
+          this->__isset.listed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clockMilliseconds);
+          this->__isset.clockMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->running.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
+            {
+              xfer += this->running[_i157].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended.clear();
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->ended.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
+            {
+              xfer += this->ended[_i162].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->results.clear();
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->results.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
+            {
+              xfer += this->results[_i167].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.results = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->highestTerm);
+          this->__isset.highestTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostReport");
+
+  xfer += oprot->writeFieldBegin("hostId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->hostId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rack", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->rack);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
+    std::vector<std::string> ::const_iterator _iter168;
+    for (_iter168 = this->labels.begin(); _iter168 != this->labels.end(); ++_iter168)
+    {
+      xfer += oprot->writeString((*_iter168));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_STRUCT, 7);
+  xfer += this->capacity.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remainingMilliseconds", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->remainingMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("listed", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->listed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clockMilliseconds", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->clockMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
+    std::vector<RunningTask> ::const_iterator _iter169;
+    for (_iter169 = this->running.begin(); _iter169 != this->running.end(); ++_iter169)
+    {
+      xfer += (*_iter169).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
+    std::vector<EndedTask> ::const_iterator _iter170;
+    for (_iter170 = this->ended.begin(); _iter170 != this->ended.end(); ++_iter170)
+    {
+      xfer += (*_iter170).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
+    std::vector<OrderResult> ::const_iterator _iter171;
+    for (_iter171 = this->results.begin(); _iter171 != this->results.end(); ++_iter171)
+    {
+      xfer += (*_iter171).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("highestTerm", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->highestTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostReport &a, HostReport &b) {
+  using ::std::swap;
+  swap(a.hostId, b.hostId);
+  swap(a.incarnation, b.incarnation);
+  swap(a.serviceName, b.serviceName);
+  swap(a.zone, b.zone);
+  swap(a.rack, b.rack);
+  swap(a.labels, b.labels);
+  swap(a.capacity, b.capacity);
+  swap(a.state, b.state);
+  swap(a.remainingMilliseconds, b.remainingMilliseconds);
+  swap(a.listed, b.listed);
+  swap(a.clockMilliseconds, b.clockMilliseconds);
+  swap(a.running, b.running);
+  swap(a.ended, b.ended);
+  swap(a.results, b.results);
+  swap(a.highestTerm, b.highestTerm);
+  swap(a.__isset, b.__isset);
+}
+
+HostReport::HostReport(const HostReport& other172) {
+  hostId = other172.hostId;
+  incarnation = other172.incarnation;
+  serviceName = other172.serviceName;
+  zone = other172.zone;
+  rack = other172.rack;
+  labels = other172.labels;
+  capacity = other172.capacity;
+  state = other172.state;
+  remainingMilliseconds = other172.remainingMilliseconds;
+  listed = other172.listed;
+  clockMilliseconds = other172.clockMilliseconds;
+  running = other172.running;
+  ended = other172.ended;
+  results = other172.results;
+  highestTerm = other172.highestTerm;
+  __isset = other172.__isset;
+}
+HostReport::HostReport(HostReport&& other173) noexcept {
+  hostId = std::move(other173.hostId);
+  incarnation = other173.incarnation;
+  serviceName = std::move(other173.serviceName);
+  zone = std::move(other173.zone);
+  rack = std::move(other173.rack);
+  labels = std::move(other173.labels);
+  capacity = std::move(other173.capacity);
+  state = other173.state;
+  remainingMilliseconds = other173.remainingMilliseconds;
+  listed = other173.listed;
+  clockMilliseconds = other173.clockMilliseconds;
+  running = std::move(other173.running);
+  ended = std::move(other173.ended);
+  results = std::move(other173.results);
+  highestTerm = other173.highestTerm;
+  __isset = other173.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other174) {
+  hostId = other174.hostId;
+  incarnation = other174.incarnation;
+  serviceName = other174.serviceName;
+  zone = other174.zone;
+  rack = other174.rack;
+  labels = other174.labels;
+  capacity = other174.capacity;
+  state = other174.state;
+  remainingMilliseconds = other174.remainingMilliseconds;
+  listed = other174.listed;
+  clockMilliseconds = other174.clockMilliseconds;
+  running = other174.running;
+  ended = other174.ended;
+  results = other174.results;
+  highestTerm = other174.highestTerm;
+  __isset = other174.__isset;
+  return *this;
+}
+HostReport& HostReport::operator=(HostReport&& other175) noexcept {
+  hostId = std::move(other175.hostId);
+  incarnation = other175.incarnation;
+  serviceName = std::move(other175.serviceName);
+  zone = std::move(other175.zone);
+  rack = std::move(other175.rack);
+  labels = std::move(other175.labels);
+  capacity = std::move(other175.capacity);
+  state = other175.state;
+  remainingMilliseconds = other175.remainingMilliseconds;
+  listed = other175.listed;
+  clockMilliseconds = other175.clockMilliseconds;
+  running = std::move(other175.running);
+  ended = std::move(other175.ended);
+  results = std::move(other175.results);
+  highestTerm = other175.highestTerm;
+  __isset = other175.__isset;
+  return *this;
+}
+void HostReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostReport(";
+  out << "hostId=" << to_string(hostId);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "rack=" << to_string(rack);
+  out << ", " << "labels=" << to_string(labels);
+  out << ", " << "capacity=" << to_string(capacity);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "remainingMilliseconds=" << to_string(remainingMilliseconds);
+  out << ", " << "listed=" << to_string(listed);
+  out << ", " << "clockMilliseconds=" << to_string(clockMilliseconds);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "ended=" << to_string(ended);
+  out << ", " << "results=" << to_string(results);
+  out << ", " << "highestTerm=" << to_string(highestTerm);
+  out << ")";
+}
+
+
+StartOrder::~StartOrder() noexcept {
+}
+
+
+void StartOrder::__set_task(const TaskName& val) {
+  this->task = val;
+}
+
+void StartOrder::__set_run(const int32_t val) {
+  this->run = val;
+}
+
+void StartOrder::__set_payload(const std::string& val) {
+  this->payload = val;
+}
+
+void StartOrder::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void StartOrder::__set_ticket(const std::string& val) {
+  this->ticket = val;
+}
+std::ostream& operator<<(std::ostream& out, const StartOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StartOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->payload);
+          this->__isset.payload = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ticket);
+          this->__isset.ticket = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StartOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StartOrder");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->payload);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ticket", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->ticket);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StartOrder &a, StartOrder &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.payload, b.payload);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.ticket, b.ticket);
+  swap(a.__isset, b.__isset);
+}
+
+StartOrder::StartOrder(const StartOrder& other176) {
+  task = other176.task;
+  run = other176.run;
+  payload = other176.payload;
+  checkpoint = other176.checkpoint;
+  ticket = other176.ticket;
+  __isset = other176.__isset;
+}
+StartOrder::StartOrder(StartOrder&& other177) noexcept {
+  task = std::move(other177.task);
+  run = other177.run;
+  payload = std::move(other177.payload);
+  checkpoint = std::move(other177.checkpoint);
+  ticket = std::move(other177.ticket);
+  __isset = other177.__isset;
+}
+StartOrder& StartOrder::operator=(const StartOrder& other178) {
+  task = other178.task;
+  run = other178.run;
+  payload = other178.payload;
+  checkpoint = other178.checkpoint;
+  ticket = other178.ticket;
+  __isset = other178.__isset;
+  return *this;
+}
+StartOrder& StartOrder::operator=(StartOrder&& other179) noexcept {
+  task = std::move(other179.task);
+  run = other179.run;
+  payload = std::move(other179.payload);
+  checkpoint = std::move(other179.checkpoint);
+  ticket = std::move(other179.ticket);
+  __isset = other179.__isset;
+  return *this;
+}
+void StartOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StartOrder(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "payload=" << to_string(payload);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "ticket=" << to_string(ticket);
+  out << ")";
+}
+
+
+HaltOrder::~HaltOrder() noexcept {
+}
+
+
+void HaltOrder::__set_task(const TaskName& val) {
+  this->task = val;
+}
+
+void HaltOrder::__set_run(const int32_t val) {
+  this->run = val;
+}
+std::ostream& operator<<(std::ostream& out, const HaltOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HaltOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HaltOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HaltOrder");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HaltOrder &a, HaltOrder &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.__isset, b.__isset);
+}
+
+HaltOrder::HaltOrder(const HaltOrder& other180) {
+  task = other180.task;
+  run = other180.run;
+  __isset = other180.__isset;
+}
+HaltOrder::HaltOrder(HaltOrder&& other181) noexcept {
+  task = std::move(other181.task);
+  run = other181.run;
+  __isset = other181.__isset;
+}
+HaltOrder& HaltOrder::operator=(const HaltOrder& other182) {
+  task = other182.task;
+  run = other182.run;
+  __isset = other182.__isset;
+  return *this;
+}
+HaltOrder& HaltOrder::operator=(HaltOrder&& other183) noexcept {
+  task = std::move(other183.task);
+  run = other183.run;
+  __isset = other183.__isset;
+  return *this;
+}
+void HaltOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HaltOrder(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ")";
+}
+
+
+PaceOrder::~PaceOrder() noexcept {
+}
+
+
+void PaceOrder::__set_task(const TaskName& val) {
+  this->task = val;
+}
+
+void PaceOrder::__set_run(const int32_t val) {
+  this->run = val;
+}
+
+void PaceOrder::__set_percent(const int32_t val) {
+  this->percent = val;
+}
+std::ostream& operator<<(std::ostream& out, const PaceOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PaceOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->percent);
+          this->__isset.percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PaceOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PaceOrder");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("percent", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PaceOrder &a, PaceOrder &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.percent, b.percent);
+  swap(a.__isset, b.__isset);
+}
+
+PaceOrder::PaceOrder(const PaceOrder& other184) {
+  task = other184.task;
+  run = other184.run;
+  percent = other184.percent;
+  __isset = other184.__isset;
+}
+PaceOrder::PaceOrder(PaceOrder&& other185) noexcept {
+  task = std::move(other185.task);
+  run = other185.run;
+  percent = other185.percent;
+  __isset = other185.__isset;
+}
+PaceOrder& PaceOrder::operator=(const PaceOrder& other186) {
+  task = other186.task;
+  run = other186.run;
+  percent = other186.percent;
+  __isset = other186.__isset;
+  return *this;
+}
+PaceOrder& PaceOrder::operator=(PaceOrder&& other187) noexcept {
+  task = std::move(other187.task);
+  run = other187.run;
+  percent = other187.percent;
+  __isset = other187.__isset;
+  return *this;
+}
+void PaceOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PaceOrder(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "percent=" << to_string(percent);
+  out << ")";
+}
+
+
+HostOrders::~HostOrders() noexcept {
+}
+
+
+void HostOrders::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void HostOrders::__set_hostId(const std::string& val) {
+  this->hostId = val;
+}
+
+void HostOrders::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void HostOrders::__set_leaseUntilMilliseconds(const int64_t val) {
+  this->leaseUntilMilliseconds = val;
+}
+
+void HostOrders::__set_acknowledgedNumber(const int64_t val) {
+  this->acknowledgedNumber = val;
+}
+
+void HostOrders::__set_starts(const std::vector<StartOrder> & val) {
+  this->starts = val;
+}
+
+void HostOrders::__set_halts(const std::vector<HaltOrder> & val) {
+  this->halts = val;
+}
+
+void HostOrders::__set_paces(const std::vector<PaceOrder> & val) {
+  this->paces = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostOrders& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostOrders::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->hostId);
+          this->__isset.hostId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leaseUntilMilliseconds);
+          this->__isset.leaseUntilMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acknowledgedNumber);
+          this->__isset.acknowledgedNumber = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->starts.clear();
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->starts.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
+            {
+              xfer += this->starts[_i192].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.starts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->halts.clear();
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->halts.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
+            {
+              xfer += this->halts[_i197].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.halts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->paces.clear();
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->paces.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
+            {
+              xfer += this->paces[_i202].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.paces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostOrders::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostOrders");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hostId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->hostId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaseUntilMilliseconds", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->leaseUntilMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acknowledgedNumber", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->acknowledgedNumber);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
+    std::vector<StartOrder> ::const_iterator _iter203;
+    for (_iter203 = this->starts.begin(); _iter203 != this->starts.end(); ++_iter203)
+    {
+      xfer += (*_iter203).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("halts", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->halts.size()));
+    std::vector<HaltOrder> ::const_iterator _iter204;
+    for (_iter204 = this->halts.begin(); _iter204 != this->halts.end(); ++_iter204)
+    {
+      xfer += (*_iter204).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("paces", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->paces.size()));
+    std::vector<PaceOrder> ::const_iterator _iter205;
+    for (_iter205 = this->paces.begin(); _iter205 != this->paces.end(); ++_iter205)
+    {
+      xfer += (*_iter205).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostOrders &a, HostOrders &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.hostId, b.hostId);
+  swap(a.incarnation, b.incarnation);
+  swap(a.leaseUntilMilliseconds, b.leaseUntilMilliseconds);
+  swap(a.acknowledgedNumber, b.acknowledgedNumber);
+  swap(a.starts, b.starts);
+  swap(a.halts, b.halts);
+  swap(a.paces, b.paces);
+  swap(a.__isset, b.__isset);
+}
+
+HostOrders::HostOrders(const HostOrders& other206) {
+  term = other206.term;
+  hostId = other206.hostId;
+  incarnation = other206.incarnation;
+  leaseUntilMilliseconds = other206.leaseUntilMilliseconds;
+  acknowledgedNumber = other206.acknowledgedNumber;
+  starts = other206.starts;
+  halts = other206.halts;
+  paces = other206.paces;
+  __isset = other206.__isset;
+}
+HostOrders::HostOrders(HostOrders&& other207) noexcept {
+  term = other207.term;
+  hostId = std::move(other207.hostId);
+  incarnation = other207.incarnation;
+  leaseUntilMilliseconds = other207.leaseUntilMilliseconds;
+  acknowledgedNumber = other207.acknowledgedNumber;
+  starts = std::move(other207.starts);
+  halts = std::move(other207.halts);
+  paces = std::move(other207.paces);
+  __isset = other207.__isset;
+}
+HostOrders& HostOrders::operator=(const HostOrders& other208) {
+  term = other208.term;
+  hostId = other208.hostId;
+  incarnation = other208.incarnation;
+  leaseUntilMilliseconds = other208.leaseUntilMilliseconds;
+  acknowledgedNumber = other208.acknowledgedNumber;
+  starts = other208.starts;
+  halts = other208.halts;
+  paces = other208.paces;
+  __isset = other208.__isset;
+  return *this;
+}
+HostOrders& HostOrders::operator=(HostOrders&& other209) noexcept {
+  term = other209.term;
+  hostId = std::move(other209.hostId);
+  incarnation = other209.incarnation;
+  leaseUntilMilliseconds = other209.leaseUntilMilliseconds;
+  acknowledgedNumber = other209.acknowledgedNumber;
+  starts = std::move(other209.starts);
+  halts = std::move(other209.halts);
+  paces = std::move(other209.paces);
+  __isset = other209.__isset;
+  return *this;
+}
+void HostOrders::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostOrders(";
+  out << "term=" << to_string(term);
+  out << ", " << "hostId=" << to_string(hostId);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "leaseUntilMilliseconds=" << to_string(leaseUntilMilliseconds);
+  out << ", " << "acknowledgedNumber=" << to_string(acknowledgedNumber);
+  out << ", " << "starts=" << to_string(starts);
+  out << ", " << "halts=" << to_string(halts);
+  out << ", " << "paces=" << to_string(paces);
+  out << ")";
+}
+
+
+NodeHello::~NodeHello() noexcept {
+}
+
+
+void NodeHello::__set_nodeId(const std::string& val) {
+  this->nodeId = val;
+}
+
+void NodeHello::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void NodeHello::__set_isSide(const bool val) {
+  this->isSide = val;
+}
+
+void NodeHello::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void NodeHello::__set_isOwner(const bool val) {
+  this->isOwner = val;
+}
+std::ostream& operator<<(std::ostream& out, const NodeHello& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t NodeHello::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->nodeId);
+          this->__isset.nodeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isSide);
+          this->__isset.isSide = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isOwner);
+          this->__isset.isOwner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NodeHello::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NodeHello");
+
+  xfer += oprot->writeFieldBegin("nodeId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->nodeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isSide", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->isSide);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isOwner", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->isOwner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(NodeHello &a, NodeHello &b) {
+  using ::std::swap;
+  swap(a.nodeId, b.nodeId);
+  swap(a.incarnation, b.incarnation);
+  swap(a.isSide, b.isSide);
+  swap(a.term, b.term);
+  swap(a.isOwner, b.isOwner);
+  swap(a.__isset, b.__isset);
+}
+
+NodeHello::NodeHello(const NodeHello& other210) {
+  nodeId = other210.nodeId;
+  incarnation = other210.incarnation;
+  isSide = other210.isSide;
+  term = other210.term;
+  isOwner = other210.isOwner;
+  __isset = other210.__isset;
+}
+NodeHello::NodeHello(NodeHello&& other211) noexcept {
+  nodeId = std::move(other211.nodeId);
+  incarnation = other211.incarnation;
+  isSide = other211.isSide;
+  term = other211.term;
+  isOwner = other211.isOwner;
+  __isset = other211.__isset;
+}
+NodeHello& NodeHello::operator=(const NodeHello& other212) {
+  nodeId = other212.nodeId;
+  incarnation = other212.incarnation;
+  isSide = other212.isSide;
+  term = other212.term;
+  isOwner = other212.isOwner;
+  __isset = other212.__isset;
+  return *this;
+}
+NodeHello& NodeHello::operator=(NodeHello&& other213) noexcept {
+  nodeId = std::move(other213.nodeId);
+  incarnation = other213.incarnation;
+  isSide = other213.isSide;
+  term = other213.term;
+  isOwner = other213.isOwner;
+  __isset = other213.__isset;
+  return *this;
+}
+void NodeHello::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "NodeHello(";
+  out << "nodeId=" << to_string(nodeId);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "isSide=" << to_string(isSide);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "isOwner=" << to_string(isOwner);
+  out << ")";
+}
+
+
+JobCall::~JobCall() noexcept {
+}
+
+
+void JobCall::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+
+void JobCall::__set_kind(const JobCallKind::type val) {
+  this->kind = val;
+}
+
+void JobCall::__set_jobId(const std::string& val) {
+  this->jobId = val;
+}
+
+void JobCall::__set_queue(const std::string& val) {
+  this->queue = val;
+}
+
+void JobCall::__set_job(const JobDefinition& val) {
+  this->job = val;
+}
+
+void JobCall::__set_policyVersion(const int64_t val) {
+  this->policyVersion = val;
+}
+
+void JobCall::__set_budgetMilliseconds(const int64_t val) {
+  this->budgetMilliseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast214;
+          xfer += iprot->readI32(ecast214);
+          this->kind = static_cast<JobCallKind::type>(ecast214);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->jobId);
+          this->__isset.jobId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->queue);
+          this->__isset.queue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->job.read(iprot);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->policyVersion);
+          this->__isset.policyVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->budgetMilliseconds);
+          this->__isset.budgetMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobCall");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("jobId", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->jobId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->queue);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->job.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("policyVersion", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->policyVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("budgetMilliseconds", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->budgetMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobCall &a, JobCall &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.kind, b.kind);
+  swap(a.jobId, b.jobId);
+  swap(a.queue, b.queue);
+  swap(a.job, b.job);
+  swap(a.policyVersion, b.policyVersion);
+  swap(a.budgetMilliseconds, b.budgetMilliseconds);
+  swap(a.__isset, b.__isset);
+}
+
+JobCall::JobCall(const JobCall& other215) {
+  callId = other215.callId;
+  kind = other215.kind;
+  jobId = other215.jobId;
+  queue = other215.queue;
+  job = other215.job;
+  policyVersion = other215.policyVersion;
+  budgetMilliseconds = other215.budgetMilliseconds;
+  __isset = other215.__isset;
+}
+JobCall::JobCall(JobCall&& other216) noexcept {
+  callId = other216.callId;
+  kind = other216.kind;
+  jobId = std::move(other216.jobId);
+  queue = std::move(other216.queue);
+  job = std::move(other216.job);
+  policyVersion = other216.policyVersion;
+  budgetMilliseconds = other216.budgetMilliseconds;
+  __isset = other216.__isset;
+}
+JobCall& JobCall::operator=(const JobCall& other217) {
+  callId = other217.callId;
+  kind = other217.kind;
+  jobId = other217.jobId;
+  queue = other217.queue;
+  job = other217.job;
+  policyVersion = other217.policyVersion;
+  budgetMilliseconds = other217.budgetMilliseconds;
+  __isset = other217.__isset;
+  return *this;
+}
+JobCall& JobCall::operator=(JobCall&& other218) noexcept {
+  callId = other218.callId;
+  kind = other218.kind;
+  jobId = std::move(other218.jobId);
+  queue = std::move(other218.queue);
+  job = std::move(other218.job);
+  policyVersion = other218.policyVersion;
+  budgetMilliseconds = other218.budgetMilliseconds;
+  __isset = other218.__isset;
+  return *this;
+}
+void JobCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobCall(";
+  out << "callId=" << to_string(callId);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "jobId=" << to_string(jobId);
+  out << ", " << "queue=" << to_string(queue);
+  out << ", " << "job=" << to_string(job);
+  out << ", " << "policyVersion=" << to_string(policyVersion);
+  out << ", " << "budgetMilliseconds=" << to_string(budgetMilliseconds);
+  out << ")";
+}
+
+
+JobReply::~JobReply() noexcept {
+}
+
+
+void JobReply::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+
+void JobReply::__set_kind(const JobReplyKind::type val) {
+  this->kind = val;
+}
+
+void JobReply::__set_phase(const JobPhase::type val) {
+  this->phase = val;
+}
+
+void JobReply::__set_waiting(const int64_t val) {
+  this->waiting = val;
+}
+
+void JobReply::__set_retryAfterMilliseconds(const int64_t val) {
+  this->retryAfterMilliseconds = val;
+}
+
+void JobReply::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast219;
+          xfer += iprot->readI32(ecast219);
+          this->kind = static_cast<JobReplyKind::type>(ecast219);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast220;
+          xfer += iprot->readI32(ecast220);
+          this->phase = static_cast<JobPhase::type>(ecast220);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterMilliseconds);
+          this->__isset.retryAfterMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobReply");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->phase));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMilliseconds", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->retryAfterMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobReply &a, JobReply &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.kind, b.kind);
+  swap(a.phase, b.phase);
+  swap(a.waiting, b.waiting);
+  swap(a.retryAfterMilliseconds, b.retryAfterMilliseconds);
+  swap(a.reason, b.reason);
+  swap(a.__isset, b.__isset);
+}
+
+JobReply::JobReply(const JobReply& other221) {
+  callId = other221.callId;
+  kind = other221.kind;
+  phase = other221.phase;
+  waiting = other221.waiting;
+  retryAfterMilliseconds = other221.retryAfterMilliseconds;
+  reason = other221.reason;
+  __isset = other221.__isset;
+}
+JobReply::JobReply(JobReply&& other222) noexcept {
+  callId = other222.callId;
+  kind = other222.kind;
+  phase = other222.phase;
+  waiting = other222.waiting;
+  retryAfterMilliseconds = other222.retryAfterMilliseconds;
+  reason = std::move(other222.reason);
+  __isset = other222.__isset;
+}
+JobReply& JobReply::operator=(const JobReply& other223) {
+  callId = other223.callId;
+  kind = other223.kind;
+  phase = other223.phase;
+  waiting = other223.waiting;
+  retryAfterMilliseconds = other223.retryAfterMilliseconds;
+  reason = other223.reason;
+  __isset = other223.__isset;
+  return *this;
+}
+JobReply& JobReply::operator=(JobReply&& other224) noexcept {
+  callId = other224.callId;
+  kind = other224.kind;
+  phase = other224.phase;
+  waiting = other224.waiting;
+  retryAfterMilliseconds = other224.retryAfterMilliseconds;
+  reason = std::move(other224.reason);
+  __isset = other224.__isset;
+  return *this;
+}
+void JobReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobReply(";
+  out << "callId=" << to_string(callId);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "phase=" << to_string(phase);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "retryAfterMilliseconds=" << to_string(retryAfterMilliseconds);
+  out << ", " << "reason=" << to_string(reason);
+  out << ")";
+}
+
 }} // namespace
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -53,6 +53,116 @@
 
 std::string to_string(const AttemptState::type& val);
 
+struct JobOutcome {
+  enum type {
+    Open = 1,
+    Completed = 2,
+    Failed = 3,
+    Cancelled = 4
+  };
+};
+
+extern const std::map<int, const char*> _JobOutcome_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const JobOutcome::type& val);
+
+std::string to_string(const JobOutcome::type& val);
+
+struct RunEnd {
+  enum type {
+    Completed = 1,
+    Failed = 2,
+    Stopped = 3,
+    Lapsed = 4,
+    GangBroken = 5,
+    GangAlone = 6
+  };
+};
+
+extern const std::map<int, const char*> _RunEnd_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const RunEnd::type& val);
+
+std::string to_string(const RunEnd::type& val);
+
+struct OrderOutcome {
+  enum type {
+    Started = 1,
+    Refused = 2,
+    Absent = 3
+  };
+};
+
+extern const std::map<int, const char*> _OrderOutcome_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const OrderOutcome::type& val);
+
+std::string to_string(const OrderOutcome::type& val);
+
+struct HostState {
+  enum type {
+    Ready = 1,
+    Draining = 2,
+    Gone = 3
+  };
+};
+
+extern const std::map<int, const char*> _HostState_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const HostState::type& val);
+
+std::string to_string(const HostState::type& val);
+
+struct JobCallKind {
+  enum type {
+    Submit = 1,
+    Status = 2,
+    Cancel = 3,
+    Waiting = 4
+  };
+};
+
+extern const std::map<int, const char*> _JobCallKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const JobCallKind::type& val);
+
+std::string to_string(const JobCallKind::type& val);
+
+struct JobReplyKind {
+  enum type {
+    Accepted = 1,
+    Refused = 2,
+    Unknown = 3,
+    State = 4,
+    NoSuchJob = 5,
+    WaitingCount = 6,
+    NoSuchQueue = 7,
+    Invalid = 8
+  };
+};
+
+extern const std::map<int, const char*> _JobReplyKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const JobReplyKind::type& val);
+
+std::string to_string(const JobReplyKind::type& val);
+
+struct JobPhase {
+  enum type {
+    Queued = 1,
+    Running = 2,
+    Completed = 3,
+    Failed = 4,
+    Cancelled = 5
+  };
+};
+
+extern const std::map<int, const char*> _JobPhase_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const JobPhase::type& val);
+
+std::string to_string(const JobPhase::type& val);
+
 class Load;
 
 class Resources;
@@ -93,6 +203,44 @@
 
 class AttemptReport;
 
+class StepDefinition;
+
+class JobDefinition;
+
+class TaskName;
+
+class TaskMark;
+
+class JobProgress;
+
+class HostRecord;
+
+class OwnerClaim;
+
+class OwnerPulse;
+
+class RunningTask;
+
+class EndedTask;
+
+class OrderResult;
+
+class HostReport;
+
+class StartOrder;
+
+class HaltOrder;
+
+class PaceOrder;
+
+class HostOrders;
+
+class NodeHello;
+
+class JobCall;
+
+class JobReply;
+
 typedef struct _Load__isset {
   _Load__isset() : inFlight(false), queued(false), slots(false), latencyMicroseconds(false) {}
   bool inFlight :1;
@@ -1596,6 +1744,1549 @@
 
 std::ostream& operator<<(std::ostream& out, const AttemptReport& obj);
 
+typedef struct _StepDefinition__isset {
+  _StepDefinition__isset() : count(false), demand(false), estimateMilliseconds(false), after(false), savesProgress(false), gang(false), sameRack(false), requiredLabel(false), dataRack(false), maximumPerHost(false), allowDuplicates(false), longRunning(false), image(false), targetMilliseconds(false), filler(false), mayMiss(false) {}
+  bool count :1;
+  bool demand :1;
+  bool estimateMilliseconds :1;
+  bool after :1;
+  bool savesProgress :1;
+  bool gang :1;
+  bool sameRack :1;
+  bool requiredLabel :1;
+  bool dataRack :1;
+  bool maximumPerHost :1;
+  bool allowDuplicates :1;
+  bool longRunning :1;
+  bool image :1;
+  bool targetMilliseconds :1;
+  bool filler :1;
+  bool mayMiss :1;
+} _StepDefinition__isset;
+
+class StepDefinition : public virtual ::apache::thrift::TBase {
+ public:
+
+  StepDefinition(const StepDefinition&);
+  StepDefinition(StepDefinition&&) noexcept;
+  StepDefinition& operator=(const StepDefinition&);
+  StepDefinition& operator=(StepDefinition&&) noexcept;
+  StepDefinition() noexcept
+                 : count(0),
+                   estimateMilliseconds(0),
+                   savesProgress(0),
+                   gang(0),
+                   sameRack(0),
+                   requiredLabel(),
+                   dataRack(),
+                   maximumPerHost(0),
+                   allowDuplicates(0),
+                   longRunning(0),
+                   image(),
+                   targetMilliseconds(0),
+                   filler(0),
+                   mayMiss(0) {
+  }
+
+  virtual ~StepDefinition() noexcept;
+  int32_t count;
+  Resources demand;
+  int64_t estimateMilliseconds;
+  std::vector<int32_t>  after;
+  bool savesProgress;
+  bool gang;
+  bool sameRack;
+  std::string requiredLabel;
+  std::string dataRack;
+  int32_t maximumPerHost;
+  bool allowDuplicates;
+  bool longRunning;
+  std::string image;
+  int64_t targetMilliseconds;
+  bool filler;
+  int32_t mayMiss;
+
+  _StepDefinition__isset __isset;
+
+  void __set_count(const int32_t val);
+
+  void __set_demand(const Resources& val);
+
+  void __set_estimateMilliseconds(const int64_t val);
+
+  void __set_after(const std::vector<int32_t> & val);
+
+  void __set_savesProgress(const bool val);
+
+  void __set_gang(const bool val);
+
+  void __set_sameRack(const bool val);
+
+  void __set_requiredLabel(const std::string& val);
+
+  void __set_dataRack(const std::string& val);
+
+  void __set_maximumPerHost(const int32_t val);
+
+  void __set_allowDuplicates(const bool val);
+
+  void __set_longRunning(const bool val);
+
+  void __set_image(const std::string& val);
+
+  void __set_targetMilliseconds(const int64_t val);
+
+  void __set_filler(const bool val);
+
+  void __set_mayMiss(const int32_t val);
+
+  bool operator == (const StepDefinition & rhs) const
+  {
+    if (!(count == rhs.count))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
+    if (!(estimateMilliseconds == rhs.estimateMilliseconds))
+      return false;
+    if (!(after == rhs.after))
+      return false;
+    if (!(savesProgress == rhs.savesProgress))
+      return false;
+    if (!(gang == rhs.gang))
+      return false;
+    if (!(sameRack == rhs.sameRack))
+      return false;
+    if (!(requiredLabel == rhs.requiredLabel))
+      return false;
+    if (!(dataRack == rhs.dataRack))
+      return false;
+    if (!(maximumPerHost == rhs.maximumPerHost))
+      return false;
+    if (!(allowDuplicates == rhs.allowDuplicates))
+      return false;
+    if (!(longRunning == rhs.longRunning))
+      return false;
+    if (!(image == rhs.image))
+      return false;
+    if (!(targetMilliseconds == rhs.targetMilliseconds))
+      return false;
+    if (!(filler == rhs.filler))
+      return false;
+    if (!(mayMiss == rhs.mayMiss))
+      return false;
+    return true;
+  }
+  bool operator != (const StepDefinition &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StepDefinition & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StepDefinition &a, StepDefinition &b);
+
+std::ostream& operator<<(std::ostream& out, const StepDefinition& obj);
+
+typedef struct _JobDefinition__isset {
+  _JobDefinition__isset() : jobId(false), queue(false), serviceName(false), priority(false), maximumAttempts(false), stretch(false), objectiveMilliseconds(false), payload(false), steps(false), occurrences(false), firstDueUnixMilliseconds(false), intervalMilliseconds(false), acceptedUnixMilliseconds(false), acceptedTerm(false), adviceValidityMilliseconds(false) {}
+  bool jobId :1;
+  bool queue :1;
+  bool serviceName :1;
+  bool priority :1;
+  bool maximumAttempts :1;
+  bool stretch :1;
+  bool objectiveMilliseconds :1;
+  bool payload :1;
+  bool steps :1;
+  bool occurrences :1;
+  bool firstDueUnixMilliseconds :1;
+  bool intervalMilliseconds :1;
+  bool acceptedUnixMilliseconds :1;
+  bool acceptedTerm :1;
+  bool adviceValidityMilliseconds :1;
+} _JobDefinition__isset;
+
+class JobDefinition : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobDefinition(const JobDefinition&);
+  JobDefinition(JobDefinition&&) noexcept;
+  JobDefinition& operator=(const JobDefinition&);
+  JobDefinition& operator=(JobDefinition&&) noexcept;
+  JobDefinition() noexcept
+                : jobId(),
+                  queue(),
+                  serviceName(),
+                  priority(0),
+                  maximumAttempts(0),
+                  stretch(0),
+                  objectiveMilliseconds(0),
+                  payload(),
+                  occurrences(0),
+                  firstDueUnixMilliseconds(0),
+                  intervalMilliseconds(0),
+                  acceptedUnixMilliseconds(0),
+                  acceptedTerm(0),
+                  adviceValidityMilliseconds(0) {
+  }
+
+  virtual ~JobDefinition() noexcept;
+  std::string jobId;
+  std::string queue;
+  std::string serviceName;
+  int32_t priority;
+  int32_t maximumAttempts;
+  double stretch;
+  int64_t objectiveMilliseconds;
+  std::string payload;
+  std::vector<StepDefinition>  steps;
+  int32_t occurrences;
+  int64_t firstDueUnixMilliseconds;
+  int64_t intervalMilliseconds;
+  int64_t acceptedUnixMilliseconds;
+  int64_t acceptedTerm;
+  int64_t adviceValidityMilliseconds;
+
+  _JobDefinition__isset __isset;
+
+  void __set_jobId(const std::string& val);
+
+  void __set_queue(const std::string& val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_maximumAttempts(const int32_t val);
+
+  void __set_stretch(const double val);
+
+  void __set_objectiveMilliseconds(const int64_t val);
+
+  void __set_payload(const std::string& val);
+
+  void __set_steps(const std::vector<StepDefinition> & val);
+
+  void __set_occurrences(const int32_t val);
+
+  void __set_firstDueUnixMilliseconds(const int64_t val);
+
+  void __set_intervalMilliseconds(const int64_t val);
+
+  void __set_acceptedUnixMilliseconds(const int64_t val);
+
+  void __set_acceptedTerm(const int64_t val);
+
+  void __set_adviceValidityMilliseconds(const int64_t val);
+
+  bool operator == (const JobDefinition & rhs) const
+  {
+    if (!(jobId == rhs.jobId))
+      return false;
+    if (!(queue == rhs.queue))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(maximumAttempts == rhs.maximumAttempts))
+      return false;
+    if (!(stretch == rhs.stretch))
+      return false;
+    if (!(objectiveMilliseconds == rhs.objectiveMilliseconds))
+      return false;
+    if (!(payload == rhs.payload))
+      return false;
+    if (!(steps == rhs.steps))
+      return false;
+    if (!(occurrences == rhs.occurrences))
+      return false;
+    if (!(firstDueUnixMilliseconds == rhs.firstDueUnixMilliseconds))
+      return false;
+    if (!(intervalMilliseconds == rhs.intervalMilliseconds))
+      return false;
+    if (!(acceptedUnixMilliseconds == rhs.acceptedUnixMilliseconds))
+      return false;
+    if (!(acceptedTerm == rhs.acceptedTerm))
+      return false;
+    if (!(adviceValidityMilliseconds == rhs.adviceValidityMilliseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const JobDefinition &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobDefinition & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobDefinition &a, JobDefinition &b);
+
+std::ostream& operator<<(std::ostream& out, const JobDefinition& obj);
+
+typedef struct _TaskName__isset {
+  _TaskName__isset() : jobId(false), occurrence(false), step(false), index(false) {}
+  bool jobId :1;
+  bool occurrence :1;
+  bool step :1;
+  bool index :1;
+} _TaskName__isset;
+
+class TaskName : public virtual ::apache::thrift::TBase {
+ public:
+
+  TaskName(const TaskName&);
+  TaskName(TaskName&&) noexcept;
+  TaskName& operator=(const TaskName&);
+  TaskName& operator=(TaskName&&) noexcept;
+  TaskName() noexcept
+           : jobId(),
+             occurrence(0),
+             step(0),
+             index(0) {
+  }
+
+  virtual ~TaskName() noexcept;
+  std::string jobId;
+  int32_t occurrence;
+  int32_t step;
+  int32_t index;
+
+  _TaskName__isset __isset;
+
+  void __set_jobId(const std::string& val);
+
+  void __set_occurrence(const int32_t val);
+
+  void __set_step(const int32_t val);
+
+  void __set_index(const int32_t val);
+
+  bool operator == (const TaskName & rhs) const
+  {
+    if (!(jobId == rhs.jobId))
+      return false;
+    if (!(occurrence == rhs.occurrence))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    return true;
+  }
+  bool operator != (const TaskName &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TaskName & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TaskName &a, TaskName &b);
+
+std::ostream& operator<<(std::ostream& out, const TaskName& obj);
+
+typedef struct _TaskMark__isset {
+  _TaskMark__isset() : occurrence(false), step(false), index(false), completed(false), failures(false), checkpoint(false) {}
+  bool occurrence :1;
+  bool step :1;
+  bool index :1;
+  bool completed :1;
+  bool failures :1;
+  bool checkpoint :1;
+} _TaskMark__isset;
+
+class TaskMark : public virtual ::apache::thrift::TBase {
+ public:
+
+  TaskMark(const TaskMark&);
+  TaskMark(TaskMark&&) noexcept;
+  TaskMark& operator=(const TaskMark&);
+  TaskMark& operator=(TaskMark&&) noexcept;
+  TaskMark() noexcept
+           : occurrence(0),
+             step(0),
+             index(0),
+             completed(0),
+             failures(0),
+             checkpoint() {
+  }
+
+  virtual ~TaskMark() noexcept;
+  int32_t occurrence;
+  int32_t step;
+  int32_t index;
+  bool completed;
+  int32_t failures;
+  std::string checkpoint;
+
+  _TaskMark__isset __isset;
+
+  void __set_occurrence(const int32_t val);
+
+  void __set_step(const int32_t val);
+
+  void __set_index(const int32_t val);
+
+  void __set_completed(const bool val);
+
+  void __set_failures(const int32_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  bool operator == (const TaskMark & rhs) const
+  {
+    if (!(occurrence == rhs.occurrence))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (!(completed == rhs.completed))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    return true;
+  }
+  bool operator != (const TaskMark &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TaskMark & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TaskMark &a, TaskMark &b);
+
+std::ostream& operator<<(std::ostream& out, const TaskMark& obj);
+
+typedef struct _JobProgress__isset {
+  _JobProgress__isset() : marks(false), outcome(false) {}
+  bool marks :1;
+  bool outcome :1;
+} _JobProgress__isset;
+
+class JobProgress : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobProgress(const JobProgress&);
+  JobProgress(JobProgress&&) noexcept;
+  JobProgress& operator=(const JobProgress&);
+  JobProgress& operator=(JobProgress&&) noexcept;
+  JobProgress() noexcept
+              : outcome(static_cast<JobOutcome::type>(0)) {
+  }
+
+  virtual ~JobProgress() noexcept;
+  std::vector<TaskMark>  marks;
+  /**
+   * 
+   * @see JobOutcome
+   */
+  JobOutcome::type outcome;
+
+  _JobProgress__isset __isset;
+
+  void __set_marks(const std::vector<TaskMark> & val);
+
+  void __set_outcome(const JobOutcome::type val);
+
+  bool operator == (const JobProgress & rhs) const
+  {
+    if (!(marks == rhs.marks))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    return true;
+  }
+  bool operator != (const JobProgress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobProgress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobProgress &a, JobProgress &b);
+
+std::ostream& operator<<(std::ostream& out, const JobProgress& obj);
+
+typedef struct _HostRecord__isset {
+  _HostRecord__isset() : incarnation(false), term(false) {}
+  bool incarnation :1;
+  bool term :1;
+} _HostRecord__isset;
+
+class HostRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostRecord(const HostRecord&) noexcept;
+  HostRecord(HostRecord&&) noexcept;
+  HostRecord& operator=(const HostRecord&) noexcept;
+  HostRecord& operator=(HostRecord&&) noexcept;
+  HostRecord() noexcept
+             : incarnation(0),
+               term(0) {
+  }
+
+  virtual ~HostRecord() noexcept;
+  int64_t incarnation;
+  int64_t term;
+
+  _HostRecord__isset __isset;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_term(const int64_t val);
+
+  bool operator == (const HostRecord & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    return true;
+  }
+  bool operator != (const HostRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostRecord &a, HostRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const HostRecord& obj);
+
+typedef struct _OwnerClaim__isset {
+  _OwnerClaim__isset() : nodeId(false), incarnation(false), address(false), port(false) {}
+  bool nodeId :1;
+  bool incarnation :1;
+  bool address :1;
+  bool port :1;
+} _OwnerClaim__isset;
+
+class OwnerClaim : public virtual ::apache::thrift::TBase {
+ public:
+
+  OwnerClaim(const OwnerClaim&);
+  OwnerClaim(OwnerClaim&&) noexcept;
+  OwnerClaim& operator=(const OwnerClaim&);
+  OwnerClaim& operator=(OwnerClaim&&) noexcept;
+  OwnerClaim() noexcept
+             : nodeId(),
+               incarnation(0),
+               address(),
+               port(0) {
+  }
+
+  virtual ~OwnerClaim() noexcept;
+  std::string nodeId;
+  int64_t incarnation;
+  std::string address;
+  int32_t port;
+
+  _OwnerClaim__isset __isset;
+
+  void __set_nodeId(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  bool operator == (const OwnerClaim & rhs) const
+  {
+    if (!(nodeId == rhs.nodeId))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    return true;
+  }
+  bool operator != (const OwnerClaim &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OwnerClaim & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OwnerClaim &a, OwnerClaim &b);
+
+std::ostream& operator<<(std::ostream& out, const OwnerClaim& obj);
+
+typedef struct _OwnerPulse__isset {
+  _OwnerPulse__isset() : term(false), resigning(false) {}
+  bool term :1;
+  bool resigning :1;
+} _OwnerPulse__isset;
+
+class OwnerPulse : public virtual ::apache::thrift::TBase {
+ public:
+
+  OwnerPulse(const OwnerPulse&) noexcept;
+  OwnerPulse(OwnerPulse&&) noexcept;
+  OwnerPulse& operator=(const OwnerPulse&) noexcept;
+  OwnerPulse& operator=(OwnerPulse&&) noexcept;
+  OwnerPulse() noexcept
+             : term(0),
+               resigning(0) {
+  }
+
+  virtual ~OwnerPulse() noexcept;
+  int64_t term;
+  bool resigning;
+
+  _OwnerPulse__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_resigning(const bool val);
+
+  bool operator == (const OwnerPulse & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(resigning == rhs.resigning))
+      return false;
+    return true;
+  }
+  bool operator != (const OwnerPulse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OwnerPulse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OwnerPulse &a, OwnerPulse &b);
+
+std::ostream& operator<<(std::ostream& out, const OwnerPulse& obj);
+
+typedef struct _RunningTask__isset {
+  _RunningTask__isset() : task(false), run(false), checkpoint(false), percent(false), usage(false) {}
+  bool task :1;
+  bool run :1;
+  bool checkpoint :1;
+  bool percent :1;
+  bool usage :1;
+} _RunningTask__isset;
+
+class RunningTask : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunningTask(const RunningTask&);
+  RunningTask(RunningTask&&) noexcept;
+  RunningTask& operator=(const RunningTask&);
+  RunningTask& operator=(RunningTask&&) noexcept;
+  RunningTask() noexcept
+              : run(0),
+                checkpoint(),
+                percent(0),
+                usage(0) {
+  }
+
+  virtual ~RunningTask() noexcept;
+  TaskName task;
+  int32_t run;
+  std::string checkpoint;
+  int32_t percent;
+  int64_t usage;
+
+  _RunningTask__isset __isset;
+
+  void __set_task(const TaskName& val);
+
+  void __set_run(const int32_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_percent(const int32_t val);
+
+  void __set_usage(const int64_t val);
+
+  bool operator == (const RunningTask & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(percent == rhs.percent))
+      return false;
+    if (!(usage == rhs.usage))
+      return false;
+    return true;
+  }
+  bool operator != (const RunningTask &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunningTask & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunningTask &a, RunningTask &b);
+
+std::ostream& operator<<(std::ostream& out, const RunningTask& obj);
+
+typedef struct _EndedTask__isset {
+  _EndedTask__isset() : number(false), task(false), run(false), how(false), checkpoint(false) {}
+  bool number :1;
+  bool task :1;
+  bool run :1;
+  bool how :1;
+  bool checkpoint :1;
+} _EndedTask__isset;
+
+class EndedTask : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndedTask(const EndedTask&);
+  EndedTask(EndedTask&&) noexcept;
+  EndedTask& operator=(const EndedTask&);
+  EndedTask& operator=(EndedTask&&) noexcept;
+  EndedTask() noexcept
+            : number(0),
+              run(0),
+              how(static_cast<RunEnd::type>(0)),
+              checkpoint() {
+  }
+
+  virtual ~EndedTask() noexcept;
+  int64_t number;
+  TaskName task;
+  int32_t run;
+  /**
+   * 
+   * @see RunEnd
+   */
+  RunEnd::type how;
+  std::string checkpoint;
+
+  _EndedTask__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_task(const TaskName& val);
+
+  void __set_run(const int32_t val);
+
+  void __set_how(const RunEnd::type val);
+
+  void __set_checkpoint(const std::string& val);
+
+  bool operator == (const EndedTask & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(how == rhs.how))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    return true;
+  }
+  bool operator != (const EndedTask &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndedTask & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndedTask &a, EndedTask &b);
+
+std::ostream& operator<<(std::ostream& out, const EndedTask& obj);
+
+typedef struct _OrderResult__isset {
+  _OrderResult__isset() : task(false), run(false), outcome(false), reason(false) {}
+  bool task :1;
+  bool run :1;
+  bool outcome :1;
+  bool reason :1;
+} _OrderResult__isset;
+
+class OrderResult : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrderResult(const OrderResult&);
+  OrderResult(OrderResult&&) noexcept;
+  OrderResult& operator=(const OrderResult&);
+  OrderResult& operator=(OrderResult&&) noexcept;
+  OrderResult() noexcept
+              : run(0),
+                outcome(static_cast<OrderOutcome::type>(0)),
+                reason() {
+  }
+
+  virtual ~OrderResult() noexcept;
+  TaskName task;
+  int32_t run;
+  /**
+   * 
+   * @see OrderOutcome
+   */
+  OrderOutcome::type outcome;
+  std::string reason;
+
+  _OrderResult__isset __isset;
+
+  void __set_task(const TaskName& val);
+
+  void __set_run(const int32_t val);
+
+  void __set_outcome(const OrderOutcome::type val);
+
+  void __set_reason(const std::string& val);
+
+  bool operator == (const OrderResult & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    return true;
+  }
+  bool operator != (const OrderResult &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrderResult & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrderResult &a, OrderResult &b);
+
+std::ostream& operator<<(std::ostream& out, const OrderResult& obj);
+
+typedef struct _HostReport__isset {
+  _HostReport__isset() : hostId(false), incarnation(false), serviceName(false), zone(false), rack(false), labels(false), capacity(false), state(false), remainingMilliseconds(false), listed(false), clockMilliseconds(false), running(false), ended(false), results(false), highestTerm(false) {}
+  bool hostId :1;
+  bool incarnation :1;
+  bool serviceName :1;
+  bool zone :1;
+  bool rack :1;
+  bool labels :1;
+  bool capacity :1;
+  bool state :1;
+  bool remainingMilliseconds :1;
+  bool listed :1;
+  bool clockMilliseconds :1;
+  bool running :1;
+  bool ended :1;
+  bool results :1;
+  bool highestTerm :1;
+} _HostReport__isset;
+
+class HostReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostReport(const HostReport&);
+  HostReport(HostReport&&) noexcept;
+  HostReport& operator=(const HostReport&);
+  HostReport& operator=(HostReport&&) noexcept;
+  HostReport() noexcept
+             : hostId(),
+               incarnation(0),
+               serviceName(),
+               zone(),
+               rack(),
+               state(static_cast<HostState::type>(0)),
+               remainingMilliseconds(0),
+               listed(0),
+               clockMilliseconds(0),
+               highestTerm(0) {
+  }
+
+  virtual ~HostReport() noexcept;
+  std::string hostId;
+  int64_t incarnation;
+  std::string serviceName;
+  std::string zone;
+  std::string rack;
+  std::vector<std::string>  labels;
+  Resources capacity;
+  /**
+   * 
+   * @see HostState
+   */
+  HostState::type state;
+  int64_t remainingMilliseconds;
+  bool listed;
+  int64_t clockMilliseconds;
+  std::vector<RunningTask>  running;
+  std::vector<EndedTask>  ended;
+  std::vector<OrderResult>  results;
+  int64_t highestTerm;
+
+  _HostReport__isset __isset;
+
+  void __set_hostId(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_rack(const std::string& val);
+
+  void __set_labels(const std::vector<std::string> & val);
+
+  void __set_capacity(const Resources& val);
+
+  void __set_state(const HostState::type val);
+
+  void __set_remainingMilliseconds(const int64_t val);
+
+  void __set_listed(const bool val);
+
+  void __set_clockMilliseconds(const int64_t val);
+
+  void __set_running(const std::vector<RunningTask> & val);
+
+  void __set_ended(const std::vector<EndedTask> & val);
+
+  void __set_results(const std::vector<OrderResult> & val);
+
+  void __set_highestTerm(const int64_t val);
+
+  bool operator == (const HostReport & rhs) const
+  {
+    if (!(hostId == rhs.hostId))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(rack == rhs.rack))
+      return false;
+    if (!(labels == rhs.labels))
+      return false;
+    if (!(capacity == rhs.capacity))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(remainingMilliseconds == rhs.remainingMilliseconds))
+      return false;
+    if (!(listed == rhs.listed))
+      return false;
+    if (!(clockMilliseconds == rhs.clockMilliseconds))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    if (!(results == rhs.results))
+      return false;
+    if (!(highestTerm == rhs.highestTerm))
+      return false;
+    return true;
+  }
+  bool operator != (const HostReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostReport &a, HostReport &b);
+
+std::ostream& operator<<(std::ostream& out, const HostReport& obj);
+
+typedef struct _StartOrder__isset {
+  _StartOrder__isset() : task(false), run(false), payload(false), checkpoint(false), ticket(false) {}
+  bool task :1;
+  bool run :1;
+  bool payload :1;
+  bool checkpoint :1;
+  bool ticket :1;
+} _StartOrder__isset;
+
+class StartOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  StartOrder(const StartOrder&);
+  StartOrder(StartOrder&&) noexcept;
+  StartOrder& operator=(const StartOrder&);
+  StartOrder& operator=(StartOrder&&) noexcept;
+  StartOrder() noexcept
+             : run(0),
+               payload(),
+               checkpoint(),
+               ticket() {
+  }
+
+  virtual ~StartOrder() noexcept;
+  TaskName task;
+  int32_t run;
+  std::string payload;
+  std::string checkpoint;
+  std::string ticket;
+
+  _StartOrder__isset __isset;
+
+  void __set_task(const TaskName& val);
+
+  void __set_run(const int32_t val);
+
+  void __set_payload(const std::string& val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_ticket(const std::string& val);
+
+  bool operator == (const StartOrder & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(payload == rhs.payload))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(ticket == rhs.ticket))
+      return false;
+    return true;
+  }
+  bool operator != (const StartOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StartOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StartOrder &a, StartOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const StartOrder& obj);
+
+typedef struct _HaltOrder__isset {
+  _HaltOrder__isset() : task(false), run(false) {}
+  bool task :1;
+  bool run :1;
+} _HaltOrder__isset;
+
+class HaltOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  HaltOrder(const HaltOrder&);
+  HaltOrder(HaltOrder&&) noexcept;
+  HaltOrder& operator=(const HaltOrder&);
+  HaltOrder& operator=(HaltOrder&&) noexcept;
+  HaltOrder() noexcept
+            : run(0) {
+  }
+
+  virtual ~HaltOrder() noexcept;
+  TaskName task;
+  int32_t run;
+
+  _HaltOrder__isset __isset;
+
+  void __set_task(const TaskName& val);
+
+  void __set_run(const int32_t val);
+
+  bool operator == (const HaltOrder & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    return true;
+  }
+  bool operator != (const HaltOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HaltOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HaltOrder &a, HaltOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const HaltOrder& obj);
+
+typedef struct _PaceOrder__isset {
+  _PaceOrder__isset() : task(false), run(false), percent(false) {}
+  bool task :1;
+  bool run :1;
+  bool percent :1;
+} _PaceOrder__isset;
+
+class PaceOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  PaceOrder(const PaceOrder&);
+  PaceOrder(PaceOrder&&) noexcept;
+  PaceOrder& operator=(const PaceOrder&);
+  PaceOrder& operator=(PaceOrder&&) noexcept;
+  PaceOrder() noexcept
+            : run(0),
+              percent(0) {
+  }
+
+  virtual ~PaceOrder() noexcept;
+  TaskName task;
+  int32_t run;
+  int32_t percent;
+
+  _PaceOrder__isset __isset;
+
+  void __set_task(const TaskName& val);
+
+  void __set_run(const int32_t val);
+
+  void __set_percent(const int32_t val);
+
+  bool operator == (const PaceOrder & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(percent == rhs.percent))
+      return false;
+    return true;
+  }
+  bool operator != (const PaceOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PaceOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PaceOrder &a, PaceOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const PaceOrder& obj);
+
+typedef struct _HostOrders__isset {
+  _HostOrders__isset() : term(false), hostId(false), incarnation(false), leaseUntilMilliseconds(false), acknowledgedNumber(false), starts(false), halts(false), paces(false) {}
+  bool term :1;
+  bool hostId :1;
+  bool incarnation :1;
+  bool leaseUntilMilliseconds :1;
+  bool acknowledgedNumber :1;
+  bool starts :1;
+  bool halts :1;
+  bool paces :1;
+} _HostOrders__isset;
+
+class HostOrders : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostOrders(const HostOrders&);
+  HostOrders(HostOrders&&) noexcept;
+  HostOrders& operator=(const HostOrders&);
+  HostOrders& operator=(HostOrders&&) noexcept;
+  HostOrders() noexcept
+             : term(0),
+               hostId(),
+               incarnation(0),
+               leaseUntilMilliseconds(0),
+               acknowledgedNumber(0) {
+  }
+
+  virtual ~HostOrders() noexcept;
+  int64_t term;
+  std::string hostId;
+  int64_t incarnation;
+  int64_t leaseUntilMilliseconds;
+  int64_t acknowledgedNumber;
+  std::vector<StartOrder>  starts;
+  std::vector<HaltOrder>  halts;
+  std::vector<PaceOrder>  paces;
+
+  _HostOrders__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_hostId(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_leaseUntilMilliseconds(const int64_t val);
+
+  void __set_acknowledgedNumber(const int64_t val);
+
+  void __set_starts(const std::vector<StartOrder> & val);
+
+  void __set_halts(const std::vector<HaltOrder> & val);
+
+  void __set_paces(const std::vector<PaceOrder> & val);
+
+  bool operator == (const HostOrders & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(hostId == rhs.hostId))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(leaseUntilMilliseconds == rhs.leaseUntilMilliseconds))
+      return false;
+    if (!(acknowledgedNumber == rhs.acknowledgedNumber))
+      return false;
+    if (!(starts == rhs.starts))
+      return false;
+    if (!(halts == rhs.halts))
+      return false;
+    if (!(paces == rhs.paces))
+      return false;
+    return true;
+  }
+  bool operator != (const HostOrders &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostOrders & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostOrders &a, HostOrders &b);
+
+std::ostream& operator<<(std::ostream& out, const HostOrders& obj);
+
+typedef struct _NodeHello__isset {
+  _NodeHello__isset() : nodeId(false), incarnation(false), isSide(false), term(false), isOwner(false) {}
+  bool nodeId :1;
+  bool incarnation :1;
+  bool isSide :1;
+  bool term :1;
+  bool isOwner :1;
+} _NodeHello__isset;
+
+class NodeHello : public virtual ::apache::thrift::TBase {
+ public:
+
+  NodeHello(const NodeHello&);
+  NodeHello(NodeHello&&) noexcept;
+  NodeHello& operator=(const NodeHello&);
+  NodeHello& operator=(NodeHello&&) noexcept;
+  NodeHello() noexcept
+            : nodeId(),
+              incarnation(0),
+              isSide(0),
+              term(0),
+              isOwner(0) {
+  }
+
+  virtual ~NodeHello() noexcept;
+  std::string nodeId;
+  int64_t incarnation;
+  bool isSide;
+  int64_t term;
+  bool isOwner;
+
+  _NodeHello__isset __isset;
+
+  void __set_nodeId(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_isSide(const bool val);
+
+  void __set_term(const int64_t val);
+
+  void __set_isOwner(const bool val);
+
+  bool operator == (const NodeHello & rhs) const
+  {
+    if (!(nodeId == rhs.nodeId))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(isSide == rhs.isSide))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(isOwner == rhs.isOwner))
+      return false;
+    return true;
+  }
+  bool operator != (const NodeHello &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NodeHello & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(NodeHello &a, NodeHello &b);
+
+std::ostream& operator<<(std::ostream& out, const NodeHello& obj);
+
+typedef struct _JobCall__isset {
+  _JobCall__isset() : callId(false), kind(false), jobId(false), queue(false), job(false), policyVersion(false), budgetMilliseconds(false) {}
+  bool callId :1;
+  bool kind :1;
+  bool jobId :1;
+  bool queue :1;
+  bool job :1;
+  bool policyVersion :1;
+  bool budgetMilliseconds :1;
+} _JobCall__isset;
+
+class JobCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobCall(const JobCall&);
+  JobCall(JobCall&&) noexcept;
+  JobCall& operator=(const JobCall&);
+  JobCall& operator=(JobCall&&) noexcept;
+  JobCall() noexcept
+          : callId(0),
+            kind(static_cast<JobCallKind::type>(0)),
+            jobId(),
+            queue(),
+            policyVersion(0),
+            budgetMilliseconds(0) {
+  }
+
+  virtual ~JobCall() noexcept;
+  int64_t callId;
+  /**
+   * 
+   * @see JobCallKind
+   */
+  JobCallKind::type kind;
+  std::string jobId;
+  std::string queue;
+  JobDefinition job;
+  int64_t policyVersion;
+  int64_t budgetMilliseconds;
+
+  _JobCall__isset __isset;
+
+  void __set_callId(const int64_t val);
+
+  void __set_kind(const JobCallKind::type val);
+
+  void __set_jobId(const std::string& val);
+
+  void __set_queue(const std::string& val);
+
+  void __set_job(const JobDefinition& val);
+
+  void __set_policyVersion(const int64_t val);
+
+  void __set_budgetMilliseconds(const int64_t val);
+
+  bool operator == (const JobCall & rhs) const
+  {
+    if (!(callId == rhs.callId))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(jobId == rhs.jobId))
+      return false;
+    if (!(queue == rhs.queue))
+      return false;
+    if (!(job == rhs.job))
+      return false;
+    if (!(policyVersion == rhs.policyVersion))
+      return false;
+    if (!(budgetMilliseconds == rhs.budgetMilliseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const JobCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobCall &a, JobCall &b);
+
+std::ostream& operator<<(std::ostream& out, const JobCall& obj);
+
+typedef struct _JobReply__isset {
+  _JobReply__isset() : callId(false), kind(false), phase(false), waiting(false), retryAfterMilliseconds(false), reason(false) {}
+  bool callId :1;
+  bool kind :1;
+  bool phase :1;
+  bool waiting :1;
+  bool retryAfterMilliseconds :1;
+  bool reason :1;
+} _JobReply__isset;
+
+class JobReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobReply(const JobReply&);
+  JobReply(JobReply&&) noexcept;
+  JobReply& operator=(const JobReply&);
+  JobReply& operator=(JobReply&&) noexcept;
+  JobReply() noexcept
+           : callId(0),
+             kind(static_cast<JobReplyKind::type>(0)),
+             phase(static_cast<JobPhase::type>(0)),
+             waiting(0),
+             retryAfterMilliseconds(0),
+             reason() {
+  }
+
+  virtual ~JobReply() noexcept;
+  int64_t callId;
+  /**
+   * 
+   * @see JobReplyKind
+   */
+  JobReplyKind::type kind;
+  /**
+   * 
+   * @see JobPhase
+   */
+  JobPhase::type phase;
+  int64_t waiting;
+  int64_t retryAfterMilliseconds;
+  std::string reason;
+
+  _JobReply__isset __isset;
+
+  void __set_callId(const int64_t val);
+
+  void __set_kind(const JobReplyKind::type val);
+
+  void __set_phase(const JobPhase::type val);
+
+  void __set_waiting(const int64_t val);
+
+  void __set_retryAfterMilliseconds(const int64_t val);
+
+  void __set_reason(const std::string& val);
+
+  bool operator == (const JobReply & rhs) const
+  {
+    if (!(callId == rhs.callId))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(phase == rhs.phase))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(retryAfterMilliseconds == rhs.retryAfterMilliseconds))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    return true;
+  }
+  bool operator != (const JobReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobReply &a, JobReply &b);
+
+std::ostream& operator<<(std::ostream& out, const JobReply& obj);
+
 }} // namespace
 
 #endif
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -186,6 +186,214 @@
   8: i64 sideClockMicroseconds
 }
 
+// ---- Jobs of steps. The owner (one entry at a time) places tasks on hosts; the side beside a host carries
+// its orders out and reports what runs there.
+
+// One step of a job: tasks that are alike.
+struct StepDefinition {
+  1: i32 count
+  2: Resources demand
+  3: i64 estimateMilliseconds
+  4: list<i32> after
+  5: bool savesProgress
+  6: bool gang
+  7: bool sameRack
+  8: string requiredLabel
+  9: string dataRack
+  10: i32 maximumPerHost
+  11: bool allowDuplicates
+  12: bool longRunning
+  13: string image
+  14: i64 targetMilliseconds
+  15: bool filler
+  16: i32 mayMiss
+}
+
+// A job as it was accepted, with the rules of its queue at that time. Never changes afterwards.
+struct JobDefinition {
+  1: string jobId
+  2: string queue
+  3: string serviceName
+  4: i32 priority
+  5: i32 maximumAttempts
+  6: double stretch
+  7: i64 objectiveMilliseconds
+  8: string payload
+  9: list<StepDefinition> steps
+  10: i32 occurrences
+  11: i64 firstDueUnixMilliseconds
+  12: i64 intervalMilliseconds
+  13: i64 acceptedUnixMilliseconds
+  14: i64 acceptedTerm
+  15: i64 adviceValidityMilliseconds
+}
+
+// Names one task of a job; occurrence is 0 for a job that is not repeated.
+struct TaskName {
+  1: string jobId
+  2: i32 occurrence
+  3: i32 step
+  4: i32 index
+}
+
+// What is known for good about one task.
+struct TaskMark {
+  1: i32 occurrence
+  2: i32 step
+  3: i32 index
+  4: bool completed
+  5: i32 failures
+  6: string checkpoint
+}
+
+enum JobOutcome { Open = 1, Completed = 2, Failed = 3, Cancelled = 4 }
+
+// The progress of a job, stored before the ends that it comes from are acknowledged to their host.
+struct JobProgress {
+  1: list<TaskMark> marks
+  2: JobOutcome outcome
+}
+
+// A host that the owner has ordered something on, stored before the first order.
+struct HostRecord {
+  1: i64 incarnation
+  2: i64 term
+}
+
+// Who owns the jobs. The term is the offset of the record plus one.
+struct OwnerClaim {
+  1: string nodeId
+  2: i64 incarnation
+  3: string address
+  4: i32 port
+}
+
+// The owner is alive and reaches the store. A resigning owner asks for a successor at once.
+struct OwnerPulse {
+  1: i64 term
+  2: bool resigning
+}
+
+enum RunEnd { Completed = 1, Failed = 2, Stopped = 3, Lapsed = 4, GangBroken = 5, GangAlone = 6 }
+
+// One run on a host. Usage is a rough figure for the last half second: the tail latency in milliseconds of a task
+// that serves its own users, else the processor in use in thousandths of a core.
+struct RunningTask {
+  1: TaskName task
+  2: i32 run
+  3: string checkpoint
+  4: i32 percent
+  5: i64 usage
+}
+
+// The end of a run, listed by its host until it is acknowledged. Numbers count up within an incarnation.
+struct EndedTask {
+  1: i64 number
+  2: TaskName task
+  3: i32 run
+  4: RunEnd how
+  5: string checkpoint
+}
+
+// Absent: the run is not there and can no longer come to be there.
+enum OrderOutcome { Started = 1, Refused = 2, Absent = 3 }
+
+struct OrderResult {
+  1: TaskName task
+  2: i32 run
+  3: OrderOutcome outcome
+  4: string reason
+}
+
+enum HostState { Ready = 1, Draining = 2, Gone = 3 }
+
+// Side to owner: the host beside it, with a new list of runs when listed is true. Gone means that this incarnation
+// has ended and runs nothing any more.
+struct HostReport {
+  1: string hostId
+  2: i64 incarnation
+  3: string serviceName
+  4: string zone
+  5: string rack
+  6: list<string> labels
+  7: Resources capacity
+  8: HostState state
+  9: i64 remainingMilliseconds
+  10: bool listed
+  11: i64 clockMilliseconds
+  12: list<RunningTask> running
+  13: list<EndedTask> ended
+  14: list<OrderResult> results
+  15: i64 highestTerm
+}
+
+struct StartOrder {
+  1: TaskName task
+  2: i32 run
+  3: string payload
+  4: string checkpoint
+  5: string ticket
+}
+
+struct HaltOrder {
+  1: TaskName task
+  2: i32 run
+}
+
+struct PaceOrder {
+  1: TaskName task
+  2: i32 run
+  3: i32 percent
+}
+
+// Owner to side. Everything that runs on the host may go on until leaseUntilMilliseconds of the host's own clock.
+struct HostOrders {
+  1: i64 term
+  2: string hostId
+  3: i64 incarnation
+  4: i64 leaseUntilMilliseconds
+  5: i64 acknowledgedNumber
+  6: list<StartOrder> starts
+  7: list<HaltOrder> halts
+  8: list<PaceOrder> paces
+}
+
+// First message on a link to the owner, and its answer.
+struct NodeHello {
+  1: string nodeId
+  2: i64 incarnation
+  3: bool isSide
+  4: i64 term
+  5: bool isOwner
+}
+
+enum JobCallKind { Submit = 1, Status = 2, Cancel = 3, Waiting = 4 }
+
+// Entry to owner: a client's call about a job.
+struct JobCall {
+  1: i64 callId
+  2: JobCallKind kind
+  3: string jobId
+  4: string queue
+  5: JobDefinition job
+  6: i64 policyVersion
+  7: i64 budgetMilliseconds
+}
+
+enum JobReplyKind { Accepted = 1, Refused = 2, Unknown = 3, State = 4, NoSuchJob = 5, WaitingCount = 6, NoSuchQueue = 7, Invalid = 8 }
+
+enum JobPhase { Queued = 1, Running = 2, Completed = 3, Failed = 4, Cancelled = 5 }
+
+// Owner to entry: the final answer. Refused means that the job was not accepted and never runs.
+struct JobReply {
+  1: i64 callId
+  2: JobReplyKind kind
+  3: JobPhase phase
+  4: i64 waiting
+  5: i64 retryAfterMilliseconds
+  6: string reason
+}
+
 service Peer {
   oneway void announce(1: Announcement message)
   oneway void acknowledge(1: AnnouncementAck message)
@@ -205,4 +413,9 @@
   oneway void hold(1: HoldRequest message)
   oneway void stop(1: StopRequest message)
   oneway void report(1: AttemptReport message)
+  oneway void hello(1: NodeHello message)
+  oneway void hostReport(1: HostReport message)
+  oneway void hostOrders(1: HostOrders message)
+  oneway void jobCall(1: JobCall message)
+  oneway void jobReply(1: JobReply message)
 }
