Job: Learn which fillers are noisy, pack what serves

Change: InterferenceModel (ridge regression over tasks of one serving job on different hosts), paces from what a host can bear, set as soon as a start is known; serving tasks packed, so that some hosts have none. An entry whose first read came before its topic existed waited 25 s for the owner: such reads are short now and given up when a claim is refused.

--- a/Source/Decision/Job/HostBook.h
+++ b/Source/Decision/Job/HostBook.h
@@ -41,7 +41,10 @@
     std::int64_t estimateMilliseconds = 0;
     Instant since;
     Instant confirmedAt;
-    int percent = 100;
+    /// Share of the run that is done; for a task that serves, 100 says that it is at work.
+    int progressPercent = 0;
+    /// The pace that was ordered last. Hosts do not list it.
+    int orderedPercent = 100;
     std::int64_t usage = 0;
     /// Whether the list of a report has shown it since it was ordered.
     bool listed = false;
@@ -95,8 +98,10 @@
     HostHealth health;
     /// Orders to send.
     Wire::HostOrders orders;
-    std::int64_t pacePercent = 100;
-    Instant paceChangedAt;
+    /// Since when a serving task has been at its target or over it.
+    Instant alarmSince;
+    /// What its serving tasks can still bear, by the newest list; see InterferenceModel.
+    double bearable = 0;
 
     std::int64_t freeMilliCores() const { return capacity.milliProcessors - committed.milliProcessors; }
     std::int64_t freeMegabytes() const { return capacity.memoryMegabytes - committed.memoryMegabytes; }
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -25,7 +25,7 @@
 JobOwner::JobOwner(std::string nodeId, std::int64_t term, const OwnerRules& rules, Instant now)
     : m_state(std::move(nodeId), term, rules, now)
     , m_ledger(m_state)
-    , m_scheduler(m_state, m_ledger, PlacementRules {})
+    , m_scheduler(m_state, m_ledger, m_interference, PlacementRules {})
     , m_paces(PaceRules {})
 {
     m_state.confirmedAt = now;
@@ -241,8 +241,11 @@
 {
     m_ledger.onReport(now, link, report, actions);
     Host* host = m_state.hosts.find(report.hostId);
-    if (host && report.listed)
-        m_state.counters.pacesSent += m_paces.adjust(now, *host);
+    if (!host || (!report.listed && report.results.empty()))
+        return;
+    // A filler starts at full pace: it is held back as soon as its start is known, not with the next list.
+    m_state.counters.pacesSent += m_paces.adjust(now, *host, m_interference, actions);
+    host->bearable = InterferenceModel::headroom(now, *host) - PaceRules {}.keptHeadroom;
 }
 
 void JobOwner::onLinkDown(Instant now, LinkId link) { m_ledger.onLinkDown(now, link); }
@@ -381,6 +384,7 @@
 {
     m_state.unixMilliseconds = unixMilliseconds;
     m_ledger.tick(now, actions);
+    m_interference.observe(now, m_state.hosts);
     const Duration sincePass = now - m_lastPass;
     const bool granting = now < m_state.confirmedAt + m_state.rules.ownershipHold;
     if (!m_resting && granting
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -75,6 +75,7 @@
 
     OwnerState m_state;
     RunLedger m_ledger;
+    InterferenceModel m_interference;
     TaskScheduler m_scheduler;
     PaceControl m_paces;
     std::deque<WaitingReply> m_waiting;
--- a/Source/Decision/Job/PaceControl.h
+++ b/Source/Decision/Job/PaceControl.h
@@ -1,24 +1,28 @@
-/// Slows fillers down where they push tasks that serve over their target. Answers the pattern "noisy neighbours that
-/// change within seconds": fast down, slow up, a host at a time, from the newest tail figures.
+/// Slows fillers down where they push tasks that serve towards their target. Answers the pattern "noisy neighbours that
+/// change within seconds": what the host's serving tasks can bear is shared out, quiet images first, and what is measured
+/// overrules what was learned.
 #pragma once
 
 #include "Decision/Job/HostBook.h"
+#include "Decision/Job/InterferenceModel.h"
 
 namespace Plantainpier {
 
 /// The feedback of one host.
 struct PaceRules {
-    /// Share of the target above which fillers are slowed down, and below which they may go faster.
-    double high = 0.85;
-    double low = 0.6;
-    /// Factor down, step up, in percent of full pace.
-    double downFactor = 0.5;
-    std::int64_t upStep = 10;
-    /// A pace works after the platform's delay and shows in figures of half a second.
-    Duration settle = milliseconds(650);
+    /// Headroom that is kept: 1 is the target itself.
+    double keptHeadroom = 1.25;
+    /// Below this everything that pushes stands still until the next figures.
+    double alarmHeadroom = 1.05;
+    /// Images whose pressure is below this run at full pace unless an alarm lasts.
+    double quietPressure = 0.6;
+    /// An alarm that lasts this long stops quiet images too; well within the platform's bound of harm.
+    Duration alarmPatience = milliseconds(1300);
+    /// Pace that a change must exceed, in percent, so that figures that tremble cost no orders.
+    int smallestChange = 8;
 };
 
-/// Sets the pace of a host's fillers. Used by JobOwner on each list of a host.
+/// Sets the paces of a host's fillers. Used by JobOwner on each list of a host.
 class PaceControl {
 public:
     explicit PaceControl(const PaceRules& rules)
@@ -27,9 +31,11 @@
     }
 
     /// Adds pace orders to the host's orders; the number of them is returned.
-    int adjust(Instant now, Host& host) const;
+    int adjust(Instant now, Host& host, const InterferenceModel& model, Actions& actions) const;
 
 private:
+    int order(Host& host, HostRun& run, int percent) const;
+
     PaceRules m_rules;
 };
 
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -74,11 +74,17 @@
         / static_cast<double>(std::max<std::int64_t>(1, host.capacity.memoryMegabytes));
     const double free = static_cast<double>(host.freeMilliCores()) / capacity;
     double value = request.definition.filler ? idle + 0.3 * memory : free + 0.3 * memory;
+    // Tasks that serve are packed: a host without any bears noisy fillers at full pace.
+    if (request.definition.targetMilliseconds > 0)
+        value = -free;
     // Data on another rack makes the work take longer by more than any difference in load.
     if (!request.definition.dataRack.empty() && host.rack != request.definition.dataRack)
         value -= 2;
-    if (request.definition.filler)
-        value -= 0.5 * static_cast<double>(100 - host.pacePercent) / 100;
+    if (request.definition.filler && request.pressure > 0) {
+        // A noisy image goes where the serving tasks can bear it, a quiet one where the processors are idle.
+        const double push = request.pressure * static_cast<double>(request.definition.demand.milliProcessors) / capacity;
+        value += std::min(host.bearable - push, 0.0);
+    }
     return value / host.health.slowness;
 }
 
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -29,6 +29,8 @@
     const std::vector<RunPlace>& taken;
     /// Only hosts of this rack, when not empty.
     std::string rack;
+    /// How much a filler's image pushes tasks that serve.
+    double pressure = 0;
 };
 
 /// The pure choice. Used by JobOwner.
--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -189,7 +189,7 @@
     }
     run.listed = true;
     run.usage = row.usage;
-    run.percent = row.percent;
+    run.progressPercent = row.progressPercent;
     if (!row.checkpoint.empty())
         run.checkpoint = row.checkpoint;
 }
@@ -204,8 +204,10 @@
     run.confirmedAt = now;
     run.listed = true;
     run.usage = row.usage;
-    run.percent = row.percent;
+    run.progressPercent = row.progressPercent;
     run.checkpoint = row.checkpoint;
+    // The pace that an earlier owner ordered is not listed: the next order sets it.
+    run.orderedPercent = -1;
     JobState* job = m_state.findJob(row.task.jobId);
     StepState* step = job ? job->findStep(row.task.occurrence, row.task.step) : nullptr;
     TaskState* task = job ? job->findTask(row.task) : nullptr;
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -1,6 +1,7 @@
 /// Starts waiting tasks on hosts: takes the order of work and the choice of hosts together, pass by pass.
 #pragma once
 
+#include "Decision/Job/InterferenceModel.h"
 #include "Decision/Job/OwnerState.h"
 #include "Decision/Job/Placement.h"
 #include "Decision/Job/RunLedger.h"
@@ -11,9 +12,11 @@
 /// The scheduling pass of the owner. Lives as long as the term.
 class TaskScheduler {
 public:
-    TaskScheduler(OwnerState& state, RunLedger& ledger, const PlacementRules& rules)
+    TaskScheduler(
+        OwnerState& state, RunLedger& ledger, const InterferenceModel& interference, const PlacementRules& rules)
         : m_state(state)
         , m_ledger(ledger)
+        , m_interference(interference)
         , m_placement(rules)
     {
     }
@@ -38,6 +41,7 @@
 
     OwnerState& m_state;
     RunLedger& m_ledger;
+    const InterferenceModel& m_interference;
     Placement m_placement;
 };
 
--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -75,6 +75,7 @@
     send(std::move(report), actions);
     m_facts.reset();
     m_halts.clear();
+    m_paces.clear();
     m_leaseUntilMilliseconds = 0;
     m_acknowledgedNumber = 0;
     m_refusedConnections = 0;
@@ -174,7 +175,8 @@
     for (const Wire::HaltOrder& halt : orders.halts)
         addHalt(now, halt.task, halt.run);
     for (const Wire::PaceOrder& pace : orders.paces)
-        actions.push_back(PaceOnHost { m_facts->hostId, m_facts->incarnation, m_term, pace });
+        m_paces.insert_or_assign(runKey(pace.task, pace.run), PendingPace { pace, false, now });
+    sendPaces(now, actions);
 }
 
 void HostAgent::addHalt(Instant now, const Wire::TaskName& task, int run)
@@ -233,15 +235,32 @@
         m_listWanted = true;
 }
 
-void HostAgent::onPaced(Instant, const PaceOnHost& order, const HostResponse& response, Actions& actions)
+void HostAgent::sendPaces(Instant now, Actions& actions)
 {
-    // The next list tells the owner the pace that holds.
-    if (response.answer != HostAnswer::Done)
-        actions.push_back(WriteLog { LogLine("pace_failed")
-                                         .add("job", order.order.task.jobId)
-                                         .add("percent", order.order.percent)
-                                         .add("reason", response.reason)
-                                         .text() });
+    for (std::pair<const RunKey, PendingPace>& entry : m_paces) {
+        PendingPace& pace = entry.second;
+        if (pace.inFlight || now < pace.notBefore)
+            continue;
+        pace.inFlight = true;
+        actions.push_back(PaceOnHost { m_facts->hostId, m_facts->incarnation, m_term, pace.order });
+    }
+}
+
+void HostAgent::onPaced(Instant now, const PaceOnHost& order, const HostResponse& response, Actions& actions)
+{
+    std::map<RunKey, PendingPace>::iterator it = m_paces.find(runKey(order.order.task, order.order.run));
+    if (it == m_paces.end() || it->second.order.percent != order.order.percent)
+        return;
+    if (response.answer != HostAnswer::Uncertain) {
+        m_paces.erase(it);
+        return;
+    }
+    it->second.inFlight = false;
+    it->second.notBefore = now + m_timing.haltPause;
+    actions.push_back(WriteLog { LogLine("pace_unanswered")
+                                     .add("job", order.order.task.jobId)
+                                     .add("percent", order.order.percent)
+                                     .text() });
 }
 
 void HostAgent::settleHalts(const HostResponse& response, Wire::HostReport& report)
@@ -354,6 +373,7 @@
         halt.inFlight = true;
         actions.push_back(HaltOnHost { m_facts->hostId, m_facts->incarnation, m_term, halt.order });
     }
+    sendPaces(now, actions);
     // Without an owner there is nothing to tell anybody, and no term to look under.
     const bool due = m_listWanted || m_link.isUp();
     if (m_term == 0 || m_listInFlight || !due || now < m_notBefore)
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -67,8 +67,15 @@
         Instant notBefore;
     };
 
+    struct PendingPace {
+        Wire::PaceOrder order;
+        bool inFlight = false;
+        Instant notBefore;
+    };
+
     void takeClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
     void onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions);
+    void sendPaces(Instant now, Actions& actions);
     void addHalt(Instant now, const Wire::TaskName& task, int run);
     void settleHalts(const HostResponse& response, Wire::HostReport& report);
     void replaceHost(Instant now, const char* why, Actions& actions);
@@ -95,6 +102,8 @@
     Instant m_notBefore;
     int m_refusedConnections = 0;
     std::map<RunKey, Halt> m_halts;
+    /// The newest pace of each run that the host has not confirmed: an older order must not be repeated over it.
+    std::map<RunKey, PendingPace> m_paces;
 };
 
 } // namespace Plantainpier
--- a/Source/Decision/Process/Message.h
+++ b/Source/Decision/Process/Message.h
@@ -168,6 +168,8 @@
     bool answered = false;
     /// The offset asked for has been dropped: go on with the newest of each key.
     bool truncated = false;
+    /// With truncated: the oldest offset that can still be read.
+    std::int64_t first = 0;
     std::int64_t end = 0;
     std::vector<StoreRecord> records;
 };
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -43,6 +43,7 @@
         std::optional<Action> read = m_pulses.next(now, m_lastCall + 1);
         if (read) {
             m_pulsesCall = newCall();
+            m_pulsesSentAt = now;
             actions.push_back(std::move(*read));
         }
     }
@@ -239,7 +240,8 @@
     const std::vector<StoreRecord> records = m_pulses.onRead(now, response);
     takePulses(now, records, actions);
     // The store itself says that the owner has shown no sign of life for the whole wait.
-    if (response.answered && !response.truncated && records.empty() && m_stage == Stage::Following)
+    const bool waited = now - m_pulsesSentAt >= m_timing.lapseWhenBroken;
+    if (waited && response.answered && !response.truncated && records.empty() && m_stage == Stage::Following)
         claim(now, "no_sign_of_life", actions);
     return true;
 }
@@ -291,6 +293,7 @@
             return true;
         }
         // Whoever won, or this claim whose answer was lost, is read next.
+        m_claims.refresh();
         m_stage = Stage::Following;
         m_notBefore = now + m_timing.pause;
         return true;
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -95,6 +95,7 @@
     bool m_resigned = false;
     bool m_oldOwnerEnded = false;
     Instant m_lastPulseSeen;
+    Instant m_pulsesSentAt;
     Instant m_notBefore;
     std::int64_t m_pulseNumber = 0;
     Instant m_pulseSentAt;
--- a/Source/Decision/Process/StoreWatch.cpp
+++ b/Source/Decision/Process/StoreWatch.cpp
@@ -11,7 +11,8 @@
     m_reading = true;
     if (m_needsNewest)
         return ReadNewest { callId, m_topic, m_after };
-    return ReadStore { callId, m_topic, m_from, m_timing.wait };
+    const Duration wait = m_from == 0 ? std::min(m_timing.firstWait, m_timing.wait) : m_timing.wait;
+    return ReadStore { callId, m_topic, m_from, wait };
 }
 
 std::vector<StoreRecord> StoreWatch::onRead(Instant now, const ReadResponse& response)
@@ -19,6 +20,7 @@
     m_reading = false;
     if (response.truncated) {
         m_needsNewest = true;
+        m_first = response.first;
         m_after.clear();
         return {};
     }
@@ -27,7 +29,6 @@
         return {};
     }
     m_answeredAt = now;
-    m_end = response.end;
     if (!response.records.empty())
         m_from = response.records.back().offset + 1;
     return response.records;
@@ -41,9 +42,9 @@
         return {};
     }
     m_answeredAt = now;
-    // Pages are no snapshot: what came after the first page began is read again.
-    if (m_after.empty())
-        m_firstEnd = response.end;
+    // Pages are no snapshot and may lag behind the end of the topic: only what they show counts as seen.
+    for (const StoreRecord& record : response.records)
+        m_from = std::max(m_from, record.offset + 1);
     if (response.more && !response.records.empty()) {
         m_after = response.records.back().key;
         return response.records;
@@ -51,8 +52,7 @@
     m_needsNewest = false;
     m_current = true;
     m_after.clear();
-    m_from = m_firstEnd;
-    m_end = response.end;
+    m_from = std::max(m_from, m_first);
     return response.records;
 }
 
--- a/Source/Decision/Process/StoreWatch.h
+++ b/Source/Decision/Process/StoreWatch.h
@@ -13,6 +13,8 @@
     Duration wait = seconds(25);
     /// Pause after a read that was not answered.
     Duration pause = milliseconds(250);
+    /// The same while nothing has been seen: a read does not notice that its topic comes into being.
+    Duration firstWait = milliseconds(500);
 };
 
 /// Reads of one topic, one at a time. Used by entries and sides for owners and policy.
@@ -29,11 +31,12 @@
     /// The records of an answer that are new, in order.
     std::vector<StoreRecord> onRead(Instant now, const ReadResponse& response);
     std::vector<StoreRecord> onNewest(Instant now, const NewestResponse& response);
+    /// The topic is known to have moved on: the read that waits is given up for a new one.
+    void refresh() { m_reading = false; }
     bool isReading() const { return m_reading; }
     /// The whole topic has been seen at least once.
     bool isCurrent() const { return m_current; }
-    /// Where the topic ended when it was last read.
-    std::int64_t end() const { return m_end; }
+    /// Everything before this offset has been seen.
     std::int64_t from() const { return m_from; }
     /// When the store last answered.
     Instant answeredAt() const { return m_answeredAt; }
@@ -47,8 +50,8 @@
     bool m_current = false;
     std::string m_after;
     std::int64_t m_from = 0;
-    std::int64_t m_firstEnd = 0;
-    std::int64_t m_end = 0;
+    /// Nothing before this can be read any more; what is newest of a key is in the pages.
+    std::int64_t m_first = 0;
     Instant m_notBefore;
     Instant m_answeredAt;
 };
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -6073,8 +6073,8 @@
   this->checkpoint = val;
 }
 
-void RunningTask::__set_percent(const int32_t val) {
-  this->percent = val;
+void RunningTask::__set_progressPercent(const int32_t val) {
+  this->progressPercent = val;
 }
 
 void RunningTask::__set_usage(const int64_t val) {
@@ -6134,8 +6134,8 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->percent);
-          this->__isset.percent = true;
+          xfer += iprot->readI32(this->progressPercent);
+          this->__isset.progressPercent = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6177,8 +6177,8 @@
   xfer += oprot->writeString(this->checkpoint);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("percent", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->percent);
+  xfer += oprot->writeFieldBegin("progressPercent", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->progressPercent);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_I64, 5);
@@ -6195,7 +6195,7 @@
   swap(a.task, b.task);
   swap(a.run, b.run);
   swap(a.checkpoint, b.checkpoint);
-  swap(a.percent, b.percent);
+  swap(a.progressPercent, b.progressPercent);
   swap(a.usage, b.usage);
   swap(a.__isset, b.__isset);
 }
@@ -6204,7 +6204,7 @@
   task = other133.task;
   run = other133.run;
   checkpoint = other133.checkpoint;
-  percent = other133.percent;
+  progressPercent = other133.progressPercent;
   usage = other133.usage;
   __isset = other133.__isset;
 }
@@ -6212,7 +6212,7 @@
   task = std::move(other134.task);
   run = other134.run;
   checkpoint = std::move(other134.checkpoint);
-  percent = other134.percent;
+  progressPercent = other134.progressPercent;
   usage = other134.usage;
   __isset = other134.__isset;
 }
@@ -6220,7 +6220,7 @@
   task = other135.task;
   run = other135.run;
   checkpoint = other135.checkpoint;
-  percent = other135.percent;
+  progressPercent = other135.progressPercent;
   usage = other135.usage;
   __isset = other135.__isset;
   return *this;
@@ -6229,7 +6229,7 @@
   task = std::move(other136.task);
   run = other136.run;
   checkpoint = std::move(other136.checkpoint);
-  percent = other136.percent;
+  progressPercent = other136.progressPercent;
   usage = other136.usage;
   __isset = other136.__isset;
   return *this;
@@ -6240,7 +6240,7 @@
   out << "task=" << to_string(task);
   out << ", " << "run=" << to_string(run);
   out << ", " << "checkpoint=" << to_string(checkpoint);
-  out << ", " << "percent=" << to_string(percent);
+  out << ", " << "progressPercent=" << to_string(progressPercent);
   out << ", " << "usage=" << to_string(usage);
   out << ")";
 }
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -2406,11 +2406,11 @@
 std::ostream& operator<<(std::ostream& out, const OwnerPulse& obj);
 
 typedef struct _RunningTask__isset {
-  _RunningTask__isset() : task(false), run(false), checkpoint(false), percent(false), usage(false) {}
+  _RunningTask__isset() : task(false), run(false), checkpoint(false), progressPercent(false), usage(false) {}
   bool task :1;
   bool run :1;
   bool checkpoint :1;
-  bool percent :1;
+  bool progressPercent :1;
   bool usage :1;
 } _RunningTask__isset;
 
@@ -2424,7 +2424,7 @@
   RunningTask() noexcept
               : run(0),
                 checkpoint(),
-                percent(0),
+                progressPercent(0),
                 usage(0) {
   }
 
@@ -2432,7 +2432,7 @@
   TaskName task;
   int32_t run;
   std::string checkpoint;
-  int32_t percent;
+  int32_t progressPercent;
   int64_t usage;
 
   _RunningTask__isset __isset;
@@ -2443,7 +2443,7 @@
 
   void __set_checkpoint(const std::string& val);
 
-  void __set_percent(const int32_t val);
+  void __set_progressPercent(const int32_t val);
 
   void __set_usage(const int64_t val);
 
@@ -2455,7 +2455,7 @@
       return false;
     if (!(checkpoint == rhs.checkpoint))
       return false;
-    if (!(percent == rhs.percent))
+    if (!(progressPercent == rhs.progressPercent))
       return false;
     if (!(usage == rhs.usage))
       return false;
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -276,13 +276,13 @@
 
 enum RunEnd { Completed = 1, Failed = 2, Stopped = 3, Lapsed = 4, GangBroken = 5, GangAlone = 6 }
 
-// One run on a host. Usage is a rough figure for the last half second: the tail latency in milliseconds of a task
+// One run on a host. Progress is the share of the run that is done; 100 for a lasting task that is at work. Usage is a rough figure for the last half second: the tail latency in milliseconds of a task
 // that serves its own users, else the processor in use in thousandths of a core.
 struct RunningTask {
   1: TaskName task
   2: i32 run
   3: string checkpoint
-  4: i32 percent
+  4: i32 progressPercent
   5: i64 usage
 }
 
