Process: Answer as owner only once the store has been taken over

Change: followers wait and are greeted when the take-over is done; reads of the configuration wait 0.7 s at most.

--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -134,6 +134,8 @@
     if (m_link.onDown(now, link) && wasUp)
         actions.push_back(WriteLog {
             LogLine("owner_link_lost").add("owner", m_owner.claim.nodeId).add("term", m_owner.term).text() });
+    if (wasUp)
+        m_claims.refresh();
 }
 
 void HostAgent::onMessage(Instant now, LinkId link, const PeerMessage& message, Actions& actions)
@@ -143,6 +145,9 @@
         return;
     if (const Wire::HostOrders* orders = std::get_if<Wire::HostOrders>(&message))
         onOrders(now, *orders, actions);
+    // The owner has taken over: what it was told before that is lost.
+    if (std::holds_alternative<Wire::NodeHello>(message) && m_facts)
+        send(makeReport(), actions);
 }
 
 void HostAgent::onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions)
@@ -356,6 +361,7 @@
 
 void HostAgent::tick(Instant now, Actions& actions)
 {
+    m_claims.setWait(m_link.isUp() ? WatchTiming {}.wait : m_timing.ownerNewsWait);
     if (!m_claims.isReading()) {
         std::optional<Action> read = m_claims.next(now, m_lastCall + 1);
         if (read) {
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -33,6 +33,8 @@
     Duration listPause = milliseconds(40);
     Duration failurePause = milliseconds(100);
     Duration haltPause = milliseconds(150);
+    /// News of the owner are at most this late while there is no connection to one.
+    Duration ownerNewsWait = milliseconds(700);
 };
 
 /// One side. Lives for the process; no clock, thread or socket.
--- a/Source/Decision/Process/JobEntryCore.cpp
+++ b/Source/Decision/Process/JobEntryCore.cpp
@@ -76,7 +76,7 @@
     , m_timing(timing)
     , m_decodePolicy(std::move(decode))
     , m_ownership(std::move(identity), rules, OwnershipTiming {})
-    , m_policyWatch(StoreTopic::Policy, WatchTiming {})
+    , m_policyWatch(StoreTopic::Policy, WatchTiming { timing.policyWait })
     , m_lastPolicyCall(firstPolicyCall)
 {
     m_ownership.onChange = [this](Instant now, bool owns, Actions& actions) { onOwnershipChange(now, owns, actions); };
@@ -87,6 +87,9 @@
     if (owns) {
         m_ownerLink.clear(actions);
         m_ownership.owner()->setPolicy(m_policy);
+        // Whoever came while this process took over is asked to begin anew.
+        for (const LinkId link : m_followers)
+            actions.push_back(SendMessage { link, makeHello() });
         for (std::pair<const CallerToken, Pending>& entry : m_pending)
             route(now, entry.first, entry.second, actions);
         return;
@@ -209,14 +212,20 @@
     }
 }
 
-void JobEntryCore::onLinkUp(Instant now, LinkId link, Actions& actions)
+Wire::NodeHello JobEntryCore::makeHello() const
 {
     Wire::NodeHello hello;
     hello.nodeId = m_identity.nodeId;
     hello.incarnation = m_identity.incarnation;
     hello.isSide = false;
     hello.term = m_ownership.current().term;
-    if (!m_ownerLink.onUp(now, link, hello, actions)) {
+    hello.isOwner = m_ownership.owner() != nullptr;
+    return hello;
+}
+
+void JobEntryCore::onLinkUp(Instant now, LinkId link, Actions& actions)
+{
+    if (!m_ownerLink.onUp(now, link, makeHello(), actions)) {
         m_followers.insert(link);
         return;
     }
@@ -243,6 +252,20 @@
         owner->onLinkDown(now, link);
 }
 
+void JobEntryCore::onHello(Instant now, LinkId link, const Wire::NodeHello& hello, Actions& actions)
+{
+    if (link == m_ownerLink.link()) {
+        // The owner has taken over: what it was asked before that is lost.
+        for (std::pair<const CallerToken, Pending>& entry : m_pending)
+            route(now, entry.first, entry.second, actions);
+        return;
+    }
+    // Only the owner takes followers; others are told by the end of the connection.
+    const bool owns = m_ownership.owner() || m_ownership.isTakingOver();
+    if (!owns || hello.term > m_ownership.current().term)
+        actions.push_back(CloseLink { link });
+}
+
 void JobEntryCore::onMessage(Instant now, LinkId link, const PeerMessage& message, Actions& actions)
 {
     m_ownerLink.onHeard(now, link);
@@ -257,11 +280,10 @@
         if (m_pending.contains(token))
             actions.push_back(AnswerJobCall { token, *reply });
     } else if (const Wire::NodeHello* hello = std::get_if<Wire::NodeHello>(&message)) {
-        // Only the owner takes followers; others are told by the end of the connection.
-        if (!owner || hello->term > owner->term())
-            actions.push_back(CloseLink { link });
+        onHello(now, link, *hello, actions);
     } else if (!owner) {
-        if (link != m_ownerLink.link())
+        // A follower of a process that still takes over is asked to begin anew when that is done.
+        if (link != m_ownerLink.link() && !m_ownership.isTakingOver())
             actions.push_back(CloseLink { link });
     } else if (const Wire::HostReport* report = std::get_if<Wire::HostReport>(&message)) {
         owner->onReport(now, link, *report, actions);
--- a/Source/Decision/Process/JobEntryCore.h
+++ b/Source/Decision/Process/JobEntryCore.h
@@ -32,6 +32,8 @@
     /// Ready again at most this long after the owner was last connected.
     Duration readyWithoutOwner = milliseconds(1200);
     Duration retryAfter = seconds(1);
+    /// News of the configuration are at most this late: well below the two seconds within which it must be in force.
+    Duration policyWait = milliseconds(700);
 };
 
 /// One entry. Lives for the process; no clock, thread or socket.
@@ -69,6 +71,8 @@
         bool asked = false;
     };
 
+    Wire::NodeHello makeHello() const;
+    void onHello(Instant now, LinkId link, const Wire::NodeHello& hello, Actions& actions);
     void route(Instant now, CallerToken token, Pending& pending, Actions& actions);
     void answer(CallerToken token, Wire::JobReply reply, Actions& actions);
     void refuse(Instant now, CallerToken token, const Wire::JobCall& call, const char* why, Actions& actions);
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -30,6 +30,7 @@
 void Ownership::tick(Instant now, std::int64_t unixMilliseconds, Actions& actions)
 {
     m_unixMilliseconds = unixMilliseconds;
+    m_claims.setWait(m_linkBroken ? m_timing.lapseWhenBroken : WatchTiming {}.wait);
     if (!m_claims.isReading()) {
         std::optional<Action> read = m_claims.next(now, m_lastCall + 1);
         if (read) {
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -53,9 +53,11 @@
     void resign(Instant now, Actions& actions);
     bool hasResigned() const { return m_resigned; }
 
-    /// Null while another entry owns or nobody does.
-    JobOwner* owner() { return m_owner.get(); }
-    const JobOwner* owner() const { return m_owner.get(); }
+    /// Null while another entry owns or nobody does, and until what the store holds has been taken over.
+    JobOwner* owner() { return m_stage == Stage::Owning ? m_owner.get() : nullptr; }
+    const JobOwner* owner() const { return m_stage == Stage::Owning ? m_owner.get() : nullptr; }
+    /// This process has won the ownership and takes over.
+    bool isTakingOver() const { return m_stage == Stage::Fencing || m_stage == Stage::Loading; }
     const CurrentOwner& current() const { return m_current; }
     bool isStoreAnswering(Instant now) const;
 
--- a/Source/Decision/Process/StoreWatch.h
+++ b/Source/Decision/Process/StoreWatch.h
@@ -9,8 +9,9 @@
 
 /// How a topic is followed.
 struct WatchTiming {
-    /// Longest wait of one read; the store answers at once when a record comes.
-    Duration wait = seconds(25);
+    /// Longest wait of one read. The store answers at once when a record comes, but a read that waits while the history
+    /// is dropped may never be answered: so this bounds how late news can be.
+    Duration wait = seconds(8);
     /// Pause after a read that was not answered.
     Duration pause = milliseconds(250);
     /// The same while nothing has been seen: a read does not notice that its topic comes into being.
