--- a/Source/Decision/Job/InterferenceModel.cpp
+++ b/Source/Decision/Job/InterferenceModel.cpp
@@ -28,8 +28,7 @@
 
     double headroomOf(const HostRun& run)
     {
-        return std::min(
-            largestHeadroom, static_cast<double>(run.targetMilliseconds) / static_cast<double>(run.usage));
+        return std::min(largestHeadroom, static_cast<double>(run.targetMilliseconds) / static_cast<double>(run.usage));
     }
 
     double share(const Host& host, const HostRun& run)
--- a/Source/Decision/Job/InterferenceModel.h
+++ b/Source/Decision/Job/InterferenceModel.h
@@ -1,6 +1,6 @@
 /// Learns how much each image of fillers pushes the tasks that serve beside it. Answers the pattern "few of many images
-/// are noisy": tasks of one serving job share their load, so that their headroom on different hosts differs by what runs
-/// beside them; a ridge regression over these differences tells the images apart within seconds.
+/// are noisy": tasks of one serving job share their load, so that their headroom on different hosts differs by what
+/// runs beside them; a ridge regression over these differences tells the images apart within seconds.
 #pragma once
 
 #include "Decision/Job/HostBook.h"
@@ -10,8 +10,8 @@
 
 namespace Plantainpier {
 
-/// Headroom is the target over the tail: 1 at the target, 3 when the tail is a third of it. A filler that uses the whole
-/// host lowers it by the pressure of its image.
+/// Headroom is the target over the tail: 1 at the target, 3 when the tail is a third of it. A filler that uses the
+/// whole host lowers it by the pressure of its image.
 class InterferenceModel {
 public:
     /// Takes the newest lists of all hosts in.
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -40,8 +40,8 @@
         if (isKeyOf(record.key, 'j')) {
             std::optional<Wire::JobDefinition> definition = Wire::decode<Wire::JobDefinition>(record.value);
             if (definition)
-                m_state.jobs[id] = std::make_unique<JobState>(
-                    std::move(*definition), m_state.ownedSince, m_state.unixMilliseconds);
+                m_state.jobs[id]
+                    = std::make_unique<JobState>(std::move(*definition), m_state.ownedSince, m_state.unixMilliseconds);
         } else if (isKeyOf(record.key, 'p')) {
             std::optional<Wire::JobProgress> progress = Wire::decode<Wire::JobProgress>(record.value);
             if (progress)
@@ -215,8 +215,7 @@
     answer.kind = Wire::JobReplyKind::State;
     answer.phase = job->hasStarted() ? Wire::JobPhase::Running : Wire::JobPhase::Queued;
     // An outcome is only shown once no change of owner can take it back.
-    const bool stored = job->progressTicket <= m_state.journal.stored()
-        && !m_state.dirtyJobs.contains(call.jobId);
+    const bool stored = job->progressTicket <= m_state.journal.stored() && !m_state.dirtyJobs.contains(call.jobId);
     if (job->outcome() == Wire::JobOutcome::Cancelled)
         answer.phase = Wire::JobPhase::Cancelled;
     else if (job->outcome() == Wire::JobOutcome::Completed && stored)
--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -88,8 +88,8 @@
 
 StepState* JobState::findStep(int occurrence, int step)
 {
-    const std::size_t n = static_cast<std::size_t>(occurrence) * m_definition.steps.size()
-        + static_cast<std::size_t>(step);
+    const std::size_t n
+        = static_cast<std::size_t>(occurrence) * m_definition.steps.size() + static_cast<std::size_t>(step);
     const bool exists = occurrence >= 0 && step >= 0 && static_cast<std::size_t>(step) < m_definition.steps.size()
         && n < m_steps.size();
     return exists ? &m_steps[n] : nullptr;
@@ -163,14 +163,14 @@
     for (const StepState& step : m_steps) {
         for (std::size_t n = 0; n < step.tasks.size(); ++n) {
             const TaskState& task = step.tasks[n];
-            if (!task.completed && task.failures == 0 && task.checkpoint.empty())
+            if (!task.completed && task.failedRuns.empty() && task.checkpoint.empty())
                 continue;
             Wire::TaskMark mark;
             mark.occurrence = step.occurrence;
             mark.step = step.step;
             mark.index = static_cast<std::int32_t>(n);
             mark.completed = task.completed;
-            mark.failures = task.failures;
+            mark.failedRuns = task.failedRuns;
             mark.checkpoint = task.checkpoint;
             progress.marks.push_back(std::move(mark));
         }
@@ -187,7 +187,7 @@
         if (!step || mark.index < 0 || static_cast<std::size_t>(mark.index) >= step->tasks.size())
             continue;
         TaskState& task = step->tasks[static_cast<std::size_t>(mark.index)];
-        task.failures = mark.failures;
+        task.failedRuns = mark.failedRuns;
         task.checkpoint = mark.checkpoint;
         m_started = true;
         if (!mark.completed)
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -21,7 +21,8 @@
 /// One task. It waits while it is not completed and has no run.
 struct TaskState {
     bool completed = false;
-    int failures = 0;
+    /// Run numbers that failed; each counts once, however often its end is listed.
+    std::vector<int> failedRuns;
     /// The highest run number used so far.
     int lastRun = 0;
     std::string checkpoint;
--- a/Source/Decision/Job/PaceControl.h
+++ b/Source/Decision/Job/PaceControl.h
@@ -1,6 +1,6 @@
 /// Slows fillers down where they push tasks that serve towards their target. Answers the pattern "noisy neighbours that
-/// change within seconds": what the host's serving tasks can bear is shared out, quiet images first, and what is measured
-/// overrules what was learned.
+/// change within seconds": what the host's serving tasks can bear is shared out, quiet images first, and what is
+/// measured overrules what was learned.
 #pragma once
 
 #include "Decision/Job/HostBook.h"
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -82,7 +82,8 @@
         value -= 2;
     if (request.definition.filler && request.pressure > 0) {
         // A noisy image goes where the serving tasks can bear it, a quiet one where the processors are idle.
-        const double push = request.pressure * static_cast<double>(request.definition.demand.milliProcessors) / capacity;
+        const double push
+            = request.pressure * static_cast<double>(request.definition.demand.milliProcessors) / capacity;
         value += std::min(host.bearable - push, 0.0);
     }
     return value / host.health.slowness;
--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -137,8 +137,10 @@
     }
     const bool draining = report.state == Wire::HostState::Draining;
     if (draining && !host.draining)
-        actions.push_back(WriteLog {
-            LogLine("host_draining").add("host", host.hostId).add("remaining_ms", report.remainingMilliseconds).text() });
+        actions.push_back(WriteLog { LogLine("host_draining")
+                                         .add("host", host.hostId)
+                                         .add("remaining_ms", report.remainingMilliseconds)
+                                         .text() });
     host.draining = draining;
     if (draining)
         drain(now, host, actions);
@@ -246,8 +248,8 @@
     if (!task)
         return;
     const std::size_t before = task->runs.size();
-    task->runs.erase(std::remove_if(task->runs.begin(), task->runs.end(),
-                         [run](const RunPlace& place) { return place.run == run; }),
+    task->runs.erase(
+        std::remove_if(task->runs.begin(), task->runs.end(), [run](const RunPlace& place) { return place.run == run; }),
         task->runs.end());
     if (task->runs.size() == before || task->completed)
         return;
@@ -257,13 +259,16 @@
     m_state.scheduleDue = true;
 }
 
-void RunLedger::onFailure(Instant now, JobState& job, TaskState& task, const Host& host, Actions& actions)
+void RunLedger::onFailure(
+    Instant now, JobState& job, TaskState& task, int run, const Host& host, Actions& actions)
 {
-    ++task.failures;
+    if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end())
+        return;
+    task.failedRuns.push_back(run);
     ++m_state.counters.failedTasks;
     task.notBefore = now + m_state.rules.failurePause;
     m_state.markDirty(now, job.definition().jobId, false);
-    if (task.failures >= job.definition().maximumAttempts)
+    if (static_cast<int>(task.failedRuns.size()) >= job.definition().maximumAttempts)
         finish(now, job, Wire::JobOutcome::Failed, "attempts_used_up_last_on_" + host.hostId, actions);
 }
 
@@ -274,8 +279,8 @@
         host.health.onTrial = false;
         if (run.estimateMilliseconds > 0 && !run.filler) {
             const double taken = static_cast<double>(toMilliseconds(now - run.since));
-            const double ratio = std::clamp(
-                taken / static_cast<double>(run.estimateMilliseconds), slownessFloor, slownessCeiling);
+            const double ratio
+                = std::clamp(taken / static_cast<double>(run.estimateMilliseconds), slownessFloor, slownessCeiling);
             host.health.slowness += slownessWeight * (ratio - host.health.slowness);
         }
         return;
@@ -317,8 +322,9 @@
         release(now, row.task, row.run, {});
         return;
     }
-    // A run that was given up because its lease was over no longer counts: the task may run elsewhere by now.
-    if (!run && !task->runs.empty())
+    // A run that was given up because its lease was over no longer counts: the task may run elsewhere by now. Where
+    // copies are allowed the first one that completes counts, whoever started it.
+    if (!run && !task->runs.empty() && !job->stepDefinition(*step).allowDuplicates)
         return;
     task->lastRun = std::max(task->lastRun, row.run);
     if (row.how == Wire::RunEnd::Completed && !job->stepDefinition(*step).longRunning) {
@@ -343,7 +349,7 @@
     if (!row.checkpoint.empty())
         m_state.markDirty(now, row.task.jobId, false);
     if (row.how == Wire::RunEnd::Failed && !job->stepDefinition(*step).longRunning)
-        onFailure(now, *job, *task, host, actions);
+        onFailure(now, *job, *task, row.run, host, actions);
 }
 
 void RunLedger::haltMissing(Instant now, Host& host, const Wire::HostReport& report, Actions& actions)
--- a/Source/Decision/Job/RunLedger.h
+++ b/Source/Decision/Job/RunLedger.h
@@ -1,5 +1,6 @@
-/// Keeps jobs and hosts in step: takes reports of hosts in, ends runs, and decides what a run that is over means for its
-/// task. Answers the pattern "late, lost and repeated news": every report may come twice, late or from an earlier life.
+/// Keeps jobs and hosts in step: takes reports of hosts in, ends runs, and decides what a run that is over means for
+/// its task. Answers the pattern "late, lost and repeated news": every report may come twice, late or from an earlier
+/// life.
 #pragma once
 
 #include "Decision/Job/OwnerState.h"
@@ -32,7 +33,7 @@
     void onRunning(Instant now, Host& host, const Wire::RunningTask& row, Actions& actions);
     void adopt(Instant now, Host& host, const Wire::RunningTask& row, Actions& actions);
     void onEnded(Instant now, Host& host, const Wire::EndedTask& row, Actions& actions);
-    void onFailure(Instant now, JobState& job, TaskState& task, const Host& host, Actions& actions);
+    void onFailure(Instant now, JobState& job, TaskState& task, int run, const Host& host, Actions& actions);
     void learn(Instant now, Host& host, const HostRun& run, Wire::RunEnd::type how, Actions& actions);
     void haltMissing(Instant now, Host& host, const Wire::HostReport& report, Actions& actions);
     void loseRuns(Instant now, Host& host, const char* why, Actions& actions);
--- a/Source/Decision/Job/StoreJournal.cpp
+++ b/Source/Decision/Job/StoreJournal.cpp
@@ -69,9 +69,6 @@
     return true;
 }
 
-Duration StoreJournal::stalledFor(Instant now) const
-{
-    return m_batch.empty() ? Duration::zero() : now - m_batchSince;
-}
+Duration StoreJournal::stalledFor(Instant now) const { return m_batch.empty() ? Duration::zero() : now - m_batchSince; }
 
 } // namespace Plantainpier
--- a/Source/Decision/Job/StoreJournal.h
+++ b/Source/Decision/Job/StoreJournal.h
@@ -11,7 +11,8 @@
 
 /// When to append.
 struct JournalTiming {
-    /// Least time between the starts of two appends: calls to the store are priced, and a partition stores one at a time.
+    /// Least time between the starts of two appends: calls to the store are priced, and a partition stores one at a
+    /// time.
     Duration interval = milliseconds(8);
     /// Records that nobody waits for may lie this long.
     Duration lazyInterval = milliseconds(60);
--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -53,8 +53,8 @@
         actions.push_back(SendMessage { m_link.link(), std::move(report) });
 }
 
-void HostAgent::sendResult(const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome,
-    const std::string& reason, Actions& actions)
+void HostAgent::sendResult(
+    const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome, const std::string& reason, Actions& actions)
 {
     if (!m_facts)
         return;
@@ -262,10 +262,8 @@
     }
     it->second.inFlight = false;
     it->second.notBefore = now + m_timing.haltPause;
-    actions.push_back(WriteLog { LogLine("pace_unanswered")
-                                     .add("job", order.order.task.jobId)
-                                     .add("percent", order.order.percent)
-                                     .text() });
+    actions.push_back(WriteLog {
+        LogLine("pace_unanswered").add("job", order.order.task.jobId).add("percent", order.order.percent).text() });
 }
 
 void HostAgent::settleHalts(const HostResponse& response, Wire::HostReport& report)
@@ -323,8 +321,11 @@
         return;
     case HostAnswer::Refused: {
         m_notBefore = now + m_timing.failurePause;
-        actions.push_back(WriteLog {
-            LogLine("list_refused").add("host", order.hostId).add("term", order.term).add("reason", response.reason).text() });
+        actions.push_back(WriteLog { LogLine("list_refused")
+                                         .add("host", order.hostId)
+                                         .add("term", order.term)
+                                         .add("reason", response.reason)
+                                         .text() });
         return;
     }
     case HostAnswer::Uncertain:
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -1,5 +1,5 @@
-/// The decisions of a side: keeps what the host beside it says of itself, carries the owner's orders out and reports what
-/// runs. It grants nothing by itself: leases are absolute times of the host's clock, only passed on.
+/// The decisions of a side: keeps what the host beside it says of itself, carries the owner's orders out and reports
+/// what runs. It grants nothing by itself: leases are absolute times of the host's clock, only passed on.
 #pragma once
 
 #include "Decision/Job/HostBook.h"
--- a/Source/Decision/Process/JobEntryCore.cpp
+++ b/Source/Decision/Process/JobEntryCore.cpp
@@ -134,8 +134,7 @@
     if (!call.invalid.empty()) {
         reply.kind = Wire::JobReplyKind::Invalid;
         reply.reason = call.invalid;
-        actions.push_back(
-            WriteLog { LogLine("invalid_call").add("job", wire.jobId).add("why", call.invalid).text() });
+        actions.push_back(WriteLog { LogLine("invalid_call").add("job", wire.jobId).add("why", call.invalid).text() });
         answer(token, reply, actions);
         return;
     }
@@ -172,8 +171,7 @@
     actions.push_back(AnswerJobCall { token, std::move(reply) });
 }
 
-void JobEntryCore::refuse(
-    Instant now, CallerToken token, const Wire::JobCall& call, const char* why, Actions& actions)
+void JobEntryCore::refuse(Instant now, CallerToken token, const Wire::JobCall& call, const char* why, Actions& actions)
 {
     (void)now;
     Wire::JobReply reply;
@@ -229,8 +227,7 @@
         m_followers.insert(link);
         return;
     }
-    actions.push_back(
-        WriteLog { LogLine("owner_link_up").add("owner", m_ownership.current().claim.nodeId).text() });
+    actions.push_back(WriteLog { LogLine("owner_link_up").add("owner", m_ownership.current().claim.nodeId).text() });
     m_ownership.setLinkBroken(false);
     m_ownerSeenAt = now;
     for (std::pair<const CallerToken, Pending>& entry : m_pending)
@@ -301,8 +298,10 @@
             continue;
         Result<PolicySnapshot> decoded = m_decodePolicy(record.value);
         if (!isOk(decoded)) {
-            actions.push_back(WriteLog {
-                LogLine("policy_unreadable").add("offset", record.offset).add("why", errorOf(decoded).message).text() });
+            actions.push_back(WriteLog { LogLine("policy_unreadable")
+                                             .add("offset", record.offset)
+                                             .add("why", errorOf(decoded).message)
+                                             .text() });
             continue;
         }
         if (m_policy && valueOf(decoded).version <= m_policy->version)
@@ -318,8 +317,7 @@
     }
 }
 
-void JobEntryCore::onAppendResponse(
-    Instant now, std::uint64_t callId, const AppendResponse& response, Actions& actions)
+void JobEntryCore::onAppendResponse(Instant now, std::uint64_t callId, const AppendResponse& response, Actions& actions)
 {
     const std::size_t from = actions.size();
     m_ownership.onAppendResponse(now, callId, response, actions);
--- a/Source/Decision/Process/Message.h
+++ b/Source/Decision/Process/Message.h
@@ -99,7 +99,8 @@
 /// Ask the worker for its clock, its tasks and their usage.
 struct ListTasks { };
 
-/// The platform's store as the owner of jobs uses it: each topic is an ordered log, most keep the newest value of a key.
+/// The platform's store as the owner of jobs uses it: each topic is an ordered log, most keep the newest value of a
+/// key.
 enum class StoreTopic {
     /// What operators write: the policy and requests for upkeep. Read only.
     Policy,
@@ -256,8 +257,8 @@
 };
 
 using Action = std::variant<SendMessage, OpenLink, CloseLink, ReplyToCaller, AppendRecords, AppendBatch, CallTarget,
-    StartTask, RenewTask, StopTask, ListTasks, AppendToStore, ReadStore, ReadNewest, StartOnHost, HaltOnHost, PaceOnHost,
-    ListHost, AnswerJobCall, WriteLog>;
+    StartTask, RenewTask, StopTask, ListTasks, AppendToStore, ReadStore, ReadNewest, StartOnHost, HaltOnHost,
+    PaceOnHost, ListHost, AnswerJobCall, WriteLog>;
 using Actions = std::vector<Action>;
 
 } // namespace Plantainpier
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -50,8 +50,8 @@
     }
     if (follows && m_current.term == 0)
         claim(now, "no_owner_yet", actions);
-    const bool wasMine = m_current.claim.nodeId == m_identity.nodeId
-        && m_current.claim.incarnation != m_identity.incarnation;
+    const bool wasMine
+        = m_current.claim.nodeId == m_identity.nodeId && m_current.claim.incarnation != m_identity.incarnation;
     if (follows && m_current.term > 0 && wasMine) {
         m_oldOwnerEnded = true;
         claim(now, "own_earlier_process_ended", actions);
@@ -203,8 +203,8 @@
         m_lastPulseSeen = now;
         m_oldOwnerEnded = false;
         const bool mine = claim->nodeId == m_identity.nodeId && claim->incarnation == m_identity.incarnation;
-        actions.push_back(WriteLog {
-            LogLine("owner_seen").add("term", term).add("owner", claim->nodeId).add("mine", mine).text() });
+        actions.push_back(
+            WriteLog { LogLine("owner_seen").add("term", term).add("owner", claim->nodeId).add("mine", mine).text() });
         if (mine) {
             // The claim's own answer was lost.
             begin(now, term, actions);
@@ -280,8 +280,7 @@
     return true;
 }
 
-bool Ownership::onAppendResponse(
-    Instant now, std::uint64_t callId, const AppendResponse& response, Actions& actions)
+bool Ownership::onAppendResponse(Instant now, std::uint64_t callId, const AppendResponse& response, Actions& actions)
 {
     if (callId == m_claimCall) {
         m_claimCall = 0;
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -1,5 +1,5 @@
-/// Which entry owns the jobs: claims through the store, signs of life, hand-over. A claim is a record appended where the
-/// log of claims ended when it was read, so that one of several wins; its place in the log is the owner's term.
+/// Which entry owns the jobs: claims through the store, signs of life, hand-over. A claim is a record appended where
+/// the log of claims ended when it was read, so that one of several wins; its place in the log is the owner's term.
 #pragma once
 
 #include "Decision/Job/JobOwner.h"
--- a/Source/Shell/Connection/HttpServer.cpp
+++ b/Source/Shell/Connection/HttpServer.cpp
@@ -51,8 +51,8 @@
             return replyWithHeaders(status, text, more);
         }
 
-        bool replyWithHeaders(int status, const std::string& text,
-            const std::vector<std::pair<std::string, std::string>>& more) override
+        bool replyWithHeaders(
+            int status, const std::string& text, const std::vector<std::pair<std::string, std::string>>& more) override
         {
             if (m_answered.exchange(true))
                 return false;
@@ -95,8 +95,8 @@
 
     class PistacheServer : public HttpServer {
     public:
-        PistacheServer(const std::string& address, int port, int threads, OnCall onCall,
-            std::vector<std::string> keptHeaders)
+        PistacheServer(
+            const std::string& address, int port, int threads, OnCall onCall, std::vector<std::string> keptHeaders)
             : m_endpoint(Pistache::Address(address, Pistache::Port(static_cast<std::uint16_t>(port))))
         {
             Pistache::Http::Endpoint::Options options
--- a/Source/Shell/Connection/HttpServer.h
+++ b/Source/Shell/Connection/HttpServer.h
@@ -46,8 +46,8 @@
     /// Hook: called on one of the server's threads for every request.
     using OnCall = std::function<void(const std::shared_ptr<HttpCall>& call)>;
 
-    static Result<std::unique_ptr<HttpServer>> create(const std::string& address, int port, int threads, OnCall onCall,
-        std::vector<std::string> keptHeaders = {});
+    static Result<std::unique_ptr<HttpServer>> create(
+        const std::string& address, int port, int threads, OnCall onCall, std::vector<std::string> keptHeaders = {});
     virtual ~HttpServer() = default;
 
     /// Closes the port and its connections.
--- a/Source/Shell/Process/Metrics.cpp
+++ b/Source/Shell/Process/Metrics.cpp
@@ -48,8 +48,7 @@
 
 void Metrics::set(const std::string& metric, double value) { m_values[metric] = value; }
 
-void Metrics::renderSeries(
-    std::ostream& text, const std::string& name, const std::string& label, const Series& series)
+void Metrics::renderSeries(std::ostream& text, const std::string& name, const std::string& label, const Series& series)
 {
     const std::string more = label.empty() ? "{" : "{" + label + ",";
     const std::string alone = label.empty() ? "" : "{" + label + "}";
--- a/Source/Shell/Process/Metrics.h
+++ b/Source/Shell/Process/Metrics.h
@@ -34,7 +34,8 @@
     };
 
     static void add(Series& series, Duration elapsed);
-    static void renderSeries(std::ostream& text, const std::string& name, const std::string& label, const Series& series);
+    static void renderSeries(
+        std::ostream& text, const std::string& name, const std::string& label, const Series& series);
 
     std::map<std::string, Series> m_latency;
     std::map<std::string, Series> m_named;
--- a/Source/Shell/Process/NodeSettings.cpp
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -26,10 +26,9 @@
         in_addr unused {};
         endpoint.address = text.substr(0, colon);
         const char* end = text.data() + text.size();
-        const bool isAddress
-            = colon != std::string::npos && inet_pton(AF_INET, endpoint.address.c_str(), &unused) == 1;
-        const std::from_chars_result port = std::from_chars(
-            isAddress ? text.data() + colon + 1 : end, end, endpoint.port);
+        const bool isAddress = colon != std::string::npos && inet_pton(AF_INET, endpoint.address.c_str(), &unused) == 1;
+        const std::from_chars_result port
+            = std::from_chars(isAddress ? text.data() + colon + 1 : end, end, endpoint.port);
         if (!isAddress || port.ec != std::errc() || port.ptr != end || endpoint.port < 1 || endpoint.port > maximumPort)
             reader.fault(ErrorCode::InvalidField, key, "must be an IPv4 address and a port, like 10.1.0.13:8161");
         return endpoint;
@@ -70,12 +69,12 @@
     settings.service = reader.optionalString("service", maximumNameBytes, "");
     settings.processorShare = readNumber(reader, object, "processor_share", settings.processorShare);
     const auto readMilliseconds = [&](const char* key, Duration otherwise) {
-        return milliseconds(static_cast<long long>(
-            readNumber(reader, object, key, static_cast<double>(toMilliseconds(otherwise)))));
+        return milliseconds(
+            static_cast<long long>(readNumber(reader, object, key, static_cast<double>(toMilliseconds(otherwise)))));
     };
     const auto readSeconds = [&](const char* key, Duration otherwise) {
-        const double number = readNumber(
-            reader, object, key, static_cast<double>(toMilliseconds(otherwise)) / millisecondsPerSecond);
+        const double number
+            = readNumber(reader, object, key, static_cast<double>(toMilliseconds(otherwise)) / millisecondsPerSecond);
         return milliseconds(static_cast<long long>(number * millisecondsPerSecond));
     };
     settings.longestLease = readMilliseconds("longest_lease_ms", settings.longestLease);
--- a/Source/Wire/Codec.h
+++ b/Source/Wire/Codec.h
@@ -24,8 +24,8 @@
 {
     const std::shared_ptr<apache::thrift::transport::TMemoryBuffer> buffer
         = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
-    buffer->resetBuffer(reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())),
-        static_cast<std::uint32_t>(bytes.size()));
+    buffer->resetBuffer(
+        reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())), static_cast<std::uint32_t>(bytes.size()));
     apache::thrift::protocol::TCompactProtocol protocol(buffer);
     T value;
     try {
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -5308,8 +5308,8 @@
   this->completed = val;
 }
 
-void TaskMark::__set_failures(const int32_t val) {
-  this->failures = val;
+void TaskMark::__set_failedRuns(const std::vector<int32_t> & val) {
+  this->failedRuns = val;
 }
 
 void TaskMark::__set_checkpoint(const std::string& val) {
@@ -5376,9 +5376,21 @@
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->failures);
-          this->__isset.failures = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->failedRuns.clear();
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->failedRuns.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
+            {
+              xfer += iprot->readI32(this->failedRuns[_i110]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.failedRuns = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5424,8 +5436,16 @@
   xfer += oprot->writeBool(this->completed);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->failures);
+  xfer += oprot->writeFieldBegin("failedRuns", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->failedRuns.size()));
+    std::vector<int32_t> ::const_iterator _iter111;
+    for (_iter111 = this->failedRuns.begin(); _iter111 != this->failedRuns.end(); ++_iter111)
+    {
+      xfer += oprot->writeI32((*_iter111));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 6);
@@ -5443,47 +5463,47 @@
   swap(a.step, b.step);
   swap(a.index, b.index);
   swap(a.completed, b.completed);
-  swap(a.failures, b.failures);
+  swap(a.failedRuns, b.failedRuns);
   swap(a.checkpoint, b.checkpoint);
   swap(a.__isset, b.__isset);
 }
 
-TaskMark::TaskMark(const TaskMark& other106) {
-  occurrence = other106.occurrence;
-  step = other106.step;
-  index = other106.index;
-  completed = other106.completed;
-  failures = other106.failures;
-  checkpoint = other106.checkpoint;
-  __isset = other106.__isset;
-}
-TaskMark::TaskMark(TaskMark&& other107) noexcept {
-  occurrence = other107.occurrence;
-  step = other107.step;
-  index = other107.index;
-  completed = other107.completed;
-  failures = other107.failures;
-  checkpoint = std::move(other107.checkpoint);
-  __isset = other107.__isset;
-}
-TaskMark& TaskMark::operator=(const TaskMark& other108) {
-  occurrence = other108.occurrence;
-  step = other108.step;
-  index = other108.index;
-  completed = other108.completed;
-  failures = other108.failures;
-  checkpoint = other108.checkpoint;
-  __isset = other108.__isset;
+TaskMark::TaskMark(const TaskMark& other112) {
+  occurrence = other112.occurrence;
+  step = other112.step;
+  index = other112.index;
+  completed = other112.completed;
+  failedRuns = other112.failedRuns;
+  checkpoint = other112.checkpoint;
+  __isset = other112.__isset;
+}
+TaskMark::TaskMark(TaskMark&& other113) noexcept {
+  occurrence = other113.occurrence;
+  step = other113.step;
+  index = other113.index;
+  completed = other113.completed;
+  failedRuns = std::move(other113.failedRuns);
+  checkpoint = std::move(other113.checkpoint);
+  __isset = other113.__isset;
+}
+TaskMark& TaskMark::operator=(const TaskMark& other114) {
+  occurrence = other114.occurrence;
+  step = other114.step;
+  index = other114.index;
+  completed = other114.completed;
+  failedRuns = other114.failedRuns;
+  checkpoint = other114.checkpoint;
+  __isset = other114.__isset;
   return *this;
 }
-TaskMark& TaskMark::operator=(TaskMark&& other109) noexcept {
-  occurrence = other109.occurrence;
-  step = other109.step;
-  index = other109.index;
-  completed = other109.completed;
-  failures = other109.failures;
-  checkpoint = std::move(other109.checkpoint);
-  __isset = other109.__isset;
+TaskMark& TaskMark::operator=(TaskMark&& other115) noexcept {
+  occurrence = other115.occurrence;
+  step = other115.step;
+  index = other115.index;
+  completed = other115.completed;
+  failedRuns = std::move(other115.failedRuns);
+  checkpoint = std::move(other115.checkpoint);
+  __isset = other115.__isset;
   return *this;
 }
 void TaskMark::printTo(std::ostream& out) const {
@@ -5493,7 +5513,7 @@
   out << ", " << "step=" << to_string(step);
   out << ", " << "index=" << to_string(index);
   out << ", " << "completed=" << to_string(completed);
-  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "failedRuns=" << to_string(failedRuns);
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ")";
 }
@@ -5542,14 +5562,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->marks.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->marks.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->marks.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += this->marks[_i114].read(iprot);
+              xfer += this->marks[_i120].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5560,9 +5580,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast115;
-          xfer += iprot->readI32(ecast115);
-          this->outcome = static_cast<JobOutcome::type>(ecast115);
+          int32_t ecast121;
+          xfer += iprot->readI32(ecast121);
+          this->outcome = static_cast<JobOutcome::type>(ecast121);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5588,10 +5608,10 @@
   xfer += oprot->writeFieldBegin("marks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->marks.size()));
-    std::vector<TaskMark> ::const_iterator _iter116;
-    for (_iter116 = this->marks.begin(); _iter116 != this->marks.end(); ++_iter116)
+    std::vector<TaskMark> ::const_iterator _iter122;
+    for (_iter122 = this->marks.begin(); _iter122 != this->marks.end(); ++_iter122)
     {
-      xfer += (*_iter116).write(oprot);
+      xfer += (*_iter122).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5613,26 +5633,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobProgress::JobProgress(const JobProgress& other117) {
-  marks = other117.marks;
-  outcome = other117.outcome;
-  __isset = other117.__isset;
+JobProgress::JobProgress(const JobProgress& other123) {
+  marks = other123.marks;
+  outcome = other123.outcome;
+  __isset = other123.__isset;
 }
-JobProgress::JobProgress(JobProgress&& other118) noexcept {
-  marks = std::move(other118.marks);
-  outcome = other118.outcome;
-  __isset = other118.__isset;
+JobProgress::JobProgress(JobProgress&& other124) noexcept {
+  marks = std::move(other124.marks);
+  outcome = other124.outcome;
+  __isset = other124.__isset;
 }
-JobProgress& JobProgress::operator=(const JobProgress& other119) {
-  marks = other119.marks;
-  outcome = other119.outcome;
-  __isset = other119.__isset;
+JobProgress& JobProgress::operator=(const JobProgress& other125) {
+  marks = other125.marks;
+  outcome = other125.outcome;
+  __isset = other125.__isset;
   return *this;
 }
-JobProgress& JobProgress::operator=(JobProgress&& other120) noexcept {
-  marks = std::move(other120.marks);
-  outcome = other120.outcome;
-  __isset = other120.__isset;
+JobProgress& JobProgress::operator=(JobProgress&& other126) noexcept {
+  marks = std::move(other126.marks);
+  outcome = other126.outcome;
+  __isset = other126.__isset;
   return *this;
 }
 void JobProgress::printTo(std::ostream& out) const {
@@ -5736,26 +5756,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HostRecord::HostRecord(const HostRecord& other121) noexcept {
-  incarnation = other121.incarnation;
-  term = other121.term;
-  __isset = other121.__isset;
+HostRecord::HostRecord(const HostRecord& other127) noexcept {
+  incarnation = other127.incarnation;
+  term = other127.term;
+  __isset = other127.__isset;
 }
-HostRecord::HostRecord(HostRecord&& other122) noexcept {
-  incarnation = other122.incarnation;
-  term = other122.term;
-  __isset = other122.__isset;
+HostRecord::HostRecord(HostRecord&& other128) noexcept {
+  incarnation = other128.incarnation;
+  term = other128.term;
+  __isset = other128.__isset;
 }
-HostRecord& HostRecord::operator=(const HostRecord& other123) noexcept {
-  incarnation = other123.incarnation;
-  term = other123.term;
-  __isset = other123.__isset;
+HostRecord& HostRecord::operator=(const HostRecord& other129) noexcept {
+  incarnation = other129.incarnation;
+  term = other129.term;
+  __isset = other129.__isset;
   return *this;
 }
-HostRecord& HostRecord::operator=(HostRecord&& other124) noexcept {
-  incarnation = other124.incarnation;
-  term = other124.term;
-  __isset = other124.__isset;
+HostRecord& HostRecord::operator=(HostRecord&& other130) noexcept {
+  incarnation = other130.incarnation;
+  term = other130.term;
+  __isset = other130.__isset;
   return *this;
 }
 void HostRecord::printTo(std::ostream& out) const {
@@ -5893,34 +5913,34 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnerClaim::OwnerClaim(const OwnerClaim& other125) {
-  nodeId = other125.nodeId;
-  incarnation = other125.incarnation;
-  address = other125.address;
-  port = other125.port;
-  __isset = other125.__isset;
+OwnerClaim::OwnerClaim(const OwnerClaim& other131) {
+  nodeId = other131.nodeId;
+  incarnation = other131.incarnation;
+  address = other131.address;
+  port = other131.port;
+  __isset = other131.__isset;
 }
-OwnerClaim::OwnerClaim(OwnerClaim&& other126) noexcept {
-  nodeId = std::move(other126.nodeId);
-  incarnation = other126.incarnation;
-  address = std::move(other126.address);
-  port = other126.port;
-  __isset = other126.__isset;
+OwnerClaim::OwnerClaim(OwnerClaim&& other132) noexcept {
+  nodeId = std::move(other132.nodeId);
+  incarnation = other132.incarnation;
+  address = std::move(other132.address);
+  port = other132.port;
+  __isset = other132.__isset;
 }
-OwnerClaim& OwnerClaim::operator=(const OwnerClaim& other127) {
-  nodeId = other127.nodeId;
-  incarnation = other127.incarnation;
-  address = other127.address;
-  port = other127.port;
-  __isset = other127.__isset;
+OwnerClaim& OwnerClaim::operator=(const OwnerClaim& other133) {
+  nodeId = other133.nodeId;
+  incarnation = other133.incarnation;
+  address = other133.address;
+  port = other133.port;
+  __isset = other133.__isset;
   return *this;
 }
-OwnerClaim& OwnerClaim::operator=(OwnerClaim&& other128) noexcept {
-  nodeId = std::move(other128.nodeId);
-  incarnation = other128.incarnation;
-  address = std::move(other128.address);
-  port = other128.port;
-  __isset = other128.__isset;
+OwnerClaim& OwnerClaim::operator=(OwnerClaim&& other134) noexcept {
+  nodeId = std::move(other134.nodeId);
+  incarnation = other134.incarnation;
+  address = std::move(other134.address);
+  port = other134.port;
+  __isset = other134.__isset;
   return *this;
 }
 void OwnerClaim::printTo(std::ostream& out) const {
@@ -6026,26 +6046,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnerPulse::OwnerPulse(const OwnerPulse& other129) noexcept {
-  term = other129.term;
-  resigning = other129.resigning;
-  __isset = other129.__isset;
+OwnerPulse::OwnerPulse(const OwnerPulse& other135) noexcept {
+  term = other135.term;
+  resigning = other135.resigning;
+  __isset = other135.__isset;
 }
-OwnerPulse::OwnerPulse(OwnerPulse&& other130) noexcept {
-  term = other130.term;
-  resigning = other130.resigning;
-  __isset = other130.__isset;
+OwnerPulse::OwnerPulse(OwnerPulse&& other136) noexcept {
+  term = other136.term;
+  resigning = other136.resigning;
+  __isset = other136.__isset;
 }
-OwnerPulse& OwnerPulse::operator=(const OwnerPulse& other131) noexcept {
-  term = other131.term;
-  resigning = other131.resigning;
-  __isset = other131.__isset;
+OwnerPulse& OwnerPulse::operator=(const OwnerPulse& other137) noexcept {
+  term = other137.term;
+  resigning = other137.resigning;
+  __isset = other137.__isset;
   return *this;
 }
-OwnerPulse& OwnerPulse::operator=(OwnerPulse&& other132) noexcept {
-  term = other132.term;
-  resigning = other132.resigning;
-  __isset = other132.__isset;
+OwnerPulse& OwnerPulse::operator=(OwnerPulse&& other138) noexcept {
+  term = other138.term;
+  resigning = other138.resigning;
+  __isset = other138.__isset;
   return *this;
 }
 void OwnerPulse::printTo(std::ostream& out) const {
@@ -6200,38 +6220,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RunningTask::RunningTask(const RunningTask& other133) {
-  task = other133.task;
-  run = other133.run;
-  checkpoint = other133.checkpoint;
-  progressPercent = other133.progressPercent;
-  usage = other133.usage;
-  __isset = other133.__isset;
+RunningTask::RunningTask(const RunningTask& other139) {
+  task = other139.task;
+  run = other139.run;
+  checkpoint = other139.checkpoint;
+  progressPercent = other139.progressPercent;
+  usage = other139.usage;
+  __isset = other139.__isset;
 }
-RunningTask::RunningTask(RunningTask&& other134) noexcept {
-  task = std::move(other134.task);
-  run = other134.run;
-  checkpoint = std::move(other134.checkpoint);
-  progressPercent = other134.progressPercent;
-  usage = other134.usage;
-  __isset = other134.__isset;
+RunningTask::RunningTask(RunningTask&& other140) noexcept {
+  task = std::move(other140.task);
+  run = other140.run;
+  checkpoint = std::move(other140.checkpoint);
+  progressPercent = other140.progressPercent;
+  usage = other140.usage;
+  __isset = other140.__isset;
 }
-RunningTask& RunningTask::operator=(const RunningTask& other135) {
-  task = other135.task;
-  run = other135.run;
-  checkpoint = other135.checkpoint;
-  progressPercent = other135.progressPercent;
-  usage = other135.usage;
-  __isset = other135.__isset;
+RunningTask& RunningTask::operator=(const RunningTask& other141) {
+  task = other141.task;
+  run = other141.run;
+  checkpoint = other141.checkpoint;
+  progressPercent = other141.progressPercent;
+  usage = other141.usage;
+  __isset = other141.__isset;
   return *this;
 }
-RunningTask& RunningTask::operator=(RunningTask&& other136) noexcept {
-  task = std::move(other136.task);
-  run = other136.run;
-  checkpoint = std::move(other136.checkpoint);
-  progressPercent = other136.progressPercent;
-  usage = other136.usage;
-  __isset = other136.__isset;
+RunningTask& RunningTask::operator=(RunningTask&& other142) noexcept {
+  task = std::move(other142.task);
+  run = other142.run;
+  checkpoint = std::move(other142.checkpoint);
+  progressPercent = other142.progressPercent;
+  usage = other142.usage;
+  __isset = other142.__isset;
   return *this;
 }
 void RunningTask::printTo(std::ostream& out) const {
@@ -6323,9 +6343,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast137;
-          xfer += iprot->readI32(ecast137);
-          this->how = static_cast<RunEnd::type>(ecast137);
+          int32_t ecast143;
+          xfer += iprot->readI32(ecast143);
+          this->how = static_cast<RunEnd::type>(ecast143);
           this->__isset.how = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6391,38 +6411,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndedTask::EndedTask(const EndedTask& other138) {
-  number = other138.number;
-  task = other138.task;
-  run = other138.run;
-  how = other138.how;
-  checkpoint = other138.checkpoint;
-  __isset = other138.__isset;
+EndedTask::EndedTask(const EndedTask& other144) {
+  number = other144.number;
+  task = other144.task;
+  run = other144.run;
+  how = other144.how;
+  checkpoint = other144.checkpoint;
+  __isset = other144.__isset;
 }
-EndedTask::EndedTask(EndedTask&& other139) noexcept {
-  number = other139.number;
-  task = std::move(other139.task);
-  run = other139.run;
-  how = other139.how;
-  checkpoint = std::move(other139.checkpoint);
-  __isset = other139.__isset;
+EndedTask::EndedTask(EndedTask&& other145) noexcept {
+  number = other145.number;
+  task = std::move(other145.task);
+  run = other145.run;
+  how = other145.how;
+  checkpoint = std::move(other145.checkpoint);
+  __isset = other145.__isset;
 }
-EndedTask& EndedTask::operator=(const EndedTask& other140) {
-  number = other140.number;
-  task = other140.task;
-  run = other140.run;
-  how = other140.how;
-  checkpoint = other140.checkpoint;
-  __isset = other140.__isset;
+EndedTask& EndedTask::operator=(const EndedTask& other146) {
+  number = other146.number;
+  task = other146.task;
+  run = other146.run;
+  how = other146.how;
+  checkpoint = other146.checkpoint;
+  __isset = other146.__isset;
   return *this;
 }
-EndedTask& EndedTask::operator=(EndedTask&& other141) noexcept {
-  number = other141.number;
-  task = std::move(other141.task);
-  run = other141.run;
-  how = other141.how;
-  checkpoint = std::move(other141.checkpoint);
-  __isset = other141.__isset;
+EndedTask& EndedTask::operator=(EndedTask&& other147) noexcept {
+  number = other147.number;
+  task = std::move(other147.task);
+  run = other147.run;
+  how = other147.how;
+  checkpoint = std::move(other147.checkpoint);
+  __isset = other147.__isset;
   return *this;
 }
 void EndedTask::printTo(std::ostream& out) const {
@@ -6502,9 +6522,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast142;
-          xfer += iprot->readI32(ecast142);
-          this->outcome = static_cast<OrderOutcome::type>(ecast142);
+          int32_t ecast148;
+          xfer += iprot->readI32(ecast148);
+          this->outcome = static_cast<OrderOutcome::type>(ecast148);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6565,34 +6585,34 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderResult::OrderResult(const OrderResult& other143) {
-  task = other143.task;
-  run = other143.run;
-  outcome = other143.outcome;
-  reason = other143.reason;
-  __isset = other143.__isset;
-}
-OrderResult::OrderResult(OrderResult&& other144) noexcept {
-  task = std::move(other144.task);
-  run = other144.run;
-  outcome = other144.outcome;
-  reason = std::move(other144.reason);
-  __isset = other144.__isset;
-}
-OrderResult& OrderResult::operator=(const OrderResult& other145) {
-  task = other145.task;
-  run = other145.run;
-  outcome = other145.outcome;
-  reason = other145.reason;
-  __isset = other145.__isset;
+OrderResult::OrderResult(const OrderResult& other149) {
+  task = other149.task;
+  run = other149.run;
+  outcome = other149.outcome;
+  reason = other149.reason;
+  __isset = other149.__isset;
+}
+OrderResult::OrderResult(OrderResult&& other150) noexcept {
+  task = std::move(other150.task);
+  run = other150.run;
+  outcome = other150.outcome;
+  reason = std::move(other150.reason);
+  __isset = other150.__isset;
+}
+OrderResult& OrderResult::operator=(const OrderResult& other151) {
+  task = other151.task;
+  run = other151.run;
+  outcome = other151.outcome;
+  reason = other151.reason;
+  __isset = other151.__isset;
   return *this;
 }
-OrderResult& OrderResult::operator=(OrderResult&& other146) noexcept {
-  task = std::move(other146.task);
-  run = other146.run;
-  outcome = other146.outcome;
-  reason = std::move(other146.reason);
-  __isset = other146.__isset;
+OrderResult& OrderResult::operator=(OrderResult&& other152) noexcept {
+  task = std::move(other152.task);
+  run = other152.run;
+  outcome = other152.outcome;
+  reason = std::move(other152.reason);
+  __isset = other152.__isset;
   return *this;
 }
 void OrderResult::printTo(std::ostream& out) const {
@@ -6741,14 +6761,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->labels.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->labels.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
             {
-              xfer += iprot->readString(this->labels[_i151]);
+              xfer += iprot->readString(this->labels[_i157]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6767,9 +6787,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast152;
-          xfer += iprot->readI32(ecast152);
-          this->state = static_cast<HostState::type>(ecast152);
+          int32_t ecast158;
+          xfer += iprot->readI32(ecast158);
+          this->state = static_cast<HostState::type>(ecast158);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6803,14 +6823,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size153;
-            ::apache::thrift::protocol::TType _etype156;
-            xfer += iprot->readListBegin(_etype156, _size153);
-            this->running.resize(_size153);
-            uint32_t _i157;
-            for (_i157 = 0; _i157 < _size153; ++_i157)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->running.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              xfer += this->running[_i157].read(iprot);
+              xfer += this->running[_i163].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6823,14 +6843,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->ended.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->ended.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += this->ended[_i162].read(iprot);
+              xfer += this->ended[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6843,14 +6863,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size163;
-            ::apache::thrift::protocol::TType _etype166;
-            xfer += iprot->readListBegin(_etype166, _size163);
-            this->results.resize(_size163);
-            uint32_t _i167;
-            for (_i167 = 0; _i167 < _size163; ++_i167)
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->results.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
             {
-              xfer += this->results[_i167].read(iprot);
+              xfer += this->results[_i173].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6907,10 +6927,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter168;
-    for (_iter168 = this->labels.begin(); _iter168 != this->labels.end(); ++_iter168)
+    std::vector<std::string> ::const_iterator _iter174;
+    for (_iter174 = this->labels.begin(); _iter174 != this->labels.end(); ++_iter174)
     {
-      xfer += oprot->writeString((*_iter168));
+      xfer += oprot->writeString((*_iter174));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6939,10 +6959,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunningTask> ::const_iterator _iter169;
-    for (_iter169 = this->running.begin(); _iter169 != this->running.end(); ++_iter169)
+    std::vector<RunningTask> ::const_iterator _iter175;
+    for (_iter175 = this->running.begin(); _iter175 != this->running.end(); ++_iter175)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter175).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6951,10 +6971,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndedTask> ::const_iterator _iter170;
-    for (_iter170 = this->ended.begin(); _iter170 != this->ended.end(); ++_iter170)
+    std::vector<EndedTask> ::const_iterator _iter176;
+    for (_iter176 = this->ended.begin(); _iter176 != this->ended.end(); ++_iter176)
     {
-      xfer += (*_iter170).write(oprot);
+      xfer += (*_iter176).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6963,10 +6983,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<OrderResult> ::const_iterator _iter171;
-    for (_iter171 = this->results.begin(); _iter171 != this->results.end(); ++_iter171)
+    std::vector<OrderResult> ::const_iterator _iter177;
+    for (_iter177 = this->results.begin(); _iter177 != this->results.end(); ++_iter177)
     {
-      xfer += (*_iter171).write(oprot);
+      xfer += (*_iter177).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7001,78 +7021,78 @@
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other172) {
-  hostId = other172.hostId;
-  incarnation = other172.incarnation;
-  serviceName = other172.serviceName;
-  zone = other172.zone;
-  rack = other172.rack;
-  labels = other172.labels;
-  capacity = other172.capacity;
-  state = other172.state;
-  remainingMilliseconds = other172.remainingMilliseconds;
-  listed = other172.listed;
-  clockMilliseconds = other172.clockMilliseconds;
-  running = other172.running;
-  ended = other172.ended;
-  results = other172.results;
-  highestTerm = other172.highestTerm;
-  __isset = other172.__isset;
-}
-HostReport::HostReport(HostReport&& other173) noexcept {
-  hostId = std::move(other173.hostId);
-  incarnation = other173.incarnation;
-  serviceName = std::move(other173.serviceName);
-  zone = std::move(other173.zone);
-  rack = std::move(other173.rack);
-  labels = std::move(other173.labels);
-  capacity = std::move(other173.capacity);
-  state = other173.state;
-  remainingMilliseconds = other173.remainingMilliseconds;
-  listed = other173.listed;
-  clockMilliseconds = other173.clockMilliseconds;
-  running = std::move(other173.running);
-  ended = std::move(other173.ended);
-  results = std::move(other173.results);
-  highestTerm = other173.highestTerm;
-  __isset = other173.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other174) {
-  hostId = other174.hostId;
-  incarnation = other174.incarnation;
-  serviceName = other174.serviceName;
-  zone = other174.zone;
-  rack = other174.rack;
-  labels = other174.labels;
-  capacity = other174.capacity;
-  state = other174.state;
-  remainingMilliseconds = other174.remainingMilliseconds;
-  listed = other174.listed;
-  clockMilliseconds = other174.clockMilliseconds;
-  running = other174.running;
-  ended = other174.ended;
-  results = other174.results;
-  highestTerm = other174.highestTerm;
-  __isset = other174.__isset;
+HostReport::HostReport(const HostReport& other178) {
+  hostId = other178.hostId;
+  incarnation = other178.incarnation;
+  serviceName = other178.serviceName;
+  zone = other178.zone;
+  rack = other178.rack;
+  labels = other178.labels;
+  capacity = other178.capacity;
+  state = other178.state;
+  remainingMilliseconds = other178.remainingMilliseconds;
+  listed = other178.listed;
+  clockMilliseconds = other178.clockMilliseconds;
+  running = other178.running;
+  ended = other178.ended;
+  results = other178.results;
+  highestTerm = other178.highestTerm;
+  __isset = other178.__isset;
+}
+HostReport::HostReport(HostReport&& other179) noexcept {
+  hostId = std::move(other179.hostId);
+  incarnation = other179.incarnation;
+  serviceName = std::move(other179.serviceName);
+  zone = std::move(other179.zone);
+  rack = std::move(other179.rack);
+  labels = std::move(other179.labels);
+  capacity = std::move(other179.capacity);
+  state = other179.state;
+  remainingMilliseconds = other179.remainingMilliseconds;
+  listed = other179.listed;
+  clockMilliseconds = other179.clockMilliseconds;
+  running = std::move(other179.running);
+  ended = std::move(other179.ended);
+  results = std::move(other179.results);
+  highestTerm = other179.highestTerm;
+  __isset = other179.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other180) {
+  hostId = other180.hostId;
+  incarnation = other180.incarnation;
+  serviceName = other180.serviceName;
+  zone = other180.zone;
+  rack = other180.rack;
+  labels = other180.labels;
+  capacity = other180.capacity;
+  state = other180.state;
+  remainingMilliseconds = other180.remainingMilliseconds;
+  listed = other180.listed;
+  clockMilliseconds = other180.clockMilliseconds;
+  running = other180.running;
+  ended = other180.ended;
+  results = other180.results;
+  highestTerm = other180.highestTerm;
+  __isset = other180.__isset;
   return *this;
 }
-HostReport& HostReport::operator=(HostReport&& other175) noexcept {
-  hostId = std::move(other175.hostId);
-  incarnation = other175.incarnation;
-  serviceName = std::move(other175.serviceName);
-  zone = std::move(other175.zone);
-  rack = std::move(other175.rack);
-  labels = std::move(other175.labels);
-  capacity = std::move(other175.capacity);
-  state = other175.state;
-  remainingMilliseconds = other175.remainingMilliseconds;
-  listed = other175.listed;
-  clockMilliseconds = other175.clockMilliseconds;
-  running = std::move(other175.running);
-  ended = std::move(other175.ended);
-  results = std::move(other175.results);
-  highestTerm = other175.highestTerm;
-  __isset = other175.__isset;
+HostReport& HostReport::operator=(HostReport&& other181) noexcept {
+  hostId = std::move(other181.hostId);
+  incarnation = other181.incarnation;
+  serviceName = std::move(other181.serviceName);
+  zone = std::move(other181.zone);
+  rack = std::move(other181.rack);
+  labels = std::move(other181.labels);
+  capacity = std::move(other181.capacity);
+  state = other181.state;
+  remainingMilliseconds = other181.remainingMilliseconds;
+  listed = other181.listed;
+  clockMilliseconds = other181.clockMilliseconds;
+  running = std::move(other181.running);
+  ended = std::move(other181.ended);
+  results = std::move(other181.results);
+  highestTerm = other181.highestTerm;
+  __isset = other181.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -7240,38 +7260,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StartOrder::StartOrder(const StartOrder& other176) {
-  task = other176.task;
-  run = other176.run;
-  payload = other176.payload;
-  checkpoint = other176.checkpoint;
-  ticket = other176.ticket;
-  __isset = other176.__isset;
-}
-StartOrder::StartOrder(StartOrder&& other177) noexcept {
-  task = std::move(other177.task);
-  run = other177.run;
-  payload = std::move(other177.payload);
-  checkpoint = std::move(other177.checkpoint);
-  ticket = std::move(other177.ticket);
-  __isset = other177.__isset;
-}
-StartOrder& StartOrder::operator=(const StartOrder& other178) {
-  task = other178.task;
-  run = other178.run;
-  payload = other178.payload;
-  checkpoint = other178.checkpoint;
-  ticket = other178.ticket;
-  __isset = other178.__isset;
+StartOrder::StartOrder(const StartOrder& other182) {
+  task = other182.task;
+  run = other182.run;
+  payload = other182.payload;
+  checkpoint = other182.checkpoint;
+  ticket = other182.ticket;
+  __isset = other182.__isset;
+}
+StartOrder::StartOrder(StartOrder&& other183) noexcept {
+  task = std::move(other183.task);
+  run = other183.run;
+  payload = std::move(other183.payload);
+  checkpoint = std::move(other183.checkpoint);
+  ticket = std::move(other183.ticket);
+  __isset = other183.__isset;
+}
+StartOrder& StartOrder::operator=(const StartOrder& other184) {
+  task = other184.task;
+  run = other184.run;
+  payload = other184.payload;
+  checkpoint = other184.checkpoint;
+  ticket = other184.ticket;
+  __isset = other184.__isset;
   return *this;
 }
-StartOrder& StartOrder::operator=(StartOrder&& other179) noexcept {
-  task = std::move(other179.task);
-  run = other179.run;
-  payload = std::move(other179.payload);
-  checkpoint = std::move(other179.checkpoint);
-  ticket = std::move(other179.ticket);
-  __isset = other179.__isset;
+StartOrder& StartOrder::operator=(StartOrder&& other185) noexcept {
+  task = std::move(other185.task);
+  run = other185.run;
+  payload = std::move(other185.payload);
+  checkpoint = std::move(other185.checkpoint);
+  ticket = std::move(other185.ticket);
+  __isset = other185.__isset;
   return *this;
 }
 void StartOrder::printTo(std::ostream& out) const {
@@ -7378,26 +7398,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HaltOrder::HaltOrder(const HaltOrder& other180) {
-  task = other180.task;
-  run = other180.run;
-  __isset = other180.__isset;
+HaltOrder::HaltOrder(const HaltOrder& other186) {
+  task = other186.task;
+  run = other186.run;
+  __isset = other186.__isset;
 }
-HaltOrder::HaltOrder(HaltOrder&& other181) noexcept {
-  task = std::move(other181.task);
-  run = other181.run;
-  __isset = other181.__isset;
+HaltOrder::HaltOrder(HaltOrder&& other187) noexcept {
+  task = std::move(other187.task);
+  run = other187.run;
+  __isset = other187.__isset;
 }
-HaltOrder& HaltOrder::operator=(const HaltOrder& other182) {
-  task = other182.task;
-  run = other182.run;
-  __isset = other182.__isset;
+HaltOrder& HaltOrder::operator=(const HaltOrder& other188) {
+  task = other188.task;
+  run = other188.run;
+  __isset = other188.__isset;
   return *this;
 }
-HaltOrder& HaltOrder::operator=(HaltOrder&& other183) noexcept {
-  task = std::move(other183.task);
-  run = other183.run;
-  __isset = other183.__isset;
+HaltOrder& HaltOrder::operator=(HaltOrder&& other189) noexcept {
+  task = std::move(other189.task);
+  run = other189.run;
+  __isset = other189.__isset;
   return *this;
 }
 void HaltOrder::printTo(std::ostream& out) const {
@@ -7518,30 +7538,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PaceOrder::PaceOrder(const PaceOrder& other184) {
-  task = other184.task;
-  run = other184.run;
-  percent = other184.percent;
-  __isset = other184.__isset;
+PaceOrder::PaceOrder(const PaceOrder& other190) {
+  task = other190.task;
+  run = other190.run;
+  percent = other190.percent;
+  __isset = other190.__isset;
 }
-PaceOrder::PaceOrder(PaceOrder&& other185) noexcept {
-  task = std::move(other185.task);
-  run = other185.run;
-  percent = other185.percent;
-  __isset = other185.__isset;
+PaceOrder::PaceOrder(PaceOrder&& other191) noexcept {
+  task = std::move(other191.task);
+  run = other191.run;
+  percent = other191.percent;
+  __isset = other191.__isset;
 }
-PaceOrder& PaceOrder::operator=(const PaceOrder& other186) {
-  task = other186.task;
-  run = other186.run;
-  percent = other186.percent;
-  __isset = other186.__isset;
+PaceOrder& PaceOrder::operator=(const PaceOrder& other192) {
+  task = other192.task;
+  run = other192.run;
+  percent = other192.percent;
+  __isset = other192.__isset;
   return *this;
 }
-PaceOrder& PaceOrder::operator=(PaceOrder&& other187) noexcept {
-  task = std::move(other187.task);
-  run = other187.run;
-  percent = other187.percent;
-  __isset = other187.__isset;
+PaceOrder& PaceOrder::operator=(PaceOrder&& other193) noexcept {
+  task = std::move(other193.task);
+  run = other193.run;
+  percent = other193.percent;
+  __isset = other193.__isset;
   return *this;
 }
 void PaceOrder::printTo(std::ostream& out) const {
@@ -7661,14 +7681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->starts.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->starts.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->starts[_i192].read(iprot);
+              xfer += this->starts[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7681,14 +7701,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->halts.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->halts.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readListBegin(_etype202, _size199);
+            this->halts.resize(_size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
             {
-              xfer += this->halts[_i197].read(iprot);
+              xfer += this->halts[_i203].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7701,14 +7721,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->paces.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->paces.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->paces.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->paces[_i202].read(iprot);
+              xfer += this->paces[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7757,10 +7777,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<StartOrder> ::const_iterator _iter203;
-    for (_iter203 = this->starts.begin(); _iter203 != this->starts.end(); ++_iter203)
+    std::vector<StartOrder> ::const_iterator _iter209;
+    for (_iter209 = this->starts.begin(); _iter209 != this->starts.end(); ++_iter209)
     {
-      xfer += (*_iter203).write(oprot);
+      xfer += (*_iter209).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7769,10 +7789,10 @@
   xfer += oprot->writeFieldBegin("halts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->halts.size()));
-    std::vector<HaltOrder> ::const_iterator _iter204;
-    for (_iter204 = this->halts.begin(); _iter204 != this->halts.end(); ++_iter204)
+    std::vector<HaltOrder> ::const_iterator _iter210;
+    for (_iter210 = this->halts.begin(); _iter210 != this->halts.end(); ++_iter210)
     {
-      xfer += (*_iter204).write(oprot);
+      xfer += (*_iter210).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7781,10 +7801,10 @@
   xfer += oprot->writeFieldBegin("paces", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->paces.size()));
-    std::vector<PaceOrder> ::const_iterator _iter205;
-    for (_iter205 = this->paces.begin(); _iter205 != this->paces.end(); ++_iter205)
+    std::vector<PaceOrder> ::const_iterator _iter211;
+    for (_iter211 = this->paces.begin(); _iter211 != this->paces.end(); ++_iter211)
     {
-      xfer += (*_iter205).write(oprot);
+      xfer += (*_iter211).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7808,50 +7828,50 @@
   swap(a.__isset, b.__isset);
 }
 
-HostOrders::HostOrders(const HostOrders& other206) {
-  term = other206.term;
-  hostId = other206.hostId;
-  incarnation = other206.incarnation;
-  leaseUntilMilliseconds = other206.leaseUntilMilliseconds;
-  acknowledgedNumber = other206.acknowledgedNumber;
-  starts = other206.starts;
-  halts = other206.halts;
-  paces = other206.paces;
-  __isset = other206.__isset;
-}
-HostOrders::HostOrders(HostOrders&& other207) noexcept {
-  term = other207.term;
-  hostId = std::move(other207.hostId);
-  incarnation = other207.incarnation;
-  leaseUntilMilliseconds = other207.leaseUntilMilliseconds;
-  acknowledgedNumber = other207.acknowledgedNumber;
-  starts = std::move(other207.starts);
-  halts = std::move(other207.halts);
-  paces = std::move(other207.paces);
-  __isset = other207.__isset;
-}
-HostOrders& HostOrders::operator=(const HostOrders& other208) {
-  term = other208.term;
-  hostId = other208.hostId;
-  incarnation = other208.incarnation;
-  leaseUntilMilliseconds = other208.leaseUntilMilliseconds;
-  acknowledgedNumber = other208.acknowledgedNumber;
-  starts = other208.starts;
-  halts = other208.halts;
-  paces = other208.paces;
-  __isset = other208.__isset;
+HostOrders::HostOrders(const HostOrders& other212) {
+  term = other212.term;
+  hostId = other212.hostId;
+  incarnation = other212.incarnation;
+  leaseUntilMilliseconds = other212.leaseUntilMilliseconds;
+  acknowledgedNumber = other212.acknowledgedNumber;
+  starts = other212.starts;
+  halts = other212.halts;
+  paces = other212.paces;
+  __isset = other212.__isset;
+}
+HostOrders::HostOrders(HostOrders&& other213) noexcept {
+  term = other213.term;
+  hostId = std::move(other213.hostId);
+  incarnation = other213.incarnation;
+  leaseUntilMilliseconds = other213.leaseUntilMilliseconds;
+  acknowledgedNumber = other213.acknowledgedNumber;
+  starts = std::move(other213.starts);
+  halts = std::move(other213.halts);
+  paces = std::move(other213.paces);
+  __isset = other213.__isset;
+}
+HostOrders& HostOrders::operator=(const HostOrders& other214) {
+  term = other214.term;
+  hostId = other214.hostId;
+  incarnation = other214.incarnation;
+  leaseUntilMilliseconds = other214.leaseUntilMilliseconds;
+  acknowledgedNumber = other214.acknowledgedNumber;
+  starts = other214.starts;
+  halts = other214.halts;
+  paces = other214.paces;
+  __isset = other214.__isset;
   return *this;
 }
-HostOrders& HostOrders::operator=(HostOrders&& other209) noexcept {
-  term = other209.term;
-  hostId = std::move(other209.hostId);
-  incarnation = other209.incarnation;
-  leaseUntilMilliseconds = other209.leaseUntilMilliseconds;
-  acknowledgedNumber = other209.acknowledgedNumber;
-  starts = std::move(other209.starts);
-  halts = std::move(other209.halts);
-  paces = std::move(other209.paces);
-  __isset = other209.__isset;
+HostOrders& HostOrders::operator=(HostOrders&& other215) noexcept {
+  term = other215.term;
+  hostId = std::move(other215.hostId);
+  incarnation = other215.incarnation;
+  leaseUntilMilliseconds = other215.leaseUntilMilliseconds;
+  acknowledgedNumber = other215.acknowledgedNumber;
+  starts = std::move(other215.starts);
+  halts = std::move(other215.halts);
+  paces = std::move(other215.paces);
+  __isset = other215.__isset;
   return *this;
 }
 void HostOrders::printTo(std::ostream& out) const {
@@ -8012,38 +8032,38 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeHello::NodeHello(const NodeHello& other210) {
-  nodeId = other210.nodeId;
-  incarnation = other210.incarnation;
-  isSide = other210.isSide;
-  term = other210.term;
-  isOwner = other210.isOwner;
-  __isset = other210.__isset;
-}
-NodeHello::NodeHello(NodeHello&& other211) noexcept {
-  nodeId = std::move(other211.nodeId);
-  incarnation = other211.incarnation;
-  isSide = other211.isSide;
-  term = other211.term;
-  isOwner = other211.isOwner;
-  __isset = other211.__isset;
-}
-NodeHello& NodeHello::operator=(const NodeHello& other212) {
-  nodeId = other212.nodeId;
-  incarnation = other212.incarnation;
-  isSide = other212.isSide;
-  term = other212.term;
-  isOwner = other212.isOwner;
-  __isset = other212.__isset;
+NodeHello::NodeHello(const NodeHello& other216) {
+  nodeId = other216.nodeId;
+  incarnation = other216.incarnation;
+  isSide = other216.isSide;
+  term = other216.term;
+  isOwner = other216.isOwner;
+  __isset = other216.__isset;
+}
+NodeHello::NodeHello(NodeHello&& other217) noexcept {
+  nodeId = std::move(other217.nodeId);
+  incarnation = other217.incarnation;
+  isSide = other217.isSide;
+  term = other217.term;
+  isOwner = other217.isOwner;
+  __isset = other217.__isset;
+}
+NodeHello& NodeHello::operator=(const NodeHello& other218) {
+  nodeId = other218.nodeId;
+  incarnation = other218.incarnation;
+  isSide = other218.isSide;
+  term = other218.term;
+  isOwner = other218.isOwner;
+  __isset = other218.__isset;
   return *this;
 }
-NodeHello& NodeHello::operator=(NodeHello&& other213) noexcept {
-  nodeId = std::move(other213.nodeId);
-  incarnation = other213.incarnation;
-  isSide = other213.isSide;
-  term = other213.term;
-  isOwner = other213.isOwner;
-  __isset = other213.__isset;
+NodeHello& NodeHello::operator=(NodeHello&& other219) noexcept {
+  nodeId = std::move(other219.nodeId);
+  incarnation = other219.incarnation;
+  isSide = other219.isSide;
+  term = other219.term;
+  isOwner = other219.isOwner;
+  __isset = other219.__isset;
   return *this;
 }
 void NodeHello::printTo(std::ostream& out) const {
@@ -8127,9 +8147,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast214;
-          xfer += iprot->readI32(ecast214);
-          this->kind = static_cast<JobCallKind::type>(ecast214);
+          int32_t ecast220;
+          xfer += iprot->readI32(ecast220);
+          this->kind = static_cast<JobCallKind::type>(ecast220);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8237,46 +8257,46 @@
   swap(a.__isset, b.__isset);
 }
 
-JobCall::JobCall(const JobCall& other215) {
-  callId = other215.callId;
-  kind = other215.kind;
-  jobId = other215.jobId;
-  queue = other215.queue;
-  job = other215.job;
-  policyVersion = other215.policyVersion;
-  budgetMilliseconds = other215.budgetMilliseconds;
-  __isset = other215.__isset;
+JobCall::JobCall(const JobCall& other221) {
+  callId = other221.callId;
+  kind = other221.kind;
+  jobId = other221.jobId;
+  queue = other221.queue;
+  job = other221.job;
+  policyVersion = other221.policyVersion;
+  budgetMilliseconds = other221.budgetMilliseconds;
+  __isset = other221.__isset;
 }
-JobCall::JobCall(JobCall&& other216) noexcept {
-  callId = other216.callId;
-  kind = other216.kind;
-  jobId = std::move(other216.jobId);
-  queue = std::move(other216.queue);
-  job = std::move(other216.job);
-  policyVersion = other216.policyVersion;
-  budgetMilliseconds = other216.budgetMilliseconds;
-  __isset = other216.__isset;
+JobCall::JobCall(JobCall&& other222) noexcept {
+  callId = other222.callId;
+  kind = other222.kind;
+  jobId = std::move(other222.jobId);
+  queue = std::move(other222.queue);
+  job = std::move(other222.job);
+  policyVersion = other222.policyVersion;
+  budgetMilliseconds = other222.budgetMilliseconds;
+  __isset = other222.__isset;
 }
-JobCall& JobCall::operator=(const JobCall& other217) {
-  callId = other217.callId;
-  kind = other217.kind;
-  jobId = other217.jobId;
-  queue = other217.queue;
-  job = other217.job;
-  policyVersion = other217.policyVersion;
-  budgetMilliseconds = other217.budgetMilliseconds;
-  __isset = other217.__isset;
+JobCall& JobCall::operator=(const JobCall& other223) {
+  callId = other223.callId;
+  kind = other223.kind;
+  jobId = other223.jobId;
+  queue = other223.queue;
+  job = other223.job;
+  policyVersion = other223.policyVersion;
+  budgetMilliseconds = other223.budgetMilliseconds;
+  __isset = other223.__isset;
   return *this;
 }
-JobCall& JobCall::operator=(JobCall&& other218) noexcept {
-  callId = other218.callId;
-  kind = other218.kind;
-  jobId = std::move(other218.jobId);
-  queue = std::move(other218.queue);
-  job = std::move(other218.job);
-  policyVersion = other218.policyVersion;
-  budgetMilliseconds = other218.budgetMilliseconds;
-  __isset = other218.__isset;
+JobCall& JobCall::operator=(JobCall&& other224) noexcept {
+  callId = other224.callId;
+  kind = other224.kind;
+  jobId = std::move(other224.jobId);
+  queue = std::move(other224.queue);
+  job = std::move(other224.job);
+  policyVersion = other224.policyVersion;
+  budgetMilliseconds = other224.budgetMilliseconds;
+  __isset = other224.__isset;
   return *this;
 }
 void JobCall::printTo(std::ostream& out) const {
@@ -8358,9 +8378,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast219;
-          xfer += iprot->readI32(ecast219);
-          this->kind = static_cast<JobReplyKind::type>(ecast219);
+          int32_t ecast225;
+          xfer += iprot->readI32(ecast225);
+          this->kind = static_cast<JobReplyKind::type>(ecast225);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8368,9 +8388,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast220;
-          xfer += iprot->readI32(ecast220);
-          this->phase = static_cast<JobPhase::type>(ecast220);
+          int32_t ecast226;
+          xfer += iprot->readI32(ecast226);
+          this->phase = static_cast<JobPhase::type>(ecast226);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8457,42 +8477,42 @@
   swap(a.__isset, b.__isset);
 }
 
-JobReply::JobReply(const JobReply& other221) {
-  callId = other221.callId;
-  kind = other221.kind;
-  phase = other221.phase;
-  waiting = other221.waiting;
-  retryAfterMilliseconds = other221.retryAfterMilliseconds;
-  reason = other221.reason;
-  __isset = other221.__isset;
-}
-JobReply::JobReply(JobReply&& other222) noexcept {
-  callId = other222.callId;
-  kind = other222.kind;
-  phase = other222.phase;
-  waiting = other222.waiting;
-  retryAfterMilliseconds = other222.retryAfterMilliseconds;
-  reason = std::move(other222.reason);
-  __isset = other222.__isset;
-}
-JobReply& JobReply::operator=(const JobReply& other223) {
-  callId = other223.callId;
-  kind = other223.kind;
-  phase = other223.phase;
-  waiting = other223.waiting;
-  retryAfterMilliseconds = other223.retryAfterMilliseconds;
-  reason = other223.reason;
-  __isset = other223.__isset;
+JobReply::JobReply(const JobReply& other227) {
+  callId = other227.callId;
+  kind = other227.kind;
+  phase = other227.phase;
+  waiting = other227.waiting;
+  retryAfterMilliseconds = other227.retryAfterMilliseconds;
+  reason = other227.reason;
+  __isset = other227.__isset;
+}
+JobReply::JobReply(JobReply&& other228) noexcept {
+  callId = other228.callId;
+  kind = other228.kind;
+  phase = other228.phase;
+  waiting = other228.waiting;
+  retryAfterMilliseconds = other228.retryAfterMilliseconds;
+  reason = std::move(other228.reason);
+  __isset = other228.__isset;
+}
+JobReply& JobReply::operator=(const JobReply& other229) {
+  callId = other229.callId;
+  kind = other229.kind;
+  phase = other229.phase;
+  waiting = other229.waiting;
+  retryAfterMilliseconds = other229.retryAfterMilliseconds;
+  reason = other229.reason;
+  __isset = other229.__isset;
   return *this;
 }
-JobReply& JobReply::operator=(JobReply&& other224) noexcept {
-  callId = other224.callId;
-  kind = other224.kind;
-  phase = other224.phase;
-  waiting = other224.waiting;
-  retryAfterMilliseconds = other224.retryAfterMilliseconds;
-  reason = std::move(other224.reason);
-  __isset = other224.__isset;
+JobReply& JobReply::operator=(JobReply&& other230) noexcept {
+  callId = other230.callId;
+  kind = other230.kind;
+  phase = other230.phase;
+  waiting = other230.waiting;
+  retryAfterMilliseconds = other230.retryAfterMilliseconds;
+  reason = std::move(other230.reason);
+  __isset = other230.__isset;
   return *this;
 }
 void JobReply::printTo(std::ostream& out) const {
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -2101,12 +2101,12 @@
 std::ostream& operator<<(std::ostream& out, const TaskName& obj);
 
 typedef struct _TaskMark__isset {
-  _TaskMark__isset() : occurrence(false), step(false), index(false), completed(false), failures(false), checkpoint(false) {}
+  _TaskMark__isset() : occurrence(false), step(false), index(false), completed(false), failedRuns(false), checkpoint(false) {}
   bool occurrence :1;
   bool step :1;
   bool index :1;
   bool completed :1;
-  bool failures :1;
+  bool failedRuns :1;
   bool checkpoint :1;
 } _TaskMark__isset;
 
@@ -2122,7 +2122,6 @@
              step(0),
              index(0),
              completed(0),
-             failures(0),
              checkpoint() {
   }
 
@@ -2131,7 +2130,7 @@
   int32_t step;
   int32_t index;
   bool completed;
-  int32_t failures;
+  std::vector<int32_t>  failedRuns;
   std::string checkpoint;
 
   _TaskMark__isset __isset;
@@ -2144,7 +2143,7 @@
 
   void __set_completed(const bool val);
 
-  void __set_failures(const int32_t val);
+  void __set_failedRuns(const std::vector<int32_t> & val);
 
   void __set_checkpoint(const std::string& val);
 
@@ -2158,7 +2157,7 @@
       return false;
     if (!(completed == rhs.completed))
       return false;
-    if (!(failures == rhs.failures))
+    if (!(failedRuns == rhs.failedRuns))
       return false;
     if (!(checkpoint == rhs.checkpoint))
       return false;
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -242,7 +242,8 @@
   2: i32 step
   3: i32 index
   4: bool completed
-  5: i32 failures
+  // The runs that failed: an end that is not acknowledged yet is listed again to a later owner and counts once.
+  5: list<i32> failedRuns
   6: string checkpoint
 }
 
