Job: Learn noise by pair of images, pack serving tasks by image

Change: InterferenceModel keeps one regression a serving image; a filler needs a host that bears 30% of its pace, begins at what the host bears, is raised slowly; serving tasks prefer hosts with their own image.

--- a/Source/Decision/Job/HostBook.h
+++ b/Source/Decision/Job/HostBook.h
@@ -100,8 +100,7 @@
     Wire::HostOrders orders;
     /// Since when a serving task has been at its target or over it.
     Instant alarmSince;
-    /// What its serving tasks can still bear, by the newest list; see InterferenceModel.
-    double bearable = 0;
+    Instant paceRaisedAt;
 
     std::int64_t freeMilliCores() const { return capacity.milliProcessors - committed.milliProcessors; }
     std::int64_t freeMegabytes() const { return capacity.memoryMegabytes - committed.memoryMegabytes; }
--- a/Source/Decision/Job/InterferenceModel.cpp
+++ b/Source/Decision/Job/InterferenceModel.cpp
@@ -11,15 +11,16 @@
     constexpr Duration observeInterval = milliseconds(500);
     constexpr Duration freshness = milliseconds(700);
     /// A serving task shows no tail worth learning from right after its start.
-    constexpr Duration startUp = milliseconds(1500);
-    /// What an image that has not been seen yet counts as: between the quiet and the noisy ones.
+    constexpr Duration startUp = milliseconds(2500);
+    /// What a pair that has not been seen yet counts as: between the quiet and the noisy ones.
     constexpr double priorPressure = 2.0;
     /// Weight of the prior, in squares of shares of a host.
     constexpr double priorWeight = 0.03;
     /// What is left of old observations after each new one.
-    constexpr double memory = 0.985;
+    constexpr double memory = 0.99;
     constexpr std::size_t maximumImages = 64;
     constexpr double largestHeadroom = 8;
+    constexpr int fullPace = 100;
 
     bool isServing(Instant now, const HostRun& run)
     {
@@ -31,63 +32,83 @@
         return std::min(largestHeadroom, static_cast<double>(run.targetMilliseconds) / static_cast<double>(run.usage));
     }
 
-    double share(const Host& host, const HostRun& run)
+    double capacityOf(const Host& host)
     {
-        return static_cast<double>(run.usage)
-            / static_cast<double>(std::max<std::int64_t>(1, host.capacity.milliProcessors));
+        return static_cast<double>(std::max<std::int64_t>(1, host.capacity.milliProcessors));
     }
 
 } // namespace
 
-std::size_t InterferenceModel::indexOf(const std::string& image)
+std::size_t InterferenceModel::indexOf(const std::string& filler)
 {
-    std::map<std::string, std::size_t>::iterator it = m_images.find(image);
-    if (it != m_images.end())
+    std::map<std::string, std::size_t>::iterator it = m_fillers.find(filler);
+    if (it != m_fillers.end())
         return it->second;
-    if (m_images.size() >= maximumImages)
+    if (m_fillers.size() >= maximumImages)
         return 0;
-    const std::size_t n = m_images.size();
-    m_images[image] = n;
-    for (std::vector<double>& row : m_squares)
-        row.push_back(0);
-    m_squares.emplace_back(n + 1, 0.0);
-    m_products.push_back(0);
-    m_pressures.push_back(priorPressure);
+    const std::size_t n = m_fillers.size();
+    m_fillers[filler] = n;
     return n;
 }
 
-double InterferenceModel::pressure(const std::string& image) const
+void InterferenceModel::grow(Regression& regression) const
 {
-    std::map<std::string, std::size_t>::const_iterator it = m_images.find(image);
-    return it == m_images.end() ? priorPressure : std::max(0.0, m_pressures[it->second]);
+    const std::size_t count = m_fillers.size();
+    for (std::vector<double>& row : regression.squares)
+        row.resize(count, 0.0);
+    regression.squares.resize(count, std::vector<double>(count, 0.0));
+    regression.products.resize(count, 0.0);
+    regression.pressures.resize(count, priorPressure);
 }
 
-double InterferenceModel::exerted(const Host& host) const
+double InterferenceModel::pressure(const std::string& serving, const std::string& filler) const
 {
-    double sum = 0;
-    for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
-        if (entry.second.filler)
-            sum += pressure(entry.second.image) * share(host, entry.second);
-    }
-    return sum;
+    std::map<std::string, std::size_t>::const_iterator image = m_fillers.find(filler);
+    std::map<std::string, Regression>::const_iterator it = m_regressions.find(serving);
+    if (image == m_fillers.end() || it == m_regressions.end() || image->second >= it->second.pressures.size())
+        return priorPressure;
+    return std::max(0.0, it->second.pressures[image->second]);
 }
 
-double InterferenceModel::headroom(Instant now, const Host& host)
+double InterferenceModel::push(
+    const Host& host, const std::string& serving, const std::string& filler, std::int64_t milliCores) const
 {
-    double least = largestHeadroom;
+    return pressure(serving, filler) * static_cast<double>(milliCores) / capacityOf(host);
+}
+
+std::vector<ServingGroup> InterferenceModel::groups(Instant now, const Host& host) const
+{
+    std::vector<ServingGroup> groups;
     for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
-        if (isServing(now, entry.second))
-            least = std::min(least, headroomOf(entry.second));
+        const HostRun& run = entry.second;
+        if (!isServing(now, run))
+            continue;
+        std::vector<ServingGroup>::iterator it = std::find_if(
+            groups.begin(), groups.end(), [&run](const ServingGroup& group) { return group.image == run.image; });
+        if (it == groups.end())
+            groups.push_back(ServingGroup { run.image, headroomOf(run) });
+        else
+            it->headroom = std::min(it->headroom, headroomOf(run));
     }
-    return least;
+    for (ServingGroup& group : groups) {
+        for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
+            const HostRun& run = entry.second;
+            if (!run.filler)
+                continue;
+            const double pace = static_cast<double>(std::max(0, run.orderedPercent)) / fullPace;
+            group.exerted += push(host, group.image, run.image, run.usage);
+            group.ordered += push(host, group.image, run.image, run.demand.milliProcessors) * pace;
+        }
+    }
+    return groups;
 }
 
 std::vector<double> InterferenceModel::uses(const Host& host)
 {
-    std::vector<double> use(m_images.size(), 0.0);
+    std::vector<double> use(m_fillers.size(), 0.0);
     for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
         if (entry.second.filler)
-            use[indexOf(entry.second.image)] += share(host, entry.second);
+            use[indexOf(entry.second.image)] += static_cast<double>(entry.second.usage) / capacityOf(host);
     }
     return use;
 }
@@ -103,7 +124,8 @@
                 indexOf(run.second.image);
         }
     }
-    std::map<std::string, std::vector<Sample>> groups;
+    // Tasks of one job share image and load.
+    std::map<std::pair<std::string, std::string>, std::vector<Sample>> jobs;
     for (const std::pair<const std::string, Host>& entry : hosts.hosts()) {
         const Host& host = entry.second;
         if (now - host.clockReadAt > freshness)
@@ -111,25 +133,33 @@
         const std::vector<double> use = uses(host);
         for (const std::pair<const RunKey, HostRun>& run : host.runs) {
             if (isServing(now, run.second))
-                groups[run.second.task.jobId].push_back(Sample { headroomOf(run.second), use });
+                jobs[{ run.second.image, run.second.task.jobId }].push_back(Sample { headroomOf(run.second), use });
         }
     }
-    for (std::vector<double>& row : m_squares) {
-        for (double& value : row)
+    for (std::pair<const std::string, Regression>& entry : m_regressions) {
+        for (std::vector<double>& row : entry.second.squares) {
+            for (double& value : row)
+                value *= memory;
+        }
+        for (double& value : entry.second.products)
             value *= memory;
     }
-    for (double& value : m_products)
-        value *= memory;
-    for (const std::pair<const std::string, std::vector<Sample>>& group : groups)
-        learn(group.second);
-    solve();
+    for (const std::pair<const std::pair<std::string, std::string>, std::vector<Sample>>& job : jobs) {
+        Regression& regression = m_regressions[job.first.first];
+        grow(regression);
+        learn(regression, job.second);
+    }
+    for (std::pair<const std::string, Regression>& entry : m_regressions) {
+        grow(entry.second);
+        solve(entry.second);
+    }
 }
 
-void InterferenceModel::learn(const std::vector<Sample>& group)
+void InterferenceModel::learn(Regression& regression, const std::vector<Sample>& group) const
 {
     if (group.size() < 2)
         return;
-    const std::size_t count = m_images.size();
+    const std::size_t count = m_fillers.size();
     const double members = static_cast<double>(group.size());
     double meanHeadroom = 0;
     std::vector<double> meanUse(count, 0.0);
@@ -144,18 +174,18 @@
             const double one = sample.use[n] - meanUse[n];
             if (one == 0)
                 continue;
-            m_products[n] += one * lost;
+            regression.products[n] += one * lost;
             for (std::size_t m = 0; m < count; ++m)
-                m_squares[n][m] += one * (sample.use[m] - meanUse[m]);
+                regression.squares[n][m] += one * (sample.use[m] - meanUse[m]);
         }
     }
 }
 
-void InterferenceModel::solve()
+void InterferenceModel::solve(Regression& regression)
 {
-    const std::size_t count = m_images.size();
-    std::vector<std::vector<double>> rows = m_squares;
-    std::vector<double> values = m_products;
+    const std::size_t count = regression.products.size();
+    std::vector<std::vector<double>> rows = regression.squares;
+    std::vector<double> values = regression.products;
     for (std::size_t n = 0; n < count; ++n) {
         rows[n][n] += priorWeight;
         values[n] += priorWeight * priorPressure;
@@ -171,8 +201,8 @@
     }
     for (std::size_t n = count; n-- > 0;) {
         for (std::size_t m = n + 1; m < count; ++m)
-            values[n] -= rows[n][m] * m_pressures[m];
-        m_pressures[n] = values[n] / rows[n][n];
+            values[n] -= rows[n][m] * regression.pressures[m];
+        regression.pressures[n] = values[n] / rows[n][n];
     }
 }
 
--- a/Source/Decision/Job/InterferenceModel.h
+++ b/Source/Decision/Job/InterferenceModel.h
@@ -1,6 +1,6 @@
-/// Learns how much each image of fillers pushes the tasks that serve beside it. Answers the pattern "few of many images
-/// are noisy": tasks of one serving job share their load, so that their headroom on different hosts differs by what
-/// runs beside them; a ridge regression over these differences tells the images apart within seconds.
+/// Learns how much fillers of each image push serving tasks of each image. Answers the pattern "few pairs of many are
+/// noisy": tasks of one serving job share their load, so that their headroom on different hosts differs by what runs
+/// beside them; a ridge regression over these differences tells the pairs apart within seconds.
 #pragma once
 
 #include "Decision/Job/HostBook.h"
@@ -10,35 +10,49 @@
 
 namespace Plantainpier {
 
-/// Headroom is the target over the tail: 1 at the target, 3 when the tail is a third of it. A filler that uses the
-/// whole host lowers it by the pressure of its image.
+/// What the serving tasks of one image on a host can bear.
+struct ServingGroup {
+    std::string image;
+    /// Target over tail of the worst of them, as listed: 1 at the target, 3 when the tail is a third of it.
+    double headroom = 0;
+    /// Headroom that fillers take from it now, by the processors that they use.
+    double exerted = 0;
+    /// Headroom that fillers take once the paces that were ordered show.
+    double ordered = 0;
+};
+
+/// Pressures by pair of images: the headroom that a filler takes when it uses the whole host.
 class InterferenceModel {
 public:
     /// Takes the newest lists of all hosts in.
     void observe(Instant now, const HostBook& hosts);
-    /// The pressure of an image; never below zero.
-    double pressure(const std::string& image) const;
-    /// The pressure that the fillers of a host exert now, by the processors that they use.
-    double exerted(const Host& host) const;
-    /// The least headroom of the serving tasks of a host, as listed; a large number when nothing serves there.
-    static double headroom(Instant now, const Host& host);
+    /// The pressure of a filler image on a serving image; never below zero.
+    double pressure(const std::string& serving, const std::string& filler) const;
+    /// Headroom that a filler at full pace takes from serving tasks of an image on the host.
+    double push(const Host& host, const std::string& serving, const std::string& filler, std::int64_t milliCores) const;
+    /// The serving tasks of a host that are at work, by image.
+    std::vector<ServingGroup> groups(Instant now, const Host& host) const;
 
 private:
     struct Sample {
         double headroom;
         std::vector<double> use;
     };
+    /// Normal equations of one serving image and their solution.
+    struct Regression {
+        std::vector<std::vector<double>> squares;
+        std::vector<double> products;
+        std::vector<double> pressures;
+    };
 
-    std::size_t indexOf(const std::string& image);
+    std::size_t indexOf(const std::string& filler);
     std::vector<double> uses(const Host& host);
-    void learn(const std::vector<Sample>& group);
-    void solve();
-
-    std::map<std::string, std::size_t> m_images;
-    /// Normal equations of the regression.
-    std::vector<std::vector<double>> m_squares;
-    std::vector<double> m_products;
-    std::vector<double> m_pressures;
+    void grow(Regression& regression) const;
+    void learn(Regression& regression, const std::vector<Sample>& group) const;
+    static void solve(Regression& regression);
+
+    std::map<std::string, std::size_t> m_fillers;
+    std::map<std::string, Regression> m_regressions;
     Instant m_observedAt;
 };
 
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -25,8 +25,8 @@
 JobOwner::JobOwner(std::string nodeId, std::int64_t term, const OwnerRules& rules, Instant now)
     : m_state(std::move(nodeId), term, rules, now)
     , m_ledger(m_state)
-    , m_scheduler(m_state, m_ledger, m_interference, PlacementRules {})
-    , m_paces(PaceRules {})
+    , m_paces(PaceRules {}, m_interference)
+    , m_scheduler(m_state, m_ledger, m_paces, PlacementRules {})
 {
     m_state.confirmedAt = now;
 }
@@ -243,8 +243,7 @@
     if (!host || (!report.listed && report.results.empty()))
         return;
     // A filler starts at full pace: it is held back as soon as its start is known, not with the next list.
-    m_state.counters.pacesSent += m_paces.adjust(now, *host, m_interference, actions);
-    host->bearable = InterferenceModel::headroom(now, *host) - PaceRules {}.keptHeadroom;
+    m_state.counters.pacesSent += m_paces.adjust(now, *host, actions);
 }
 
 void JobOwner::onLinkDown(Instant now, LinkId link) { m_ledger.onLinkDown(now, link); }
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -76,8 +76,8 @@
     OwnerState m_state;
     RunLedger m_ledger;
     InterferenceModel m_interference;
-    TaskScheduler m_scheduler;
     PaceControl m_paces;
+    TaskScheduler m_scheduler;
     std::deque<WaitingReply> m_waiting;
     std::map<std::string, Wire::JobProgress> m_loadedProgress;
     std::set<std::string> m_loadedCancellations;
--- a/Source/Decision/Job/PaceControl.cpp
+++ b/Source/Decision/Job/PaceControl.cpp
@@ -11,6 +11,11 @@
 
     constexpr int fullPace = 100;
 
+    struct LoudFiller {
+        double loudness;
+        HostRun* run;
+    };
+
 } // namespace
 
 int PaceControl::order(Host& host, HostRun& run, int percent) const
@@ -28,49 +33,87 @@
     return 1;
 }
 
-int PaceControl::adjust(Instant now, Host& host, const InterferenceModel& model, Actions& actions) const
+double PaceControl::loudness(const std::vector<ServingGroup>& groups, const std::string& image) const
+{
+    double most = 0;
+    for (const ServingGroup& group : groups)
+        most = std::max(most, m_model.pressure(group.image, image));
+    return most;
+}
+
+int PaceControl::bearablePace(Instant now, const Host& host, const std::string& image, std::int64_t milliCores) const
+{
+    double share = 1;
+    const std::vector<ServingGroup> groups = m_model.groups(now, host);
+    if (loudness(groups, image) < m_rules.quietPressure)
+        return fullPace;
+    for (const ServingGroup& group : groups) {
+        // What was ordered but does not show in the figures yet counts as exerted.
+        const double bearable
+            = group.headroom + group.exerted - std::max(group.exerted, group.ordered) - m_rules.keptHeadroom;
+        const double push = m_model.push(host, group.image, image, milliCores);
+        if (push > 0)
+            share = std::min(share, std::max(0.0, bearable) / push);
+    }
+    return static_cast<int>(share * fullPace);
+}
+
+int PaceControl::adjust(Instant now, Host& host, Actions& actions) const
 {
-    std::vector<std::pair<double, HostRun*>> fillers;
+    std::vector<ServingGroup> groups = m_model.groups(now, host);
+    std::vector<LoudFiller> fillers;
     for (std::pair<const RunKey, HostRun>& entry : host.runs) {
         HostRun& run = entry.second;
         if (run.filler && run.phase == RunPhase::Running)
-            fillers.emplace_back(model.pressure(run.image), &run);
+            fillers.push_back(LoudFiller { loudness(groups, run.image), &run });
     }
     if (fillers.empty())
         return 0;
-    std::sort(fillers.begin(), fillers.end(), [](const auto& one, const auto& other) {
-        return one.first < other.first || (one.first == other.first && one.second->since < other.second->since);
+    std::sort(fillers.begin(), fillers.end(), [](const LoudFiller& one, const LoudFiller& other) {
+        return one.loudness < other.loudness || (one.loudness == other.loudness && one.run->since < other.run->since);
     });
-    const double measured = InterferenceModel::headroom(now, host);
-    const bool alarm = measured < m_rules.alarmHeadroom;
-    if (!alarm)
+    double least = std::numeric_limits<double>::max();
+    for (const ServingGroup& group : groups)
+        least = std::min(least, group.headroom);
+    if (least >= m_rules.alarmHeadroom)
         host.alarmSince = now;
     const bool lasting = now - host.alarmSince >= m_rules.alarmPatience;
-    double bearable = measured + model.exerted(host) - m_rules.keptHeadroom;
-    const double capacity = static_cast<double>(std::max<std::int64_t>(1, host.capacity.milliProcessors));
+    const bool mayRaise = now - host.paceRaisedAt >= m_rules.raiseInterval;
+    bool raised = false;
     int sent = 0;
-    for (const std::pair<double, HostRun*>& entry : fillers) {
-        HostRun& run = *entry.second;
-        const double atFullPace = entry.first * static_cast<double>(run.demand.milliProcessors) / capacity;
+    for (const LoudFiller& filler : fillers) {
+        HostRun& run = *filler.run;
         int percent = fullPace;
-        if (entry.first < m_rules.quietPressure) {
-            percent = lasting ? 0 : fullPace;
-        } else if (alarm || bearable <= 0) {
+        const bool quiet = filler.loudness < m_rules.quietPressure;
+        if (lasting)
             percent = 0;
-        } else if (atFullPace > bearable) {
-            percent = static_cast<int>(bearable / atFullPace * fullPace);
+        for (ServingGroup& group : groups) {
+            const double push = m_model.push(host, group.image, run.image, run.demand.milliProcessors);
+            if (quiet || m_model.pressure(group.image, run.image) < m_rules.quietPressure)
+                continue;
+            const double bearable = group.headroom < m_rules.alarmHeadroom
+                ? 0.0
+                : std::max(0.0, group.headroom + group.exerted - m_rules.keptHeadroom);
+            if (bearable < push)
+                percent = std::min(percent, static_cast<int>(bearable / push * fullPace));
         }
-        bearable -= atFullPace * percent / fullPace;
+        if (!quiet && percent > run.orderedPercent && run.orderedPercent >= 0)
+            percent = mayRaise ? std::min(percent, run.orderedPercent + m_rules.largestRaise) : run.orderedPercent;
+        raised = raised || percent > run.orderedPercent;
+        for (ServingGroup& group : groups)
+            group.headroom
+                -= m_model.push(host, group.image, run.image, run.demand.milliProcessors) * percent / fullPace;
         sent += order(host, run, percent);
     }
+    if (raised)
+        host.paceRaisedAt = now;
     if (sent > 0)
         actions.push_back(WriteLog { LogLine("pace")
                                          .add("host", host.hostId)
                                          .add("orders", sent)
                                          .add("fillers", fillers.size())
-                                         .add("headroom_percent", static_cast<int>(measured * 100))
-                                         .add("exerted_percent", static_cast<int>(model.exerted(host) * 100))
-                                         .add("alarm", alarm)
+                                         .add("headroom_percent", groups.empty() ? -1 : static_cast<int>(least * 100))
+                                         .add("lasting", lasting)
                                          .add("list_age_ms", toMilliseconds(now - host.clockReadAt))
                                          .text() });
     return sent;
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -21,12 +21,13 @@
 
 std::int64_t Placement::idleMilliCores(const Host& host) const
 {
-    std::int64_t used = host.fillerMilliCores;
+    std::int64_t used = 0;
     for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
         const HostRun& run = entry.second;
+        double share = run.longRunning ? m_rules.servingLoad : 1.0;
+        // A filler that was slowed down leaves its processors to others.
         if (run.filler)
-            continue;
-        const double share = run.longRunning ? m_rules.servingLoad : 1.0;
+            share = static_cast<double>(std::max(0, run.orderedPercent)) / 100;
         used += static_cast<std::int64_t>(share * static_cast<double>(run.demand.milliProcessors));
     }
     return host.capacity.milliProcessors - used;
@@ -57,6 +58,8 @@
             return false;
         if (idleMilliCores(host) < step.demand.milliProcessors)
             return false;
+        if (m_paces.bearablePace(now, host, step.image, step.demand.milliProcessors) < m_rules.leastPace)
+            return false;
     }
     for (const RunPlace& place : request.taken) {
         if (place.hostId == host.hostId)
@@ -66,26 +69,39 @@
         || HostBook::runsOfStep(host, request.job.jobId, request.occurrence, request.step) < step.maximumPerHost;
 }
 
-double Placement::score(const Host& host, const PlacementRequest& request) const
+double Placement::company(const Host& host, const std::string& image)
 {
+    int same = 0;
+    int others = 0;
+    for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
+        const HostRun& run = entry.second;
+        if (run.targetMilliseconds <= 0)
+            continue;
+        if (run.image == image)
+            ++same;
+        else
+            ++others;
+    }
+    return same + others == 0 ? 0 : static_cast<double>(same - others) / (same + others);
+}
+
+double Placement::score(const Host& host, const PlacementRequest& request, Instant now) const
+{
+    const Wire::StepDefinition& step = request.definition;
     const double capacity = static_cast<double>(std::max<std::int64_t>(1, host.capacity.milliProcessors));
     const double idle = static_cast<double>(idleMilliCores(host)) / capacity;
     const double memory = static_cast<double>(host.freeMegabytes())
         / static_cast<double>(std::max<std::int64_t>(1, host.capacity.memoryMegabytes));
     const double free = static_cast<double>(host.freeMilliCores()) / capacity;
-    double value = request.definition.filler ? idle + 0.3 * memory : free + 0.3 * memory;
-    // Tasks that serve are packed: a host without any bears noisy fillers at full pace.
-    if (request.definition.targetMilliseconds > 0)
-        value = -free;
+    double value = step.filler ? idle + 0.3 * memory : free + 0.3 * memory;
+    // Tasks that serve are packed by image: the fewer images serve on a host, the fewer fillers are noisy there.
+    if (step.targetMilliseconds > 0)
+        value = 2 * company(host, step.image) - free;
     // Data on another rack makes the work take longer by more than any difference in load.
-    if (!request.definition.dataRack.empty() && host.rack != request.definition.dataRack)
+    if (!step.dataRack.empty() && host.rack != step.dataRack)
         value -= 2;
-    if (request.definition.filler && request.pressure > 0) {
-        // A noisy image goes where the serving tasks can bear it, a quiet one where the processors are idle.
-        const double push
-            = request.pressure * static_cast<double>(request.definition.demand.milliProcessors) / capacity;
-        value += std::min(host.bearable - push, 0.0);
-    }
+    if (step.filler)
+        value += 2 * (m_paces.bearablePace(now, host, step.image, step.demand.milliProcessors) / 100.0 - 1);
     return value / host.health.slowness;
 }
 
@@ -97,7 +113,7 @@
         Host& host = entry.second;
         if (!isEligible(host, request, now))
             continue;
-        const double value = score(host, request);
+        const double value = score(host, request, now);
         if (!best || value > bestScore) {
             best = &host;
             bestScore = value;
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -4,6 +4,7 @@
 
 #include "Decision/Job/HostBook.h"
 #include "Decision/Job/JobState.h"
+#include "Decision/Job/PaceControl.h"
 
 namespace Plantainpier {
 
@@ -17,6 +18,8 @@
     double servingLoad = 0.6;
     /// Memory kept free of fillers, so that urgent work finds room at once: share of the host.
     double memoryReserve = 0.08;
+    /// A filler needs a host that can bear it at this pace, in percent, or better.
+    int leastPace = 30;
 };
 
 /// A task that looks for a host.
@@ -29,15 +32,14 @@
     const std::vector<RunPlace>& taken;
     /// Only hosts of this rack, when not empty.
     std::string rack;
-    /// How much a filler's image pushes tasks that serve.
-    double pressure = 0;
 };
 
 /// The pure choice. Used by JobOwner.
 class Placement {
 public:
-    explicit Placement(const PlacementRules& rules)
+    Placement(const PlacementRules& rules, const PaceControl& paces)
         : m_rules(rules)
+        , m_paces(paces)
     {
     }
 
@@ -50,9 +52,11 @@
 
 private:
     bool isEligible(const Host& host, const PlacementRequest& request, Instant now) const;
-    double score(const Host& host, const PlacementRequest& request) const;
+    double score(const Host& host, const PlacementRequest& request, Instant now) const;
+    static double company(const Host& host, const std::string& image);
 
     PlacementRules m_rules;
+    const PaceControl& m_paces;
 };
 
 } // namespace Plantainpier
--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -259,8 +259,7 @@
     m_state.scheduleDue = true;
 }
 
-void RunLedger::onFailure(
-    Instant now, JobState& job, TaskState& task, int run, const Host& host, Actions& actions)
+void RunLedger::onFailure(Instant now, JobState& job, TaskState& task, int run, const Host& host, Actions& actions)
 {
     if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end())
         return;
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -57,9 +57,7 @@
 
 PlacementRequest TaskScheduler::request(const JobState& job, const StepState& step, const TaskState& task) const
 {
-    const Wire::StepDefinition& definition = job.stepDefinition(step);
-    const double pressure = definition.filler ? m_interference.pressure(definition.image) : 0;
-    return PlacementRequest { job.definition(), definition, step.occurrence, step.step, task.runs, {}, pressure };
+    return PlacementRequest { job.definition(), job.stepDefinition(step), step.occurrence, step.step, task.runs, {} };
 }
 
 void TaskScheduler::placeStep(Instant now, JobState& job, StepState& step, bool accounted, Actions& actions)
@@ -217,9 +215,8 @@
     order.payload = job.definition().payload;
     order.checkpoint = task.checkpoint;
     if (definition.filler)
-        host.bearable -= m_interference.pressure(definition.image)
-            * static_cast<double>(definition.demand.milliProcessors)
-            / static_cast<double>(std::max<std::int64_t>(1, host.capacity.milliProcessors));
+        hostRun.orderedPercent = m_paces.bearablePace(now, host, definition.image, definition.demand.milliProcessors);
+    order.percent = hostRun.orderedPercent;
     HostBook::addRun(host, std::move(hostRun));
     job.setStarted();
     ++m_state.counters.started;
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -1,8 +1,8 @@
 /// Starts waiting tasks on hosts: takes the order of work and the choice of hosts together, pass by pass.
 #pragma once
 
-#include "Decision/Job/InterferenceModel.h"
 #include "Decision/Job/OwnerState.h"
+#include "Decision/Job/PaceControl.h"
 #include "Decision/Job/Placement.h"
 #include "Decision/Job/RunLedger.h"
 #include "Decision/Job/WorkOrder.h"
@@ -12,12 +12,11 @@
 /// The scheduling pass of the owner. Lives as long as the term.
 class TaskScheduler {
 public:
-    TaskScheduler(
-        OwnerState& state, RunLedger& ledger, const InterferenceModel& interference, const PlacementRules& rules)
+    TaskScheduler(OwnerState& state, RunLedger& ledger, const PaceControl& paces, const PlacementRules& rules)
         : m_state(state)
         , m_ledger(ledger)
-        , m_interference(interference)
-        , m_placement(rules)
+        , m_paces(paces)
+        , m_placement(rules, paces)
     {
     }
 
@@ -41,7 +40,7 @@
 
     OwnerState& m_state;
     RunLedger& m_ledger;
-    const InterferenceModel& m_interference;
+    const PaceControl& m_paces;
     Placement m_placement;
 };
 
--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -202,6 +202,7 @@
     switch (response.answer) {
     case HostAnswer::Done:
         sendResult(start.task, start.run, Wire::OrderOutcome::Started, {}, actions);
+        paceFromStart(now, start, actions);
         return;
     case HostAnswer::Refused:
         sendResult(start.task, start.run, Wire::OrderOutcome::Refused, response.reason, actions);
@@ -226,6 +227,21 @@
     }
 }
 
+void HostAgent::paceFromStart(Instant now, const Wire::StartOrder& start, Actions& actions)
+{
+    constexpr int fullPace = 100;
+    const RunKey key = runKey(start.task, start.run);
+    // Hosts begin every task at full pace; a newer order overrules the one that came with the start.
+    if (start.percent >= fullPace || m_paces.contains(key))
+        return;
+    Wire::PaceOrder pace;
+    pace.task = start.task;
+    pace.run = start.run;
+    pace.percent = start.percent;
+    m_paces.emplace(key, PendingPace { std::move(pace), false, now });
+    sendPaces(now, actions);
+}
+
 void HostAgent::onHalted(Instant now, const HaltOnHost& order, const HostResponse& response, Actions& actions)
 {
     (void)actions;
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -77,6 +77,7 @@
 
     void takeClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
     void onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions);
+    void paceFromStart(Instant now, const Wire::StartOrder& start, Actions& actions);
     void sendPaces(Instant now, Actions& actions);
     void addHalt(Instant now, const Wire::TaskName& task, int run);
     void settleHalts(const HostResponse& response, Wire::HostReport& report);
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -7140,6 +7140,10 @@
 void StartOrder::__set_ticket(const std::string& val) {
   this->ticket = val;
 }
+
+void StartOrder::__set_percent(const int32_t val) {
+  this->percent = val;
+}
 std::ostream& operator<<(std::ostream& out, const StartOrder& obj)
 {
   obj.printTo(out);
@@ -7208,6 +7212,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->percent);
+          this->__isset.percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7245,6 +7257,10 @@
   xfer += oprot->writeString(this->ticket);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("percent", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->percent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7257,6 +7273,7 @@
   swap(a.payload, b.payload);
   swap(a.checkpoint, b.checkpoint);
   swap(a.ticket, b.ticket);
+  swap(a.percent, b.percent);
   swap(a.__isset, b.__isset);
 }
 
@@ -7266,6 +7283,7 @@
   payload = other182.payload;
   checkpoint = other182.checkpoint;
   ticket = other182.ticket;
+  percent = other182.percent;
   __isset = other182.__isset;
 }
 StartOrder::StartOrder(StartOrder&& other183) noexcept {
@@ -7274,6 +7292,7 @@
   payload = std::move(other183.payload);
   checkpoint = std::move(other183.checkpoint);
   ticket = std::move(other183.ticket);
+  percent = other183.percent;
   __isset = other183.__isset;
 }
 StartOrder& StartOrder::operator=(const StartOrder& other184) {
@@ -7282,6 +7301,7 @@
   payload = other184.payload;
   checkpoint = other184.checkpoint;
   ticket = other184.ticket;
+  percent = other184.percent;
   __isset = other184.__isset;
   return *this;
 }
@@ -7291,6 +7311,7 @@
   payload = std::move(other185.payload);
   checkpoint = std::move(other185.checkpoint);
   ticket = std::move(other185.ticket);
+  percent = other185.percent;
   __isset = other185.__isset;
   return *this;
 }
@@ -7302,6 +7323,7 @@
   out << ", " << "payload=" << to_string(payload);
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ", " << "ticket=" << to_string(ticket);
+  out << ", " << "percent=" << to_string(percent);
   out << ")";
 }
 
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -2764,12 +2764,13 @@
 std::ostream& operator<<(std::ostream& out, const HostReport& obj);
 
 typedef struct _StartOrder__isset {
-  _StartOrder__isset() : task(false), run(false), payload(false), checkpoint(false), ticket(false) {}
+  _StartOrder__isset() : task(false), run(false), payload(false), checkpoint(false), ticket(false), percent(false) {}
   bool task :1;
   bool run :1;
   bool payload :1;
   bool checkpoint :1;
   bool ticket :1;
+  bool percent :1;
 } _StartOrder__isset;
 
 class StartOrder : public virtual ::apache::thrift::TBase {
@@ -2783,7 +2784,8 @@
              : run(0),
                payload(),
                checkpoint(),
-               ticket() {
+               ticket(),
+               percent(0) {
   }
 
   virtual ~StartOrder() noexcept;
@@ -2792,6 +2794,7 @@
   std::string payload;
   std::string checkpoint;
   std::string ticket;
+  int32_t percent;
 
   _StartOrder__isset __isset;
 
@@ -2805,6 +2808,8 @@
 
   void __set_ticket(const std::string& val);
 
+  void __set_percent(const int32_t val);
+
   bool operator == (const StartOrder & rhs) const
   {
     if (!(task == rhs.task))
@@ -2817,6 +2822,8 @@
       return false;
     if (!(ticket == rhs.ticket))
       return false;
+    if (!(percent == rhs.percent))
+      return false;
     return true;
   }
   bool operator != (const StartOrder &rhs) const {
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -334,6 +334,8 @@
   3: string payload
   4: string checkpoint
   5: string ticket
+  // The pace at which a filler begins.
+  6: i32 percent
 }
 
 struct HaltOrder {
