--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -260,6 +260,8 @@
         return;
     }
     m_state.confirmedAt = std::max(m_state.confirmedAt, m_state.journal.lastConfirmed());
+    // A host whose record is stored now may be given its first order.
+    m_state.scheduleDue = true;
     completeWaiting(actions);
     acknowledgeEnds();
 }
--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -123,17 +123,15 @@
     for (const Wire::OrderResult& result : report.results)
         onResult(now, host, result, actions);
     if (report.listed) {
-        const bool first = !host.listed;
         host.clockMilliseconds = report.clockMilliseconds;
         host.clockReadAt = now;
+        if (!host.listed)
+            haltMissing(now, host, report, actions);
+        host.listed = true;
         for (const Wire::RunningTask& row : report.running)
             onRunning(now, host, row, actions);
         for (const Wire::EndedTask& row : report.ended)
             onEnded(now, host, row, actions);
-        if (first) {
-            haltMissing(now, host, report, actions);
-            host.listed = true;
-        }
     }
     const bool draining = report.state == Wire::HostState::Draining;
     if (draining && !host.draining)
@@ -356,8 +354,10 @@
     for (std::pair<const RunKey, HostRun>& entry : host.runs) {
         const bool shown = std::any_of(report.running.begin(), report.running.end(),
             [&entry](const Wire::RunningTask& row) { return runKey(row.task, row.run) == entry.first; });
+        const bool ended = std::any_of(report.ended.begin(), report.ended.end(),
+            [&entry](const Wire::EndedTask& row) { return runKey(row.task, row.run) == entry.first; });
         // Ordered over an earlier link and not there: it may still arrive, unless it is told to stop first.
-        if (!shown || entry.second.phase == RunPhase::Halting)
+        if (!ended && (!shown || entry.second.phase == RunPhase::Halting))
             halt(now, host, entry.second, "unresolved_order", actions);
     }
 }
--- /dev/null
+++ b/Tests/Support/JobFixture.h
@@ -0,0 +1,174 @@
+/// Builds jobs, hosts and reports for tests of the owner of jobs.
+#pragma once
+
+#include "Decision/Job/JobOwner.h"
+#include "Support/VirtualTime.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace Plantainpier {
+
+constexpr LinkId testLink = 7;
+
+/// A step of equal tasks with the given demand.
+inline Wire::StepDefinition makeStep(int count, std::int64_t milliCores, std::int64_t estimateMilliseconds)
+{
+    Wire::StepDefinition step;
+    step.count = count;
+    step.demand.milliProcessors = milliCores;
+    step.demand.memoryMegabytes = 100;
+    step.estimateMilliseconds = estimateMilliseconds;
+    return step;
+}
+
+/// A job of the queue "checks" on the service "desk".
+inline Wire::JobDefinition makeJob(const std::string& jobId, std::vector<Wire::StepDefinition> steps)
+{
+    Wire::JobDefinition job;
+    job.jobId = jobId;
+    job.queue = "checks";
+    job.serviceName = "desk";
+    job.maximumAttempts = 2;
+    job.stretch = 2;
+    job.objectiveMilliseconds = 500;
+    job.payload = "work";
+    job.steps = std::move(steps);
+    return job;
+}
+
+inline Wire::JobCall makeCall(Wire::JobCallKind::type kind, const Wire::JobDefinition& job)
+{
+    Wire::JobCall call;
+    call.kind = kind;
+    call.jobId = job.jobId;
+    call.queue = job.queue;
+    call.job = job;
+    return call;
+}
+
+inline Wire::TaskName makeTask(const std::string& jobId, int step, int index)
+{
+    Wire::TaskName task;
+    task.jobId = jobId;
+    task.occurrence = 0;
+    task.step = step;
+    task.index = index;
+    return task;
+}
+
+/// A listing report of a host with 4 cores.
+inline Wire::HostReport makeReport(const std::string& hostId, std::int64_t incarnation, std::int64_t clock)
+{
+    Wire::HostReport report;
+    report.hostId = hostId;
+    report.incarnation = incarnation;
+    report.serviceName = "desk";
+    report.rack = "rack-1";
+    report.capacity.milliProcessors = 4000;
+    report.capacity.memoryMegabytes = 10'000;
+    report.state = Wire::HostState::Ready;
+    report.listed = true;
+    report.clockMilliseconds = clock;
+    return report;
+}
+
+inline Wire::RunningTask makeRunning(const Wire::TaskName& task, int run)
+{
+    Wire::RunningTask row;
+    row.task = task;
+    row.run = run;
+    return row;
+}
+
+inline Wire::EndedTask makeEnded(std::int64_t number, const Wire::TaskName& task, int run, Wire::RunEnd::type how)
+{
+    Wire::EndedTask row;
+    row.number = number;
+    row.task = task;
+    row.run = run;
+    row.how = how;
+    return row;
+}
+
+/// An owner whose appends succeed at once; collects what it sends.
+class OwnerHarness {
+public:
+    explicit OwnerHarness(std::int64_t term = 1)
+        : owner("entry-1", term, OwnerRules {}, at(0))
+    {
+        Actions actions;
+        owner.finishLoad(at(0), 0, at(0), actions);
+    }
+
+    /// Lets the owner work at a time, and stores what it appends unless the store is away.
+    void tick(int now)
+    {
+        Actions actions;
+        owner.tick(at(now), now, actions);
+        collect(actions);
+        for (int n = 0; n < 4 && !storeAway; ++n) {
+            const std::optional<AppendToStore> append = owner.takeAppend(at(now + 20 * n));
+            if (!append)
+                continue;
+            for (const StoreRecord& record : append->records)
+                stored.push_back(record);
+            AppendResponse response;
+            response.outcome = AppendOutcome::Stored;
+            Actions more;
+            owner.onAppendResponse(at(now), response, more);
+            collect(more);
+        }
+    }
+
+    void submit(int now, const Wire::JobDefinition& job)
+    {
+        Actions actions;
+        owner.onCall(at(now), CallOrigin { noLink, ++lastCall }, makeCall(Wire::JobCallKind::Submit, job), actions);
+        collect(actions);
+    }
+
+    void report(int now, const Wire::HostReport& report, LinkId link = testLink)
+    {
+        Actions actions;
+        owner.onReport(at(now), link, report, actions);
+        collect(actions);
+    }
+
+    Wire::JobReply ask(int now, Wire::JobCallKind::type kind, const Wire::JobDefinition& job)
+    {
+        Actions actions;
+        owner.onCall(at(now), CallOrigin { noLink, ++lastCall }, makeCall(kind, job), actions);
+        collect(actions);
+        return replies.empty() ? Wire::JobReply() : replies.back();
+    }
+
+    void collect(const Actions& actions)
+    {
+        for (const Action& action : actions) {
+            if (const AnswerJobCall* answer = std::get_if<AnswerJobCall>(&action))
+                replies.push_back(answer->reply);
+            const SendMessage* send = std::get_if<SendMessage>(&action);
+            const Wire::HostOrders* orders = send ? std::get_if<Wire::HostOrders>(&send->message) : nullptr;
+            if (!orders)
+                continue;
+            sent.push_back(*orders);
+            starts.insert(starts.end(), orders->starts.begin(), orders->starts.end());
+            halts.insert(halts.end(), orders->halts.begin(), orders->halts.end());
+            paces.insert(paces.end(), orders->paces.begin(), orders->paces.end());
+        }
+    }
+
+    JobOwner owner;
+    bool storeAway = false;
+    std::uint64_t lastCall = 0;
+    std::vector<StoreRecord> stored;
+    std::vector<Wire::JobReply> replies;
+    std::vector<Wire::HostOrders> sent;
+    std::vector<Wire::StartOrder> starts;
+    std::vector<Wire::HaltOrder> halts;
+    std::vector<Wire::PaceOrder> paces;
+};
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Tests/Support/VirtualStore.h
@@ -0,0 +1,92 @@
+/// The platform's store for tests in virtual time: ordered topics, the newest record of each key, conditions and epochs.
+#pragma once
+
+#include "Decision/Process/Message.h"
+
+#include <map>
+#include <vector>
+
+namespace Plantainpier {
+
+/// Answers calls at once. A caller models delay, loss and outages by when and whether it hands the answers on.
+class VirtualStore {
+public:
+    AppendResponse append(const AppendToStore& call)
+    {
+        Topic& topic = m_topics[call.topic];
+        AppendResponse response;
+        response.end = static_cast<std::int64_t>(topic.records.size());
+        if (call.expectedEnd >= 0 && call.expectedEnd != response.end) {
+            response.outcome = AppendOutcome::WrongEnd;
+            return response;
+        }
+        if (call.epoch > 0) {
+            const bool repeat = call.epoch == topic.epoch && call.number == topic.number;
+            const bool next = call.epoch > topic.epoch || call.number == topic.number + 1;
+            if (call.epoch < topic.epoch || (!repeat && !next)) {
+                response.outcome = AppendOutcome::Fenced;
+                return response;
+            }
+            if (repeat && !topic.first) {
+                response = topic.lastResponse;
+                return response;
+            }
+            topic.first = false;
+            topic.epoch = call.epoch;
+            topic.number = call.number;
+        }
+        response.outcome = AppendOutcome::Stored;
+        response.offset = response.end;
+        for (StoreRecord record : call.records) {
+            record.offset = static_cast<std::int64_t>(topic.records.size());
+            topic.records.push_back(record);
+        }
+        response.end = static_cast<std::int64_t>(topic.records.size());
+        topic.lastResponse = response;
+        return response;
+    }
+
+    ReadResponse read(const ReadStore& call) const
+    {
+        ReadResponse response;
+        response.answered = true;
+        std::map<StoreTopic, Topic>::const_iterator it = m_topics.find(call.topic);
+        if (it == m_topics.end())
+            return response;
+        response.end = static_cast<std::int64_t>(it->second.records.size());
+        for (std::int64_t n = call.from; n < response.end; ++n)
+            response.records.push_back(it->second.records[static_cast<std::size_t>(n)]);
+        return response;
+    }
+
+    NewestResponse newest(const ReadNewest& call) const
+    {
+        NewestResponse response;
+        response.answered = true;
+        std::map<StoreTopic, Topic>::const_iterator it = m_topics.find(call.topic);
+        if (it == m_topics.end())
+            return response;
+        std::map<std::string, StoreRecord> byKey;
+        for (const StoreRecord& record : it->second.records)
+            byKey[record.key] = record;
+        for (const std::pair<const std::string, StoreRecord>& entry : byKey) {
+            if (!entry.second.value.empty())
+                response.records.push_back(entry.second);
+        }
+        response.end = static_cast<std::int64_t>(it->second.records.size());
+        return response;
+    }
+
+private:
+    struct Topic {
+        std::vector<StoreRecord> records;
+        std::int64_t epoch = 0;
+        std::int64_t number = 0;
+        bool first = true;
+        AppendResponse lastResponse;
+    };
+
+    std::map<StoreTopic, Topic> m_topics;
+};
+
+} // namespace Plantainpier
--- /dev/null
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -0,0 +1,180 @@
+/// The side: carries orders out once, never reports a run as absent that may still begin, and starts nothing on a host that
+/// leaves.
+#include "Decision/Process/HostAgent.h"
+#include "Support/JobFixture.h"
+#include "Wire/Codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Plantainpier;
+
+class HostAgentTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HostAgentTest);
+    CPPUNIT_TEST(anUnansweredStartIsStoppedBeforeItIsGivenBack);
+    CPPUNIT_TEST(startsNothingOnAHostThatLeaves);
+    CPPUNIT_TEST(ignoresOrdersOfAnEarlierTerm);
+    CPPUNIT_TEST(ignoresALateAnnouncement);
+    CPPUNIT_TEST(aClosedPortEndsTheHost);
+    CPPUNIT_TEST(repeatsAPaceThatWasNotAnswered);
+    CPPUNIT_TEST_SUITE_END();
+
+    static HostFacts facts(std::int64_t incarnation, std::int64_t sequence)
+    {
+        HostFacts facts;
+        facts.hostId = "host-1";
+        facts.incarnation = incarnation;
+        facts.service = "desk";
+        facts.sequence = sequence;
+        return facts;
+    }
+
+    /// An agent with a host and a connection to the owner of term 4.
+    struct Harness {
+        Harness()
+            : agent(NodeIdentity { "side-1", 1, "127.0.0.1", 1 }, HostAgentTiming {})
+        {
+            Actions actions;
+            agent.tick(at(0), actions);
+            Wire::OwnerClaim claim;
+            claim.nodeId = "entry-1";
+            claim.address = "127.0.0.1";
+            claim.port = 9;
+            NewestResponse newest;
+            newest.answered = true;
+            newest.records.push_back(StoreRecord { "owner", Wire::encode(claim), 3 });
+            agent.onNewest(at(1), actionsOf<ReadNewest>(actions).at(0).callId, newest, actions);
+            agent.tick(at(2), actions);
+            link = actionsOf<OpenLink>(actions).at(0).link;
+            agent.onLinkUp(at(3), link, actions);
+            agent.onAnnouncement(at(4), facts(1, 1), actions);
+        }
+
+        Actions order(int now, const Wire::HostOrders& orders)
+        {
+            Actions actions;
+            agent.onMessage(at(now), link, orders, actions);
+            return actions;
+        }
+
+        Actions tick(int now)
+        {
+            Actions actions;
+            agent.tick(at(now), actions);
+            return actions;
+        }
+
+        static Wire::HostOrders startOrders(std::int64_t term)
+        {
+            Wire::HostOrders orders;
+            orders.term = term;
+            orders.hostId = "host-1";
+            orders.incarnation = 1;
+            orders.leaseUntilMilliseconds = 9000;
+            Wire::StartOrder start;
+            start.task = makeTask("00000000000000aa", 0, 0);
+            start.run = 1;
+            start.percent = 100;
+            orders.starts.push_back(start);
+            return orders;
+        }
+
+        HostAgent agent;
+        LinkId link = noLink;
+    };
+
+    static HostResponse answer(HostAnswer answer)
+    {
+        HostResponse response;
+        response.answer = answer;
+        return response;
+    }
+
+    static bool reportsAbsent(const Actions& actions)
+    {
+        for (const Wire::HostReport& report : messagesOf<Wire::HostReport>(actions)) {
+            for (const Wire::OrderResult& result : report.results) {
+                if (result.outcome == Wire::OrderOutcome::Absent)
+                    return true;
+            }
+        }
+        return false;
+    }
+
+    void anUnansweredStartIsStoppedBeforeItIsGivenBack()
+    {
+        Harness harness;
+        const StartOnHost start = actionsOf<StartOnHost>(harness.order(10, Harness::startOrders(4))).at(0);
+        const ListHost before = actionsOf<ListHost>(harness.tick(11)).at(0);
+        Actions actions;
+        harness.agent.onStarted(at(700), start, answer(HostAnswer::Uncertain), actions);
+        CPPUNIT_ASSERT(!reportsAbsent(actions));
+        const HaltOnHost halt = actionsOf<HaltOnHost>(harness.tick(701)).at(0);
+        harness.agent.onHalted(at(705), halt, answer(HostAnswer::Done), actions);
+        harness.agent.onListed(at(706), before, answer(HostAnswer::Done), actions);
+        CPPUNIT_ASSERT_MESSAGE("that list was asked for before the stop", !reportsAbsent(actions));
+        const ListHost after = actionsOf<ListHost>(harness.tick(800)).at(0);
+        harness.agent.onListed(at(805), after, answer(HostAnswer::Done), actions);
+        CPPUNIT_ASSERT(reportsAbsent(actions));
+    }
+
+    void startsNothingOnAHostThatLeaves()
+    {
+        Harness harness;
+        HostFacts leaving = facts(1, 2);
+        leaving.draining = true;
+        Actions actions;
+        harness.agent.onAnnouncement(at(5), leaving, actions);
+        const Actions after = harness.order(10, Harness::startOrders(4));
+        CPPUNIT_ASSERT(actionsOf<StartOnHost>(after).empty());
+        CPPUNIT_ASSERT_EQUAL(Wire::OrderOutcome::Refused,
+            messagesOf<Wire::HostReport>(after).at(0).results.at(0).outcome);
+    }
+
+    void ignoresOrdersOfAnEarlierTerm()
+    {
+        Harness harness;
+        harness.order(10, Harness::startOrders(4));
+        CPPUNIT_ASSERT(actionsOf<StartOnHost>(harness.order(11, Harness::startOrders(3))).empty());
+    }
+
+    void ignoresALateAnnouncement()
+    {
+        Harness harness;
+        Actions actions;
+        harness.agent.onAnnouncement(at(10), facts(2, 1), actions);
+        CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, messagesOf<Wire::HostReport>(actions).at(0).state);
+        Actions late;
+        harness.agent.onAnnouncement(at(20), facts(1, 9), late);
+        CPPUNIT_ASSERT(messagesOf<Wire::HostReport>(late).empty());
+    }
+
+    void aClosedPortEndsTheHost()
+    {
+        Harness harness;
+        harness.order(10, Harness::startOrders(4));
+        Actions actions;
+        harness.agent.onListed(
+            at(12), actionsOf<ListHost>(harness.tick(11)).at(0), answer(HostAnswer::NotListening), actions);
+        CPPUNIT_ASSERT_MESSAGE("one refusal may be a full queue", messagesOf<Wire::HostReport>(actions).empty());
+        harness.agent.onListed(
+            at(200), actionsOf<ListHost>(harness.tick(150)).at(0), answer(HostAnswer::NotListening), actions);
+        CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, messagesOf<Wire::HostReport>(actions).at(0).state);
+    }
+
+    void repeatsAPaceThatWasNotAnswered()
+    {
+        Harness harness;
+        Wire::HostOrders orders = Harness::startOrders(4);
+        orders.starts.clear();
+        Wire::PaceOrder pace;
+        pace.task = makeTask("00000000000000aa", 0, 0);
+        pace.run = 1;
+        pace.percent = 40;
+        orders.paces.push_back(pace);
+        const PaceOnHost first = actionsOf<PaceOnHost>(harness.order(10, orders)).at(0);
+        Actions actions;
+        harness.agent.onPaced(at(700), first, answer(HostAnswer::Uncertain), actions);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), actionsOf<PaceOnHost>(harness.tick(900)).size());
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(HostAgentTest);
--- /dev/null
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -0,0 +1,371 @@
+/// The owner of jobs: what is accepted, started, ended, taken over and shown, in virtual time.
+#include "Support/JobFixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Plantainpier;
+
+class JobOwnerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(JobOwnerTest);
+    CPPUNIT_TEST(acceptsAndStartsOnlyWhatIsStored);
+    CPPUNIT_TEST(refusesAtOnceWhileTheStoreIsAway);
+    CPPUNIT_TEST(refusesWhatNoHostCanHold);
+    CPPUNIT_TEST(neverCommitsAHostBeyondItself);
+    CPPUNIT_TEST(startsAStepAfterTheOnesBeforeIt);
+    CPPUNIT_TEST(acknowledgesAnEndOnceItIsStored);
+    CPPUNIT_TEST(showsCompletedOnceItIsStored);
+    CPPUNIT_TEST(aCancelledJobStaysCancelled);
+    CPPUNIT_TEST(restartsElsewhereWhenTheLeaseIsOver);
+    CPPUNIT_TEST(grantsNothingWithoutTheStoreForLong);
+    CPPUNIT_TEST(aLaterOwnerWaitsForHostsItHasNotHeard);
+    CPPUNIT_TEST(aLaterOwnerAdoptsWhatRuns);
+    CPPUNIT_TEST(countsAFailedRunOnceAcrossOwners);
+    CPPUNIT_TEST(takesACopyThatAnEarlierOwnerStarted);
+    CPPUNIT_TEST(haltsWhatNobodyKnows);
+    CPPUNIT_TEST(aRestartedHostRunsNothingOfBefore);
+    CPPUNIT_TEST(aGangStartsWholeOrNotAtAll);
+    CPPUNIT_TEST(anOccurrenceStartsWhenItIsDue);
+    CPPUNIT_TEST(urgentWorkTakesTheRoomOfFillers);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// A report of host-1 that shows these runs.
+    static Wire::HostReport listing(std::int64_t clock, const std::vector<Wire::RunningTask>& running,
+        const std::vector<Wire::EndedTask>& ended = {})
+    {
+        Wire::HostReport report = makeReport("host-1", 1, clock);
+        report.running = running;
+        report.ended = ended;
+        return report;
+    }
+
+    static void settle(OwnerHarness& harness, int now)
+    {
+        for (int n = 0; n < 5; ++n)
+            harness.tick(now + 10 * n);
+    }
+
+    /// An owner with one empty host and one accepted job.
+    static void begin(OwnerHarness& harness, const Wire::JobDefinition& job)
+    {
+        harness.report(0, listing(100, {}));
+        settle(harness, 10);
+        harness.submit(60, job);
+        settle(harness, 70);
+    }
+
+    void acceptsAndStartsOnlyWhatIsStored()
+    {
+        OwnerHarness harness;
+        harness.report(0, listing(100, {}));
+        settle(harness, 10);
+        harness.storeAway = true;
+        harness.submit(60, makeJob("00000000000000aa", { makeStep(1, 1000, 300) }));
+        settle(harness, 70);
+        CPPUNIT_ASSERT(harness.replies.empty());
+        CPPUNIT_ASSERT(harness.starts.empty());
+        harness.storeAway = false;
+        settle(harness, 200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.replies.size());
+        CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Accepted, harness.replies[0].kind);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.starts.size());
+    }
+
+    void refusesAtOnceWhileTheStoreIsAway()
+    {
+        OwnerHarness harness;
+        harness.report(0, listing(100, {}));
+        settle(harness, 10);
+        harness.storeAway = true;
+        harness.submit(60, makeJob("00000000000000aa", { makeStep(1, 1000, 300) }));
+        // The append is under way and its answer never comes.
+        CPPUNIT_ASSERT(harness.owner.takeAppend(at(100)));
+        harness.submit(1500, makeJob("00000000000000ab", { makeStep(1, 1000, 300) }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.replies.size());
+        CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Refused, harness.replies[0].kind);
+        CPPUNIT_ASSERT_EQUAL(std::string("store_away"), harness.replies[0].reason);
+        CPPUNIT_ASSERT(harness.replies[0].retryAfterMilliseconds > 0);
+    }
+
+    void refusesWhatNoHostCanHold()
+    {
+        OwnerHarness harness;
+        harness.report(0, listing(100, {}));
+        settle(harness, 10);
+        harness.submit(60, makeJob("00000000000000aa", { makeStep(1, 9000, 300) }));
+        CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Refused, harness.replies.at(0).kind);
+    }
+
+    void neverCommitsAHostBeyondItself()
+    {
+        OwnerHarness harness;
+        begin(harness, makeJob("00000000000000aa", { makeStep(6, 1000, 300) }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), harness.starts.size());
+        // What is being stopped still counts: only a listed end frees its room.
+        const Wire::TaskName first = harness.starts[0].task;
+        harness.report(200, listing(300, {}, { makeEnded(1, first, 1, Wire::RunEnd::Completed) }));
+        settle(harness, 210);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), harness.starts.size());
+    }
+
+    void startsAStepAfterTheOnesBeforeIt()
+    {
+        Wire::StepDefinition second = makeStep(1, 1000, 300);
+        second.after = { 0 };
+        OwnerHarness harness;
+        begin(harness, makeJob("00000000000000aa", { makeStep(2, 1000, 300), second }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.starts.size());
+        const Wire::TaskName one = makeTask("00000000000000aa", 0, 0);
+        const Wire::TaskName other = makeTask("00000000000000aa", 0, 1);
+        harness.report(200, listing(300, { makeRunning(other, 1) }, { makeEnded(1, one, 1, Wire::RunEnd::Completed) }));
+        settle(harness, 210);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.starts.size());
+        harness.report(300, listing(400, {}, { makeEnded(2, other, 1, Wire::RunEnd::Completed) }));
+        settle(harness, 310);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), harness.starts.size());
+        CPPUNIT_ASSERT_EQUAL(1, harness.starts[2].task.step);
+    }
+
+    void acknowledgesAnEndOnceItIsStored()
+    {
+        OwnerHarness harness;
+        begin(harness, makeJob("00000000000000aa", { makeStep(2, 1000, 300) }));
+        harness.storeAway = true;
+        harness.sent.clear();
+        harness.report(200,
+            listing(300, {}, { makeEnded(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Completed) }));
+        settle(harness, 300);
+        for (const Wire::HostOrders& orders : harness.sent)
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(0), orders.acknowledgedNumber);
+        harness.storeAway = false;
+        settle(harness, 400);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), harness.sent.back().acknowledgedNumber);
+    }
+
+    void showsCompletedOnceItIsStored()
+    {
+        const Wire::JobDefinition job = makeJob("00000000000000aa", { makeStep(1, 1000, 300) });
+        OwnerHarness harness;
+        begin(harness, job);
+        harness.storeAway = true;
+        harness.report(200,
+            listing(300, {}, { makeEnded(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Completed) }));
+        settle(harness, 300);
+        CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Running, harness.ask(350, Wire::JobCallKind::Status, job).phase);
+        harness.storeAway = false;
+        settle(harness, 400);
+        CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Completed, harness.ask(450, Wire::JobCallKind::Status, job).phase);
+    }
+
+    void aCancelledJobStaysCancelled()
+    {
+        const Wire::JobDefinition job = makeJob("00000000000000aa", { makeStep(1, 1000, 300) });
+        OwnerHarness harness;
+        begin(harness, job);
+        harness.ask(200, Wire::JobCallKind::Cancel, job);
+        settle(harness, 210);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.halts.size());
+        // A repeat of the submission that was on its way for seconds.
+        harness.submit(400, job);
+        settle(harness, 410);
+        CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Cancelled, harness.ask(460, Wire::JobCallKind::Status, job).phase);
+        JobOwner next("entry-2", 5, OwnerRules {}, at(500));
+        next.load(harness.stored);
+        Actions actions;
+        next.finishLoad(at(500), 500, at(500), actions);
+        CPPUNIT_ASSERT(next.state().openJobs.empty());
+    }
+
+    void restartsElsewhereWhenTheLeaseIsOver()
+    {
+        OwnerHarness harness;
+        begin(harness, makeJob("00000000000000aa", { makeStep(1, 1000, 300) }));
+        harness.owner.onLinkDown(at(200), testLink);
+        Wire::HostReport other = makeReport("host-2", 1, 100);
+        for (int now = 300; now < 5000; now += 400) {
+            other.clockMilliseconds = now;
+            harness.report(now, other, testLink + 1);
+            harness.tick(now);
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("it may still run on the first host", std::size_t(1), harness.starts.size());
+        for (int now = 5000; now < 6000; now += 200) {
+            other.clockMilliseconds = now;
+            harness.report(now, other, testLink + 1);
+            harness.tick(now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.starts.size());
+        CPPUNIT_ASSERT_EQUAL(2, harness.starts[1].run);
+    }
+
+    void grantsNothingWithoutTheStoreForLong()
+    {
+        OwnerHarness harness;
+        begin(harness, makeJob("00000000000000aa", { makeStep(5, 1000, 300) }));
+        harness.storeAway = true;
+        std::int64_t longest = 0;
+        for (int now = 300; now < 20'000; now += 300) {
+            std::vector<Wire::RunningTask> running;
+            for (int n = 0; n < 4; ++n)
+                running.push_back(makeRunning(makeTask("00000000000000aa", 0, n), 1));
+            harness.report(now, listing(now, running));
+            harness.tick(now);
+        }
+        for (const Wire::HostOrders& orders : harness.sent)
+            longest = std::max(longest, orders.leaseUntilMilliseconds);
+        CPPUNIT_ASSERT_MESSAGE("a successor waits until then", longest <= 9000 + 200);
+        CPPUNIT_ASSERT(longest > 8000);
+    }
+
+    /// What a first owner stored after it had started two tasks on host-1.
+    static std::vector<StoreRecord> storedByFirstOwner()
+    {
+        OwnerHarness first;
+        begin(first, makeJob("00000000000000aa", { makeStep(2, 1000, 300) }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), first.starts.size());
+        return first.stored;
+    }
+
+    void aLaterOwnerWaitsForHostsItHasNotHeard()
+    {
+        OwnerHarness next(3);
+        next.owner.load(storedByFirstOwner());
+        Actions actions;
+        next.owner.finishLoad(at(1000), 1000, at(10'000), actions);
+        Wire::HostReport other = makeReport("host-2", 1, 1000);
+        next.report(1010, other, testLink + 1);
+        settle(next, 1020);
+        CPPUNIT_ASSERT_MESSAGE("they may run on host-1", next.starts.empty());
+        next.report(1100, listing(1200, {}));
+        settle(next, 1110);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), next.starts.size());
+        CPPUNIT_ASSERT_MESSAGE("above whatever the first owner may have used", next.starts[0].run > 64);
+    }
+
+    void aLaterOwnerAdoptsWhatRuns()
+    {
+        OwnerHarness next(3);
+        next.owner.load(storedByFirstOwner());
+        Actions actions;
+        next.owner.finishLoad(at(1000), 1000, at(10'000), actions);
+        const Wire::TaskName one = makeTask("00000000000000aa", 0, 0);
+        const Wire::TaskName other = makeTask("00000000000000aa", 0, 1);
+        next.report(1010, listing(1100, { makeRunning(one, 1) }, { makeEnded(1, other, 1, Wire::RunEnd::Completed) }));
+        settle(next, 1020);
+        CPPUNIT_ASSERT(next.starts.empty());
+        CPPUNIT_ASSERT(next.halts.empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(3), next.sent.back().term);
+        CPPUNIT_ASSERT(next.sent.back().leaseUntilMilliseconds > 1100);
+    }
+
+    void countsAFailedRunOnceAcrossOwners()
+    {
+        const Wire::JobDefinition job = makeJob("00000000000000aa", { makeStep(1, 1000, 300) });
+        OwnerHarness first;
+        begin(first, job);
+        const Wire::EndedTask failed = makeEnded(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Failed);
+        first.report(200, listing(300, {}, { failed }));
+        settle(first, 300);
+        OwnerHarness next(3);
+        next.owner.load(first.stored);
+        Actions actions;
+        next.owner.finishLoad(at(1000), 1000, at(1000), actions);
+        // Stored, but not acknowledged before the first owner was gone: the host lists it again.
+        next.report(1010, listing(1100, {}, { failed }));
+        settle(next, 1100);
+        CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Running, next.ask(1200, Wire::JobCallKind::Status, job).phase);
+        CPPUNIT_ASSERT_MESSAGE("the second of two attempts", !next.starts.empty());
+    }
+
+    void takesACopyThatAnEarlierOwnerStarted()
+    {
+        Wire::StepDefinition step = makeStep(1, 1000, 300);
+        step.allowDuplicates = true;
+        const Wire::JobDefinition job = makeJob("00000000000000aa", { step });
+        OwnerHarness first;
+        begin(first, job);
+        OwnerHarness next(3);
+        next.owner.load(first.stored);
+        Actions actions;
+        next.owner.finishLoad(at(1000), 1000, at(10'000), actions);
+        next.report(1010, makeReport("host-2", 1, 1000), testLink + 1);
+        settle(next, 1020);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("a copy need not wait", std::size_t(1), next.starts.size());
+        next.report(1100, listing(1100, {}, { makeEnded(1, makeTask(job.jobId, 0, 0), 1, Wire::RunEnd::Completed) }));
+        settle(next, 1110);
+        CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Completed, next.ask(1200, Wire::JobCallKind::Status, job).phase);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the other copy is stopped", std::size_t(1), next.halts.size());
+    }
+
+    void haltsWhatNobodyKnows()
+    {
+        OwnerHarness harness;
+        harness.report(0, listing(100, { makeRunning(makeTask("00000000000000ff", 0, 0), 4) }));
+        settle(harness, 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.halts.size());
+        CPPUNIT_ASSERT_EQUAL(4, harness.halts[0].run);
+    }
+
+    void aRestartedHostRunsNothingOfBefore()
+    {
+        OwnerHarness harness;
+        begin(harness, makeJob("00000000000000aa", { makeStep(1, 1000, 300) }));
+        harness.report(200, makeReport("host-1", 2, 5));
+        settle(harness, 260);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.starts.size());
+        CPPUNIT_ASSERT_EQUAL(2, harness.starts[1].run);
+    }
+
+    void aGangStartsWholeOrNotAtAll()
+    {
+        Wire::StepDefinition gang = makeStep(5, 1000, 300);
+        gang.gang = true;
+        OwnerHarness harness;
+        begin(harness, makeJob("00000000000000aa", { gang }));
+        CPPUNIT_ASSERT(harness.starts.empty());
+        harness.report(200, makeReport("host-2", 1, 100), testLink + 1);
+        harness.report(200, listing(300, {}));
+        settle(harness, 210);
+        settle(harness, 300);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), harness.starts.size());
+        for (const Wire::StartOrder& start : harness.starts)
+            CPPUNIT_ASSERT_EQUAL(harness.starts[0].run, start.run);
+    }
+
+    void anOccurrenceStartsWhenItIsDue()
+    {
+        Wire::JobDefinition job = makeJob("00000000000000aa", { makeStep(1, 1000, 300) });
+        job.occurrences = 2;
+        job.firstDueUnixMilliseconds = 500;
+        job.intervalMilliseconds = 400;
+        OwnerHarness harness;
+        begin(harness, job);
+        CPPUNIT_ASSERT(harness.starts.empty());
+        harness.report(500, listing(600, {}));
+        settle(harness, 510);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.starts.size());
+        harness.report(900, listing(1000, { makeRunning(makeTask(job.jobId, 0, 0), 1) }));
+        settle(harness, 910);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.starts.size());
+        CPPUNIT_ASSERT_EQUAL(1, harness.starts[1].task.occurrence);
+    }
+
+    void urgentWorkTakesTheRoomOfFillers()
+    {
+        Wire::StepDefinition filler = makeStep(2, 1000, 5000);
+        filler.filler = true;
+        filler.demand.memoryMegabytes = 4500;
+        Wire::JobDefinition plan = makeJob("00000000000000aa", { filler });
+        plan.priority = 2;
+        OwnerHarness harness;
+        begin(harness, plan);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.starts.size());
+        const std::vector<Wire::RunningTask> running { makeRunning(makeTask(plan.jobId, 0, 0), 1),
+            makeRunning(makeTask(plan.jobId, 0, 1), 1) };
+        harness.report(200, listing(300, running));
+        Wire::StepDefinition large = makeStep(1, 1000, 300);
+        large.demand.memoryMegabytes = 3000;
+        harness.submit(210, makeJob("00000000000000ab", { large }));
+        settle(harness, 220);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.halts.size());
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(JobOwnerTest);
--- /dev/null
+++ b/Tests/Unit/PlatformProtocolTest.cpp
@@ -0,0 +1,175 @@
+/// The adapter: what the platform sends is decoded once, and what cannot be read names nothing and loses nothing.
+#include "Shell/Process/NodeSettings.h"
+#include "Support/VirtualTime.h"
+#include "platform/HostProtocol.h"
+#include "platform/JobProtocol.h"
+#include "platform/StoreProtocol.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Plantainpier;
+using namespace Plantainpier::Platform;
+
+class PlatformProtocolTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(PlatformProtocolTest);
+    CPPUNIT_TEST(readsAnAnnouncement);
+    CPPUNIT_TEST(refusesAnnouncementsOfOtherWriters);
+    CPPUNIT_TEST(readsListsAndPassesOverForeignRows);
+    CPPUNIT_TEST(tellsAnswersApart);
+    CPPUNIT_TEST(framesAndReadsRecords);
+    CPPUNIT_TEST(readsThePagesOfNewestRecords);
+    CPPUNIT_TEST(anAppendWithoutAReadableAnswerIsUncertain);
+    CPPUNIT_TEST(readsAConfiguration);
+    CPPUNIT_TEST(answersClientsTruthfully);
+    CPPUNIT_TEST(checksSettingsAsAWhole);
+    CPPUNIT_TEST_SUITE_END();
+
+    static HttpResponse response(int status, const std::string& body)
+    {
+        HttpResponse response;
+        response.kind = HttpResponse::Kind::Answered;
+        response.status = status;
+        response.body = body;
+        return response;
+    }
+
+    void readsAnAnnouncement()
+    {
+        const Result<HostFacts> facts = decodeAnnouncement("i-1",
+            R"({"service":"desk","address":"10.0.0.1:1","zone":"north","version":"v1","slots":8,"state":"draining",
+                "remaining_ms":2500,"cold_remaining_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},
+                "labels":["a","r1-3"],"clock_ms":482113,"seq":4,"born":1700000000000,"later":"ignored"})");
+        CPPUNIT_ASSERT(isOk(facts));
+        CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), valueOf(facts).rack);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(16'000), valueOf(facts).capacity.milliProcessors);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1'700'000'000'000), valueOf(facts).incarnation);
+        CPPUNIT_ASSERT(valueOf(facts).draining);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2500), valueOf(facts).remainingMilliseconds);
+    }
+
+    void refusesAnnouncementsOfOtherWriters()
+    {
+        const std::string capacity = R"("capacity":{"cpu":1,"mem_mb":1})";
+        for (const std::string& body : { std::string("\x01\x02"), std::string("[]"), std::string("{}"),
+                 R"({"service":"desk","state":"asleep","seq":1,)" + capacity + "}",
+                 R"({"service":7,"state":"ready","seq":1,)" + capacity + "}",
+                 R"({"service":"desk","state":"ready","seq":"4",)" + capacity + "}",
+                 std::string(R"({"service":"desk","state":"ready","seq":1,"capacity":{"cpu":"many","mem_mb":1}})") })
+            CPPUNIT_ASSERT_MESSAGE(body, !isOk(decodeAnnouncement("i-1", body)));
+    }
+
+    void readsListsAndPassesOverForeignRows()
+    {
+        const HostResponse list = HostProtocol::decode(response(200,
+            R"({"clock_ms":77,"born":5,"running":[["00000000000000aa.0.1.17",2,"cp",41,900],["odd",1,"",0,0],7,
+                ["00000000000000aa.0.1",1,"",0,0]],
+                "ended":[[58,"00000000000000aa.0.1.9",1,"done",""],[59,"00000000000000aa.0.1.8",1,"melted",""]]})"));
+        CPPUNIT_ASSERT_EQUAL(HostAnswer::Done, list.answer);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(77), list.clockMilliseconds);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), list.running.size());
+        CPPUNIT_ASSERT_EQUAL(17, list.running[0].task.index);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the share that is done, not a pace", 41, list.running[0].progressPercent);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(900), list.running[0].usage);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), list.ended.size());
+        CPPUNIT_ASSERT_EQUAL(Wire::RunEnd::Completed, list.ended[0].how);
+    }
+
+    void tellsAnswersApart()
+    {
+        CPPUNIT_ASSERT_EQUAL(HostAnswer::Refused, HostProtocol::decode(response(409, R"({"reason":"room"})")).answer);
+        CPPUNIT_ASSERT_EQUAL(HostAnswer::Refused, HostProtocol::decode(response(503, "")).answer);
+        CPPUNIT_ASSERT_EQUAL(HostAnswer::OtherIncarnation, HostProtocol::decode(response(421, "")).answer);
+        CPPUNIT_ASSERT_EQUAL(HostAnswer::Uncertain, HostProtocol::decode(response(200, "cut sho")).answer);
+        CPPUNIT_ASSERT_EQUAL(HostAnswer::Uncertain, HostProtocol::decode(HttpResponse {}).answer);
+        HttpResponse refused;
+        refused.kind = HttpResponse::Kind::NotConnected;
+        CPPUNIT_ASSERT_EQUAL(HostAnswer::NotListening, HostProtocol::decode(refused).answer);
+    }
+
+    void framesAndReadsRecords()
+    {
+        const StoreProtocol protocol("127.0.0.1", 1);
+        AppendToStore append;
+        append.epoch = 7;
+        append.number = 12;
+        append.records = { StoreRecord { "j/aa", std::string("\0binary", 7) }, StoreRecord { "p/aa", "" } };
+        const HttpRequest request = protocol.append(append);
+        CPPUNIT_ASSERT(request.path.ends_with("&producer=owner&epoch=7&seq=12"));
+        const std::string header(16, '\0');
+        const ReadResponse read = StoreProtocol::decodeRead(response(200, header + request.body), 40);
+        CPPUNIT_ASSERT(read.answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.records.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("j/aa"), read.records[0].key);
+        CPPUNIT_ASSERT_EQUAL(append.records[0].value, read.records[0].value);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(41), read.records[1].offset);
+        CPPUNIT_ASSERT(read.records[1].value.empty());
+        const ReadResponse cut
+            = StoreProtocol::decodeRead(response(200, header + request.body.substr(0, request.body.size() - 2)), 40);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("half a record is none", std::size_t(1), cut.records.size());
+        CPPUNIT_ASSERT(StoreProtocol::decodeRead(response(410, R"({"first":9})"), 4).truncated);
+    }
+
+    void readsThePagesOfNewestRecords()
+    {
+        const NewestResponse newest = StoreProtocol::decodeNewest(
+            response(200, R"({"items":[{"key":"owner","value":"AGJpbg==","offset":4},"odd"],"more":true,"end":6})"));
+        CPPUNIT_ASSERT(newest.answered && newest.more);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), newest.records.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("\0bin", 4), newest.records[0].value);
+        CPPUNIT_ASSERT(!StoreProtocol::decodeNewest(response(503, "")).answered);
+    }
+
+    void anAppendWithoutAReadableAnswerIsUncertain()
+    {
+        CPPUNIT_ASSERT_EQUAL(AppendOutcome::Uncertain, StoreProtocol::decodeAppend(HttpResponse {}).outcome);
+        CPPUNIT_ASSERT_EQUAL(AppendOutcome::Uncertain, StoreProtocol::decodeAppend(response(200, "{")).outcome);
+        CPPUNIT_ASSERT_EQUAL(AppendOutcome::Uncertain, StoreProtocol::decodeAppend(response(500, "{}")).outcome);
+        CPPUNIT_ASSERT_EQUAL(AppendOutcome::TurnedAway, StoreProtocol::decodeAppend(response(429, "")).outcome);
+        CPPUNIT_ASSERT_EQUAL(AppendOutcome::Fenced, StoreProtocol::decodeAppend(response(409, "{}")).outcome);
+        CPPUNIT_ASSERT_EQUAL(AppendOutcome::WrongEnd, StoreProtocol::decodeAppend(response(412, "{}")).outcome);
+    }
+
+    void readsAConfiguration()
+    {
+        const Result<PolicySnapshot> policy = decodePolicy(
+            R"({"version":7,"routes":[{"name":"r1","hostname":"a.example","path_prefix":"/p/","service":"desk",
+                "priority":2,"max_attempts":4,"stretch":1.5,"slo_ms":250,"timeout_ms":3000},
+                {"name":"r2","hostname":"a.example","path_prefix":"/p/long/","service":"desk"}],
+                "services":[{"name":"desk","enforces_capacity":true}],"limits":{"max_body_bytes":100}})");
+        CPPUNIT_ASSERT(isOk(policy));
+        CPPUNIT_ASSERT_EQUAL(std::string("r2"), valueOf(policy).match("a.example", "/p/long/x")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), valueOf(policy).match("a.example", "/p/x")->name);
+        CPPUNIT_ASSERT(!valueOf(policy).match("b.example", "/p/x"));
+        CPPUNIT_ASSERT(!isOk(decodePolicy("{}")));
+    }
+
+    void answersClientsTruthfully()
+    {
+        Wire::JobReply reply;
+        reply.kind = Wire::JobReplyKind::Refused;
+        reply.retryAfterMilliseconds = 1200;
+        const ClientAnswer refused = encodeAnswer(reply);
+        CPPUNIT_ASSERT_EQUAL(503, refused.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), refused.headers.at(0).second);
+        reply.kind = Wire::JobReplyKind::Unknown;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("it may have been accepted", 504, encodeAnswer(reply).status);
+        reply.kind = Wire::JobReplyKind::State;
+        reply.phase = Wire::JobPhase::Completed;
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"completed"})"), encodeAnswer(reply).body);
+    }
+
+    void checksSettingsAsAWhole()
+    {
+        const Result<NodeSettings> bad
+            = parseNodeSettings(R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":0,"store_address":"nowhere"})");
+        CPPUNIT_ASSERT(!isOk(bad));
+        CPPUNIT_ASSERT(errorOf(bad).message.find("/peer_port") != std::string::npos);
+        CPPUNIT_ASSERT(errorOf(bad).message.find("/store_address") != std::string::npos);
+        const Result<NodeSettings> good = parseNodeSettings(
+            R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":7720,"store_address":"10.0.0.2:81","new":1,
+                "stop_ms":900,"status_memory_s":120})");
+        CPPUNIT_ASSERT(isOk(good));
+        CPPUNIT_ASSERT_EQUAL(81, valueOf(good).store.port);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformProtocolTest);
