Job: Move stuck fillers to quieter hosts, let the largest machine own first

Change: a stuck filler that loses little is stopped and placed anew; claims wait 40 ms for each halving of the processor below half a core; the serving groups of a host are kept from its newest list.

--- a/Source/Decision/Job/HostBook.h
+++ b/Source/Decision/Job/HostBook.h
@@ -52,6 +52,17 @@
     std::string checkpoint;
 };
 
+/// What the serving tasks of one image on a host can bear.
+struct ServingGroup {
+    std::string image;
+    /// Target over tail of the worst of them, as listed: 1 at the target, 3 when the tail is a third of it.
+    double headroom = 0;
+    /// Headroom that fillers take from it now, by the processors that they use.
+    double exerted = 0;
+    /// Headroom that fillers take once the paces that were ordered show.
+    double ordered = 0;
+};
+
 /// What the results of a host say about it.
 struct HostHealth {
     /// Jobs whose tasks failed here since the last success.
@@ -101,6 +112,8 @@
     /// Since when a serving task has been at its target or over it.
     Instant alarmSince;
     Instant paceRaisedAt;
+    /// Its serving tasks as of the newest list and the orders since; see InterferenceModel.
+    std::vector<ServingGroup> servingGroups;
 
     std::int64_t freeMilliCores() const { return capacity.milliProcessors - committed.milliProcessors; }
     std::int64_t freeMegabytes() const { return capacity.memoryMegabytes - committed.memoryMegabytes; }
--- a/Source/Decision/Job/InterferenceModel.h
+++ b/Source/Decision/Job/InterferenceModel.h
@@ -10,17 +10,6 @@
 
 namespace Plantainpier {
 
-/// What the serving tasks of one image on a host can bear.
-struct ServingGroup {
-    std::string image;
-    /// Target over tail of the worst of them, as listed: 1 at the target, 3 when the tail is a third of it.
-    double headroom = 0;
-    /// Headroom that fillers take from it now, by the processors that they use.
-    double exerted = 0;
-    /// Headroom that fillers take once the paces that were ordered show.
-    double ordered = 0;
-};
-
 /// Pressures by pair of images: the headroom that a filler takes when it uses the whole host.
 class InterferenceModel {
 public:
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -244,6 +244,7 @@
         return;
     // A filler starts at full pace: it is held back as soon as its start is known, not with the next list.
     m_state.counters.pacesSent += m_paces.adjust(now, *host, actions);
+    m_paces.refresh(now, *host);
 }
 
 void JobOwner::onLinkDown(Instant now, LinkId link) { m_ledger.onLinkDown(now, link); }
--- a/Source/Decision/Job/PaceControl.cpp
+++ b/Source/Decision/Job/PaceControl.cpp
@@ -41,10 +41,17 @@
     return most;
 }
 
-int PaceControl::bearablePace(Instant now, const Host& host, const std::string& image, std::int64_t milliCores) const
+void PaceControl::addOrdered(Host& host, const HostRun& run) const
+{
+    for (ServingGroup& group : host.servingGroups)
+        group.ordered
+            += m_model.push(host, group.image, run.image, run.demand.milliProcessors) * run.orderedPercent / fullPace;
+}
+
+int PaceControl::bearablePace(const Host& host, const std::string& image, std::int64_t milliCores) const
 {
     double share = 1;
-    const std::vector<ServingGroup> groups = m_model.groups(now, host);
+    const std::vector<ServingGroup>& groups = host.servingGroups;
     if (loudness(groups, image) < m_rules.quietPressure)
         return fullPace;
     for (const ServingGroup& group : groups) {
--- a/Source/Decision/Job/PaceControl.h
+++ b/Source/Decision/Job/PaceControl.h
@@ -38,7 +38,11 @@
     /// Adds pace orders to the host's orders; the number of them is returned.
     int adjust(Instant now, Host& host, Actions& actions) const;
     /// The pace in percent at which a filler could run on the host beside what is ordered there.
-    int bearablePace(Instant now, const Host& host, const std::string& image, std::int64_t milliCores) const;
+    int bearablePace(const Host& host, const std::string& image, std::int64_t milliCores) const;
+    /// Takes the newest list of a host in; adjust() comes first.
+    void refresh(Instant now, Host& host) const { host.servingGroups = m_model.groups(now, host); }
+    /// Counts a filler that is being ordered to the host.
+    void addOrdered(Host& host, const HostRun& run) const;
 
 private:
     int order(Host& host, HostRun& run, int percent) const;
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -58,7 +58,7 @@
             return false;
         if (idleMilliCores(host) < step.demand.milliProcessors)
             return false;
-        if (m_paces.bearablePace(now, host, step.image, step.demand.milliProcessors) < m_rules.leastPace)
+        if (m_paces.bearablePace(host, step.image, step.demand.milliProcessors) < request.leastPace)
             return false;
     }
     for (const RunPlace& place : request.taken) {
@@ -85,7 +85,7 @@
     return same + others == 0 ? 0 : static_cast<double>(same - others) / (same + others);
 }
 
-double Placement::score(const Host& host, const PlacementRequest& request, Instant now) const
+double Placement::score(const Host& host, const PlacementRequest& request) const
 {
     const Wire::StepDefinition& step = request.definition;
     const double capacity = static_cast<double>(std::max<std::int64_t>(1, host.capacity.milliProcessors));
@@ -101,7 +101,7 @@
     if (!step.dataRack.empty() && host.rack != step.dataRack)
         value -= 2;
     if (step.filler)
-        value += 2 * (m_paces.bearablePace(now, host, step.image, step.demand.milliProcessors) / 100.0 - 1);
+        value += 2 * (m_paces.bearablePace(host, step.image, step.demand.milliProcessors) / 100.0 - 1);
     return value / host.health.slowness;
 }
 
@@ -113,7 +113,7 @@
         Host& host = entry.second;
         if (!isEligible(host, request, now))
             continue;
-        const double value = score(host, request, now);
+        const double value = score(host, request);
         if (!best || value > bestScore) {
             best = &host;
             bestScore = value;
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -18,8 +18,6 @@
     double servingLoad = 0.6;
     /// Memory kept free of fillers, so that urgent work finds room at once: share of the host.
     double memoryReserve = 0.08;
-    /// A filler needs a host that can bear it at this pace, in percent, or better.
-    int leastPace = 30;
 };
 
 /// A task that looks for a host.
@@ -32,6 +30,8 @@
     const std::vector<RunPlace>& taken;
     /// Only hosts of this rack, when not empty.
     std::string rack;
+    /// A filler needs a host that can bear it at this pace, in percent, or better.
+    int leastPace = 30;
 };
 
 /// The pure choice. Used by JobOwner.
@@ -52,7 +52,7 @@
 
 private:
     bool isEligible(const Host& host, const PlacementRequest& request, Instant now) const;
-    double score(const Host& host, const PlacementRequest& request, Instant now) const;
+    double score(const Host& host, const PlacementRequest& request) const;
     static double company(const Host& host, const std::string& image);
 
     PlacementRules m_rules;
--- a/Source/Decision/Job/StoreJournal.h
+++ b/Source/Decision/Job/StoreJournal.h
@@ -21,7 +21,7 @@
     /// Pause after a call that was turned away.
     Duration pause = milliseconds(60);
     /// Largest bytes in one append; below the platform's limit of a call.
-    std::size_t batchBytes = std::size_t(512) * 1024;
+    std::size_t batchBytes = 524'288;
 };
 
 /// Whether somebody waits for the record to be stored.
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -10,6 +10,15 @@
     constexpr int runNumbersOfATerm = 64;
     /// Runs that one pass may stop to make room for more urgent work.
     constexpr int maximumHaltsForRoom = 4;
+    /// A filler is stuck at this pace or less, in percent; it moves to a host that bears it almost whole.
+    constexpr int stuckPercent = 25;
+    constexpr int quietEnough = 90;
+    /// Share of a run that may be lost where progress is not saved.
+    constexpr int littleProgress = 10;
+    /// A stop and a new start cost up to a second: what has just begun is given time.
+    constexpr Duration leastStay = milliseconds(1200);
+    constexpr Duration moveInterval = milliseconds(300);
+    constexpr int maximumMoves = 3;
 
 } // namespace
 
@@ -33,6 +42,7 @@
 void TaskScheduler::pass(Instant now, Actions& actions)
 {
     const bool accounted = m_state.hostsAccounted(now);
+    moveStuckFillers(now, actions);
     int roomMade = 0;
     for (const Candidate& candidate : collect(now)) {
         JobState& job = *candidate.job;
@@ -48,6 +58,47 @@
     }
 }
 
+void TaskScheduler::moveStuckFillers(Instant now, Actions& actions)
+{
+    if (now - m_lastMoves < moveInterval)
+        return;
+    m_lastMoves = now;
+    int moved = 0;
+    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
+        Host& host = entry.second;
+        for (std::pair<const RunKey, HostRun>& run : host.runs) {
+            if (moved >= maximumMoves)
+                return;
+            if (moveIfStuck(now, host, run.second, actions)) {
+                ++moved;
+                break;
+            }
+        }
+    }
+}
+
+bool TaskScheduler::moveIfStuck(Instant now, Host& host, HostRun& run, Actions& actions)
+{
+    const bool stuck = run.filler && run.phase == RunPhase::Running && run.orderedPercent >= 0
+        && run.orderedPercent <= stuckPercent && now - run.since >= leastStay;
+    if (!stuck)
+        return false;
+    JobState* job = m_state.findJob(run.task.jobId);
+    StepState* step = job && job->isOpen() ? job->findStep(run.task.occurrence, run.task.step) : nullptr;
+    const TaskState* task = step ? job->findTask(run.task) : nullptr;
+    if (!task)
+        return false;
+    const bool losesLittle = job->stepDefinition(*step).savesProgress || run.progressPercent <= littleProgress;
+    if (!losesLittle || job->stepDefinition(*step).gang)
+        return false;
+    PlacementRequest wanted = request(*job, *step, *task);
+    wanted.leastPace = quietEnough;
+    if (!m_placement.choose(m_state.hosts, wanted, now))
+        return false;
+    m_ledger.halt(now, host, run, "moves_to_a_quieter_host", actions);
+    return true;
+}
+
 int TaskScheduler::nextRun(const JobState& job, const TaskState& task) const
 {
     const std::int64_t terms = m_state.term - job.definition().acceptedTerm;
@@ -214,8 +265,10 @@
     order.run = run;
     order.payload = job.definition().payload;
     order.checkpoint = task.checkpoint;
-    if (definition.filler)
-        hostRun.orderedPercent = m_paces.bearablePace(now, host, definition.image, definition.demand.milliProcessors);
+    if (definition.filler) {
+        hostRun.orderedPercent = m_paces.bearablePace(host, definition.image, definition.demand.milliProcessors);
+        m_paces.addOrdered(host, hostRun);
+    }
     order.percent = hostRun.orderedPercent;
     HostBook::addRun(host, std::move(hostRun));
     job.setStarted();
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -35,6 +35,8 @@
     void placeGang(Instant now, JobState& job, StepState& step, Actions& actions);
     bool makeRoom(Instant now, JobState& job, StepState& step, Actions& actions);
     void start(Instant now, JobState& job, StepState& step, std::size_t index, int run, Host& host, Actions& actions);
+    void moveStuckFillers(Instant now, Actions& actions);
+    bool moveIfStuck(Instant now, Host& host, HostRun& run, Actions& actions);
     int nextRun(const JobState& job, const TaskState& task) const;
     PlacementRequest request(const JobState& job, const StepState& step, const TaskState& task) const;
 
@@ -42,6 +44,7 @@
     RunLedger& m_ledger;
     const PaceControl& m_paces;
     Placement m_placement;
+    Instant m_lastMoves;
 };
 
 } // namespace Plantainpier
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -2,6 +2,8 @@
 
 #include "Wire/Codec.h"
 
+#include <cmath>
+
 namespace Plantainpier {
 
 namespace {
@@ -49,7 +51,9 @@
         }
     }
     if (follows && m_current.term == 0)
-        claim(now, "no_owner_yet", actions);
+        wantOwnership(now, "no_owner_yet");
+    if (follows && m_claimWhy && now >= m_claimAt)
+        claim(now, m_claimWhy, actions);
     const bool wasMine
         = m_current.claim.nodeId == m_identity.nodeId && m_current.claim.incarnation != m_identity.incarnation;
     if (follows && m_current.term > 0 && wasMine) {
@@ -140,10 +144,22 @@
     }
 }
 
+void Ownership::wantOwnership(Instant now, const char* why)
+{
+    if (m_claimWhy)
+        return;
+    constexpr double plenty = 0.5;
+    constexpr double leastShare = 0.001;
+    const double halvings = std::max(0.0, std::log2(plenty / std::max(leastShare, m_identity.processorShare)));
+    m_claimWhy = why;
+    m_claimAt = now + std::chrono::duration_cast<Duration>(m_timing.claimDelay * halvings);
+}
+
 void Ownership::claim(Instant now, const char* why, Actions& actions)
 {
     if (m_resigning || now < m_notBefore)
         return;
+    m_claimWhy = nullptr;
     Wire::OwnerClaim claim;
     claim.nodeId = m_identity.nodeId;
     claim.incarnation = m_identity.incarnation;
@@ -200,6 +216,7 @@
         if (!claim || term <= m_current.term)
             continue;
         m_current = CurrentOwner { term, *claim };
+        m_claimWhy = nullptr;
         m_lastPulseSeen = now;
         m_oldOwnerEnded = false;
         const bool mine = claim->nodeId == m_identity.nodeId && claim->incarnation == m_identity.incarnation;
@@ -216,16 +233,18 @@
     }
 }
 
-void Ownership::takePulses(Instant now, const std::vector<StoreRecord>& records, Actions& actions)
+void Ownership::takePulses(Instant now, const std::vector<StoreRecord>& records)
 {
     for (const StoreRecord& record : records) {
         const std::optional<Wire::OwnerPulse> pulse = Wire::decode<Wire::OwnerPulse>(record.value);
         if (!pulse || pulse->term < m_current.term)
             continue;
         m_lastPulseSeen = now;
+        if (!pulse->resigning)
+            m_claimWhy = nullptr;
         if (pulse->resigning && pulse->term == m_current.term && m_stage == Stage::Following) {
             m_oldOwnerEnded = true;
-            claim(now, "owner_resigned", actions);
+            wantOwnership(now, "owner_resigned");
         }
     }
 }
@@ -239,11 +258,11 @@
     if (callId != m_pulsesCall)
         return false;
     const std::vector<StoreRecord> records = m_pulses.onRead(now, response);
-    takePulses(now, records, actions);
+    takePulses(now, records);
     // The store itself says that the owner has shown no sign of life for the whole wait.
     const bool waited = now - m_pulsesSentAt >= m_timing.lapseWhenBroken;
     if (waited && response.answered && !response.truncated && records.empty() && m_stage == Stage::Following)
-        claim(now, "no_sign_of_life", actions);
+        wantOwnership(now, "no_sign_of_life");
     return true;
 }
 
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -15,6 +15,8 @@
     std::int64_t incarnation = 0;
     std::string address;
     int port = 0;
+    /// Cores of the machine that this process may use.
+    double processorShare = 1;
 };
 
 /// A claim that won.
@@ -34,6 +36,8 @@
     /// Longest wait for one append; the store answers in milliseconds, slow ones in hundreds.
     Duration appendTimeout = milliseconds(900);
     Duration pause = milliseconds(100);
+    /// Head start of the machine with the most processors: a claim waits this long for each halving below half a core.
+    Duration claimDelay = milliseconds(40);
 };
 
 /// The claim of one entry, and the JobOwner while it lasts. Lives for the process.
@@ -74,7 +78,8 @@
     };
 
     void takeClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
-    void takePulses(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
+    void takePulses(Instant now, const std::vector<StoreRecord>& records);
+    void wantOwnership(Instant now, const char* why);
     void claim(Instant now, const char* why, Actions& actions);
     void begin(Instant now, std::int64_t term, Actions& actions);
     void stepDown(Instant now, const char* why, Actions& actions);
@@ -98,6 +103,9 @@
     bool m_oldOwnerEnded = false;
     Instant m_lastPulseSeen;
     Instant m_pulsesSentAt;
+    /// Why and when this process will claim; null when it does not intend to.
+    const char* m_claimWhy = nullptr;
+    Instant m_claimAt;
     Instant m_notBefore;
     std::int64_t m_pulseNumber = 0;
     Instant m_pulseSentAt;
--- a/Tests/Support/VirtualStore.h
+++ b/Tests/Support/VirtualStore.h
@@ -1,4 +1,5 @@
-/// The platform's store for tests in virtual time: ordered topics, the newest record of each key, conditions and epochs.
+/// The platform's store for tests in virtual time: ordered topics, the newest record of each key, conditions and
+/// epochs.
 #pragma once
 
 #include "Decision/Process/Message.h"
--- a/Tests/Unit/DocumentationTest.cpp
+++ b/Tests/Unit/DocumentationTest.cpp
@@ -1,5 +1,6 @@
 /// The pages say what the code says: errors, settings, rules and commands.
 #include "CommandLine/HelpPages.h"
+#include "Shell/Process/NodeSettings.h"
 #include "Shell/Process/Settings.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -42,6 +43,8 @@
     {
         for (const std::string& key : settingKeys())
             CPPUNIT_ASSERT_MESSAGE("Help/setting/" + key + ".md", hasPage("setting", key));
+        for (const std::string& key : nodeSettingKeys())
+            CPPUNIT_ASSERT_MESSAGE("Help/node/" + key + ".md", hasPage("node", key));
     }
 
     void everyRuleAndCommandHasAPage()
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -1,5 +1,5 @@
-/// The side: carries orders out once, never reports a run as absent that may still begin, and starts nothing on a host that
-/// leaves.
+/// The side: carries orders out once, never reports a run as absent that may still begin, and starts nothing on a host
+/// that leaves.
 #include "Decision/Process/HostAgent.h"
 #include "Support/JobFixture.h"
 #include "Wire/Codec.h"
@@ -126,8 +126,8 @@
         harness.agent.onAnnouncement(at(5), leaving, actions);
         const Actions after = harness.order(10, Harness::startOrders(4));
         CPPUNIT_ASSERT(actionsOf<StartOnHost>(after).empty());
-        CPPUNIT_ASSERT_EQUAL(Wire::OrderOutcome::Refused,
-            messagesOf<Wire::HostReport>(after).at(0).results.at(0).outcome);
+        CPPUNIT_ASSERT_EQUAL(
+            Wire::OrderOutcome::Refused, messagesOf<Wire::HostReport>(after).at(0).results.at(0).outcome);
     }
 
     void ignoresOrdersOfAnEarlierTerm()
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -131,8 +131,8 @@
         begin(harness, makeJob("00000000000000aa", { makeStep(2, 1000, 300) }));
         harness.storeAway = true;
         harness.sent.clear();
-        harness.report(200,
-            listing(300, {}, { makeEnded(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Completed) }));
+        harness.report(
+            200, listing(300, {}, { makeEnded(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Completed) }));
         settle(harness, 300);
         for (const Wire::HostOrders& orders : harness.sent)
             CPPUNIT_ASSERT_EQUAL(std::int64_t(0), orders.acknowledgedNumber);
@@ -147,8 +147,8 @@
         OwnerHarness harness;
         begin(harness, job);
         harness.storeAway = true;
-        harness.report(200,
-            listing(300, {}, { makeEnded(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Completed) }));
+        harness.report(
+            200, listing(300, {}, { makeEnded(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Completed) }));
         settle(harness, 300);
         CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Running, harness.ask(350, Wire::JobCallKind::Status, job).phase);
         harness.storeAway = false;
--- a/Tests/Unit/PlatformProtocolTest.cpp
+++ b/Tests/Unit/PlatformProtocolTest.cpp
@@ -160,8 +160,8 @@
 
     void checksSettingsAsAWhole()
     {
-        const Result<NodeSettings> bad
-            = parseNodeSettings(R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":0,"store_address":"nowhere"})");
+        const Result<NodeSettings> bad = parseNodeSettings(
+            R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":0,"store_address":"nowhere"})");
         CPPUNIT_ASSERT(!isOk(bad));
         CPPUNIT_ASSERT(errorOf(bad).message.find("/peer_port") != std::string::npos);
         CPPUNIT_ASSERT(errorOf(bad).message.find("/store_address") != std::string::npos);
