Job: Deny no job when another entry may own

Ruled out: lost or late stops (no halt was ever ordered); a repeat of the submission. Change: an owner that the store has not confirmed for 0.7 s refuses instead of denying; it is not ready while it cannot append. The test failed first (NoSuchJob instead of Refused).

--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -183,13 +183,27 @@
     actions.push_back(WriteLog { line.add("outcome", "storing").text() });
 }
 
+void JobOwner::denyJob(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
+{
+    Wire::JobReply answer;
+    answer.kind = Wire::JobReplyKind::NoSuchJob;
+    const Duration age = now - m_state.confirmedAt;
+    if (age > m_state.rules.certainFor) {
+        answer.kind = Wire::JobReplyKind::Refused;
+        answer.reason = "ownership_uncertain";
+        answer.retryAfterMilliseconds = toMilliseconds(m_state.rules.storeRetryAfter);
+        actions.push_back(WriteLog {
+            LogLine("job_not_denied").add("job", call.jobId).add("confirmed_age_ms", toMilliseconds(age)).text() });
+    }
+    reply(origin, answer, actions);
+}
+
 void JobOwner::cancel(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
 {
     Wire::JobReply answer;
     JobState* job = m_state.findJob(call.jobId);
     if (!job) {
-        answer.kind = Wire::JobReplyKind::NoSuchJob;
-        reply(origin, answer, actions);
+        denyJob(now, origin, call, actions);
         return;
     }
     answer.kind = Wire::JobReplyKind::Accepted;
@@ -204,12 +218,10 @@
 
 void JobOwner::status(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
 {
-    (void)now;
     Wire::JobReply answer;
     const JobState* job = m_state.findJob(call.jobId);
     if (!job) {
-        answer.kind = Wire::JobReplyKind::NoSuchJob;
-        reply(origin, answer, actions);
+        denyJob(now, origin, call, actions);
         return;
     }
     answer.kind = Wire::JobReplyKind::State;
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -42,6 +42,8 @@
     bool isFenced() const { return m_fenced || m_ledger.isFenced(); }
     /// Nothing waits to be stored.
     bool isSettled() const { return m_state.journal.isIdle() && m_state.dirtyJobs.empty() && m_waiting.empty(); }
+    /// An append has been tried for so long that refusing is quicker than waiting.
+    bool isStoreAway(Instant now) const;
     /// Starts nothing more; for a graceful hand-over.
     void rest() { m_resting = true; }
 
@@ -64,6 +66,8 @@
     void countWaiting(const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     /// Why a submission is turned away now; empty when it is not.
     std::string refusal(Instant now, const Wire::JobCall& call) const;
+    /// The owner knows no such job; the answer is only certain while nobody else can own.
+    void denyJob(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     static void reply(const CallOrigin& origin, Wire::JobReply reply, Actions& actions);
     void completeWaiting(Actions& actions);
     void flushProgress(Instant now);
@@ -71,7 +75,6 @@
     void grantLeases(Instant now);
     void sendOrders(Instant now, Actions& actions);
     void forgetOldJobs(Instant now);
-    bool isStoreAway(Instant now) const;
 
     OwnerState m_state;
     RunLedger m_ledger;
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -26,6 +26,8 @@
     Duration statusMemory = seconds(120);
     /// The store counts as away when an append has been tried for this long; a refusal is then quicker than a wait.
     Duration storeAway = milliseconds(700);
+    /// An owner that the store has not confirmed for this long may have been replaced; a successor claims no sooner.
+    Duration certainFor = milliseconds(700);
     /// Told to callers that are refused while the store is away or no owner is known.
     Duration storeRetryAfter = seconds(1);
     /// A task that failed by itself is tried again after this, so that a broken host does not use up its attempts.
--- a/Source/Decision/Process/JobEntryCore.cpp
+++ b/Source/Decision/Process/JobEntryCore.cpp
@@ -389,6 +389,10 @@
 
 bool JobEntryCore::isReady(Instant now) const
 {
+    // An owner that cannot reach the store accepts nothing and may have been replaced: other entries serve better.
+    const JobOwner* owner = m_ownership.owner();
+    if (owner && owner->isStoreAway(now))
+        return false;
     return m_policy && !m_leaving && now - m_ownerSeenAt < m_timing.readyWithoutOwner;
 }
 
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(aCancelledJobStaysCancelled);
     CPPUNIT_TEST(restartsElsewhereWhenTheLeaseIsOver);
     CPPUNIT_TEST(grantsNothingWithoutTheStoreForLong);
+    CPPUNIT_TEST(deniesNoJobWhenItMayHaveBeenReplaced);
     CPPUNIT_TEST(aLaterOwnerWaitsForHostsItHasNotHeard);
     CPPUNIT_TEST(aLaterOwnerAdoptsWhatRuns);
     CPPUNIT_TEST(countsAFailedRunOnceAcrossOwners);
@@ -203,10 +204,12 @@
         harness.storeAway = true;
         std::int64_t longest = 0;
         for (int now = 300; now < 20'000; now += 300) {
-            std::vector<Wire::RunningTask> running;
-            for (int n = 0; n < 4; ++n)
-                running.push_back(makeRunning(makeTask("00000000000000aa", 0, n), 1));
-            harness.report(now, listing(now, running));
+            harness.report(now,
+                listing(now,
+                    { makeRunning(makeTask("00000000000000aa", 0, 0), 1),
+                        makeRunning(makeTask("00000000000000aa", 0, 1), 1),
+                        makeRunning(makeTask("00000000000000aa", 0, 2), 1),
+                        makeRunning(makeTask("00000000000000aa", 0, 3), 1) }));
             harness.tick(now);
         }
         for (const Wire::HostOrders& orders : harness.sent)
@@ -215,6 +218,17 @@
         CPPUNIT_ASSERT(longest > 8000);
     }
 
+    void deniesNoJobWhenItMayHaveBeenReplaced()
+    {
+        OwnerHarness harness;
+        const Wire::JobDefinition job = makeJob("00000000000000aa", { makeStep(1, 1000, 300) });
+        harness.owner.onPulseConfirmed(at(1000));
+        CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::NoSuchJob, harness.ask(1100, Wire::JobCallKind::Status, job).kind);
+        // Cut from the store since: another entry may own and have accepted the job.
+        for (const Wire::JobCallKind::type kind : { Wire::JobCallKind::Status, Wire::JobCallKind::Cancel })
+            CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Refused, harness.ask(3000, kind, job).kind);
+    }
+
     /// What a first owner stored after it had started two tasks on host-1.
     static std::vector<StoreRecord> storedByFirstOwner()
     {
--- a/Tests/Unit/PaceControlTest.cpp
+++ b/Tests/Unit/PaceControlTest.cpp
@@ -82,7 +82,7 @@
                 for (std::pair<const RunKey, HostRun>& run : host.runs) {
                     if (!run.second.filler)
                         continue;
-                    run.second.usage = 10 * std::max(0, run.second.orderedPercent);
+                    run.second.usage = std::int64_t(10) * std::max(0, run.second.orderedPercent);
                     if (run.second.image == "loud")
                         loud += static_cast<double>(run.second.usage) / 10'000;
                 }
