Job: One copy of the run numbers of a term, no unused parameters

Cause: read as a newcomer, the room for run numbers stood twice, some functions took a time that they did not use, and the stops of a finished job's runs left no line. Change: one constant, no unused parameters, a line a stop. Behaviour is otherwise as it was.

--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -10,6 +10,9 @@
 
 namespace Plantainpier {
 
+/// Run numbers of a task that one term may use: a later owner does not know which its predecessor used.
+constexpr int runNumbersOfATerm = 64;
+
 /// One run of a task on one incarnation of a host.
 struct RunPlace {
     std::string hostId;
--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -19,8 +19,6 @@
     constexpr double slownessWeight = 0.15;
     constexpr double slownessFloor = 0.7;
     constexpr double slownessCeiling = 8;
-    /// Room for run numbers of one term: a later owner does not know which its predecessor used.
-    constexpr int runNumbersOfATerm = 64;
 
     constexpr std::array runEndNames {
         NamedValue { Wire::RunEnd::Completed, "completed" },
@@ -126,7 +124,7 @@
         host.clockMilliseconds = report.clockMilliseconds;
         host.clockReadAt = now;
         if (!host.listed)
-            haltMissing(now, host, report, actions);
+            haltMissing(host, report, actions);
         host.listed = true;
         for (const Wire::RunningTask& row : report.running)
             onRunning(now, host, row, actions);
@@ -228,7 +226,7 @@
         && (task->runs.empty() || job->stepDefinition(*step).allowDuplicates);
     actions.push_back(WriteLog { line.add("wanted", wanted).text() });
     if (!wanted) {
-        halt(now, host, added, "not_wanted", actions);
+        halt(host, added, "not_wanted", actions);
         return;
     }
     if (task->runs.empty())
@@ -333,7 +331,7 @@
             Host* other = m_state.hosts.find(copy.hostId);
             std::map<RunKey, HostRun>::iterator it;
             if (other && (it = other->runs.find(runKey(row.task, copy.run))) != other->runs.end())
-                halt(now, *other, it->second, "copy_finished_first", actions);
+                halt(*other, it->second, "copy_finished_first", actions);
         }
         if (job->isCompleted())
             finish(now, *job, Wire::JobOutcome::Completed, "all_tasks_completed", actions);
@@ -349,7 +347,7 @@
         onFailure(now, *job, *task, row.run, host, actions);
 }
 
-void RunLedger::haltMissing(Instant now, Host& host, const Wire::HostReport& report, Actions& actions)
+void RunLedger::haltMissing(Host& host, const Wire::HostReport& report, Actions& actions)
 {
     for (std::pair<const RunKey, HostRun>& entry : host.runs) {
         const bool shown = std::any_of(report.running.begin(), report.running.end(),
@@ -358,13 +356,12 @@
             [&entry](const Wire::EndedTask& row) { return runKey(row.task, row.run) == entry.first; });
         // Ordered over an earlier link and not there: it may still arrive, unless it is told to stop first.
         if (!ended && (!shown || entry.second.phase == RunPhase::Halting))
-            halt(now, host, entry.second, "unresolved_order", actions);
+            halt(host, entry.second, "unresolved_order", actions);
     }
 }
 
-void RunLedger::halt(Instant now, Host& host, HostRun& run, const char* why, Actions& actions)
+void RunLedger::halt(Host& host, HostRun& run, const char* why, Actions& actions)
 {
-    (void)now;
     if (run.phase == RunPhase::Halting && std::string_view(why) != "unresolved_order")
         return;
     run.phase = RunPhase::Halting;
@@ -378,15 +375,14 @@
     actions.push_back(WriteLog { line.text() });
 }
 
-void RunLedger::haltJob(Instant now, const std::string& jobId)
+void RunLedger::haltJob(const std::string& jobId, Actions& actions)
 {
-    Actions unused;
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
         const RunKey first { jobId, 0, 0, 0, 0 };
         for (std::map<RunKey, HostRun>::iterator it = host.runs.lower_bound(first);
              it != host.runs.end() && it->second.task.jobId == jobId; ++it)
-            halt(now, host, it->second, "job_finished", unused);
+            halt(host, it->second, "job_finished", actions);
     }
 }
 
@@ -395,7 +391,7 @@
 {
     job.setOutcome(outcome);
     m_state.openJobs.erase(job.definition().jobId);
-    haltJob(now, job.definition().jobId);
+    haltJob(job.definition().jobId, actions);
     m_state.markDirty(now, job.definition().jobId, true);
     if (outcome == Wire::JobOutcome::Completed)
         ++m_state.counters.completedJobs;
@@ -436,7 +432,7 @@
             continue;
         const Duration left = run.since + milliseconds(run.estimateMilliseconds) - now;
         if (run.longRunning || left > host.remaining)
-            halt(now, host, run, "host_draining", actions);
+            halt(host, run, "host_draining", actions);
     }
 }
 
--- a/Source/Decision/Job/RunLedger.h
+++ b/Source/Decision/Job/RunLedger.h
@@ -20,8 +20,8 @@
     /// Gives up what ran on hosts whose lease is over, forgets hosts that stay away.
     void tick(Instant now, Actions& actions);
     /// Orders the end of every run of a job.
-    void haltJob(Instant now, const std::string& jobId);
-    void halt(Instant now, Host& host, HostRun& run, const char* why, Actions& actions);
+    void haltJob(const std::string& jobId, Actions& actions);
+    void halt(Host& host, HostRun& run, const char* why, Actions& actions);
     /// Finishes a job as completed, failed or cancelled.
     void finish(Instant now, JobState& job, Wire::JobOutcome::type outcome, const std::string& why, Actions& actions);
     /// A fence refused this owner's orders: a later owner has been there.
@@ -35,7 +35,7 @@
     void onEnded(Instant now, Host& host, const Wire::EndedTask& row, Actions& actions);
     void onFailure(Instant now, JobState& job, TaskState& task, int run, const Host& host, Actions& actions);
     void learn(Instant now, Host& host, const HostRun& run, Wire::RunEnd::type how, Actions& actions);
-    void haltMissing(Instant now, Host& host, const Wire::HostReport& report, Actions& actions);
+    void haltMissing(Host& host, const Wire::HostReport& report, Actions& actions);
     void loseRuns(Instant now, Host& host, const char* why, Actions& actions);
     void drain(Instant now, Host& host, Actions& actions);
     /// Takes the run away from its task. The task waits again if it has no other.
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-    /// Run numbers that an earlier term may have used for one task; see RunLedger.
-    constexpr int runNumbersOfATerm = 64;
     /// Runs that one pass may stop to make room for more urgent work.
     constexpr int maximumHaltsForRoom = 4;
     /// A filler is stuck at this pace or less, in percent; it moves to a host that bears it almost whole.
@@ -53,7 +51,7 @@
             placeGang(now, job, step, actions);
         else
             placeStep(now, job, step, accounted, actions);
-        if (step.waiting > 0 && roomMade < maximumHaltsForRoom && makeRoom(now, job, step, actions))
+        if (step.waiting > 0 && roomMade < maximumHaltsForRoom && makeRoom(job, step, actions))
             ++roomMade;
     }
 }
@@ -95,7 +93,7 @@
     wanted.leastPace = quietEnough;
     if (!m_placement.choose(m_state.hosts, wanted, now))
         return false;
-    m_ledger.halt(now, host, run, "moves_to_a_quieter_host", actions);
+    m_ledger.halt(host, run, "moves_to_a_quieter_host", actions);
     return true;
 }
 
@@ -188,7 +186,7 @@
     }
 }
 
-bool TaskScheduler::makeRoom(Instant now, JobState& job, StepState& step, Actions& actions)
+bool TaskScheduler::makeRoom(JobState& job, StepState& step, Actions& actions)
 {
     const Wire::StepDefinition& definition = job.stepDefinition(step);
     const int priority = job.definition().priority;
@@ -232,7 +230,7 @@
     if (!bestHost)
         return false;
     for (HostRun* run : bestRuns)
-        m_ledger.halt(now, *bestHost, *run, "room_for_more_urgent_work", actions);
+        m_ledger.halt(*bestHost, *run, "room_for_more_urgent_work", actions);
     return true;
 }
 
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -33,7 +33,7 @@
     std::vector<Candidate> collect(Instant now);
     void placeStep(Instant now, JobState& job, StepState& step, bool accounted, Actions& actions);
     void placeGang(Instant now, JobState& job, StepState& step, Actions& actions);
-    bool makeRoom(Instant now, JobState& job, StepState& step, Actions& actions);
+    bool makeRoom(JobState& job, StepState& step, Actions& actions);
     void start(Instant now, JobState& job, StepState& step, std::size_t index, int run, Host& host, Actions& actions);
     void moveStuckFillers(Instant now, Actions& actions);
     bool moveIfStuck(Instant now, Host& host, HostRun& run, Actions& actions);
--- a/Source/Decision/Process/JobEntryCore.cpp
+++ b/Source/Decision/Process/JobEntryCore.cpp
@@ -109,7 +109,7 @@
     wire.kind = call.kind;
     wire.callId = static_cast<std::int64_t>(token);
     if (!m_policy) {
-        refuse(now, token, wire, "no_configuration", actions);
+        refuse(token, wire, "no_configuration", actions);
         return;
     }
     const QueuePolicy* queue = m_policy->match(call.hostName, call.path);
@@ -171,9 +171,8 @@
     actions.push_back(AnswerJobCall { token, std::move(reply) });
 }
 
-void JobEntryCore::refuse(Instant now, CallerToken token, const Wire::JobCall& call, const char* why, Actions& actions)
+void JobEntryCore::refuse(CallerToken token, const Wire::JobCall& call, const char* why, Actions& actions)
 {
-    (void)now;
     Wire::JobReply reply;
     reply.kind = Wire::JobReplyKind::Refused;
     reply.reason = why;
@@ -290,9 +289,8 @@
     collectAnswers(now, from, actions);
 }
 
-void JobEntryCore::takePolicy(Instant now, const std::vector<StoreRecord>& records, Actions& actions)
+void JobEntryCore::takePolicy(const std::vector<StoreRecord>& records, Actions& actions)
 {
-    (void)now;
     for (const StoreRecord& record : records) {
         if (record.key != policyKey)
             continue;
@@ -327,7 +325,7 @@
 void JobEntryCore::onRead(Instant now, std::uint64_t callId, const ReadResponse& response, Actions& actions)
 {
     if (callId == m_policyCall)
-        takePolicy(now, m_policyWatch.onRead(now, response), actions);
+        takePolicy(m_policyWatch.onRead(now, response), actions);
     else
         m_ownership.onRead(now, callId, response, actions);
 }
@@ -336,7 +334,7 @@
 {
     const std::size_t from = actions.size();
     if (callId == m_policyCall)
-        takePolicy(now, m_policyWatch.onNewest(now, response), actions);
+        takePolicy(m_policyWatch.onNewest(now, response), actions);
     else
         m_ownership.onNewest(now, callId, response, actions);
     collectAnswers(now, from, actions);
@@ -348,7 +346,7 @@
     for (const std::pair<const CallerToken, Pending>& entry : m_pending) {
         const Pending& pending = entry.second;
         if (!pending.asked && now - pending.arrived >= m_timing.ownerWait) {
-            refuse(now, entry.first, pending.call, "no_owner", actions);
+            refuse(entry.first, pending.call, "no_owner", actions);
         } else if (now >= pending.answerBy) {
             Wire::JobReply reply;
             reply.kind = pending.asked ? Wire::JobReplyKind::Unknown : Wire::JobReplyKind::Refused;
--- a/Source/Decision/Process/JobEntryCore.h
+++ b/Source/Decision/Process/JobEntryCore.h
@@ -75,9 +75,9 @@
     void onHello(Instant now, LinkId link, const Wire::NodeHello& hello, Actions& actions);
     void route(Instant now, CallerToken token, Pending& pending, Actions& actions);
     void answer(CallerToken token, Wire::JobReply reply, Actions& actions);
-    void refuse(Instant now, CallerToken token, const Wire::JobCall& call, const char* why, Actions& actions);
+    void refuse(CallerToken token, const Wire::JobCall& call, const char* why, Actions& actions);
     void expire(Instant now, Actions& actions);
-    void takePolicy(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
+    void takePolicy(const std::vector<StoreRecord>& records, Actions& actions);
     void onOwnershipChange(Instant now, bool owns, Actions& actions);
     /// Answers of this process's own owner are final here.
     void collectAnswers(Instant now, std::size_t from, Actions& actions);
