Job: Take no allotment for an alarm, probe before fillers stop

Cause: plans on the grown Riga deployment took 19.5 s (half), while fillers used 0.25 to 0.3 of the processors of which half was idle. The control took the headroom that it had just allotted to one filler for a measured one and stopped the next as in an alarm; and a serving task over its target by its own load (one of five, twice the tail of its siblings) stopped everything on its host for as long as it lasted. Ruled out: processors (idle), memory, the order of work (a filler waited 68 ms on average for its host). Change: what is left of a group's headroom is kept apart from what was measured; a task over its target for 1.5 s has all fillers stopped for 1.6 s once, and is left alone when that does not help; tails that are cut off at the top no longer teach too small a pressure; a pair counts as quiet below 1.8 (measured pairs lie below 1.2 or above 4). Next: where fillers are placed.

--- a/Source/Decision/Job/HostBook.h
+++ b/Source/Decision/Job/HostBook.h
@@ -48,6 +48,10 @@
     std::int64_t usage = 0;
     /// Whether the list of a report has shown it since it was ordered.
     bool listed = false;
+    /// Since when a task that serves has been over its target; the epoch when it is not.
+    Instant overSince;
+    /// Until then it counts as over its target by its own load.
+    Instant acquittedUntil;
     /// The newest saved progress that the host has listed.
     std::string checkpoint;
 };
@@ -61,6 +65,8 @@
     double exerted = 0;
     /// Headroom that fillers take once the paces that were ordered show.
     double ordered = 0;
+    /// Headroom that may still be given to fillers; see PaceControl::adjust().
+    double left = 0;
 };
 
 /// What the results of a host say about it.
@@ -109,8 +115,8 @@
     HostHealth health;
     /// Orders to send.
     Wire::HostOrders orders;
-    /// Since when a serving task has been at its target or over it.
-    Instant alarmSince;
+    /// All fillers stand still until then, to see whether they keep a serving task over its target.
+    Instant probeUntil;
     Instant paceRaisedAt;
     /// Its serving tasks as of the newest list and the orders since; see InterferenceModel.
     std::vector<ServingGroup> servingGroups;
--- a/Source/Decision/Job/InterferenceModel.cpp
+++ b/Source/Decision/Job/InterferenceModel.cpp
@@ -21,6 +21,8 @@
     constexpr std::size_t maximumImages = 64;
     constexpr double largestHeadroom = 8;
     constexpr int fullPace = 100;
+    /// Tails are cut off at the top: below this a headroom only says that at least so much is taken.
+    constexpr double censoredHeadroom = 0.3;
 
     bool isServing(Instant now, const HostRun& run)
     {
@@ -83,12 +85,10 @@
         const HostRun& run = entry.second;
         if (!isServing(now, run))
             continue;
-        std::vector<ServingGroup>::iterator it = std::find_if(
+        const bool known = std::any_of(
             groups.begin(), groups.end(), [&run](const ServingGroup& group) { return group.image == run.image; });
-        if (it == groups.end())
-            groups.push_back(ServingGroup { run.image, headroomOf(run) });
-        else
-            it->headroom = std::min(it->headroom, headroomOf(run));
+        if (!known)
+            groups.push_back(ServingGroup { run.image, largestHeadroom });
     }
     for (ServingGroup& group : groups) {
         for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
@@ -99,6 +99,14 @@
             group.exerted += push(host, group.image, run.image, run.usage);
             group.ordered += push(host, group.image, run.image, run.demand.milliProcessors) * pace;
         }
+        for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
+            const HostRun& run = entry.second;
+            if (run.image != group.image || !isServing(now, run))
+                continue;
+            // What a stop of the fillers did not bring under its target does not hold them back.
+            if (now >= run.acquittedUntil)
+                group.headroom = std::min(group.headroom, headroomOf(run));
+        }
     }
     return groups;
 }
@@ -144,9 +152,10 @@
         for (double& value : entry.second.products)
             value *= memory;
     }
-    for (const std::pair<const std::pair<std::string, std::string>, std::vector<Sample>>& job : jobs) {
+    for (std::pair<const std::pair<std::string, std::string>, std::vector<Sample>>& job : jobs) {
         Regression& regression = m_regressions[job.first.first];
         grow(regression);
+        dropCensored(regression, job.second);
         learn(regression, job.second);
     }
     for (std::pair<const std::string, Regression>& entry : m_regressions) {
@@ -155,6 +164,20 @@
     }
 }
 
+void InterferenceModel::dropCensored(const Regression& regression, std::vector<Sample>& group)
+{
+    double largest = 0;
+    for (const Sample& sample : group)
+        largest = std::max(largest, sample.headroom);
+    const auto saysTooLittle = [&regression, largest](const Sample& sample) {
+        double expected = 0;
+        for (std::size_t n = 0; n < sample.use.size(); ++n)
+            expected += regression.pressures[n] * sample.use[n];
+        return sample.headroom < censoredHeadroom && expected > largest - sample.headroom;
+    };
+    group.erase(std::remove_if(group.begin(), group.end(), saysTooLittle), group.end());
+}
+
 void InterferenceModel::learn(Regression& regression, const std::vector<Sample>& group) const
 {
     if (group.size() < 2)
--- a/Source/Decision/Job/InterferenceModel.h
+++ b/Source/Decision/Job/InterferenceModel.h
@@ -37,6 +37,8 @@
     std::size_t indexOf(const std::string& filler);
     std::vector<double> uses(const Host& host);
     void grow(Regression& regression) const;
+    /// Removes samples whose tail cannot show all that is known to be taken.
+    static void dropCensored(const Regression& regression, std::vector<Sample>& group);
     void learn(Regression& regression, const std::vector<Sample>& group) const;
     static void solve(Regression& regression);
 
--- a/Source/Decision/Job/PaceControl.cpp
+++ b/Source/Decision/Job/PaceControl.cpp
@@ -11,8 +11,10 @@
 
     constexpr int fullPace = 100;
 
+    constexpr double largestHeadroomShown = 99;
+
     struct LoudFiller {
-        double loudness;
+        bool loud;
         HostRun* run;
     };
 
@@ -65,6 +67,50 @@
     return static_cast<int>(share * fullPace);
 }
 
+bool PaceControl::probes(Instant now, Host& host, Actions& actions) const
+{
+    const bool probing = host.probeUntil != Instant();
+    if (probing && now < host.probeUntil)
+        return true;
+    bool wanted = false;
+    for (std::pair<const RunKey, HostRun>& entry : host.runs) {
+        HostRun& run = entry.second;
+        const bool over = run.targetMilliseconds > 0 && run.listed && run.usage > run.targetMilliseconds;
+        if (!over) {
+            run.overSince = Instant();
+            continue;
+        }
+        if (run.overSince == Instant())
+            run.overSince = now;
+        if (probing)
+            run.acquittedUntil = now + m_rules.acquittal;
+        wanted = wanted || (now >= run.acquittedUntil && now - run.overSince >= m_rules.alarmPatience);
+    }
+    if (probing || wanted)
+        actions.push_back(WriteLog { LogLine("probe")
+                                         .add("host", host.hostId)
+                                         .add("outcome", probing ? "ended" : "begun")
+                                         .add("list_age_ms", toMilliseconds(now - host.clockReadAt))
+                                         .text() });
+    host.probeUntil = !probing && wanted ? now + m_rules.probe : Instant();
+    return host.probeUntil != Instant();
+}
+
+int PaceControl::allot(const Host& host, const HostRun& run, const std::vector<ServingGroup>& groups) const
+{
+    double share = 1;
+    const bool quiet = loudness(groups, run.image) < m_rules.quietPressure;
+    for (const ServingGroup& group : groups) {
+        const double push = m_model.push(host, group.image, run.image, run.demand.milliProcessors);
+        if (quiet || m_model.pressure(group.image, run.image) < m_rules.quietPressure)
+            continue;
+        if (group.left < push)
+            share = std::min(share, std::max(0.0, group.left) / push);
+    }
+    const int percent = static_cast<int>(share * fullPace);
+    return percent < m_rules.leastPace ? 0 : percent;
+}
+
 int PaceControl::adjust(Instant now, Host& host, Actions& actions) const
 {
     std::vector<ServingGroup> groups = m_model.groups(now, host);
@@ -72,44 +118,33 @@
     for (std::pair<const RunKey, HostRun>& entry : host.runs) {
         HostRun& run = entry.second;
         if (run.filler && run.phase == RunPhase::Running)
-            fillers.push_back(LoudFiller { loudness(groups, run.image), &run });
+            fillers.push_back(LoudFiller { loudness(groups, run.image) >= m_rules.quietPressure, &run });
     }
     if (fillers.empty())
         return 0;
+    // The quiet ones first, then those that began first: a plan is complete when its last task is.
     std::sort(fillers.begin(), fillers.end(), [](const LoudFiller& one, const LoudFiller& other) {
-        return one.loudness < other.loudness || (one.loudness == other.loudness && one.run->since < other.run->since);
+        return std::tie(one.loud, one.run->since) < std::tie(other.loud, other.run->since);
     });
-    double least = std::numeric_limits<double>::max();
-    for (const ServingGroup& group : groups)
+    double least = largestHeadroomShown;
+    for (ServingGroup& group : groups) {
         least = std::min(least, group.headroom);
-    if (least >= m_rules.alarmHeadroom)
-        host.alarmSince = now;
-    const bool lasting = now - host.alarmSince >= m_rules.alarmPatience;
+        const double unaided = group.headroom + group.exerted;
+        // Over the target, what was learned says too little.
+        group.left = group.headroom < m_rules.alarmHeadroom ? 0.0 : unaided - m_rules.keptHeadroom;
+    }
+    const bool probing = probes(now, host, actions);
     const bool mayRaise = now - host.paceRaisedAt >= m_rules.raiseInterval;
     bool raised = false;
     int sent = 0;
     for (const LoudFiller& filler : fillers) {
         HostRun& run = *filler.run;
-        int percent = fullPace;
-        const bool quiet = filler.loudness < m_rules.quietPressure;
-        if (lasting)
-            percent = 0;
-        for (ServingGroup& group : groups) {
-            const double push = m_model.push(host, group.image, run.image, run.demand.milliProcessors);
-            if (quiet || m_model.pressure(group.image, run.image) < m_rules.quietPressure)
-                continue;
-            const double bearable = group.headroom < m_rules.alarmHeadroom
-                ? 0.0
-                : std::max(0.0, group.headroom + group.exerted - m_rules.keptHeadroom);
-            if (bearable < push)
-                percent = std::min(percent, static_cast<int>(bearable / push * fullPace));
-        }
-        if (!quiet && percent > run.orderedPercent && run.orderedPercent >= 0)
+        int percent = probing ? 0 : allot(host, run, groups);
+        if (filler.loud && percent > run.orderedPercent && run.orderedPercent >= 0)
             percent = mayRaise ? std::min(percent, run.orderedPercent + m_rules.largestRaise) : run.orderedPercent;
         raised = raised || percent > run.orderedPercent;
         for (ServingGroup& group : groups)
-            group.headroom
-                -= m_model.push(host, group.image, run.image, run.demand.milliProcessors) * percent / fullPace;
+            group.left -= m_model.push(host, group.image, run.image, run.demand.milliProcessors) * percent / fullPace;
         sent += order(host, run, percent);
     }
     if (raised)
@@ -120,7 +155,7 @@
                                          .add("orders", sent)
                                          .add("fillers", fillers.size())
                                          .add("headroom_percent", groups.empty() ? -1 : static_cast<int>(least * 100))
-                                         .add("lasting", lasting)
+                                         .add("probing", probing)
                                          .add("list_age_ms", toMilliseconds(now - host.clockReadAt))
                                          .text() });
     return sent;
