--- a/Source/Decision/Job/HostBook.cpp
+++ b/Source/Decision/Job/HostBook.cpp
@@ -14,12 +14,6 @@
             host.committed.milliProcessors += sign * run.demand.milliProcessors;
         host.committed.memoryMegabytes += sign * run.demand.memoryMegabytes;
         host.committed.accelerators += static_cast<std::int32_t>(sign) * run.demand.accelerators;
-        if (run.targetMilliseconds <= 0)
-            return;
-        int& count = host.servingImages[run.image];
-        count += static_cast<int>(sign);
-        if (count == 0)
-            host.servingImages.erase(run.image);
     }
 
 } // namespace
--- a/Source/Decision/Job/HostBook.h
+++ b/Source/Decision/Job/HostBook.h
@@ -120,10 +120,6 @@
     Instant paceRaisedAt;
     /// Its serving tasks as of the newest list and the orders since; see InterferenceModel.
     std::vector<ServingGroup> servingGroups;
-    /// Images of the serving tasks that are here, with their number.
-    std::map<std::string, int> servingImages;
-    /// Share of the fillers' open work that would be quiet here; see Placement::refreshDemand().
-    double sought = 0;
 
     std::int64_t freeMilliCores() const { return capacity.milliProcessors - committed.milliProcessors; }
     std::int64_t freeMegabytes() const { return capacity.memoryMegabytes - committed.memoryMegabytes; }
--- a/Source/Decision/Job/InterferenceModel.cpp
+++ b/Source/Decision/Job/InterferenceModel.cpp
@@ -21,11 +21,6 @@
     constexpr std::size_t maximumImages = 64;
     constexpr double largestHeadroom = 8;
     constexpr int fullPace = 100;
-    /// Two serving images that nothing is known of count as this similar: they are rather kept apart, because a host
-    /// that few images serve on is quiet for more fillers.
-    constexpr double strangeness = -0.5;
-    /// Squares of pressures that outweigh it: one noisy filler in common.
-    constexpr double evidenceToKnow = 25;
     /// Tails are cut off at the top: below this a headroom only says that at least so much is taken.
     constexpr double censoredHeadroom = 0.3;
 
@@ -83,28 +78,6 @@
     return pressure(serving, filler) * static_cast<double>(milliCores) / capacityOf(host);
 }
 
-double InterferenceModel::similarity(const std::string& one, const std::string& other) const
-{
-    if (one == other)
-        return 1;
-    double product = strangeness * evidenceToKnow;
-    double leftSquare = 0;
-    double rightSquare = 0;
-    std::map<std::string, Regression>::const_iterator first = m_regressions.find(one);
-    std::map<std::string, Regression>::const_iterator second = m_regressions.find(other);
-    if (first != m_regressions.end() && second != m_regressions.end()) {
-        const std::vector<double>& left = first->second.pressures;
-        const std::vector<double>& right = second->second.pressures;
-        for (std::size_t n = 0; n < std::min(left.size(), right.size()); ++n) {
-            // What nothing is known of stands at the prior and says nothing.
-            product += (left[n] - priorPressure) * (right[n] - priorPressure);
-            leftSquare += (left[n] - priorPressure) * (left[n] - priorPressure);
-            rightSquare += (right[n] - priorPressure) * (right[n] - priorPressure);
-        }
-    }
-    return product / (std::sqrt(leftSquare * rightSquare) + evidenceToKnow);
-}
-
 std::vector<ServingGroup> InterferenceModel::groups(Instant now, const Host& host) const
 {
     std::vector<ServingGroup> groups;
--- a/Source/Decision/Job/InterferenceModel.h
+++ b/Source/Decision/Job/InterferenceModel.h
@@ -19,8 +19,6 @@
     double pressure(const std::string& serving, const std::string& filler) const;
     /// Headroom that a filler at full pace takes from serving tasks of an image on the host.
     double push(const Host& host, const std::string& serving, const std::string& filler, std::int64_t milliCores) const;
-    /// How alike two serving images suffer from the same fillers: 1 for alike, below 0 for unknown, -1 for opposite.
-    double similarity(const std::string& one, const std::string& other) const;
     /// The serving tasks of a host that are at work, by image.
     std::vector<ServingGroup> groups(Instant now, const Host& host) const;
 
--- a/Source/Decision/Job/PaceControl.cpp
+++ b/Source/Decision/Job/PaceControl.cpp
@@ -43,25 +43,6 @@
     return most;
 }
 
-bool PaceControl::isQuiet(const Host& host, const std::string& image) const
-{
-    return std::all_of(host.servingImages.begin(), host.servingImages.end(),
-        [this, &image](const std::pair<const std::string, int>& serving) {
-            return m_model.pressure(serving.first, image) < m_rules.quietPressure;
-        });
-}
-
-double PaceControl::company(const Host& host, const std::string& image) const
-{
-    double sum = 0;
-    int count = 0;
-    for (const std::pair<const std::string, int>& serving : host.servingImages) {
-        sum += serving.second * m_model.similarity(serving.first, image);
-        count += serving.second;
-    }
-    return count == 0 ? 0 : sum / count;
-}
-
 void PaceControl::addOrdered(Host& host, const HostRun& run) const
 {
     for (ServingGroup& group : host.servingGroups)
--- a/Source/Decision/Job/PaceControl.h
+++ b/Source/Decision/Job/PaceControl.h
@@ -50,10 +50,6 @@
     int adjust(Instant now, Host& host, Actions& actions) const;
     /// The pace in percent at which a filler could run on the host beside what is ordered there.
     int bearablePace(const Host& host, const std::string& image, std::int64_t milliCores) const;
-    /// Whether a filler of the image disturbs nothing that serves on the host, also what has just begun there.
-    bool isQuiet(const Host& host, const std::string& image) const;
-    /// How alike the serving tasks of a host and a serving image suffer from fillers; -1 to 1, 0 without any.
-    double company(const Host& host, const std::string& image) const;
     /// Takes the newest list of a host in; adjust() comes first.
     void refresh(Instant now, Host& host) const { host.servingGroups = m_model.groups(now, host); }
     /// Counts a filler that is being ordered to the host.
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -56,12 +56,9 @@
         const double reserve = m_rules.memoryReserve * static_cast<double>(host.capacity.memoryMegabytes);
         if (static_cast<double>(free.memoryMegabytes - step.demand.memoryMegabytes) < reserve)
             return false;
-        // Where it disturbs nobody, a filler with some of its processors is better off than one that stands still.
-        const bool quiet = m_paces.isQuiet(host, step.image);
-        const double share = quiet ? m_rules.leastIdleShare : 1.0;
-        if (static_cast<double>(idleMilliCores(host)) < share * static_cast<double>(step.demand.milliProcessors))
+        if (idleMilliCores(host) < step.demand.milliProcessors)
             return false;
-        if (!quiet && m_paces.bearablePace(host, step.image, step.demand.milliProcessors) < request.leastPace)
+        if (m_paces.bearablePace(host, step.image, step.demand.milliProcessors) < request.leastPace)
             return false;
     }
     for (const RunPlace& place : request.taken) {
@@ -72,17 +69,20 @@
         || HostBook::runsOfStep(host, request.job.jobId, request.occurrence, request.step) < step.maximumPerHost;
 }
 
-void Placement::refreshDemand(HostBook& hosts, const std::map<std::string, std::int64_t>& openWork) const
+double Placement::company(const Host& host, const std::string& image)
 {
-    double all = 0;
-    for (const std::pair<const std::string, std::int64_t>& image : openWork)
-        all += static_cast<double>(image.second);
-    for (std::pair<const std::string, Host>& entry : hosts.hosts()) {
-        double quiet = 0;
-        for (const std::pair<const std::string, std::int64_t>& image : openWork)
-            quiet += m_paces.isQuiet(entry.second, image.first) ? static_cast<double>(image.second) : 0.0;
-        entry.second.sought = all > 0 ? quiet / all : 0;
+    int same = 0;
+    int others = 0;
+    for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
+        const HostRun& run = entry.second;
+        if (run.targetMilliseconds <= 0)
+            continue;
+        if (run.image == image)
+            ++same;
+        else
+            ++others;
     }
+    return same + others == 0 ? 0 : static_cast<double>(same - others) / (same + others);
 }
 
 double Placement::score(const Host& host, const PlacementRequest& request) const
@@ -94,17 +94,14 @@
         / static_cast<double>(std::max<std::int64_t>(1, host.capacity.memoryMegabytes));
     const double free = static_cast<double>(host.freeMilliCores()) / capacity;
     double value = step.filler ? idle + 0.3 * memory : free + 0.3 * memory;
-    // Tasks that serve are packed by what disturbs them: the more alike they are, the fewer fillers are noisy there.
+    // Tasks that serve are packed by image: the fewer images serve on a host, the fewer fillers are noisy there.
     if (step.targetMilliseconds > 0)
-        value = 2 * m_paces.company(host, step.image) - free;
+        value = 2 * company(host, step.image) - free;
     // Data on another rack makes the work take longer by more than any difference in load.
     if (!step.dataRack.empty() && host.rack != step.dataRack)
         value -= 2;
-    if (step.filler) {
-        const double bearable = m_paces.bearablePace(host, step.image, step.demand.milliProcessors) / 100.0;
-        value += m_paces.isQuiet(host, step.image) ? m_rules.quietWeight : m_rules.quietWeight * (bearable - 1);
-        value -= m_rules.soughtWeight * host.sought;
-    }
+    if (step.filler)
+        value += 2 * (m_paces.bearablePace(host, step.image, step.demand.milliProcessors) / 100.0 - 1);
     return value / host.health.slowness;
 }
 
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -1,7 +1,5 @@
-/// Chooses the host of a task. Answers the patterns "uneven hosts under mixed load": work with its own processors is
-/// spread by what is left, fillers go where the processors are idle, and hosts that fail or crawl are passed over; and
-/// "fillers of several kinds in one flood": each goes where it disturbs nobody, and of these hosts to the one that the
-/// other fillers seek least.
+/// Chooses the host of a task. Answers the pattern "uneven hosts under mixed load": work with its own processors is
+/// spread by what is left, fillers go where the processors are idle, and hosts that fail or crawl are passed over.
 #pragma once
 
 #include "Decision/Job/HostBook.h"
@@ -17,15 +15,9 @@
     /// Work that drains with its host needs this much more time than its estimate.
     Duration drainMargin = milliseconds(500);
     /// Share of a serving task's processors that it uses on average; fillers get the rest.
-    double servingLoad = 0.5;
-    /// Share of a quiet filler's processors that must be idle on its host.
-    double leastIdleShare = 0.3;
+    double servingLoad = 0.6;
     /// Memory kept free of fillers, so that urgent work finds room at once: share of the host.
     double memoryReserve = 0.08;
-    /// Weights against the share of idle processors, which is between 0 and 1: a host where a filler is quiet goes
-    /// before any other, and among these the one that is sought least.
-    double quietWeight = 2;
-    double soughtWeight = 1;
 };
 
 /// A task that looks for a host.
@@ -39,7 +31,7 @@
     /// Only hosts of this rack, when not empty.
     std::string rack;
     /// A filler needs a host that can bear it at this pace, in percent, or better.
-    int leastPace = 60;
+    int leastPace = 30;
 };
 
 /// The pure choice. Used by JobOwner.
@@ -57,12 +49,11 @@
     static bool couldEverFit(const HostBook& hosts, const std::string& service, const Wire::StepDefinition& step);
     /// Processors of the host that nobody uses, by estimate.
     std::int64_t idleMilliCores(const Host& host) const;
-    /// Notes on each host how much of the fillers' open work, given in thousandths of a core by image, seeks it.
-    void refreshDemand(HostBook& hosts, const std::map<std::string, std::int64_t>& openWork) const;
 
 private:
     bool isEligible(const Host& host, const PlacementRequest& request, Instant now) const;
     double score(const Host& host, const PlacementRequest& request) const;
+    static double company(const Host& host, const std::string& image);
 
     PlacementRules m_rules;
     const PaceControl& m_paces;
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -17,8 +17,6 @@
     constexpr Duration leastStay = milliseconds(1200);
     constexpr Duration moveInterval = milliseconds(300);
     constexpr int maximumMoves = 3;
-    /// The mix of open work changes with each job that comes or ends: a few times a second.
-    constexpr Duration demandInterval = milliseconds(250);
 
 } // namespace
 
@@ -43,7 +41,6 @@
 {
     const bool accounted = m_state.hostsAccounted(now);
     moveStuckFillers(now, actions);
-    refreshDemand(now);
     int roomMade = 0;
     for (const Candidate& candidate : collect(now)) {
         JobState& job = *candidate.job;
@@ -59,23 +56,6 @@
     }
 }
 
-void TaskScheduler::refreshDemand(Instant now)
-{
-    if (now - m_demandAt < demandInterval)
-        return;
-    m_demandAt = now;
-    std::map<std::string, std::int64_t> openWork;
-    for (const std::pair<const std::string, JobState*>& entry : m_state.openJobs) {
-        for (const StepState& step : entry.second->steps()) {
-            const Wire::StepDefinition& definition = entry.second->stepDefinition(step);
-            const std::int64_t tasks = static_cast<std::int64_t>(step.tasks.size()) - step.completed;
-            if (step.open && definition.filler)
-                openWork[definition.image] += tasks * definition.demand.milliProcessors;
-        }
-    }
-    m_placement.refreshDemand(m_state.hosts, openWork);
-}
-
 void TaskScheduler::moveStuckFillers(Instant now, Actions& actions)
 {
     if (now - m_lastMoves < moveInterval)
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -35,7 +35,6 @@
     void placeGang(Instant now, JobState& job, StepState& step, Actions& actions);
     bool makeRoom(JobState& job, StepState& step, Actions& actions);
     void start(Instant now, JobState& job, StepState& step, std::size_t index, int run, Host& host, Actions& actions);
-    void refreshDemand(Instant now);
     void moveStuckFillers(Instant now, Actions& actions);
     bool moveIfStuck(Instant now, Host& host, HostRun& run, Actions& actions);
     int nextRun(const JobState& job, const TaskState& task) const;
@@ -46,7 +45,6 @@
     const PaceControl& m_paces;
     Placement m_placement;
     Instant m_lastMoves;
-    Instant m_demandAt;
 };
 
 } // namespace Plantainpier
--- a/Tests/Unit/PaceControlTest.cpp
+++ b/Tests/Unit/PaceControlTest.cpp
@@ -17,9 +17,6 @@
     CPPUNIT_TEST(learnsNothingTooSmallFromCensoredTails);
     CPPUNIT_TEST(raisesSlowly);
     CPPUNIT_TEST(packsServingTasksByImage);
-    CPPUNIT_TEST(packsServingTasksThatSufferAlike);
-    CPPUNIT_TEST(sendsAFloodOfTwoKindsWhereEachIsQuiet);
-    CPPUNIT_TEST(givesAQuietFillerSomeProcessorsRatherThanALoudHost);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr double truePressure = 8;
@@ -63,7 +60,7 @@
         return host;
     }
 
-    /// Three hosts with tasks of two serving images and fillers of two images; "loud" pushes "desk" and "till" only.
+    /// Three hosts with tasks of two serving images and fillers of two images; "loud" pushes "desk" only.
     struct World {
         World()
             : control(PaceRules {}, model)
@@ -95,8 +92,7 @@
                 for (std::pair<const RunKey, HostRun>& run : host.runs) {
                     if (run.second.targetMilliseconds == 0)
                         continue;
-                    const bool pushed = run.second.image == "desk" || run.second.image == "till";
-                    const double headroom = pushed ? 2.0 - truePressure * loud : 2.0;
+                    const double headroom = run.second.image == "desk" ? 2.0 - truePressure * loud : 2.0;
                     run.second.usage = static_cast<std::int64_t>(150 / std::max(0.2, headroom));
                 }
             }
@@ -275,81 +271,5 @@
         CPPUNIT_ASSERT(host);
         CPPUNIT_ASSERT_EQUAL(std::string("host-2"), host->hostId);
     }
-
-    /// A step of one filler task.
-    static Wire::StepDefinition fillerStep(const std::string& image, std::int64_t milliProcessors)
-    {
-        Wire::StepDefinition step = makeStep(1, milliProcessors, 100);
-        step.filler = true;
-        step.image = image;
-        return step;
-    }
-
-    static std::string chosen(World& world, const Wire::StepDefinition& step, Instant now)
-    {
-        const Placement placement(PlacementRules {}, world.control);
-        const Wire::JobDefinition job = makeJob("0000000000000009", { step });
-        const std::vector<RunPlace> none;
-        const Host* host = placement.choose(world.hosts, PlacementRequest { job, step, 0, 0, none, {} }, now);
-        return host ? host->hostId : std::string();
-    }
-
-    void packsServingTasksThatSufferAlike()
-    {
-        World world;
-        // A third serving image that "loud" pushes as it pushes "desk".
-        for (int n = 0; n < 3; ++n)
-            HostBook::addRun(world.hosts.hosts()["host-" + std::to_string(n)], serving("000000000000000a", n, "till"));
-        for (int now = 3000; now < 10'000; now += 500)
-            world.list(now);
-        const double alike = world.model.similarity("desk", "till");
-        CPPUNIT_ASSERT(alike > world.model.similarity("desk", "board"));
-        CPPUNIT_ASSERT_MESSAGE("nothing is known of it", world.model.similarity("desk", "never-seen") < 0);
-        CPPUNIT_ASSERT_EQUAL(1.0, world.model.similarity("desk", "desk"));
-    }
-
-    void sendsAFloodOfTwoKindsWhereEachIsQuiet()
-    {
-        World world;
-        for (int now = 3000; now < 10'000; now += 500)
-            world.list(now);
-        // One host with serving tasks that "loud" pushes, one with others; both with the same processors left.
-        world.hosts.hosts().erase("host-2");
-        Host& pushed = world.hosts.hosts()["host-0"];
-        Host& other = world.hosts.hosts()["host-1"];
-        for (Host* host : { &pushed, &other }) {
-            while (!host->runs.empty())
-                HostBook::removeRun(*host, host->runs.begin()->first);
-            host->heardAt = at(10'000);
-        }
-        HostBook::addRun(pushed, serving("0000000000000001", 0, "desk"));
-        HostBook::addRun(other, serving("0000000000000002", 0, "board"));
-        const Placement placement(PlacementRules {}, world.control);
-        placement.refreshDemand(world.hosts, { { "loud", 8000 }, { "quiet", 8000 } });
-        CPPUNIT_ASSERT_EQUAL(std::string("host-1"), chosen(world, fillerStep("loud", 1000), at(10'000)));
-        CPPUNIT_ASSERT_EQUAL_MESSAGE("it leaves the host that the loud ones need", std::string("host-0"),
-            chosen(world, fillerStep("quiet", 1000), at(10'000)));
-    }
-
-    void givesAQuietFillerSomeProcessorsRatherThanALoudHost()
-    {
-        World world;
-        for (int now = 3000; now < 10'000; now += 500)
-            world.list(now);
-        Host& pushed = world.hosts.hosts()["host-0"];
-        Host& other = world.hosts.hosts()["host-1"];
-        world.hosts.hosts().erase("host-2");
-        for (Host* host : { &pushed, &other }) {
-            while (!host->runs.empty())
-                HostBook::removeRun(*host, host->runs.begin()->first);
-            host->heardAt = at(10'000);
-        }
-        HostBook::addRun(pushed, serving("0000000000000001", 0, "desk"));
-        HostBook::addRun(other, serving("0000000000000002", 0, "board"));
-        // 10 cores less half of 2 for the serving task and 8 for fillers leave 1 of the 2 that the next one asks for.
-        for (int n = 0; n < 8; ++n)
-            HostBook::addRun(other, filler("0000000000000008", n, "quiet"));
-        CPPUNIT_ASSERT_EQUAL(std::string("host-1"), chosen(world, fillerStep("loud", 2000), at(10'000)));
-    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PaceControlTest);
