Tests: A soak of the real programs under faults from outside

Change: plantainpier-soak: a store, hosts and clients in the platform's formats, relays before the store and the hosts that delay, reset, silence and cut one way, signals that stop, freeze, kill and restart, in series and overlapping, by seed. What hosts and clients see is held against the promises (LIMIT, TWICE, ORDER, BUDGET, UNASKED, REFUSED, MIXED, LOST). Ruled out: two kinds of alarm were the stand-ins' own and were traced before the check was changed.

--- a/Tests/Process/Relay.cpp
+++ b/Tests/Process/Relay.cpp
@@ -64,10 +64,10 @@
         ::setsockopt(connection->target, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         if (::connect(connection->target, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
             connection->closed = true;
-        connection->forward = std::thread([connection] {
+        connection->forward = std::thread([this, connection] {
             pump(*connection, connection->caller, connection->target, connection->silentTowardsTarget);
         });
-        connection->backward = std::thread([connection] {
+        connection->backward = std::thread([this, connection] {
             pump(*connection, connection->target, connection->caller, connection->silentTowardsCaller);
         });
         std::lock_guard<std::mutex> lock(m_mutex);
@@ -75,7 +75,7 @@
     }
 }
 
-void Relay::pump(Connection& connection, int from, int to, const std::atomic<bool>& silent)
+void Relay::pump(Connection& connection, int from, int to, const std::atomic<bool>& silent) const
 {
     char buf[65536];
     while (!connection.closed) {
@@ -84,6 +84,8 @@
         const ssize_t n = ::recv(from, buf, sizeof buf, 0);
         if (n <= 0)
             break;
+        if (m_delayMilliseconds > 0)
+            std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMilliseconds));
         for (ssize_t sent = 0; sent < n && !silent;) {
             const ssize_t written = ::send(to, buf + sent, static_cast<std::size_t>(n - sent), MSG_NOSIGNAL);
             if (written <= 0)
@@ -98,6 +100,17 @@
     }
 }
 
+void Relay::resetExisting()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    for (const std::shared_ptr<Connection>& connection : m_connections) {
+        if (connection->closed.exchange(true))
+            continue;
+        ::shutdown(connection->caller, SHUT_RDWR);
+        ::shutdown(connection->target, SHUT_RDWR);
+    }
+}
+
 void Relay::silenceExisting(bool towardsTarget, bool towardsCaller)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
--- a/Tests/Process/Relay.h
+++ b/Tests/Process/Relay.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -19,6 +20,10 @@
 
     /// Connections that exist now carry nothing any more, in the directions given, and stay open. New ones work.
     void silenceExisting(bool towardsTarget, bool towardsCaller);
+    /// Connections that exist now are reset; new ones work.
+    void resetExisting();
+    /// Bytes of all connections are passed on this much later.
+    void setDelay(std::chrono::milliseconds delay) { m_delayMilliseconds = delay.count(); }
 
 private:
     struct Connection {
@@ -32,11 +37,12 @@
     };
 
     void accept();
-    static void pump(Connection& connection, int from, int to, const std::atomic<bool>& silent);
+    void pump(Connection& connection, int from, int to, const std::atomic<bool>& silent) const;
 
     int m_listener = -1;
     int m_targetPort;
     std::atomic<bool> m_stopping { false };
+    std::atomic<long> m_delayMilliseconds { 0 };
     std::mutex m_mutex;
     std::vector<std::shared_ptr<Connection>> m_connections;
     std::thread m_acceptor;
--- /dev/null
+++ b/Tests/Soak/StoreStandIn.cpp
@@ -0,0 +1,277 @@
+#include "Soak/StoreStandIn.h"
+
+#include <sodium.h>
+
+namespace Plantainpier {
+
+namespace {
+
+    using Guard = std::lock_guard<std::mutex>;
+    using SteadyClock = std::chrono::steady_clock;
+
+    constexpr int serverThreads = 4;
+    constexpr std::chrono::milliseconds tendInterval(5);
+    constexpr std::size_t rememberedAnswers = 5;
+    constexpr std::size_t newestPage = 500;
+
+    std::int64_t integerOf(const std::string& query, const std::string& key, std::int64_t otherwise)
+    {
+        const std::string text = queryValue(query, key);
+        return text.empty() ? otherwise : std::stoll(text);
+    }
+
+    std::uint64_t numberAt(const std::string& bytes, std::size_t at, std::size_t size)
+    {
+        std::uint64_t number = 0;
+        for (std::size_t n = 0; n < size; ++n)
+            number = number << 8 | static_cast<unsigned char>(bytes[at + n]);
+        return number;
+    }
+
+    void addNumber(std::string& bytes, std::uint64_t number, int size)
+    {
+        for (int shift = (size - 1) * 8; shift >= 0; shift -= 8)
+            bytes += static_cast<char>((number >> shift) & 0xff);
+    }
+
+    std::string encodeBase64(const std::string& bytes)
+    {
+        std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+        sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+            sodium_base64_VARIANT_ORIGINAL);
+        text.resize(text.size() - 1);
+        return text;
+    }
+
+} // namespace
+
+StoreStandIn::StoreStandIn(unsigned seed)
+    : m_random(seed)
+{
+    m_tender = std::thread([this] { tend(); });
+}
+
+Result<std::unique_ptr<StoreStandIn>> StoreStandIn::create(int port, unsigned seed)
+{
+    std::unique_ptr<StoreStandIn> store(new StoreStandIn(seed));
+    Result<std::unique_ptr<HttpServer>> server = HttpServer::create("127.0.0.1", port, serverThreads,
+        [raw = store.get()](const std::shared_ptr<HttpCall>& call) { raw->onCall(call); });
+    if (!isOk(server))
+        return errorOf(server);
+    store->m_server = takeValue(std::move(server));
+    return store;
+}
+
+StoreStandIn::~StoreStandIn()
+{
+    {
+        const Guard guard(m_mutex);
+        m_stopping = true;
+        m_changed.notify_all();
+    }
+    m_tender.join();
+    if (m_server)
+        m_server->stop();
+}
+
+void StoreStandIn::setMood(StoreMood mood)
+{
+    const Guard guard(m_mutex);
+    m_mood = mood;
+}
+
+void StoreStandIn::compact()
+{
+    const Guard guard(m_mutex);
+    for (std::pair<const std::string, Topic>& entry : m_topics) {
+        entry.second.first = entry.second.end();
+        entry.second.records.clear();
+    }
+    m_waiting.clear();
+}
+
+void StoreStandIn::put(const std::string& topic, const std::string& key, const std::string& value)
+{
+    std::string body;
+    addNumber(body, 1 + key.size() + value.size(), 4);
+    addNumber(body, key.size(), 1);
+    const Guard guard(m_mutex);
+    addRecords(m_topics[topic], body + key + value);
+    wake();
+}
+
+void StoreStandIn::onCall(const std::shared_ptr<HttpCall>& call)
+{
+    const Guard guard(m_mutex);
+    if (m_mood == StoreMood::Silent)
+        return;
+    if (m_mood == StoreMood::Busy) {
+        call->reply(503, "{}");
+        return;
+    }
+    if (call->path == "/plantainpier/log-append") {
+        onAppend(call);
+    } else if (call->path == "/plantainpier/log-read") {
+        onRead(call);
+    } else if (call->path == "/plantainpier/log-newest") {
+        const Answer answer = newest(call->query);
+        call->reply(answer.status, answer.body);
+    } else {
+        call->reply(404, "{}");
+    }
+}
+
+void StoreStandIn::onAppend(const std::shared_ptr<HttpCall>& call)
+{
+    const unsigned draw = m_random() % 100;
+    if (m_mood == StoreMood::LosesAnswers && draw < 30) {
+        // Half of what is lost is carried out at once, half of it seconds later, if its condition still holds then.
+        if (draw < 15)
+            append(call->query, call->body);
+        else
+            m_delayed.push_back(Delayed {
+                call->query, call->body, SteadyClock::now() + std::chrono::milliseconds(500 + m_random() % 2500) });
+        return;
+    }
+    const Answer answer = append(call->query, call->body);
+    call->reply(answer.status, answer.body);
+}
+
+StoreStandIn::Answer StoreStandIn::conflict(const char* reason)
+{
+    return Answer { 409, Json { { "reason", reason } }.dump() };
+}
+
+StoreStandIn::Answer StoreStandIn::append(const std::string& query, const std::string& body)
+{
+    Topic& topic = m_topics[queryValue(query, "topic")];
+    const std::string name = queryValue(query, "producer");
+    const std::int64_t epoch = integerOf(query, "epoch", -1);
+    const std::int64_t number = integerOf(query, "seq", 0);
+    Producer* producer = name.empty() ? nullptr : &topic.producers[name];
+    if (producer) {
+        if (epoch < producer->epoch)
+            return conflict("fenced");
+        if (epoch > producer->epoch) {
+            producer->epoch = epoch;
+            producer->number.reset();
+            producer->answers.clear();
+        }
+        if (body.empty())
+            return Answer { 200, Json { { "offset", topic.end() }, { "end", topic.end() } }.dump() };
+        std::map<std::int64_t, Answer>::const_iterator it = producer->answers.find(number);
+        if (it != producer->answers.end())
+            return it->second;
+        if (producer->number && number != *producer->number + 1)
+            return conflict("seq");
+    }
+    const std::int64_t expected = integerOf(query, "at", -1);
+    if (expected >= 0 && expected != topic.end())
+        return Answer { 412, Json { { "end", topic.end() } }.dump() };
+    const std::int64_t offset = topic.end();
+    addRecords(topic, body);
+    const Answer answer { 200, Json { { "offset", offset }, { "end", topic.end() } }.dump() };
+    if (producer) {
+        producer->number = number;
+        producer->answers[number] = answer;
+        if (producer->answers.size() > rememberedAnswers)
+            producer->answers.erase(producer->answers.begin());
+    }
+    wake();
+    return answer;
+}
+
+void StoreStandIn::addRecords(Topic& topic, const std::string& body)
+{
+    for (std::size_t at = 0; at + 4 < body.size();) {
+        const std::size_t length = numberAt(body, at, 4);
+        at += 4;
+        const std::size_t keyLength = static_cast<unsigned char>(body[at]);
+        Record record { body.substr(at + 1, keyLength), body.substr(at + 1 + keyLength, length - 1 - keyLength) };
+        at += length;
+        if (record.value.empty())
+            topic.newest.erase(record.key);
+        else
+            topic.newest[record.key] = { record.value, topic.end() };
+        topic.records.push_back(std::move(record));
+    }
+}
+
+void StoreStandIn::onRead(const std::shared_ptr<HttpCall>& call)
+{
+    Waiting waiting { call, queryValue(call->query, "topic"), integerOf(call->query, "from", 0), {} };
+    waiting.until = SteadyClock::now() + std::chrono::milliseconds(integerOf(call->query, "wait_ms", 0));
+    const Topic& topic = m_topics[waiting.topic];
+    if (waiting.from < topic.first) {
+        call->reply(410, Json { { "first", topic.first } }.dump());
+        return;
+    }
+    m_waiting.push_back(std::move(waiting));
+    wake();
+}
+
+void StoreStandIn::answerRead(const Waiting& waiting)
+{
+    const Topic& topic = m_topics[waiting.topic];
+    std::string body;
+    addNumber(body, static_cast<std::uint64_t>(topic.end()), 8);
+    addNumber(body, static_cast<std::uint64_t>(topic.first), 8);
+    for (std::int64_t offset = std::max(waiting.from, topic.first); offset < topic.end(); ++offset) {
+        const Record& record = topic.records[static_cast<std::size_t>(offset - topic.first)];
+        addNumber(body, 1 + record.key.size() + record.value.size(), 4);
+        addNumber(body, record.key.size(), 1);
+        body += record.key + record.value;
+    }
+    waiting.call->reply(200, body);
+}
+
+void StoreStandIn::wake()
+{
+    std::vector<Waiting> still;
+    for (Waiting& waiting : m_waiting) {
+        if (waiting.from < m_topics[waiting.topic].end() || SteadyClock::now() >= waiting.until)
+            answerRead(waiting);
+        else
+            still.push_back(std::move(waiting));
+    }
+    m_waiting = std::move(still);
+}
+
+StoreStandIn::Answer StoreStandIn::newest(const std::string& query)
+{
+    const Topic& topic = m_topics[queryValue(query, "topic")];
+    // Keys of the system are escaped by it where they hold a slash.
+    std::string after = queryValue(query, "after");
+    for (std::size_t at = after.find("%2F"); at != std::string::npos; at = after.find("%2F", at))
+        after.replace(at, 3, "/");
+    Json items = Json::array();
+    std::map<std::string, std::pair<std::string, std::int64_t>>::const_iterator it = topic.newest.upper_bound(after);
+    for (; it != topic.newest.end() && items.size() < newestPage; ++it)
+        items.push_back(
+            { { "key", it->first }, { "value", encodeBase64(it->second.first) }, { "offset", it->second.second } });
+    return Answer { 200,
+        Json { { "items", items }, { "more", it != topic.newest.end() }, { "end", topic.end() } }.dump() };
+}
+
+void StoreStandIn::tend()
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (!m_stopping) {
+        m_changed.wait_for(lock, tendInterval);
+        const SteadyClock::time_point now = SteadyClock::now();
+        std::vector<Delayed> due;
+        for (std::vector<Delayed>::iterator it = m_delayed.begin(); it != m_delayed.end();) {
+            if (it->at > now) {
+                ++it;
+                continue;
+            }
+            due.push_back(std::move(*it));
+            it = m_delayed.erase(it);
+        }
+        for (const Delayed& late : due)
+            append(late.query, late.body);
+        wake();
+    }
+}
+
+} // namespace Plantainpier
