Process: End in time when nobody reads the log

Cause: a daemon whose standard output is a pipe that nobody reads wrote its last lines forever and never ended after SIGTERM (NodeLogTest.aFullPipeHoldsNothingUp: exit awaited for 10 s, none); its calls were answered all the while. Ruled out: the decision thread (2,500 announcements were answered with the pipe full), a closed pipe (ended in time). A test holds the table of events against the code; it failed first on `probe`, and `append_failed` and `owner_link_silent` were missing too.

--- /dev/null
+++ b/Tests/Process/NodeLogTest.cpp
@@ -0,0 +1,114 @@
+/// The log of plantainpier-node never holds the process up: a reader that stands still, and one that has gone.
+#include "Base/Json.h"
+#include "Process/ChildProcess.h"
+#include "Shell/Connection/HttpClient.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sys/stat.h>
+#include <unistd.h>
+
+using namespace Plantainpier;
+
+class NodeLogTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(NodeLogTest);
+    CPPUNIT_TEST(aFullPipeHoldsNothingUp);
+    CPPUNIT_TEST(aClosedPipeEndsNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr int announcePort = 20'411;
+    static constexpr int peerPort = 20'412;
+    /// Nothing listens there.
+    static constexpr int closedPort = 20'413;
+    /// Each announcement writes a line of about 150 bytes; a pipe holds 64 KB and the process keeps 1,024 lines.
+    static constexpr int announcements = 2500;
+    static constexpr std::chrono::seconds stopLimit { 10 };
+
+    /// A side whose log goes into a pipe that nobody reads.
+    struct Side {
+        Side()
+            : folder(std::filesystem::temp_directory_path() / ("plantainpier-log-" + std::to_string(::getpid())))
+        {
+            std::filesystem::create_directories(folder);
+            const std::string pipe = folder / "log";
+            ::mkfifo(pipe.c_str(), 0600);
+            reader = ::open(pipe.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+            const std::string settings = folder / "side.json";
+            const std::string closed = "127.0.0.1:" + std::to_string(closedPort);
+            std::ofstream(settings) << Json { { "id", "side-1" }, { "zone", "zone-a" }, { "address", "127.0.0.1" },
+                { "peer_port", peerPort }, { "store_address", closed }, { "host_address", closed },
+                { "announce_address", "127.0.0.1:" + std::to_string(announcePort) } };
+            process = std::make_unique<ChildProcess>(
+                std::vector<std::string> { NODE_PROGRAM, "side", "--settings", settings }, pipe);
+            Result<std::shared_ptr<HttpClient>> created = HttpClient::create();
+            CPPUNIT_ASSERT(isOk(created));
+            http = takeValue(std::move(created));
+        }
+
+        ~Side()
+        {
+            process.reset();
+            closeReader();
+            std::filesystem::remove_all(folder);
+        }
+
+        void closeReader()
+        {
+            if (reader >= 0)
+                ::close(reader);
+            reader = -1;
+        }
+
+        /// Status of one announcement; 0 without an answer.
+        int announce()
+        {
+            ++sequence;
+            HttpRequest request;
+            request.method = "PUT";
+            request.address = "127.0.0.1";
+            request.port = announcePort;
+            request.path = "/plantainpier/instances/host-1";
+            request.timeout = seconds(1);
+            // The state changes each time, which the log tells each time.
+            request.body = Json {
+                { "service", "desk" }, { "state", sequence % 2 == 0 ? "ready" : "draining" }, { "seq", sequence },
+                { "born", 1 }, { "capacity", { { "cpu", 1000 }, { "mem_mb", 1000 } } }
+            }.dump();
+            return http->fetch(std::move(request)).status;
+        }
+
+        void awaitStart()
+        {
+            for (int n = 0; n < 100 && announce() != 200; ++n)
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+
+        std::filesystem::path folder;
+        int reader = -1;
+        int sequence = 0;
+        std::unique_ptr<ChildProcess> process;
+        std::shared_ptr<HttpClient> http;
+    };
+
+    void aFullPipeHoldsNothingUp()
+    {
+        Side side;
+        side.awaitStart();
+        for (int n = 0; n < announcements; ++n)
+            CPPUNIT_ASSERT_EQUAL(200, side.announce());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("it ends although nobody reads what it wrote", 0, side.process->stop(stopLimit));
+    }
+
+    void aClosedPipeEndsNothing()
+    {
+        Side side;
+        side.awaitStart();
+        side.closeReader();
+        for (int n = 0; n < announcements; ++n)
+            CPPUNIT_ASSERT_EQUAL(200, side.announce());
+        CPPUNIT_ASSERT_EQUAL(0, side.process->stop(stopLimit));
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeLogTest);
--- a/Tests/Soak/HostStandIn.cpp
+++ b/Tests/Soak/HostStandIn.cpp
@@ -170,7 +170,7 @@
     if (until <= clockMilliseconds(now))
         return refuse("late");
     m_leaseUntil = std::max(m_leaseUntil, until);
-    const Answer done { 200, Json { { "clock_ms", clockMilliseconds(now) }, { "born", m_born } } };
+    Answer done { 200, Json { { "clock_ms", clockMilliseconds(now) }, { "born", m_born } } };
     std::map<SoakTask, Run>::const_iterator it = m_runs.find(task);
     if (it != m_runs.end() && it->second.run == number)
         return done;
--- a/Tests/Unit/DocumentationTest.cpp
+++ b/Tests/Unit/DocumentationTest.cpp
@@ -4,7 +4,9 @@
 #include "Shell/Process/Settings.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <filesystem>
 #include <fstream>
+#include <regex>
 #include <sstream>
 
 using namespace Plantainpier;
@@ -14,6 +16,7 @@
     CPPUNIT_TEST(theErrorPageIsTheTable);
     CPPUNIT_TEST(everySettingHasAPage);
     CPPUNIT_TEST(everyRuleAndCommandHasAPage);
+    CPPUNIT_TEST(everyEventOnThePlatformIsInTheTable);
     CPPUNIT_TEST_SUITE_END();
 
     static bool hasPage(const std::string& kind, const std::string& pageName)
@@ -25,17 +28,47 @@
         return false;
     }
 
-    void theErrorPageIsTheTable()
+    static std::string textOf(const std::filesystem::path& path)
     {
-        std::ifstream file(std::string(PROJECT_DIRECTORY) + "/docs/ERRORS.md");
+        std::ifstream file(path);
         std::ostringstream text;
         text << file.rdbuf();
+        return text.str();
+    }
+
+    /// The programs of the users' platform log from the adapter and from these decisions.
+    void everyEventOnThePlatformIsInTheTable()
+    {
+        const std::filesystem::path root(PROJECT_DIRECTORY);
+        const std::string table = textOf(root / "docs/OPERATIONS.md");
+        std::vector<std::filesystem::path> sources;
+        for (const std::filesystem::directory_entry& entry : std::filesystem::directory_iterator(root / "platform"))
+            sources.push_back(entry.path());
+        for (const char* name : { "Job/JobOwner", "Job/PaceControl", "Job/RunLedger", "Job/TaskScheduler",
+                 "Process/HostAgent", "Process/JobEntryCore", "Process/Ownership", "Process/PeerLink" })
+            sources.push_back(root / "Source/Decision" / (std::string(name) + ".cpp"));
+        const std::regex event(R"re(LogLine(?: line)?\("([a-z_]+)"\))re");
+        std::size_t found = 0;
+        for (const std::filesystem::path& path : sources) {
+            const std::string text = textOf(path);
+            for (std::sregex_iterator it(text.begin(), text.end(), event), end; it != end; ++it) {
+                const std::string name = (*it)[1].str();
+                ++found;
+                CPPUNIT_ASSERT_MESSAGE("docs/OPERATIONS.md lacks the event " + name + " of " + path.string(),
+                    table.find("`" + name + "`") != std::string::npos);
+            }
+        }
+        CPPUNIT_ASSERT(found > 30);
+    }
+
+    void theErrorPageIsTheTable()
+    {
+        const std::string text = textOf(std::string(PROJECT_DIRECTORY) + "/docs/ERRORS.md");
         for (const ErrorCodeRow& row : errorCodeTable) {
             std::ostringstream line;
             line << "| " << static_cast<int>(row.code) << " | `" << row.name << "` | " << row.httpStatus << " | "
                  << row.meaning << " |\n";
-            CPPUNIT_ASSERT_MESSAGE(
-                "docs/ERRORS.md lacks: " + line.str(), text.str().find(line.str()) != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE("docs/ERRORS.md lacks: " + line.str(), text.find(line.str()) != std::string::npos);
         }
     }
 
