--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -25,7 +25,6 @@
 JobOwner::JobOwner(std::string nodeId, std::int64_t term, const OwnerRules& rules, Instant now)
     : m_state(std::move(nodeId), term, rules, now)
     , m_ledger(m_state)
-    , m_fillers(FillerAdmissionRules {})
     , m_paces(PaceRules {}, m_interference)
     , m_scheduler(m_state, m_ledger, m_paces, PlacementRules {})
 {
@@ -133,33 +132,18 @@
         actions.push_back(SendMessage { origin.link, std::move(reply) });
 }
 
-JobOwner::Refusal JobOwner::refusal(Instant now, const Wire::JobCall& call) const
+std::string JobOwner::refusal(Instant now, const Wire::JobCall& call) const
 {
-    const Duration soon = m_state.rules.storeRetryAfter;
     if (isStoreAway(now))
-        return { "store_away", soon };
+        return "store_away";
     if (m_resting)
-        return { "handing_over", soon };
+        return "handing_over";
     for (const Wire::StepDefinition& step : call.job.steps) {
         if (m_state.hostsAccounted(now) && !m_state.hosts.hosts().empty()
             && !Placement::couldEverFit(m_state.hosts, call.job.serviceName, step))
-            return { "no_host_is_large_enough", soon };
+            return "no_host_is_large_enough";
     }
-    const JobState job(call.job, now, m_state.unixMilliseconds);
-    if (!job.isAllFiller() || call.job.occurrences > 0 || !m_state.hostsAccounted(now))
-        return {};
-    const Duration backOff = m_fillers.backOff(job.chain(), job.due() - job.accepted());
-    return backOff > Duration::zero() ? Refusal { "cannot_be_on_time", backOff } : Refusal {};
-}
-
-void JobOwner::observeFillers(Instant now)
-{
-    if (!m_fillers.isDue(now))
-        return;
-    double open = 0;
-    for (const std::pair<const std::string, JobState*>& entry : m_state.openJobs)
-        open += entry.second->openFillerCoreSeconds();
-    m_fillers.observe(now, m_state.hosts, open);
+    return {};
 }
 
 void JobOwner::submit(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
@@ -176,17 +160,16 @@
             m_waiting.push_back(WaitingReply { origin, it->ticket, answer, {} });
         return;
     }
-    const Refusal refused = refusal(now, call);
+    const std::string why = refusal(now, call);
     LogLine line("submit");
     line.add("job", call.jobId).add("queue", call.queue).add("steps", call.job.steps.size());
     line.add("policy_version", call.policyVersion).add("open_jobs", m_state.openJobs.size());
-    if (!refused.why.empty()) {
+    if (!why.empty()) {
         ++m_state.counters.refused;
         answer.kind = Wire::JobReplyKind::Refused;
-        answer.reason = refused.why;
-        answer.retryAfterMilliseconds = toMilliseconds(refused.retryAfter);
-        line.add("fillers_drain_ms", toMilliseconds(m_fillers.drainTime()));
-        actions.push_back(WriteLog { line.add("outcome", "refused").add("why", refused.why).text() });
+        answer.reason = why;
+        answer.retryAfterMilliseconds = toMilliseconds(m_state.rules.storeRetryAfter);
+        actions.push_back(WriteLog { line.add("outcome", "refused").add("why", why).text() });
         reply(origin, answer, actions);
         return;
     }
@@ -195,10 +178,7 @@
     definition.acceptedUnixMilliseconds = m_state.unixMilliseconds;
     const std::uint64_t ticket = m_state.journal.add(
         now, StoreRecord { StoreKey::job(call.jobId), Wire::encode(definition) }, Urgency::Waited);
-    std::unique_ptr<JobState>& job = m_state.jobs[call.jobId];
-    job = std::make_unique<JobState>(std::move(definition), now, m_state.unixMilliseconds);
-    if (job->isAllFiller())
-        m_fillers.add(job->workCoreSeconds());
+    m_state.jobs[call.jobId] = std::make_unique<JobState>(std::move(definition), now, m_state.unixMilliseconds);
     m_waiting.push_back(WaitingReply { origin, ticket, answer, call.jobId });
     actions.push_back(WriteLog { line.add("outcome", "storing").text() });
 }
@@ -418,7 +398,6 @@
     m_state.unixMilliseconds = unixMilliseconds;
     m_ledger.tick(now, actions);
     m_interference.observe(now, m_state.hosts);
-    observeFillers(now);
     const Duration sincePass = now - m_lastPass;
     const bool granting = now < m_state.confirmedAt + m_state.rules.ownershipHold;
     if (!m_resting && granting
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -2,7 +2,6 @@
 /// scheduler, the ledger of runs and the pace control work on the hosts.
 #pragma once
 
-#include "Decision/Job/FillerAdmission.h"
 #include "Decision/Job/OwnerState.h"
 #include "Decision/Job/PaceControl.h"
 #include "Decision/Job/RunLedger.h"
@@ -65,13 +64,8 @@
     void cancel(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     void status(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     void countWaiting(const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
-    /// Why a submission is turned away now, and when to come back; no reason when it is not.
-    struct Refusal {
-        std::string why;
-        Duration retryAfter {};
-    };
-    Refusal refusal(Instant now, const Wire::JobCall& call) const;
-    void observeFillers(Instant now);
+    /// Why a submission is turned away now; empty when it is not.
+    std::string refusal(Instant now, const Wire::JobCall& call) const;
     /// The owner knows no such job; the answer is only certain while nobody else can own.
     void denyJob(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     static void reply(const CallOrigin& origin, Wire::JobReply reply, Actions& actions);
@@ -85,7 +79,6 @@
     OwnerState m_state;
     RunLedger m_ledger;
     InterferenceModel m_interference;
-    FillerAdmission m_fillers;
     PaceControl m_paces;
     TaskScheduler m_scheduler;
     std::deque<WaitingReply> m_waiting;
--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -48,24 +48,6 @@
     m_due = accepted + allowed;
 }
 
-double JobState::openFillerCoreSeconds() const
-{
-    double open = 0;
-    for (const StepState& step : m_steps) {
-        const Wire::StepDefinition& definition = stepDefinition(step);
-        const double tasks = static_cast<double>(step.tasks.size());
-        if (definition.filler && tasks > 0)
-            open += coreSeconds(definition) * (tasks - step.completed) / tasks;
-    }
-    return open;
-}
-
-bool JobState::isAllFiller() const
-{
-    return std::all_of(m_definition.steps.begin(), m_definition.steps.end(),
-        [](const Wire::StepDefinition& step) { return step.filler && !step.longRunning; });
-}
-
 bool JobState::addDueOccurrences(Instant now, std::int64_t unixMilliseconds)
 {
     const Duration allowed = m_due - m_accepted;
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -83,9 +83,6 @@
     bool isCompleted() const;
     /// Work in thousandths of a core times seconds, for all tasks of all steps.
     double workCoreSeconds() const { return m_workCoreSeconds; }
-    /// The part of it whose tasks are fillers and not completed, of the occurrences that are there.
-    double openFillerCoreSeconds() const;
-    bool isAllFiller() const;
     /// Longest chain of estimates of one occurrence.
     Duration chain() const { return m_chain; }
     /// When the first occurrence should be completed.
--- a/Tests/Soak/StoreStandIn.cpp
+++ b/Tests/Soak/StoreStandIn.cpp
@@ -170,7 +170,7 @@
         return Answer { 412, Json { { "end", topic.end() } }.dump() };
     const std::int64_t offset = topic.end();
     addRecords(topic, body);
-    const Answer answer { 200, Json { { "offset", offset }, { "end", topic.end() } }.dump() };
+    Answer answer { 200, Json { { "offset", offset }, { "end", topic.end() } }.dump() };
     if (producer) {
         producer->number = number;
         producer->answers[number] = answer;
