Job: Name enumerators by the project's tables, describe a run in one place

Cause: three switches named enumerators beside NameTable, which the same files use; what a run asks of its host was filled in from the job's definition twice (start, adoption) and the name of a task three times; PaceControl asked for the loudest pair of a filler and then for each pair again, though the second answer implies the first; a member of the soak was set and never read. Change: nameIn() with tables, RunLedger::describe(), taskName(). No behaviour changes; the names and their fallback are the same. Not done: stateName() of the adapter keeps its switch, since its fallback is "queued" and not "unknown"; the trial of a gang's placement keeps its short description, since a full one would count lasting gangs at their mean load there.

--- a/Source/Decision/Job/PaceControl.cpp
+++ b/Source/Decision/Job/PaceControl.cpp
@@ -112,10 +112,9 @@
 int PaceControl::allot(const Host& host, const HostRun& run, const std::vector<ServingGroup>& groups) const
 {
     double share = 1;
-    const bool quiet = loudness(groups, run.image) < m_rules.quietPressure;
     for (const ServingGroup& group : groups) {
         const double push = m_model.push(host, group.image, run.image, run.demand.milliProcessors);
-        if (quiet || m_model.pressure(group.image, run.image) < m_rules.quietPressure)
+        if (m_model.pressure(group.image, run.image) < m_rules.quietPressure)
             continue;
         if (group.left < push)
             share = std::min(share, std::max(0.0, group.left) / push);
--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -37,20 +37,12 @@
             .add("task", task.index);
     }
 
-    std::string_view outcomeName(Wire::JobOutcome::type outcome)
-    {
-        switch (outcome) {
-        case Wire::JobOutcome::Open:
-            return "open";
-        case Wire::JobOutcome::Completed:
-            return "completed";
-        case Wire::JobOutcome::Failed:
-            return "failed";
-        case Wire::JobOutcome::Cancelled:
-            return "cancelled";
-        }
-        return "unknown";
-    }
+    constexpr std::array outcomeNames {
+        NamedValue { Wire::JobOutcome::Open, "open" },
+        NamedValue { Wire::JobOutcome::Completed, "completed" },
+        NamedValue { Wire::JobOutcome::Failed, "failed" },
+        NamedValue { Wire::JobOutcome::Cancelled, "cancelled" },
+    };
 
 } // namespace
 
@@ -192,6 +184,18 @@
         run.checkpoint = row.checkpoint;
 }
 
+void RunLedger::describe(HostRun& run, const JobState& job, const StepState& step)
+{
+    const Wire::StepDefinition& definition = job.stepDefinition(step);
+    run.demand = definition.demand;
+    run.filler = definition.filler;
+    run.longRunning = definition.longRunning;
+    run.image = definition.image;
+    run.targetMilliseconds = definition.targetMilliseconds;
+    run.estimateMilliseconds = definition.estimateMilliseconds;
+    run.priority = job.definition().priority;
+}
+
 void RunLedger::adopt(Instant now, Host& host, const Wire::RunningTask& row, Actions& actions)
 {
     HostRun run;
@@ -209,16 +213,8 @@
     JobState* job = m_state.findJob(row.task.jobId);
     StepState* step = job ? job->findStep(row.task.occurrence, row.task.step) : nullptr;
     TaskState* task = job ? job->findTask(row.task) : nullptr;
-    if (step) {
-        const Wire::StepDefinition& definition = job->stepDefinition(*step);
-        run.demand = definition.demand;
-        run.filler = definition.filler;
-        run.longRunning = definition.longRunning;
-        run.image = definition.image;
-        run.targetMilliseconds = definition.targetMilliseconds;
-        run.estimateMilliseconds = definition.estimateMilliseconds;
-        run.priority = job->definition().priority;
-    }
+    if (step)
+        describe(run, *job, *step);
     HostRun& added = HostBook::addRun(host, std::move(run));
     LogLine line("run_adopted");
     addTask(line, row.task).add("run", row.run).add("host", host.hostId);
@@ -400,7 +396,7 @@
     actions.push_back(WriteLog { LogLine("job_finished")
                                      .add("job", job.definition().jobId)
                                      .add("queue", job.definition().queue)
-                                     .add("outcome", outcomeName(outcome))
+                                     .add("outcome", nameIn(outcomeNames, outcome))
                                      .add("why", why)
                                      .add("after_ms", toMilliseconds(now - job.accepted()))
                                      .add("due_in_ms", toMilliseconds(job.due() - now))
--- a/Source/Decision/Job/RunLedger.h
+++ b/Source/Decision/Job/RunLedger.h
@@ -19,6 +19,8 @@
     void onLinkDown(Instant now, LinkId link);
     /// Gives up what ran on hosts whose lease is over, forgets hosts that stay away.
     void tick(Instant now, Actions& actions);
+    /// What a run of the step's tasks asks of its host, by the job's definition.
+    static void describe(HostRun& run, const JobState& job, const StepState& step);
     /// Orders the end of every run of a job.
     void haltJob(const std::string& jobId, Actions& actions);
     void halt(Host& host, HostRun& run, const char* why, Actions& actions);
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -18,6 +18,16 @@
     constexpr Duration moveInterval = milliseconds(300);
     constexpr int maximumMoves = 3;
 
+    Wire::TaskName taskName(const JobState& job, const StepState& step, std::size_t index)
+    {
+        Wire::TaskName name;
+        name.jobId = job.definition().jobId;
+        name.occurrence = step.occurrence;
+        name.step = step.step;
+        name.index = static_cast<std::int32_t>(index);
+        return name;
+    }
+
 } // namespace
 
 std::vector<TaskScheduler::Candidate> TaskScheduler::collect(Instant now)
@@ -155,10 +165,7 @@
             if (!host || m_state.journal.stored() < host->recordTicket)
                 break;
             HostRun trial;
-            trial.task.jobId = job.definition().jobId;
-            trial.task.occurrence = step.occurrence;
-            trial.task.step = step.step;
-            trial.task.index = static_cast<std::int32_t>(n);
+            trial.task = taskName(job, step, n);
             trial.run = run;
             trial.demand = job.stepDefinition(step).demand;
             trial.filler = job.stepDefinition(step).filler;
@@ -166,12 +173,7 @@
             chosen.push_back(host);
         }
         for (std::size_t n = 0; n < chosen.size(); ++n) {
-            Wire::TaskName name;
-            name.jobId = job.definition().jobId;
-            name.occurrence = step.occurrence;
-            name.step = step.step;
-            name.index = static_cast<std::int32_t>(n);
-            HostBook::removeRun(*chosen[n], runKey(name, run));
+            HostBook::removeRun(*chosen[n], runKey(taskName(job, step, n), run));
         }
         if (chosen.size() < step.tasks.size())
             continue;
@@ -244,18 +246,9 @@
     task.lastRun = run;
     task.runs.push_back(RunPlace { host.hostId, host.incarnation, run, now });
     HostRun hostRun;
-    hostRun.task.jobId = job.definition().jobId;
-    hostRun.task.occurrence = step.occurrence;
-    hostRun.task.step = step.step;
-    hostRun.task.index = static_cast<std::int32_t>(index);
+    hostRun.task = taskName(job, step, index);
     hostRun.run = run;
-    hostRun.demand = definition.demand;
-    hostRun.filler = definition.filler;
-    hostRun.longRunning = definition.longRunning;
-    hostRun.priority = job.definition().priority;
-    hostRun.image = definition.image;
-    hostRun.targetMilliseconds = definition.targetMilliseconds;
-    hostRun.estimateMilliseconds = definition.estimateMilliseconds;
+    RunLedger::describe(hostRun, job, step);
     hostRun.since = now;
     hostRun.checkpoint = task.checkpoint;
     Wire::StartOrder order;
--- a/Source/Decision/Process/JobEntryCore.cpp
+++ b/Source/Decision/Process/JobEntryCore.cpp
@@ -1,6 +1,9 @@
 #include "Decision/Process/JobEntryCore.h"
 
+#include "Base/NameTable.h"
+
 #include <algorithm>
+#include <array>
 
 namespace Plantainpier {
 
@@ -18,43 +21,23 @@
         });
     }
 
-    std::string_view kindName(Wire::JobCallKind::type kind)
-    {
-        switch (kind) {
-        case Wire::JobCallKind::Submit:
-            return "submit";
-        case Wire::JobCallKind::Status:
-            return "status";
-        case Wire::JobCallKind::Cancel:
-            return "cancel";
-        case Wire::JobCallKind::Waiting:
-            return "waiting";
-        }
-        return "unknown";
-    }
+    constexpr std::array callNames {
+        NamedValue { Wire::JobCallKind::Submit, "submit" },
+        NamedValue { Wire::JobCallKind::Status, "status" },
+        NamedValue { Wire::JobCallKind::Cancel, "cancel" },
+        NamedValue { Wire::JobCallKind::Waiting, "waiting" },
+    };
 
-    std::string_view replyName(Wire::JobReplyKind::type kind)
-    {
-        switch (kind) {
-        case Wire::JobReplyKind::Accepted:
-            return "accepted";
-        case Wire::JobReplyKind::Refused:
-            return "refused";
-        case Wire::JobReplyKind::Unknown:
-            return "unknown";
-        case Wire::JobReplyKind::State:
-            return "state";
-        case Wire::JobReplyKind::NoSuchJob:
-            return "no_such_job";
-        case Wire::JobReplyKind::WaitingCount:
-            return "waiting_count";
-        case Wire::JobReplyKind::NoSuchQueue:
-            return "no_such_queue";
-        case Wire::JobReplyKind::Invalid:
-            return "invalid";
-        }
-        return "unknown";
-    }
+    constexpr std::array replyNames {
+        NamedValue { Wire::JobReplyKind::Accepted, "accepted" },
+        NamedValue { Wire::JobReplyKind::Refused, "refused" },
+        NamedValue { Wire::JobReplyKind::Unknown, "unknown" },
+        NamedValue { Wire::JobReplyKind::State, "state" },
+        NamedValue { Wire::JobReplyKind::NoSuchJob, "no_such_job" },
+        NamedValue { Wire::JobReplyKind::WaitingCount, "waiting_count" },
+        NamedValue { Wire::JobReplyKind::NoSuchQueue, "no_such_queue" },
+        NamedValue { Wire::JobReplyKind::Invalid, "invalid" },
+    };
 
     void fillRules(Wire::JobDefinition& job, const QueuePolicy& queue, const std::string& jobId)
     {
@@ -178,7 +161,7 @@
     reply.reason = why;
     reply.retryAfterMilliseconds = toMilliseconds(m_timing.retryAfter);
     actions.push_back(WriteLog { LogLine("refuse")
-                                     .add("call", kindName(call.kind))
+                                     .add("call", nameIn(callNames, call.kind))
                                      .add("job", call.jobId)
                                      .add("why", why)
                                      .add("term", m_ownership.current().term)
@@ -201,7 +184,7 @@
         // Looking at a job that is there changes nothing and touches nobody: only what went wrong or was slow is told.
         const bool quiet = kind == Wire::JobReplyKind::State || kind == Wire::JobReplyKind::WaitingCount;
         LogLine line("answer");
-        line.add("call", kindName(call.kind)).add("job", call.jobId).add("outcome", replyName(kind));
+        line.add("call", nameIn(callNames, call.kind)).add("job", call.jobId).add("outcome", nameIn(replyNames, kind));
         line.add("reason", done->reply.reason).add("took_ms", toMilliseconds(taken));
         m_pending.erase(it);
         if (!quiet || taken > milliseconds(500))
--- a/Tests/Soak/RunAudit.h
+++ b/Tests/Soak/RunAudit.h
@@ -30,7 +30,6 @@
 struct SoakJob {
     std::vector<int> widths;
     std::string payload;
-    int milliCores = 0;
 };
 
 /// Collects breaches; empty at the end of a good run.
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -278,7 +278,6 @@
     std::snprintf(id, sizeof id, "%08x%08x", m_options.seed, static_cast<unsigned>(number));
     SoakJob job;
     job.payload = "payload of " + std::string(id);
-    job.milliCores = 1000;
     Json steps = Json::array();
     for (unsigned step = 0; step < 1 + random() % 3; ++step) {
         const int width = 1 + static_cast<int>(random() % 4);
