Process: One shell around a decision core for both daemons

Cause: NodeProgram opened links, hooked them to the deciding thread, carried out actions on links and asked that thread questions with the same code as Daemon, which had it first. Change: DecisionProcess holds it; Daemon and NodeProgram derive from it and keep their own ports, signals and ends, with the order in which each stops its threads as it was.

--- a/Source/Shell/Process/Daemon.h
+++ b/Source/Shell/Process/Daemon.h
@@ -1,11 +1,8 @@
-/// What both roles of the daemon share: its ports, its threads, its callers and its end.
+/// What both roles of the daemon share: its HTTP port, its callers and its end.
 #pragma once
 
-#include "Shell/Connection/HttpClient.h"
 #include "Shell/Connection/HttpServer.h"
-#include "Shell/Connection/LinkHub.h"
-#include "Shell/Process/DecisionLoop.h"
-#include "Shell/Process/Metrics.h"
+#include "Shell/Process/DecisionProcess.h"
 #include "Shell/Process/Settings.h"
 
 #include <unordered_map>
@@ -13,21 +10,14 @@
 namespace Plantainpier {
 
 /// The shell around one decision core. A role derives from it and says what its core does with each event.
-class Daemon {
+class Daemon : public DecisionProcess {
 public:
-    virtual ~Daemon() = default;
-
     /// Opens the ports and runs until SIGTERM or SIGINT, then shuts down gracefully. The signals must be blocked.
     Result<Success> run();
 
 protected:
     explicit Daemon(Settings settings);
 
-    /// One event of the core.
-    virtual void tick(Instant now, Actions& actions) = 0;
-    virtual void onMessage(Instant now, LinkId link, const PeerMessage& message, Actions& actions) = 0;
-    virtual void onLinkUp(Instant now, LinkId link, Actions& actions) = 0;
-    virtual void onLinkDown(Instant now, LinkId link, Actions& actions) = 0;
     virtual void leave(Instant now, Actions& actions) = 0;
     virtual bool isDrained() const = 0;
     virtual bool isReady(Instant now) const = 0;
@@ -46,25 +36,18 @@
     void postCall(const std::shared_ptr<HttpCall>& call, CallEvent event);
 
     const Settings& settings() const { return m_settings; }
-    DecisionLoop& loop() { return m_loop; }
-    const std::shared_ptr<HttpClient>& http() const { return m_http; }
-    Metrics& metrics() { return m_metrics; }
 
 private:
     Result<Success> openPorts();
-    void perform(Action&& action);
+    void performOther(Action&& action) override;
+    bool isBusy() const override { return !isDrained(); }
     void dispatchCall(const std::shared_ptr<HttpCall>& call);
     void replyTo(const ReplyToCaller& reply);
     void drain();
     void close();
 
     Settings m_settings;
-    DecisionLoop m_loop;
-    std::shared_ptr<HttpClient> m_http;
-    std::unique_ptr<LinkHub> m_links;
     std::unique_ptr<HttpServer> m_server;
-    std::thread m_decider;
-    Metrics m_metrics;
     /// Callers that wait for an answer; decision thread only.
     std::unordered_map<CallerToken, std::shared_ptr<HttpCall>> m_calls;
     CallerToken m_lastCaller = 0;
--- /dev/null
+++ b/Source/Shell/Process/DecisionProcess.cpp
@@ -0,0 +1,74 @@
+#include "Shell/Process/DecisionProcess.h"
+
+#include <future>
+#include <spdlog/spdlog.h>
+
+namespace Plantainpier {
+
+DecisionProcess::DecisionProcess()
+    : m_loop([this](Instant now, Actions& actions) { tick(now, actions); },
+        [this](Action&& action) { perform(std::move(action)); }, [this] { return isBusy(); })
+{
+}
+
+Result<Success> DecisionProcess::openLinks(const std::string& address, int port)
+{
+    Result<std::shared_ptr<HttpClient>> http = HttpClient::create();
+    if (!isOk(http))
+        return errorOf(http);
+    m_http = takeValue(std::move(http));
+    LinkHooks hooks;
+    hooks.onUp = [this](LinkId link) {
+        m_loop.post([this, link](Instant now, Actions& actions) { onLinkUp(now, link, actions); });
+    };
+    hooks.onDown = [this](LinkId link, const std::string& why) {
+        m_loop.post([this, link, why](Instant now, Actions& actions) {
+            actions.push_back(WriteLog { LogLine("link_down").add("link", link).add("why", why).text() });
+            onLinkDown(now, link, actions);
+        });
+    };
+    hooks.onMessage = [this](LinkId link, PeerMessage&& message) {
+        m_loop.post([this, link, message = std::move(message)](
+                        Instant now, Actions& actions) { onMessage(now, link, message, actions); });
+    };
+    Result<std::unique_ptr<LinkHub>> links = LinkHub::create(address, port, std::move(hooks));
+    if (!isOk(links))
+        return errorOf(links);
+    m_links = takeValue(std::move(links));
+    return Success {};
+}
+
+void DecisionProcess::startDeciding()
+{
+    m_decider = std::thread([this] { m_loop.run(); });
+}
+
+void DecisionProcess::stopDeciding()
+{
+    m_loop.stop();
+    m_decider.join();
+}
+
+bool DecisionProcess::ask(const std::function<bool()>& question)
+{
+    const std::shared_ptr<std::promise<bool>> promise = std::make_shared<std::promise<bool>>();
+    std::future<bool> answer = promise->get_future();
+    const bool posted = m_loop.post([promise, question](Instant, Actions&) { promise->set_value(question()); });
+    return posted && answer.get();
+}
+
+void DecisionProcess::log(const LogLine& line) { spdlog::info("{}", line.text()); }
+
+void DecisionProcess::perform(Action&& action)
+{
+    std::visit(Overloaded {
+                   [this](SendMessage& send) { m_links->send(send.link, std::move(send.message)); },
+                   [this](const OpenLink& open) { m_links->open(open.link, open.address, open.port); },
+                   [this](const CloseLink& close) { m_links->close(close.link); },
+                   [](const WriteLog& line) { spdlog::info("{}", line.line); },
+                   [this, &action](const auto&) { performOther(std::move(action)); },
+               },
+        action);
+}
+
+} // namespace Plantainpier
