Job: Remove what nothing reads, open each occurrence once

Cause: a whole read of the change found members and calls that nothing uses: a mark of changed progress, processors of fillers, when a link broke, a way to shorten inherited leases, a lookup of queues by name, two topics of the store, a port of the soak; a restored job copied all its steps and opened each occurrence once a step; ends were looked at on every tick also when nothing could cover them; the rounding of Retry-After stood twice. Change: they are gone; coverEnds() beside acknowledgeEnds(); retryAfterText() serves both. Behaviour is as it was.

--- a/Source/Decision/Job/HostBook.cpp
+++ b/Source/Decision/Job/HostBook.cpp
@@ -8,9 +8,7 @@
 
     void commit(Host& host, const HostRun& run, std::int64_t sign)
     {
-        if (run.filler)
-            host.fillerMilliCores += sign * run.demand.milliProcessors;
-        else
+        if (!run.filler)
             host.committed.milliProcessors += sign * run.demand.milliProcessors;
         host.committed.memoryMegabytes += sign * run.demand.memoryMegabytes;
         host.committed.accelerators += static_cast<std::int32_t>(sign) * run.demand.accelerators;
--- a/Source/Decision/Job/HostBook.h
+++ b/Source/Decision/Job/HostBook.h
@@ -110,7 +110,6 @@
     std::map<RunKey, HostRun> runs;
     /// Committed by all runs; fillers commit memory and accelerators only.
     Wire::Resources committed;
-    std::int64_t fillerMilliCores = 0;
     HostHealth health;
     /// Orders to send.
     Wire::HostOrders orders;
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -95,14 +95,6 @@
     m_loadedCancellations.clear();
 }
 
-void JobOwner::shortenInheritedLeases(Instant leasesEnd)
-{
-    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
-        if (!entry.second.listed)
-            entry.second.lapsesAt = std::min(entry.second.lapsesAt, leasesEnd);
-    }
-}
-
 bool JobOwner::isStoreAway(Instant now) const { return m_state.journal.stalledFor(now) > m_state.rules.storeAway; }
 
 void JobOwner::onCall(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
@@ -317,6 +309,19 @@
     m_state.flushNow = false;
 }
 
+void JobOwner::coverEnds()
+{
+    // Ends whose jobs have nothing left to store are covered by what is stored already.
+    if (!m_state.dirtyJobs.empty())
+        return;
+    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
+        for (std::pair<std::int64_t, std::uint64_t>& end : entry.second.unstoredEnds) {
+            if (end.second == 0)
+                end.second = std::max<std::uint64_t>(1, m_state.journal.lastTicket());
+        }
+    }
+}
+
 void JobOwner::acknowledgeEnds()
 {
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
@@ -406,15 +411,7 @@
         m_scheduler.pass(now, actions);
     }
     flushProgress(now);
-    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
-        Host& host = entry.second;
-        // Ends whose jobs have nothing left to store are covered by what is stored already.
-        const bool covered = m_state.dirtyJobs.empty();
-        for (std::pair<std::int64_t, std::uint64_t>& end : host.unstoredEnds) {
-            if (covered && end.second == 0)
-                end.second = std::max<std::uint64_t>(1, m_state.journal.lastTicket());
-        }
-    }
+    coverEnds();
     acknowledgeEnds();
     grantLeases(now);
     sendOrders(actions);
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -24,8 +24,6 @@
     void load(const std::vector<StoreRecord>& records);
     /// The earlier owner may have granted leases until leasesEnd.
     void finishLoad(Instant now, std::int64_t unixMilliseconds, Instant leasesEnd, Actions& actions);
-    /// The earlier owner's process is known to have ended: its leases end by then at the latest.
-    void shortenInheritedLeases(Instant leasesEnd);
     void setPolicy(std::shared_ptr<const PolicySnapshot> policy) { m_state.policy = std::move(policy); }
 
     void onCall(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
@@ -71,6 +69,8 @@
     static void reply(const CallOrigin& origin, Wire::JobReply reply, Actions& actions);
     void completeWaiting(Actions& actions);
     void flushProgress(Instant now);
+    /// Notes which record of the journal stands for each end that waits for its acknowledgement.
+    void coverEnds();
     void acknowledgeEnds();
     void grantLeases(Instant now);
     void sendOrders(Actions& actions);
--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -135,7 +135,6 @@
         task.checkpoint.clear();
         ++step.completed;
     }
-    progressChanged = true;
     if (step.completed == static_cast<int>(step.tasks.size()))
         openSteps(now, step.occurrence);
 }
@@ -196,9 +195,8 @@
         ++step->completed;
         --step->waiting;
     }
-    for (const StepState& step : std::vector<StepState>(m_steps))
-        openSteps(now, step.occurrence);
-    progressChanged = false;
+    for (int occurrence = 0; occurrence < m_occurrencesAdded; ++occurrence)
+        openSteps(now, occurrence);
 }
 
 } // namespace Plantainpier
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -94,7 +94,6 @@
 
     /// Ticket of the newest progress record handed to the journal.
     std::uint64_t progressTicket = 0;
-    bool progressChanged = false;
 
 private:
     void addOccurrence(Instant now, int occurrence, Instant due);
--- a/Source/Decision/Process/Message.h
+++ b/Source/Decision/Process/Message.h
@@ -108,12 +108,8 @@
     Owners,
     /// Signs of life of the owner.
     Pulses,
-    /// Jobs, their progress and cancellations, by key.
+    /// Jobs, their progress and cancellations, and the hosts that were given orders, by key.
     Jobs,
-    /// Hosts that the owner has given orders to, by key.
-    Hosts,
-    /// What operators read.
-    Status,
 };
 
 /// One record; without a value the key is dropped.
--- a/Source/Decision/Process/PeerLink.cpp
+++ b/Source/Decision/Process/PeerLink.cpp
@@ -39,8 +39,6 @@
     m_term = term;
     m_address = address;
     m_port = port;
-    m_failures = 0;
-    m_downSince = now;
     m_notBefore = now;
 }
 
@@ -60,7 +58,6 @@
     if (link != m_link)
         return false;
     m_up = true;
-    m_failures = 0;
     m_monitor->onUp(now);
     actions.push_back(SendMessage { link, hello });
     return true;
@@ -70,11 +67,8 @@
 {
     if (link != m_link || link == noLink)
         return false;
-    if (m_up)
-        m_downSince = now;
     m_link = noLink;
     m_up = false;
-    ++m_failures;
     m_monitor.reset();
     m_notBefore = now + redialPause;
     return true;
--- a/Source/Decision/Process/PeerLink.h
+++ b/Source/Decision/Process/PeerLink.h
@@ -27,9 +27,6 @@
 
     bool isUp() const { return m_up; }
     LinkId link() const { return m_link; }
-    /// The connection broke and no new one stands yet.
-    bool isBroken() const { return !m_up && m_failures > 0; }
-    Instant downSince() const { return m_downSince; }
 
 private:
     LinkId newLink();
@@ -42,8 +39,6 @@
     LinkId m_lastLink;
     std::optional<LinkMonitor> m_monitor;
     bool m_up = false;
-    int m_failures = 0;
-    Instant m_downSince;
     Instant m_notBefore;
 };
 
--- a/Source/Decision/Version/QueuePolicy.h
+++ b/Source/Decision/Version/QueuePolicy.h
@@ -56,15 +56,6 @@
         }
         return best;
     }
-
-    const QueuePolicy* find(const std::string& name) const
-    {
-        for (const QueuePolicy& queue : queues) {
-            if (queue.name == name)
-                return &queue;
-        }
-        return nullptr;
-    }
 };
 
 } // namespace Plantainpier
--- a/Source/Shell/Connection/HttpServer.cpp
+++ b/Source/Shell/Connection/HttpServer.cpp
@@ -47,7 +47,7 @@
         {
             std::vector<std::pair<std::string, std::string>> more;
             if (retryAfter > Duration::zero())
-                more.emplace_back("Retry-After", std::to_string((toMilliseconds(retryAfter) + 999) / 1000));
+                more.emplace_back("Retry-After", retryAfterText(retryAfter));
             return replyWithHeaders(status, text, more);
         }
 
@@ -150,6 +150,11 @@
     }
 }
 
+std::string retryAfterText(Duration pause)
+{
+    return std::to_string(std::chrono::ceil<std::chrono::seconds>(milliseconds(toMilliseconds(pause))).count());
+}
+
 std::string queryValue(const std::string& query, const std::string& key)
 {
     std::size_t begin = 0;
--- a/Source/Shell/Connection/HttpServer.h
+++ b/Source/Shell/Connection/HttpServer.h
@@ -54,6 +54,9 @@
     virtual void stop() = 0;
 };
 
+/// A pause as the header Retry-After gives it: whole seconds, rounded up.
+std::string retryAfterText(Duration pause);
+
 /// The value of a query parameter; empty when absent.
 std::string queryValue(const std::string& query, const std::string& key);
 
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -104,7 +104,6 @@
         node.role = entry ? Role::Entry : Role::Side;
         node.number = entry ? n : n - m_options.entries;
         node.name = (entry ? "entry-" : "side-") + std::to_string(node.number);
-        node.clientPort = portOf(clientBlock, node.number);
         node.store = std::make_unique<Relay>(portOf(storeRelayBlock, n), portOf(storeBlock, 0));
         m_nodes.push_back(std::move(node));
     }
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -44,7 +44,6 @@
         Role role = Role::Entry;
         int number = 0;
         std::string name;
-        int clientPort = 0;
         std::unique_ptr<Relay> store;
         std::unique_ptr<ChildProcess> process;
         /// Killed, stopping or frozen, and not back yet.
