Job: Log what the end of a run was taken for

The log said that an end was heard, but not whether it counted, so it could not tell a failure that was passed over from one that was lost between two owners, or from a start before all hosts were heard. run_ended now carries number, taken_as and failures_before; place carries failures_before and hosts_unheard; progress_loaded says what a new owner knew; the counter ends_without_effect_total counts ends that changed nothing.

--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -75,10 +75,14 @@
             job.setOutcome(Wire::JobOutcome::Open);
         if (m_loadedCancellations.contains(entry.first) && job.isOpen())
             job.setOutcome(Wire::JobOutcome::Cancelled);
-        if (job.isOpen())
-            m_state.openJobs[entry.first] = &job;
-        else
+        if (!job.isOpen()) {
             m_finishedAt[entry.first] = now;
+            continue;
+        }
+        m_state.openJobs[entry.first] = &job;
+        if (job.failedRuns() > 0)
+            actions.push_back(WriteLog {
+                LogLine("progress_loaded").add("job", entry.first).add("failed_runs", job.failedRuns()).text() });
     }
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         entry.second.lapsesAt = leasesEnd;
--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -155,6 +155,16 @@
         [](const StepState& step) { return step.completed == static_cast<int>(step.tasks.size()); });
 }
 
+std::size_t JobState::failedRuns() const
+{
+    std::size_t count = 0;
+    for (const StepState& step : m_steps) {
+        for (const TaskState& task : step.tasks)
+            count += task.failedRuns.size();
+    }
+    return count;
+}
+
 Wire::JobProgress JobState::progress() const
 {
     Wire::JobProgress progress;
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -4,6 +4,7 @@
 #include "Base/Time.h"
 #include "Wire/Generated/plantainpier_types.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +36,7 @@
     Instant notBefore;
 
     bool isWaiting() const { return !completed && runs.empty(); }
+    bool hasFailed(int run) const { return std::find(failedRuns.begin(), failedRuns.end(), run) != failedRuns.end(); }
 };
 
 /// One step of one occurrence.
@@ -81,6 +83,8 @@
     void await(Instant now, StepState& step, TaskState& task);
     /// Every task of every occurrence is completed.
     bool isCompleted() const;
+    /// Failed runs of all its tasks.
+    std::size_t failedRuns() const;
     /// Work in thousandths of a core times seconds, for all tasks of all steps.
     double workCoreSeconds() const { return m_workCoreSeconds; }
     /// Longest chain of estimates of one occurrence.
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -47,6 +47,8 @@
     std::int64_t completedJobs = 0;
     std::int64_t failedJobs = 0;
     std::int64_t pacesSent = 0;
+    /// Listed ends that changed nothing although their job is not finished.
+    std::int64_t endsWithoutEffect = 0;
 };
 
 /// Jobs, hosts and the journal of one term.
@@ -97,16 +99,18 @@
         flushNow = flushNow || waited;
     }
 
-    /// Everything that this owner or an earlier one may have started is known or over.
-    bool hostsAccounted(Instant now) const
+    /// Hosts that may run what this owner does not know of: not heard yet, with a lease that is not over.
+    int hostsUnheard(Instant now) const
     {
-        for (const std::pair<const std::string, Host>& entry : hosts.hosts()) {
-            if (!entry.second.listed && now < entry.second.lapsesAt)
-                return false;
-        }
-        return true;
+        int count = 0;
+        for (const std::pair<const std::string, Host>& entry : hosts.hosts())
+            count += !entry.second.listed && now < entry.second.lapsesAt ? 1 : 0;
+        return count;
     }
 
+    /// Everything that this owner or an earlier one may have started is known or over.
+    bool hostsAccounted(Instant now) const { return hostsUnheard(now) == 0; }
+
     /// How long whoever was granted a lease must be waited for, by this process's clock.
     Duration stretched(Duration duration) const
     {
--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -29,6 +29,18 @@
         NamedValue { Wire::RunEnd::GangAlone, "gang_alone" },
     };
 
+    using Meaning = RunLedger::EndMeaning;
+    constexpr std::array endMeaningNames {
+        NamedValue { Meaning::Completion, "completion" },
+        NamedValue { Meaning::Failure, "failure" },
+        NamedValue { Meaning::FailureKnown, "failure_known" },
+        NamedValue { Meaning::Interruption, "interruption" },
+        NamedValue { Meaning::TaskCompleted, "nothing_task_completed" },
+        NamedValue { Meaning::JobFinished, "nothing_job_finished" },
+        NamedValue { Meaning::UnknownTask, "nothing_unknown_task" },
+        NamedValue { Meaning::OtherRunUnderWay, "nothing_other_run_under_way" },
+    };
+
     LogLine& addTask(LogLine& line, const Wire::TaskName& task)
     {
         return line.add("job", task.jobId)
@@ -253,8 +265,6 @@
 
 void RunLedger::onFailure(Instant now, JobState& job, TaskState& task, int run, const Host& host, Actions& actions)
 {
-    if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end())
-        return;
     task.failedRuns.push_back(run);
     ++m_state.counters.failedTasks;
     task.notBefore = now + m_state.rules.failurePause;
@@ -291,6 +301,29 @@
                                      .text() });
 }
 
+RunLedger::EndMeaning RunLedger::meaningOf(const Wire::EndedTask& row, bool known)
+{
+    JobState* job = m_state.findJob(row.task.jobId);
+    const StepState* step = job ? job->findStep(row.task.occurrence, row.task.step) : nullptr;
+    const TaskState* task = job ? job->findTask(row.task) : nullptr;
+    if (!task)
+        return EndMeaning::UnknownTask;
+    if (!job->isOpen())
+        return EndMeaning::JobFinished;
+    if (task->completed)
+        return EndMeaning::TaskCompleted;
+    const Wire::StepDefinition& definition = job->stepDefinition(*step);
+    // A run that was given up because its lease was over no longer counts: the task may run elsewhere by now. Where
+    // copies are allowed the first one that completes counts, whoever started it.
+    if (!known && !task->runs.empty() && !definition.allowDuplicates)
+        return EndMeaning::OtherRunUnderWay;
+    if (row.how == Wire::RunEnd::Completed && !definition.longRunning)
+        return EndMeaning::Completion;
+    if (row.how != Wire::RunEnd::Failed || definition.longRunning)
+        return EndMeaning::Interruption;
+    return task->hasFailed(row.run) ? EndMeaning::FailureKnown : EndMeaning::Failure;
+}
+
 void RunLedger::onEnded(Instant now, Host& host, const Wire::EndedTask& row, Actions& actions)
 {
     if (row.number <= host.seenNumber)
@@ -299,50 +332,64 @@
     // Acknowledged only once what it means is stored.
     host.unstoredEnds.emplace_back(row.number, 0);
     const std::optional<HostRun> run = HostBook::removeRun(host, runKey(row.task, row.run));
+    const EndMeaning meaning = meaningOf(row, run.has_value());
+    JobState* job = m_state.findJob(row.task.jobId);
+    TaskState* task = job ? job->findTask(row.task) : nullptr;
     LogLine line("run_ended");
     addTask(line, row.task).add("run", row.run).add("host", host.hostId).add("how", nameIn(runEndNames, row.how));
+    line.add("number", row.number).add("taken_as", nameIn(endMeaningNames, meaning));
+    if (task)
+        line.add("failures_before", task->failedRuns.size());
     if (run)
         line.add("after_ms", toMilliseconds(now - run->since));
     actions.push_back(WriteLog { line.text() });
     if (run)
         learn(now, host, *run, row.how, actions);
-    JobState* job = m_state.findJob(row.task.jobId);
-    StepState* step = job ? job->findStep(row.task.occurrence, row.task.step) : nullptr;
-    TaskState* task = job ? job->findTask(row.task) : nullptr;
-    if (!task || !job->isOpen() || task->completed) {
-        release(now, row.task, row.run, {});
+    switch (meaning) {
+    case EndMeaning::UnknownTask:
+    case EndMeaning::OtherRunUnderWay:
+        ++m_state.counters.endsWithoutEffect;
         return;
-    }
-    // A run that was given up because its lease was over no longer counts: the task may run elsewhere by now. Where
-    // copies are allowed the first one that completes counts, whoever started it.
-    if (!run && !task->runs.empty() && !job->stepDefinition(*step).allowDuplicates)
-        return;
-    task->lastRun = std::max(task->lastRun, row.run);
-    if (row.how == Wire::RunEnd::Completed && !job->stepDefinition(*step).longRunning) {
-        ++m_state.counters.completedTasks;
-        job->complete(now, *step, static_cast<std::size_t>(row.task.index));
+    case EndMeaning::JobFinished:
+    case EndMeaning::TaskCompleted:
         release(now, row.task, row.run, {});
-        m_state.markDirty(now, row.task.jobId, false);
-        for (const RunPlace& copy : std::vector<RunPlace>(task->runs)) {
-            Host* other = m_state.hosts.find(copy.hostId);
-            std::map<RunKey, HostRun>::iterator it;
-            if (other && (it = other->runs.find(runKey(row.task, copy.run))) != other->runs.end())
-                halt(*other, it->second, "copy_finished_first", actions);
-        }
-        if (job->isCompleted())
-            finish(now, *job, Wire::JobOutcome::Completed, "all_tasks_completed", actions);
-        m_state.scheduleDue = true;
         return;
+    case EndMeaning::Completion:
+        task->lastRun = std::max(task->lastRun, row.run);
+        onCompletion(now, *job, *task, row, actions);
+        return;
+    case EndMeaning::Interruption:
+    case EndMeaning::Failure:
+    case EndMeaning::FailureKnown:
+        break;
     }
+    task->lastRun = std::max(task->lastRun, row.run);
     if (row.how == Wire::RunEnd::Lapsed)
         ++m_state.counters.lapsedRuns;
     release(now, row.task, row.run, row.checkpoint);
     if (!row.checkpoint.empty())
         m_state.markDirty(now, row.task.jobId, false);
-    if (row.how == Wire::RunEnd::Failed && !job->stepDefinition(*step).longRunning)
+    if (meaning == EndMeaning::Failure)
         onFailure(now, *job, *task, row.run, host, actions);
 }
 
+void RunLedger::onCompletion(Instant now, JobState& job, TaskState& task, const Wire::EndedTask& row, Actions& actions)
+{
+    ++m_state.counters.completedTasks;
+    job.complete(now, *job.findStep(row.task.occurrence, row.task.step), static_cast<std::size_t>(row.task.index));
+    release(now, row.task, row.run, {});
+    m_state.markDirty(now, row.task.jobId, false);
+    for (const RunPlace& copy : std::vector<RunPlace>(task.runs)) {
+        Host* other = m_state.hosts.find(copy.hostId);
+        std::map<RunKey, HostRun>::iterator it;
+        if (other && (it = other->runs.find(runKey(row.task, copy.run))) != other->runs.end())
+            halt(*other, it->second, "copy_finished_first", actions);
+    }
+    if (job.isCompleted())
+        finish(now, job, Wire::JobOutcome::Completed, "all_tasks_completed", actions);
+    m_state.scheduleDue = true;
+}
+
 void RunLedger::haltMissing(Host& host, const Wire::HostReport& report, Actions& actions)
 {
     for (std::pair<const RunKey, HostRun>& entry : host.runs) {
--- a/Source/Decision/Job/RunLedger.h
+++ b/Source/Decision/Job/RunLedger.h
@@ -29,12 +29,29 @@
     /// A fence refused this owner's orders: a later owner has been there.
     bool isFenced() const { return m_fenced; }
 
+    /// What the listed end of a run changes.
+    enum class EndMeaning {
+        Completion,
+        Failure,
+        /// A failure that has been counted before.
+        FailureKnown,
+        /// Stopped, lapsed or broken, or a task that lasts: it is started again.
+        Interruption,
+        TaskCompleted,
+        JobFinished,
+        UnknownTask,
+        OtherRunUnderWay,
+    };
+
 private:
     Host& enter(Instant now, LinkId link, const Wire::HostReport& report, Actions& actions);
     void onResult(Instant now, Host& host, const Wire::OrderResult& result, Actions& actions);
     void onRunning(Instant now, Host& host, const Wire::RunningTask& row, Actions& actions);
     void adopt(Instant now, Host& host, const Wire::RunningTask& row, Actions& actions);
     void onEnded(Instant now, Host& host, const Wire::EndedTask& row, Actions& actions);
+    /// Changes nothing; known says whether the run was on the books of its host.
+    EndMeaning meaningOf(const Wire::EndedTask& row, bool known);
+    void onCompletion(Instant now, JobState& job, TaskState& task, const Wire::EndedTask& row, Actions& actions);
     void onFailure(Instant now, JobState& job, TaskState& task, int run, const Host& host, Actions& actions);
     void learn(Instant now, Host& host, const HostRun& run, Wire::RunEnd::type how, Actions& actions);
     void haltMissing(Host& host, const Wire::HostReport& report, Actions& actions);
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -273,6 +273,8 @@
                                      .add("host", host.hostId)
                                      .add("waited_ms", toMilliseconds(now - task.waitingSince))
                                      .add("host_age_ms", toMilliseconds(now - host.clockReadAt))
+                                     .add("failures_before", task.failedRuns.size())
+                                     .add("hosts_unheard", m_state.hostsUnheard(now))
                                      .add("free_milli", host.freeMilliCores())
                                      .add("free_mb", host.freeMegabytes())
                                      .text() });
