Tests: A failure listed after a later run was adopted

A new owner hears that run 2 of a task goes on before it hears that run 1 failed, and starts the task a third time of two permitted.

Ruled out: a failure lost between two owners (progress_loaded was behind by up to two failures, and each of them was listed again); a start before all hosts were heard (hosts_unheard=0 at each start).

--- a/Tests/Support/JobFixture.h
+++ b/Tests/Support/JobFixture.h
@@ -122,6 +122,13 @@
         }
     }
 
+    /// A few ticks, 10 ms apart: enough for what was decided to be stored and sent.
+    void settle(int now)
+    {
+        for (int n = 0; n < 5; ++n)
+            tick(now + 10 * n);
+    }
+
     void submit(int now, const Wire::JobDefinition& job)
     {
         Actions actions;
--- /dev/null
+++ b/Tests/Unit/AttemptBudgetTest.cpp
@@ -0,0 +1,52 @@
+/// How many attempts of a task have failed: every failure counts once, whenever and by whichever owner it is heard of.
+#include "Support/JobFixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Plantainpier;
+
+class AttemptBudgetTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(AttemptBudgetTest);
+    CPPUNIT_TEST(countsAFailureListedAfterALaterRunWasAdopted);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr const char* jobId = "00000000000000aa";
+
+    /// What an owner of term 1 has stored of a job of one task and its host.
+    static std::vector<StoreRecord> storedByFirstOwner()
+    {
+        OwnerHarness first;
+        first.report(0, makeReport("host-1", 1, 100));
+        first.settle(10);
+        first.submit(60, makeJob(jobId, { makeStep(1, 1000, 300) }));
+        first.settle(70);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.starts.size());
+        return first.stored;
+    }
+
+    // Guards against a third start of two permitted: a new owner hears that run 2 goes on before it hears that run 1
+    // failed.
+    void countsAFailureListedAfterALaterRunWasAdopted()
+    {
+        OwnerHarness next(2);
+        next.owner.load(storedByFirstOwner());
+        Actions actions;
+        next.owner.finishLoad(at(1000), 1000, at(10'000), actions);
+        const Wire::TaskName task = makeTask(jobId, 0, 0);
+        const Wire::EndedTask first = makeEnded(1, task, 1, Wire::RunEnd::Failed);
+        Wire::HostReport report = makeReport("host-1", 1, 1100);
+        report.running = { makeRunning(task, 2) };
+        report.ended = { first };
+        next.report(1010, report);
+        next.settle(1020);
+        report = makeReport("host-1", 1, 1200);
+        report.ended = { first, makeEnded(2, task, 2, Wire::RunEnd::Failed) };
+        next.report(1100, report);
+        next.settle(1110);
+        next.settle(1300);
+        CPPUNIT_ASSERT_MESSAGE("both attempts have failed", next.starts.empty());
+        const Wire::JobReply shown = next.ask(1400, Wire::JobCallKind::Status, makeJob(jobId, {}));
+        CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Failed, shown.phase);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(AttemptBudgetTest);
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -39,33 +39,27 @@
         return report;
     }
 
-    static void settle(OwnerHarness& harness, int now)
-    {
-        for (int n = 0; n < 5; ++n)
-            harness.tick(now + 10 * n);
-    }
-
     /// An owner with one empty host and one accepted job.
     static void begin(OwnerHarness& harness, const Wire::JobDefinition& job)
     {
         harness.report(0, listing(100, {}));
-        settle(harness, 10);
+        harness.settle(10);
         harness.submit(60, job);
-        settle(harness, 70);
+        harness.settle(70);
     }
 
     void acceptsAndStartsOnlyWhatIsStored()
     {
         OwnerHarness harness;
         harness.report(0, listing(100, {}));
-        settle(harness, 10);
+        harness.settle(10);
         harness.storeAway = true;
         harness.submit(60, makeJob("00000000000000aa", { makeStep(1, 1000, 300) }));
-        settle(harness, 70);
+        harness.settle(70);
         CPPUNIT_ASSERT(harness.replies.empty());
         CPPUNIT_ASSERT(harness.starts.empty());
         harness.storeAway = false;
-        settle(harness, 200);
+        harness.settle(200);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.replies.size());
         CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Accepted, harness.replies[0].kind);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.starts.size());
@@ -75,7 +69,7 @@
     {
         OwnerHarness harness;
         harness.report(0, listing(100, {}));
-        settle(harness, 10);
+        harness.settle(10);
         harness.storeAway = true;
         harness.submit(60, makeJob("00000000000000aa", { makeStep(1, 1000, 300) }));
         // The append is under way and its answer never comes.
@@ -91,7 +85,7 @@
     {
         OwnerHarness harness;
         harness.report(0, listing(100, {}));
-        settle(harness, 10);
+        harness.settle(10);
         harness.submit(60, makeJob("00000000000000aa", { makeStep(1, 9000, 300) }));
         CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Refused, harness.replies.at(0).kind);
     }
@@ -104,7 +98,7 @@
         // What is being stopped still counts: only a listed end frees its room.
         const Wire::TaskName first = harness.starts[0].task;
         harness.report(200, listing(300, {}, { makeEnded(1, first, 1, Wire::RunEnd::Completed) }));
-        settle(harness, 210);
+        harness.settle(210);
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), harness.starts.size());
     }
 
@@ -118,10 +112,10 @@
         const Wire::TaskName one = makeTask("00000000000000aa", 0, 0);
         const Wire::TaskName other = makeTask("00000000000000aa", 0, 1);
         harness.report(200, listing(300, { makeRunning(other, 1) }, { makeEnded(1, one, 1, Wire::RunEnd::Completed) }));
-        settle(harness, 210);
+        harness.settle(210);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.starts.size());
         harness.report(300, listing(400, {}, { makeEnded(2, other, 1, Wire::RunEnd::Completed) }));
-        settle(harness, 310);
+        harness.settle(310);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), harness.starts.size());
         CPPUNIT_ASSERT_EQUAL(1, harness.starts[2].task.step);
     }
@@ -134,11 +128,11 @@
         harness.sent.clear();
         harness.report(
             200, listing(300, {}, { makeEnded(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Completed) }));
-        settle(harness, 300);
+        harness.settle(300);
         for (const Wire::HostOrders& orders : harness.sent)
             CPPUNIT_ASSERT_EQUAL(std::int64_t(0), orders.acknowledgedNumber);
         harness.storeAway = false;
-        settle(harness, 400);
+        harness.settle(400);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1), harness.sent.back().acknowledgedNumber);
     }
 
@@ -150,10 +144,10 @@
         harness.storeAway = true;
         harness.report(
             200, listing(300, {}, { makeEnded(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Completed) }));
-        settle(harness, 300);
+        harness.settle(300);
         CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Running, harness.ask(350, Wire::JobCallKind::Status, job).phase);
         harness.storeAway = false;
-        settle(harness, 400);
+        harness.settle(400);
         CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Completed, harness.ask(450, Wire::JobCallKind::Status, job).phase);
     }
 
@@ -163,11 +157,11 @@
         OwnerHarness harness;
         begin(harness, job);
         harness.ask(200, Wire::JobCallKind::Cancel, job);
-        settle(harness, 210);
+        harness.settle(210);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.halts.size());
         // A repeat of the submission that was on its way for seconds.
         harness.submit(400, job);
-        settle(harness, 410);
+        harness.settle(410);
         CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Cancelled, harness.ask(460, Wire::JobCallKind::Status, job).phase);
         JobOwner next("entry-2", 5, OwnerRules {}, at(500));
         next.load(harness.stored);
@@ -246,10 +240,10 @@
         next.owner.finishLoad(at(1000), 1000, at(10'000), actions);
         Wire::HostReport other = makeReport("host-2", 1, 1000);
         next.report(1010, other, testLink + 1);
-        settle(next, 1020);
+        next.settle(1020);
         CPPUNIT_ASSERT_MESSAGE("they may run on host-1", next.starts.empty());
         next.report(1100, listing(1200, {}));
-        settle(next, 1110);
+        next.settle(1110);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), next.starts.size());
         CPPUNIT_ASSERT_MESSAGE("above whatever the first owner may have used", next.starts[0].run > 64);
     }
@@ -263,7 +257,7 @@
         const Wire::TaskName one = makeTask("00000000000000aa", 0, 0);
         const Wire::TaskName other = makeTask("00000000000000aa", 0, 1);
         next.report(1010, listing(1100, { makeRunning(one, 1) }, { makeEnded(1, other, 1, Wire::RunEnd::Completed) }));
-        settle(next, 1020);
+        next.settle(1020);
         CPPUNIT_ASSERT(next.starts.empty());
         CPPUNIT_ASSERT(next.halts.empty());
         CPPUNIT_ASSERT_EQUAL(std::int64_t(3), next.sent.back().term);
@@ -277,14 +271,14 @@
         begin(first, job);
         const Wire::EndedTask failed = makeEnded(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Failed);
         first.report(200, listing(300, {}, { failed }));
-        settle(first, 300);
+        first.settle(300);
         OwnerHarness next(3);
         next.owner.load(first.stored);
         Actions actions;
         next.owner.finishLoad(at(1000), 1000, at(1000), actions);
         // Stored, but not acknowledged before the first owner was gone: the host lists it again.
         next.report(1010, listing(1100, {}, { failed }));
-        settle(next, 1100);
+        next.settle(1100);
         CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Running, next.ask(1200, Wire::JobCallKind::Status, job).phase);
         CPPUNIT_ASSERT_MESSAGE("the second of two attempts", !next.starts.empty());
     }
@@ -301,10 +295,10 @@
         Actions actions;
         next.owner.finishLoad(at(1000), 1000, at(10'000), actions);
         next.report(1010, makeReport("host-2", 1, 1000), testLink + 1);
-        settle(next, 1020);
+        next.settle(1020);
         CPPUNIT_ASSERT_EQUAL_MESSAGE("a copy need not wait", std::size_t(1), next.starts.size());
         next.report(1100, listing(1100, {}, { makeEnded(1, makeTask(job.jobId, 0, 0), 1, Wire::RunEnd::Completed) }));
-        settle(next, 1110);
+        next.settle(1110);
         CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Completed, next.ask(1200, Wire::JobCallKind::Status, job).phase);
         CPPUNIT_ASSERT_EQUAL_MESSAGE("the other copy is stopped", std::size_t(1), next.halts.size());
     }
@@ -313,7 +307,7 @@
     {
         OwnerHarness harness;
         harness.report(0, listing(100, { makeRunning(makeTask("00000000000000ff", 0, 0), 4) }));
-        settle(harness, 10);
+        harness.settle(10);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.halts.size());
         CPPUNIT_ASSERT_EQUAL(4, harness.halts[0].run);
     }
@@ -323,7 +317,7 @@
         OwnerHarness harness;
         begin(harness, makeJob("00000000000000aa", { makeStep(1, 1000, 300) }));
         harness.report(200, makeReport("host-1", 2, 5));
-        settle(harness, 260);
+        harness.settle(260);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.starts.size());
         CPPUNIT_ASSERT_EQUAL(2, harness.starts[1].run);
     }
@@ -337,8 +331,8 @@
         CPPUNIT_ASSERT(harness.starts.empty());
         harness.report(200, makeReport("host-2", 1, 100), testLink + 1);
         harness.report(200, listing(300, {}));
-        settle(harness, 210);
-        settle(harness, 300);
+        harness.settle(210);
+        harness.settle(300);
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), harness.starts.size());
         for (const Wire::StartOrder& start : harness.starts)
             CPPUNIT_ASSERT_EQUAL(harness.starts[0].run, start.run);
@@ -354,10 +348,10 @@
         begin(harness, job);
         CPPUNIT_ASSERT(harness.starts.empty());
         harness.report(500, listing(600, {}));
-        settle(harness, 510);
+        harness.settle(510);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.starts.size());
         harness.report(900, listing(1000, { makeRunning(makeTask(job.jobId, 0, 0), 1) }));
-        settle(harness, 910);
+        harness.settle(910);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.starts.size());
         CPPUNIT_ASSERT_EQUAL(1, harness.starts[1].task.occurrence);
     }
@@ -378,7 +372,7 @@
         Wire::StepDefinition large = makeStep(1, 1000, 300);
         large.demand.memoryMegabytes = 3000;
         harness.submit(210, makeJob("00000000000000ab", { large }));
-        settle(harness, 220);
+        harness.settle(220);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.halts.size());
     }
 };
