Job: Count every failed run, whatever its task does by now

Cause: RunLedger passed over the end of a run that it did not know while the task had another run. That rule is meant for runs that were given up because their lease was over, but after a change of owner every earlier run is unknown: an owner that heard that run 3 goes on before it heard that run 2 failed dropped that failure and, worse, acknowledged it to the host, so that nobody could count it any more. Why this works: a failure is a fact about one run, told apart by its number, and is recorded before anything is asked about the present run of the task. Completions of given-up runs are still passed over: there the run under way decides.

--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -313,15 +313,16 @@
     if (task->completed)
         return EndMeaning::TaskCompleted;
     const Wire::StepDefinition& definition = job->stepDefinition(*step);
+    // A failure is a fact about its run and counts whatever the task does by now: a later owner may hear of a running
+    // task first and of the failures before it afterwards.
+    if (row.how == Wire::RunEnd::Failed && !definition.longRunning)
+        return task->hasFailed(row.run) ? EndMeaning::FailureKnown : EndMeaning::Failure;
     // A run that was given up because its lease was over no longer counts: the task may run elsewhere by now. Where
     // copies are allowed the first one that completes counts, whoever started it.
     if (!known && !task->runs.empty() && !definition.allowDuplicates)
         return EndMeaning::OtherRunUnderWay;
-    if (row.how == Wire::RunEnd::Completed && !definition.longRunning)
-        return EndMeaning::Completion;
-    if (row.how != Wire::RunEnd::Failed || definition.longRunning)
-        return EndMeaning::Interruption;
-    return task->hasFailed(row.run) ? EndMeaning::FailureKnown : EndMeaning::Failure;
+    return row.how == Wire::RunEnd::Completed && !definition.longRunning ? EndMeaning::Completion
+                                                                         : EndMeaning::Interruption;
 }
 
 void RunLedger::onEnded(Instant now, Host& host, const Wire::EndedTask& row, Actions& actions)
