Job: Count the failed attempts of a gang over its members

What callers would see: a gang started again after the permitted number of its runs had failed, if another member failed each time. Cause: failed runs were counted for each task, while a gang is one attempt whoever of it fails. Now the distinct runs that failed are counted over all members. Test: AttemptBudgetTest.aGangFailsAsAWhole failed before (6 starts for 4).

--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -1,6 +1,7 @@
 #include "Decision/Job/JobState.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Plantainpier {
 
@@ -155,6 +156,16 @@
         [](const StepState& step) { return step.completed == static_cast<int>(step.tasks.size()); });
 }
 
+int JobState::failedAttempts(const StepState& step, const TaskState& task) const
+{
+    if (!stepDefinition(step).gang)
+        return static_cast<int>(task.failedRuns.size());
+    std::set<int> runs;
+    for (const TaskState& member : step.tasks)
+        runs.insert(member.failedRuns.begin(), member.failedRuns.end());
+    return static_cast<int>(runs.size());
+}
+
 std::size_t JobState::failedRuns() const
 {
     std::size_t count = 0;
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -85,6 +85,8 @@
     void await(Instant now, StepState& step, TaskState& task);
     /// Every task of every occurrence is completed.
     bool isCompleted() const;
+    /// Failed attempts of a task; the members of a gang share theirs, whichever of them failed.
+    int failedAttempts(const StepState& step, const TaskState& task) const;
     /// Failed runs of all its tasks.
     std::size_t failedRuns() const;
     /// Work in thousandths of a core times seconds, for all tasks of all steps.
--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -263,13 +263,14 @@
     m_state.scheduleDue = true;
 }
 
-void RunLedger::onFailure(Instant now, JobState& job, TaskState& task, int run, const Host& host, Actions& actions)
+void RunLedger::onFailure(
+    Instant now, JobState& job, const StepState& step, TaskState& task, int run, const Host& host, Actions& actions)
 {
     task.failedRuns.push_back(run);
     ++m_state.counters.failedTasks;
     task.notBefore = now + m_state.rules.failurePause;
     m_state.markDirty(now, job.definition().jobId, false);
-    if (static_cast<int>(task.failedRuns.size()) >= job.definition().maximumAttempts)
+    if (job.failedAttempts(step, task) >= job.definition().maximumAttempts)
         finish(now, job, Wire::JobOutcome::Failed, "attempts_used_up_last_on_" + host.hostId, actions);
 }
 
@@ -371,7 +372,7 @@
     if (!row.checkpoint.empty())
         m_state.markDirty(now, row.task.jobId, false);
     if (meaning == EndMeaning::Failure)
-        onFailure(now, *job, *task, row.run, host, actions);
+        onFailure(now, *job, *job->findStep(row.task.occurrence, row.task.step), *task, row.run, host, actions);
 }
 
 void RunLedger::onCompletion(Instant now, JobState& job, TaskState& task, const Wire::EndedTask& row, Actions& actions)
--- a/Source/Decision/Job/RunLedger.h
+++ b/Source/Decision/Job/RunLedger.h
@@ -52,7 +52,8 @@
     /// Changes nothing; known says whether the run was on the books of its host.
     EndMeaning meaningOf(const Wire::EndedTask& row, bool known);
     void onCompletion(Instant now, JobState& job, TaskState& task, const Wire::EndedTask& row, Actions& actions);
-    void onFailure(Instant now, JobState& job, TaskState& task, int run, const Host& host, Actions& actions);
+    void onFailure(Instant now, JobState& job, const StepState& step, TaskState& task, int run, const Host& host,
+        Actions& actions);
     void learn(Instant now, Host& host, const HostRun& run, Wire::RunEnd::type how, Actions& actions);
     void haltMissing(Host& host, const Wire::HostReport& report, Actions& actions);
     /// Gives up all runs of a host; leaseOver when the host itself has not been heard to end.
--- a/Tests/Unit/AttemptBudgetTest.cpp
+++ b/Tests/Unit/AttemptBudgetTest.cpp
@@ -8,6 +8,7 @@
 class AttemptBudgetTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(AttemptBudgetTest);
     CPPUNIT_TEST(countsAFailureListedAfterALaterRunWasAdopted);
+    CPPUNIT_TEST(aGangFailsAsAWhole);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* jobId = "00000000000000aa";
@@ -48,5 +49,32 @@
         const Wire::JobReply shown = next.ask(1400, Wire::JobCallKind::Status, makeJob(jobId, {}));
         CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Failed, shown.phase);
     }
+
+    // Guards against a third start of a gang of which two are permitted: another member fails each time.
+    void aGangFailsAsAWhole()
+    {
+        Wire::StepDefinition gang = makeStep(2, 1000, 300);
+        gang.gang = true;
+        const Wire::JobDefinition job = makeJob(jobId, { gang });
+        OwnerHarness harness;
+        harness.report(0, makeReport("host-1", 1, 100));
+        harness.settle(10);
+        harness.submit(60, job);
+        harness.settle(70);
+        std::vector<Wire::EndedTask> ended;
+        for (int run = 1; run <= 2; ++run) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2 * run), harness.starts.size());
+            const int failing = run - 1;
+            ended.push_back(makeEnded(2 * run - 1, makeTask(jobId, 0, failing), run, Wire::RunEnd::Failed));
+            ended.push_back(makeEnded(2 * run, makeTask(jobId, 0, 1 - failing), run, Wire::RunEnd::GangBroken));
+            Wire::HostReport report = makeReport("host-1", 1, 300 * run);
+            report.ended = ended;
+            harness.report(300 * run, report);
+            harness.settle(300 * run + 10);
+            harness.settle(300 * run + 150);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), harness.starts.size());
+        CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Failed, harness.ask(1000, Wire::JobCallKind::Status, job).phase);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AttemptBudgetTest);
