Job: Keep occurrences that an earlier owner saw due

What callers would see: a completed occurrence of a scheduled job run again. Cause: an owner whose clock is behind its predecessor's did not know the newest occurrence yet, dropped its progress on loading, passed over and acknowledged its ends, stopped its runs, and began it anew when its own clock came there. Occurrences that the stored progress or a host's list names are now added first. Test: AttemptBudgetTest.anOccurrenceThatAnEarlierOwnerSawDueIsKept failed before, for a stored end (1 start for 0) and, with only the loading mended, for a listed one.

--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -70,6 +70,13 @@
     return added;
 }
 
+void JobState::addOccurrencesUpTo(Instant now, int occurrence)
+{
+    const int last = std::min(occurrence, std::max(m_definition.occurrences, 1) - 1);
+    while (m_occurrencesAdded <= last)
+        addOccurrence(now, m_occurrencesAdded++, now + (m_due - m_accepted));
+}
+
 void JobState::addOccurrence(Instant now, int occurrence, Instant due)
 {
     for (std::size_t n = 0; n < m_definition.steps.size(); ++n) {
@@ -203,6 +210,7 @@
     addDueOccurrences(now, unixMilliseconds);
     m_outcome = progress.outcome;
     for (const Wire::TaskMark& mark : progress.marks) {
+        addOccurrencesUpTo(now, mark.occurrence);
         StepState* step = findStep(mark.occurrence, mark.step);
         if (!step || mark.index < 0 || static_cast<std::size_t>(mark.index) >= step->tasks.size())
             continue;
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -75,6 +75,8 @@
 
     /// Adds the occurrences whose time has come. True when there are new ones.
     bool addDueOccurrences(Instant now, std::int64_t unixMilliseconds);
+    /// Adds the occurrences up to this one: an earlier owner has seen it due, by a clock that may have been ahead.
+    void addOccurrencesUpTo(Instant now, int occurrence);
     std::vector<StepState>& steps() { return m_steps; }
     const std::vector<StepState>& steps() const { return m_steps; }
     StepState* findStep(int occurrence, int step);
--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -130,6 +130,7 @@
         if (!host.listed)
             haltMissing(host, report, actions);
         host.listed = true;
+        addOccurrences(now, report);
         for (const Wire::RunningTask& row : report.running)
             onRunning(now, host, row, actions);
         for (const Wire::EndedTask& row : report.ended)
@@ -147,6 +148,19 @@
     m_state.scheduleDue = true;
 }
 
+void RunLedger::addOccurrences(Instant now, const Wire::HostReport& report)
+{
+    const auto add = [this, now](const Wire::TaskName& task) {
+        JobState* job = m_state.findJob(task.jobId);
+        if (job && job->isOpen())
+            job->addOccurrencesUpTo(now, task.occurrence);
+    };
+    for (const Wire::RunningTask& row : report.running)
+        add(row.task);
+    for (const Wire::EndedTask& row : report.ended)
+        add(row.task);
+}
+
 void RunLedger::onResult(Instant now, Host& host, const Wire::OrderResult& result, Actions& actions)
 {
     const RunKey key = runKey(result.task, result.run);
--- a/Source/Decision/Job/RunLedger.h
+++ b/Source/Decision/Job/RunLedger.h
@@ -45,6 +45,8 @@
 
 private:
     Host& enter(Instant now, LinkId link, const Wire::HostReport& report, Actions& actions);
+    /// Hosts list runs of occurrences that an earlier owner has seen due and this one has not yet.
+    void addOccurrences(Instant now, const Wire::HostReport& report);
     void onResult(Instant now, Host& host, const Wire::OrderResult& result, Actions& actions);
     void onRunning(Instant now, Host& host, const Wire::RunningTask& row, Actions& actions);
     void adopt(Instant now, Host& host, const Wire::RunningTask& row, Actions& actions);
--- a/Tests/Unit/AttemptBudgetTest.cpp
+++ b/Tests/Unit/AttemptBudgetTest.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(AttemptBudgetTest);
     CPPUNIT_TEST(countsAFailureListedAfterALaterRunWasAdopted);
     CPPUNIT_TEST(aGangFailsAsAWhole);
+    CPPUNIT_TEST(anOccurrenceThatAnEarlierOwnerSawDueIsKept);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* jobId = "00000000000000aa";
@@ -76,5 +77,53 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), harness.starts.size());
         CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Failed, harness.ask(1000, Wire::JobCallKind::Status, job).phase);
     }
+
+    // Guards against a second start of a completed occurrence: the clock of the next owner is behind.
+    void anOccurrenceThatAnEarlierOwnerSawDueIsKept()
+    {
+        keepsAnOccurrence(true);
+        keepsAnOccurrence(false);
+    }
+
+    /// The end of the second occurrence is stored by the first owner, or only listed by the host.
+    static void keepsAnOccurrence(bool endIsStored)
+    {
+        Wire::JobDefinition job = makeJob(jobId, { makeStep(1, 1000, 300) });
+        job.occurrences = 3;
+        job.firstDueUnixMilliseconds = 200;
+        job.intervalMilliseconds = 300;
+        OwnerHarness first;
+        first.report(0, makeReport("host-1", 1, 100));
+        first.settle(10);
+        first.submit(60, job);
+        first.settle(200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.starts.size());
+        Wire::TaskName second = makeTask(jobId, 0, 0);
+        second.occurrence = 1;
+        Wire::HostReport report = makeReport("host-1", 1, 520);
+        const Wire::EndedTask ofTheFirst = makeEnded(1, makeTask(jobId, 0, 0), 1, Wire::RunEnd::Completed);
+        report.ended = { ofTheFirst };
+        first.report(520, report);
+        first.settle(530);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), first.starts.size());
+        first.storeAway = !endIsStored;
+        report = makeReport("host-1", 1, 600);
+        report.ended = { ofTheFirst, makeEnded(2, second, 1, Wire::RunEnd::Completed) };
+        first.report(600, report);
+        first.settle(610);
+
+        OwnerHarness next(2);
+        next.owner.load(first.stored);
+        Actions actions;
+        constexpr int behind = 300;
+        next.owner.finishLoad(at(700), 700 - behind, at(700), actions);
+        report.clockMilliseconds = 700;
+        next.report(700, report);
+        next.settle(710);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("both occurrences are completed", std::size_t(0), next.starts.size());
+        next.settle(810);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the third one is due", std::size_t(1), next.starts.size());
+        CPPUNIT_ASSERT_EQUAL(2, next.starts[0].task.occurrence);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AttemptBudgetTest);
