Process: Take a run for absent only by a whole list

What callers would see: a task run again after it had failed its last time or was completed. Cause: a host lists 500 ends at a time. A side that had stopped an unanswered start took a run that the next list showed neither as running nor as ended for one that never began, although its end could lie beyond the 500. Tests: HostAgentTest.aListWithoutAllEndsDoesNotGiveARunBack failed before; PlatformProtocolTest.tellsAWholeListFromAFullOne covers the adapter.

--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -289,8 +289,9 @@
             [&it](const Wire::RunningTask& row) { return runKey(row.task, row.run) == it->first; });
         const bool ended = std::any_of(response.ended.begin(), response.ended.end(),
             [&it](const Wire::EndedTask& row) { return runKey(row.task, row.run) == it->first; });
-        // Only a list that was asked for after the stop was taken says that the run is not there.
-        const bool decisive = it->second.answered && it->second.answeredAt <= m_listSentAt;
+        // Only a whole list that was asked for after the stop was taken says that the run is not there.
+        const bool whole = ended || !response.endsOmitted;
+        const bool decisive = it->second.answered && it->second.answeredAt <= m_listSentAt && whole;
         if (!decisive || running) {
             ++it;
             continue;
--- a/Source/Decision/Process/Message.h
+++ b/Source/Decision/Process/Message.h
@@ -239,6 +239,8 @@
     std::int64_t clockMilliseconds = 0;
     std::vector<Wire::RunningTask> running;
     std::vector<Wire::EndedTask> ended;
+    /// The list holds no more ends; others may wait until these are acknowledged.
+    bool endsOmitted = false;
 };
 
 /// The final answer to a client's call about a job.
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -11,6 +11,7 @@
 class HostAgentTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(HostAgentTest);
     CPPUNIT_TEST(anUnansweredStartIsStoppedBeforeItIsGivenBack);
+    CPPUNIT_TEST(aListWithoutAllEndsDoesNotGiveARunBack);
     CPPUNIT_TEST(startsNothingOnAHostThatLeaves);
     CPPUNIT_TEST(ignoresOrdersOfAnEarlierTerm);
     CPPUNIT_TEST(ignoresALateAnnouncement);
@@ -117,6 +118,27 @@
         CPPUNIT_ASSERT(reportsAbsent(actions));
     }
 
+    // Guards against a second run of what has ended: its end is not among the first ones that the host lists.
+    void aListWithoutAllEndsDoesNotGiveARunBack()
+    {
+        Harness harness;
+        const StartOnHost start = actionsOf<StartOnHost>(harness.order(10, Harness::startOrders(4))).at(0);
+        const ListHost before = actionsOf<ListHost>(harness.tick(11)).at(0);
+        Actions actions;
+        harness.agent.onStarted(at(700), start, answer(HostAnswer::Uncertain), actions);
+        const HaltOnHost halt = actionsOf<HaltOnHost>(harness.tick(701)).at(0);
+        harness.agent.onHalted(at(705), halt, answer(HostAnswer::Done), actions);
+        harness.agent.onListed(at(706), before, answer(HostAnswer::Done), actions);
+        HostResponse part = answer(HostAnswer::Done);
+        part.endsOmitted = true;
+        const ListHost first = actionsOf<ListHost>(harness.tick(800)).at(0);
+        harness.agent.onListed(at(805), first, part, actions);
+        CPPUNIT_ASSERT_MESSAGE("its end may come with the next list", !reportsAbsent(actions));
+        const ListHost second = actionsOf<ListHost>(harness.tick(900)).at(0);
+        harness.agent.onListed(at(905), second, answer(HostAnswer::Done), actions);
+        CPPUNIT_ASSERT(reportsAbsent(actions));
+    }
+
     void startsNothingOnAHostThatLeaves()
     {
         Harness harness;
--- a/Tests/Unit/PlatformProtocolTest.cpp
+++ b/Tests/Unit/PlatformProtocolTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(readsAnAnnouncement);
     CPPUNIT_TEST(refusesAnnouncementsOfOtherWriters);
     CPPUNIT_TEST(readsListsAndPassesOverForeignRows);
+    CPPUNIT_TEST(tellsAWholeListFromAFullOne);
     CPPUNIT_TEST(tellsAnswersApart);
     CPPUNIT_TEST(framesAndReadsRecords);
     CPPUNIT_TEST(readsThePagesOfNewestRecords);
@@ -74,6 +75,21 @@
         CPPUNIT_ASSERT_EQUAL(Wire::RunEnd::Completed, list.ended[0].how);
     }
 
+    // Guards against taking an end that is not listed yet for one that does not exist.
+    void tellsAWholeListFromAFullOne()
+    {
+        std::string rows;
+        for (int n = 1; n <= 500; ++n) {
+            CPPUNIT_ASSERT(
+                !HostProtocol::decode(response(200, R"({"clock_ms":77,"ended":[)" + rows + "]}")).endsOmitted);
+            rows += (n > 1 ? "," : "") + std::string("[") + std::to_string(n)
+                + R"(,"00000000000000aa.0.1.9",1,"done",""])";
+        }
+        const HostResponse full = HostProtocol::decode(response(200, R"({"clock_ms":77,"ended":[)" + rows + "]}"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(500), full.ended.size());
+        CPPUNIT_ASSERT(full.endsOmitted);
+    }
+
     void tellsAnswersApart()
     {
         CPPUNIT_ASSERT_EQUAL(HostAnswer::Refused, HostProtocol::decode(response(409, R"({"reason":"room"})")).answer);
