Job: Use no run number again that has failed

What callers would see: a task started once more than permitted. Cause: failures are told apart by their run number, each term has 64 numbers a task, and a new owner did not take over which were used. A task that an earlier term started more than 64 times (fillers that are moved often) could fail under a number that had failed before, which counted as the same failure. A new owner now goes on above the highest number that has failed. Test: AttemptBudgetTest.aNumberThatFailedIsNotUsedAgain failed before (run 65 for 66).

--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -216,6 +216,8 @@
             continue;
         TaskState& task = step->tasks[static_cast<std::size_t>(mark.index)];
         task.failedRuns = mark.failedRuns;
+        for (const int run : mark.failedRuns)
+            task.lastRun = std::max(task.lastRun, run);
         task.checkpoint = mark.checkpoint;
         m_started = true;
         if (!mark.completed)
--- a/Tests/Unit/AttemptBudgetTest.cpp
+++ b/Tests/Unit/AttemptBudgetTest.cpp
@@ -1,5 +1,6 @@
 /// How many attempts of a task have failed: every failure counts once, whenever and by whichever owner it is heard of.
 #include "Support/JobFixture.h"
+#include "Wire/Codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -10,6 +11,7 @@
     CPPUNIT_TEST(countsAFailureListedAfterALaterRunWasAdopted);
     CPPUNIT_TEST(aGangFailsAsAWhole);
     CPPUNIT_TEST(anOccurrenceThatAnEarlierOwnerSawDueIsKept);
+    CPPUNIT_TEST(aNumberThatFailedIsNotUsedAgain);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* jobId = "00000000000000aa";
@@ -125,5 +127,26 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("the third one is due", std::size_t(1), next.starts.size());
         CPPUNIT_ASSERT_EQUAL(2, next.starts[0].task.occurrence);
     }
+
+    // Guards against a failure that is taken for one counted before: an earlier term used up the numbers of the next.
+    void aNumberThatFailedIsNotUsedAgain()
+    {
+        std::vector<StoreRecord> stored = storedByFirstOwner();
+        const int failed = runNumbersOfATerm + 1;
+        Wire::TaskMark mark;
+        mark.failedRuns = { failed };
+        Wire::JobProgress progress;
+        progress.marks = { mark };
+        progress.outcome = Wire::JobOutcome::Open;
+        stored.push_back(StoreRecord { StoreKey::progress(jobId), Wire::encode(progress) });
+        OwnerHarness next(2);
+        next.owner.load(stored);
+        Actions actions;
+        next.owner.finishLoad(at(1000), 1000, at(1000), actions);
+        next.report(1010, makeReport("host-1", 1, 1100));
+        next.settle(1020);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), next.starts.size());
+        CPPUNIT_ASSERT_EQUAL(failed + 1, next.starts[0].run);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AttemptBudgetTest);
