--- a/Tests/Unit/AttemptBudgetTest.cpp
+++ b/Tests/Unit/AttemptBudgetTest.cpp
@@ -66,15 +66,17 @@
         harness.settle(70);
         std::vector<Wire::EndedTask> ended;
         for (int run = 1; run <= 2; ++run) {
-            CPPUNIT_ASSERT_EQUAL(std::size_t(2 * run), harness.starts.size());
+            CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(run) * 2, harness.starts.size());
             const int failing = run - 1;
-            ended.push_back(makeEnded(2 * run - 1, makeTask(jobId, 0, failing), run, Wire::RunEnd::Failed));
-            ended.push_back(makeEnded(2 * run, makeTask(jobId, 0, 1 - failing), run, Wire::RunEnd::GangBroken));
-            Wire::HostReport report = makeReport("host-1", 1, 300 * run);
+            const std::int64_t last = std::int64_t(run) * 2;
+            ended.push_back(makeEnded(last - 1, makeTask(jobId, 0, failing), run, Wire::RunEnd::Failed));
+            ended.push_back(makeEnded(last, makeTask(jobId, 0, 1 - failing), run, Wire::RunEnd::GangBroken));
+            const int now = 300 * run;
+            Wire::HostReport report = makeReport("host-1", 1, now);
             report.ended = ended;
-            harness.report(300 * run, report);
-            harness.settle(300 * run + 10);
-            harness.settle(300 * run + 150);
+            harness.report(now, report);
+            harness.settle(now + 10);
+            harness.settle(now + 150);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), harness.starts.size());
         CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Failed, harness.ask(1000, Wire::JobCallKind::Status, job).phase);
