--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -5965,6 +5965,10 @@
 void OwnerPulse::__set_resigning(const bool val) {
   this->resigning = val;
 }
+
+void OwnerPulse::__set_predecessorsHoldMilliseconds(const int64_t val) {
+  this->predecessorsHoldMilliseconds = val;
+}
 std::ostream& operator<<(std::ostream& out, const OwnerPulse& obj)
 {
   obj.printTo(out);
@@ -6009,6 +6013,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->predecessorsHoldMilliseconds);
+          this->__isset.predecessorsHoldMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6034,6 +6046,10 @@
   xfer += oprot->writeBool(this->resigning);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("predecessorsHoldMilliseconds", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->predecessorsHoldMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6043,28 +6059,33 @@
   using ::std::swap;
   swap(a.term, b.term);
   swap(a.resigning, b.resigning);
+  swap(a.predecessorsHoldMilliseconds, b.predecessorsHoldMilliseconds);
   swap(a.__isset, b.__isset);
 }
 
 OwnerPulse::OwnerPulse(const OwnerPulse& other135) noexcept {
   term = other135.term;
   resigning = other135.resigning;
+  predecessorsHoldMilliseconds = other135.predecessorsHoldMilliseconds;
   __isset = other135.__isset;
 }
 OwnerPulse::OwnerPulse(OwnerPulse&& other136) noexcept {
   term = other136.term;
   resigning = other136.resigning;
+  predecessorsHoldMilliseconds = other136.predecessorsHoldMilliseconds;
   __isset = other136.__isset;
 }
 OwnerPulse& OwnerPulse::operator=(const OwnerPulse& other137) noexcept {
   term = other137.term;
   resigning = other137.resigning;
+  predecessorsHoldMilliseconds = other137.predecessorsHoldMilliseconds;
   __isset = other137.__isset;
   return *this;
 }
 OwnerPulse& OwnerPulse::operator=(OwnerPulse&& other138) noexcept {
   term = other138.term;
   resigning = other138.resigning;
+  predecessorsHoldMilliseconds = other138.predecessorsHoldMilliseconds;
   __isset = other138.__isset;
   return *this;
 }
@@ -6073,6 +6094,7 @@
   out << "OwnerPulse(";
   out << "term=" << to_string(term);
   out << ", " << "resigning=" << to_string(resigning);
+  out << ", " << "predecessorsHoldMilliseconds=" << to_string(predecessorsHoldMilliseconds);
   out << ")";
 }
 
@@ -6689,6 +6711,14 @@
 void HostReport::__set_highestTerm(const int64_t val) {
   this->highestTerm = val;
 }
+
+void HostReport::__set_listFence(const int64_t val) {
+  this->listFence = val;
+}
+
+void HostReport::__set_endsOmitted(const bool val) {
+  this->endsOmitted = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -6887,6 +6917,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->listFence);
+          this->__isset.listFence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->endsOmitted);
+          this->__isset.endsOmitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6996,6 +7042,14 @@
   xfer += oprot->writeI64(this->highestTerm);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("listFence", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->listFence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endsOmitted", ::apache::thrift::protocol::T_BOOL, 17);
+  xfer += oprot->writeBool(this->endsOmitted);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7018,6 +7072,8 @@
   swap(a.ended, b.ended);
   swap(a.results, b.results);
   swap(a.highestTerm, b.highestTerm);
+  swap(a.listFence, b.listFence);
+  swap(a.endsOmitted, b.endsOmitted);
   swap(a.__isset, b.__isset);
 }
 
@@ -7037,6 +7093,8 @@
   ended = other178.ended;
   results = other178.results;
   highestTerm = other178.highestTerm;
+  listFence = other178.listFence;
+  endsOmitted = other178.endsOmitted;
   __isset = other178.__isset;
 }
 HostReport::HostReport(HostReport&& other179) noexcept {
@@ -7055,6 +7113,8 @@
   ended = std::move(other179.ended);
   results = std::move(other179.results);
   highestTerm = other179.highestTerm;
+  listFence = other179.listFence;
+  endsOmitted = other179.endsOmitted;
   __isset = other179.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other180) {
@@ -7073,6 +7133,8 @@
   ended = other180.ended;
   results = other180.results;
   highestTerm = other180.highestTerm;
+  listFence = other180.listFence;
+  endsOmitted = other180.endsOmitted;
   __isset = other180.__isset;
   return *this;
 }
@@ -7092,6 +7154,8 @@
   ended = std::move(other181.ended);
   results = std::move(other181.results);
   highestTerm = other181.highestTerm;
+  listFence = other181.listFence;
+  endsOmitted = other181.endsOmitted;
   __isset = other181.__isset;
   return *this;
 }
@@ -7113,6 +7177,8 @@
   out << ", " << "ended=" << to_string(ended);
   out << ", " << "results=" << to_string(results);
   out << ", " << "highestTerm=" << to_string(highestTerm);
+  out << ", " << "listFence=" << to_string(listFence);
+  out << ", " << "endsOmitted=" << to_string(endsOmitted);
   out << ")";
 }
 
@@ -7631,6 +7697,10 @@
 void HostOrders::__set_paces(const std::vector<PaceOrder> & val) {
   this->paces = val;
 }
+
+void HostOrders::__set_fence(const int64_t val) {
+  this->fence = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostOrders& obj)
 {
   obj.printTo(out);
@@ -7759,6 +7829,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fence);
+          this->__isset.fence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7832,6 +7910,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("fence", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->fence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7847,6 +7929,7 @@
   swap(a.starts, b.starts);
   swap(a.halts, b.halts);
   swap(a.paces, b.paces);
+  swap(a.fence, b.fence);
   swap(a.__isset, b.__isset);
 }
 
@@ -7859,6 +7942,7 @@
   starts = other212.starts;
   halts = other212.halts;
   paces = other212.paces;
+  fence = other212.fence;
   __isset = other212.__isset;
 }
 HostOrders::HostOrders(HostOrders&& other213) noexcept {
@@ -7870,6 +7954,7 @@
   starts = std::move(other213.starts);
   halts = std::move(other213.halts);
   paces = std::move(other213.paces);
+  fence = other213.fence;
   __isset = other213.__isset;
 }
 HostOrders& HostOrders::operator=(const HostOrders& other214) {
@@ -7881,6 +7966,7 @@
   starts = other214.starts;
   halts = other214.halts;
   paces = other214.paces;
+  fence = other214.fence;
   __isset = other214.__isset;
   return *this;
 }
@@ -7893,6 +7979,7 @@
   starts = std::move(other215.starts);
   halts = std::move(other215.halts);
   paces = std::move(other215.paces);
+  fence = other215.fence;
   __isset = other215.__isset;
   return *this;
 }
@@ -7907,6 +7994,7 @@
   out << ", " << "starts=" << to_string(starts);
   out << ", " << "halts=" << to_string(halts);
   out << ", " << "paces=" << to_string(paces);
+  out << ", " << "fence=" << to_string(fence);
   out << ")";
 }
 
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -2353,9 +2353,10 @@
 std::ostream& operator<<(std::ostream& out, const OwnerClaim& obj);
 
 typedef struct _OwnerPulse__isset {
-  _OwnerPulse__isset() : term(false), resigning(false) {}
+  _OwnerPulse__isset() : term(false), resigning(false), predecessorsHoldMilliseconds(false) {}
   bool term :1;
   bool resigning :1;
+  bool predecessorsHoldMilliseconds :1;
 } _OwnerPulse__isset;
 
 class OwnerPulse : public virtual ::apache::thrift::TBase {
@@ -2367,12 +2368,14 @@
   OwnerPulse& operator=(OwnerPulse&&) noexcept;
   OwnerPulse() noexcept
              : term(0),
-               resigning(0) {
+               resigning(0),
+               predecessorsHoldMilliseconds(0) {
   }
 
   virtual ~OwnerPulse() noexcept;
   int64_t term;
   bool resigning;
+  int64_t predecessorsHoldMilliseconds;
 
   _OwnerPulse__isset __isset;
 
@@ -2380,12 +2383,16 @@
 
   void __set_resigning(const bool val);
 
+  void __set_predecessorsHoldMilliseconds(const int64_t val);
+
   bool operator == (const OwnerPulse & rhs) const
   {
     if (!(term == rhs.term))
       return false;
     if (!(resigning == rhs.resigning))
       return false;
+    if (!(predecessorsHoldMilliseconds == rhs.predecessorsHoldMilliseconds))
+      return false;
     return true;
   }
   bool operator != (const OwnerPulse &rhs) const {
@@ -2622,7 +2629,7 @@
 std::ostream& operator<<(std::ostream& out, const OrderResult& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : hostId(false), incarnation(false), serviceName(false), zone(false), rack(false), labels(false), capacity(false), state(false), remainingMilliseconds(false), listed(false), clockMilliseconds(false), running(false), ended(false), results(false), highestTerm(false) {}
+  _HostReport__isset() : hostId(false), incarnation(false), serviceName(false), zone(false), rack(false), labels(false), capacity(false), state(false), remainingMilliseconds(false), listed(false), clockMilliseconds(false), running(false), ended(false), results(false), highestTerm(false), listFence(false), endsOmitted(false) {}
   bool hostId :1;
   bool incarnation :1;
   bool serviceName :1;
@@ -2638,6 +2645,8 @@
   bool ended :1;
   bool results :1;
   bool highestTerm :1;
+  bool listFence :1;
+  bool endsOmitted :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -2657,7 +2666,9 @@
                remainingMilliseconds(0),
                listed(0),
                clockMilliseconds(0),
-               highestTerm(0) {
+               highestTerm(0),
+               listFence(0),
+               endsOmitted(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -2680,6 +2691,8 @@
   std::vector<EndedTask>  ended;
   std::vector<OrderResult>  results;
   int64_t highestTerm;
+  int64_t listFence;
+  bool endsOmitted;
 
   _HostReport__isset __isset;
 
@@ -2713,6 +2726,10 @@
 
   void __set_highestTerm(const int64_t val);
 
+  void __set_listFence(const int64_t val);
+
+  void __set_endsOmitted(const bool val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(hostId == rhs.hostId))
@@ -2745,6 +2762,10 @@
       return false;
     if (!(highestTerm == rhs.highestTerm))
       return false;
+    if (!(listFence == rhs.listFence))
+      return false;
+    if (!(endsOmitted == rhs.endsOmitted))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -2952,7 +2973,7 @@
 std::ostream& operator<<(std::ostream& out, const PaceOrder& obj);
 
 typedef struct _HostOrders__isset {
-  _HostOrders__isset() : term(false), hostId(false), incarnation(false), leaseUntilMilliseconds(false), acknowledgedNumber(false), starts(false), halts(false), paces(false) {}
+  _HostOrders__isset() : term(false), hostId(false), incarnation(false), leaseUntilMilliseconds(false), acknowledgedNumber(false), starts(false), halts(false), paces(false), fence(false) {}
   bool term :1;
   bool hostId :1;
   bool incarnation :1;
@@ -2961,6 +2982,7 @@
   bool starts :1;
   bool halts :1;
   bool paces :1;
+  bool fence :1;
 } _HostOrders__isset;
 
 class HostOrders : public virtual ::apache::thrift::TBase {
@@ -2975,7 +2997,8 @@
                hostId(),
                incarnation(0),
                leaseUntilMilliseconds(0),
-               acknowledgedNumber(0) {
+               acknowledgedNumber(0),
+               fence(0) {
   }
 
   virtual ~HostOrders() noexcept;
@@ -2987,6 +3010,7 @@
   std::vector<StartOrder>  starts;
   std::vector<HaltOrder>  halts;
   std::vector<PaceOrder>  paces;
+  int64_t fence;
 
   _HostOrders__isset __isset;
 
@@ -3006,6 +3030,8 @@
 
   void __set_paces(const std::vector<PaceOrder> & val);
 
+  void __set_fence(const int64_t val);
+
   bool operator == (const HostOrders & rhs) const
   {
     if (!(term == rhs.term))
@@ -3024,6 +3050,8 @@
       return false;
     if (!(paces == rhs.paces))
       return false;
+    if (!(fence == rhs.fence))
+      return false;
     return true;
   }
   bool operator != (const HostOrders &rhs) const {
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -269,10 +269,12 @@
   4: i32 port
 }
 
-// The owner is alive and reaches the store. A resigning owner asks for a successor at once.
+// The owner is alive and reaches the store. A resigning owner asks for a successor at once. Owners before this one may
+// go on granting leases for predecessorsHoldMilliseconds from the time at which the pulse was written.
 struct OwnerPulse {
   1: i64 term
   2: bool resigning
+  3: i64 predecessorsHoldMilliseconds
 }
 
 enum RunEnd { Completed = 1, Failed = 2, Stopped = 3, Lapsed = 4, GangBroken = 5, GangAlone = 6 }
@@ -326,6 +328,9 @@
   13: list<EndedTask> ended
   14: list<OrderResult> results
   15: i64 highestTerm
+  // With listed: the fence under which the list was asked for, and whether more ends may follow than it holds.
+  16: i64 listFence
+  17: bool endsOmitted
 }
 
 struct StartOrder {
@@ -349,7 +354,8 @@
   3: i32 percent
 }
 
-// Owner to side. Everything that runs on the host may go on until leaseUntilMilliseconds of the host's own clock.
+// Owner to side. Everything that runs on the host may go on until leaseUntilMilliseconds of the host's own clock. Every
+// call to the host carries the fence; the host refuses calls with a lower one than it has seen.
 struct HostOrders {
   1: i64 term
   2: string hostId
@@ -359,6 +365,7 @@
   6: list<StartOrder> starts
   7: list<HaltOrder> halts
   8: list<PaceOrder> paces
+  9: i64 fence
 }
 
 // First message on a link to the owner, and its answer.
