--- /dev/null
+++ b/Tests/Support/OrderWorld.cpp
@@ -0,0 +1,621 @@
+#include "Support/OrderWorld.h"
+
+#include "Wire/Codec.h"
+
+#include <iostream>
+
+namespace Plantainpier {
+
+namespace {
+
+    constexpr int hostCount = 4;
+    constexpr std::int64_t milliCoresOfAHost = 4000;
+    constexpr int maximumAttempts = 3;
+    constexpr int stepMilliseconds = 5;
+    /// Longer than any lease, hold or late order, so that everything can be settled afterwards.
+    constexpr int calmMilliseconds = 45'000;
+    constexpr int announceEvery = 1100;
+    constexpr int callTimeout = 700;
+    constexpr int listMargin = 900;
+    constexpr int forever = 1'000'000'000;
+
+    std::string text(const RunRecord& record)
+    {
+        return record.task.jobId + " task " + std::to_string(record.task.index) + " run " + std::to_string(record.run)
+            + " at " + std::to_string(record.startedAt);
+    }
+
+} // namespace
+
+OrderWorld::OrderWorld(unsigned seed)
+    : m_random(seed)
+    , m_trace(std::getenv("PLANTAINPIER_TRACE") != nullptr)
+    , m_sides(hostCount)
+{
+    for (std::size_t n = 0; n < m_sides.size(); ++n) {
+        m_sides[n].host = std::make_unique<VirtualHost>("host-" + std::to_string(n), 1, m_records);
+        restartSide(n);
+    }
+    changeOwner();
+}
+
+void OrderWorld::play(int milliseconds)
+{
+    const int end = m_now + milliseconds;
+    while (m_now < end) {
+        if (m_now % 100 == 0)
+            submit();
+        hurt();
+        step();
+    }
+    m_calm = true;
+    m_storeAwayUntil = m_now;
+    m_lateUntil = m_now;
+    for (OwnerModel& model : m_owners)
+        model.frozenUntil = m_now;
+    for (Side& side : m_sides)
+        side.cutUntil = m_now;
+    for (const int until = m_now + calmMilliseconds; m_now < until;)
+        step();
+}
+
+void OrderWorld::hurt()
+{
+    if (chance(0.0008))
+        changeOwner();
+    if (chance(0.0008))
+        m_owners.back().frozenUntil = m_now + any(6000);
+    if (chance(0.0015))
+        m_sides[static_cast<std::size_t>(any(hostCount))].cutUntil = m_now + any(chance(0.5) ? 1500 : 8000);
+    if (chance(0.0015))
+        crashHost(static_cast<std::size_t>(any(hostCount)));
+    if (chance(0.001))
+        restartSide(static_cast<std::size_t>(any(hostCount)));
+    if (chance(0.0005))
+        m_storeAwayUntil = m_now + any(3000);
+    if (chance(0.001))
+        m_lateUntil = m_now + any(4000);
+}
+
+void OrderWorld::submit()
+{
+    constexpr int lastingEvery = 40;
+    Wire::StepDefinition step = makeStep(1 + any(3), 1000, 300);
+    const std::string number = std::to_string(m_jobs.size());
+    if (m_jobs.size() % lastingEvery == 0) {
+        step.count = 2;
+        step.longRunning = true;
+        step.demand.milliProcessors = 500;
+    }
+    Wire::JobDefinition job = makeJob((step.longRunning ? "lasting-" : "job-") + number, { step });
+    job.maximumAttempts = maximumAttempts;
+    OwnerModel& model = m_owners.back();
+    if (m_now < model.frozenUntil)
+        return;
+    Actions actions;
+    model.owner->onCall(
+        at(m_now), CallOrigin { noLink, m_jobs.size() }, makeCall(Wire::JobCallKind::Submit, job), actions);
+    m_jobs.push_back(job);
+    performOwner(model.term, std::move(actions));
+}
+
+void OrderWorld::changeOwner()
+{
+    const std::int64_t term = m_owners.empty() ? 1 : m_owners.back().term + 1;
+    if (chance(0.5)) {
+        for (std::pair<const LinkId, Connection>& entry : m_connections) {
+            Connection& connection = entry.second;
+            if (!connection.closed)
+                after(2, [this, n = connection.side, process = connection.process, link = connection.sideLink] {
+                    Actions actions;
+                    if (m_sides[n].process == process)
+                        m_sides[n].agent->onLinkDown(at(m_now), link, actions);
+                    performSide(n, std::move(actions));
+                });
+            connection.closed = true;
+        }
+        m_owners.clear();
+    }
+    AppendToStore fence;
+    fence.topic = StoreTopic::Jobs;
+    fence.epoch = term;
+    m_store.append(fence);
+    OwnerModel next;
+    next.term = term;
+    next.owner = std::make_unique<JobOwner>("entry", term, OwnerRules {}, at(m_now));
+    next.owner->load(newestRecords());
+    Actions actions;
+    const Duration hold = next.owner->state().stretched(OwnerRules {}.ownershipHold);
+    next.owner->finishLoad(at(m_now), m_now, at(m_now) + hold, actions);
+    m_owners.push_back(std::move(next));
+    performOwner(term, std::move(actions));
+    Wire::OwnerClaim claim;
+    claim.nodeId = "entry-" + std::to_string(term);
+    claim.address = "127.0.0.1";
+    claim.port = static_cast<std::int32_t>(term);
+    m_claims.push_back(StoreRecord { "owner", Wire::encode(claim), term - 1 });
+}
+
+void OrderWorld::restartSide(std::size_t n)
+{
+    Side& side = m_sides[n];
+    ++side.process;
+    NodeIdentity identity { "side-" + std::to_string(n), side.process, "127.0.0.1", 1 };
+    side.agent = std::make_unique<HostAgent>(identity, HostAgentTiming {});
+    side.announceAt = m_now + any(announceEvery);
+    for (std::pair<const LinkId, Connection>& entry : m_connections) {
+        if (entry.second.side == n && !entry.second.closed)
+            close(n, entry.second.sideLink);
+    }
+}
+
+void OrderWorld::crashHost(std::size_t n)
+{
+    Side& side = m_sides[n];
+    if (!side.hostUp)
+        return;
+    side.host->crash(m_now);
+    side.hostUp = false;
+    side.hostBackAt = m_now + 20 + any(chance(0.5) ? 100 : 3000);
+}
+
+void OrderWorld::stepHost(std::size_t n)
+{
+    Side& side = m_sides[n];
+    if (!side.hostUp && m_now >= side.hostBackAt) {
+        // The same id; nothing of the earlier life is known.
+        side.host = std::make_unique<VirtualHost>(
+            side.host->hostId(), side.host->incarnation() + 1, m_records, m_now - any(3) * stepMilliseconds);
+        side.hostUp = true;
+        side.announcements = 0;
+        side.announceAt = m_now + any(chance(0.5) ? 20 : announceEvery);
+    }
+    if (!side.hostUp)
+        return;
+    side.host->tick(m_now);
+    if (m_now < side.announceAt)
+        return;
+    side.announceAt = m_now + announceEvery;
+    HostFacts facts;
+    facts.hostId = side.host->hostId();
+    facts.incarnation = side.host->incarnation();
+    facts.service = "desk";
+    facts.rack = "rack-1";
+    facts.capacity.milliProcessors = milliCoresOfAHost;
+    facts.capacity.memoryMegabytes = 10'000;
+    facts.sequence = ++side.announcements;
+    // A late announcement of an earlier life comes now and then.
+    after(!m_calm && chance(0.05) ? any(5000) : 1, [this, n, facts] {
+        Actions actions;
+        m_sides[n].agent->onAnnouncement(at(m_now), facts, actions);
+        performSide(n, std::move(actions));
+    });
+}
+
+void OrderWorld::stepOwner(OwnerModel& model)
+{
+    if (m_now < model.frozenUntil)
+        return;
+    while (!model.backlog.empty()) {
+        std::map<LinkId, std::deque<std::function<void()>>>::iterator it = model.backlog.begin();
+        std::advance(it, any(static_cast<int>(model.backlog.size())));
+        const std::function<void()> deliver = std::move(it->second.front());
+        it->second.pop_front();
+        if (it->second.empty())
+            model.backlog.erase(it);
+        deliver();
+    }
+    Actions actions;
+    model.owner->tick(at(m_now), m_now, actions);
+    const std::optional<AppendToStore> append
+        = m_now < m_storeAwayUntil ? std::nullopt : model.owner->takeAppend(at(m_now));
+    if (append) {
+        AppendResponse response = m_store.append(*append);
+        if (!m_calm && chance(0.05))
+            response.outcome = AppendOutcome::Uncertain;
+        model.owner->onAppendResponse(at(m_now), response, actions);
+    }
+    const bool newest = model.term == m_owners.back().term;
+    if (newest && m_now >= m_storeAwayUntil && m_now % 100 == 0)
+        model.owner->onPulseConfirmed(at(m_now));
+    performOwner(model.term, std::move(actions));
+}
+
+void OrderWorld::step()
+{
+    m_now += stepMilliseconds;
+    while (!m_events.empty() && m_events.begin()->first <= m_now) {
+        const std::function<void()> event = std::move(m_events.begin()->second);
+        m_events.erase(m_events.begin());
+        event();
+    }
+    for (std::size_t n = 0; n < m_sides.size(); ++n) {
+        stepHost(n);
+        Actions actions;
+        m_sides[n].agent->tick(at(m_now), actions);
+        performSide(n, std::move(actions));
+    }
+    for (std::size_t n = 0; n < m_owners.size(); ++n)
+        stepOwner(m_owners[n]);
+    std::erase_if(m_owners, [](const OwnerModel& model) { return model.owner->isFenced(); });
+    if (m_owners.empty())
+        changeOwner();
+}
+
+OrderWorld::OwnerModel* OrderWorld::findOwner(std::int64_t term)
+{
+    for (OwnerModel& model : m_owners) {
+        if (model.term == term)
+            return &model;
+    }
+    return nullptr;
+}
+
+std::vector<StoreRecord> OrderWorld::newestRecords()
+{
+    ReadNewest call;
+    call.topic = StoreTopic::Jobs;
+    return m_store.newest(call).records;
+}
+
+// The network.
+
+void OrderWorld::open(std::size_t n, const OpenLink& order)
+{
+    const std::int64_t term = order.port;
+    const int process = m_sides[n].process;
+    after(2 + std::max(0, m_sides[n].cutUntil - m_now), [this, n, process, term, sideLink = order.link] {
+        if (m_sides[n].process != process)
+            return;
+        Actions actions;
+        if (findOwner(term)) {
+            Connection connection;
+            connection.side = n;
+            connection.process = process;
+            connection.term = term;
+            connection.sideLink = sideLink;
+            m_connections[++m_lastLink] = connection;
+            m_sides[n].agent->onLinkUp(at(m_now), sideLink, actions);
+        } else {
+            m_sides[n].agent->onLinkDown(at(m_now), sideLink, actions);
+        }
+        performSide(n, std::move(actions));
+    });
+}
+
+void OrderWorld::close(std::size_t n, LinkId sideLink)
+{
+    for (std::pair<const LinkId, Connection>& entry : m_connections) {
+        Connection& connection = entry.second;
+        if (connection.side != n || connection.sideLink != sideLink || connection.closed)
+            continue;
+        const LinkId link = entry.first;
+        sendToOwner(link, [this, link](JobOwner& owner, Actions&) { owner.onLinkDown(at(m_now), link); });
+        connection.closed = true;
+    }
+}
+
+void OrderWorld::sendToOwner(LinkId link, std::function<void(JobOwner&, Actions&)> deliver)
+{
+    Connection& connection = m_connections[link];
+    const int arrives = std::max(m_now, m_sides[connection.side].cutUntil) + 1 + any(8);
+    connection.lastToOwner = std::max(connection.lastToOwner, arrives);
+    m_events.emplace(connection.lastToOwner,
+        [this, term = connection.term, link, deliver = std::move(deliver)] { deliverToOwner(term, link, deliver); });
+}
+
+void OrderWorld::deliverToOwner(std::int64_t term, LinkId link, const std::function<void(JobOwner&, Actions&)>& deliver)
+{
+    OwnerModel* model = findOwner(term);
+    if (!model)
+        return;
+    const std::function<void()> read = [this, term, deliver] {
+        if (OwnerModel* reader = findOwner(term)) {
+            Actions actions;
+            deliver(*reader->owner, actions);
+            performOwner(term, std::move(actions));
+        }
+    };
+    if (m_now < model->frozenUntil || model->backlog.contains(link))
+        model->backlog[link].push_back(read);
+    else
+        read();
+}
+
+void OrderWorld::sendToSide(LinkId link, PeerMessage message)
+{
+    std::map<LinkId, Connection>::iterator it = m_connections.find(link);
+    if (it == m_connections.end() || it->second.closed)
+        return;
+    Connection& connection = it->second;
+    const int arrives = std::max(m_now, m_sides[connection.side].cutUntil) + 1 + any(8);
+    connection.lastToSide = std::max(connection.lastToSide, arrives);
+    m_events.emplace(connection.lastToSide, [this, connection, message = std::move(message)] {
+        if (m_sides[connection.side].process != connection.process)
+            return;
+        Actions actions;
+        m_sides[connection.side].agent->onMessage(at(m_now), connection.sideLink, message, actions);
+        performSide(connection.side, std::move(actions));
+    });
+}
+
+void OrderWorld::readClaims(std::size_t n, std::uint64_t callId, std::int64_t from, bool newest, int until)
+{
+    const int process = m_sides[n].process;
+    const std::int64_t end = static_cast<std::int64_t>(m_claims.size());
+    if (!newest && from >= end && m_now < until) {
+        after(20, [=, this] {
+            if (m_sides[n].process == process)
+                readClaims(n, callId, from, newest, until);
+        });
+        return;
+    }
+    after(4, [=, this] {
+        if (m_sides[n].process != process)
+            return;
+        const bool answered = m_now >= m_storeAwayUntil && m_now >= m_sides[n].cutUntil;
+        std::vector<StoreRecord> records;
+        for (std::int64_t k = from; k < end; ++k)
+            records.push_back(m_claims[static_cast<std::size_t>(k)]);
+        Actions actions;
+        if (newest) {
+            NewestResponse response;
+            response.answered = answered;
+            response.end = end;
+            if (!m_claims.empty())
+                response.records.push_back(m_claims.back());
+            m_sides[n].agent->onNewest(at(m_now), callId, response, actions);
+        } else {
+            ReadResponse response;
+            response.answered = answered;
+            response.end = end;
+            response.records = records;
+            m_sides[n].agent->onRead(at(m_now), callId, response, actions);
+        }
+        performSide(n, std::move(actions));
+    });
+}
+
+// Orders to hosts.
+
+void OrderWorld::answerSide(std::size_t n, int process, int delay, const HostResponse& response,
+    const std::function<void(HostAgent&, const HostResponse&, Actions&)>& answer)
+{
+    after(delay, [this, n, process, response, answer] {
+        if (m_sides[n].process != process)
+            return;
+        Actions actions;
+        answer(*m_sides[n].agent, response, actions);
+        performSide(n, std::move(actions));
+    });
+}
+
+void OrderWorld::callHost(std::size_t n, const std::function<HostResponse(VirtualHost&)>& carryOut,
+    const std::function<void(HostAgent&, const HostResponse&, Actions&)>& answer)
+{
+    const int process = m_sides[n].process;
+    HostResponse response;
+    if (m_now < m_lateUntil && chance(0.4)) {
+        // Carried out by whichever life of the host is there then.
+        const int late = chance(0.8) ? 2000 + any(10'000) : forever;
+        after(late, [this, n, carryOut] {
+            if (m_sides[n].hostUp)
+                carryOut(*m_sides[n].host);
+        });
+        answerSide(n, process, callTimeout, response, answer);
+        return;
+    }
+    after(any(3), [this, n, process, carryOut, answer] {
+        HostResponse response;
+        if (!m_sides[n].hostUp) {
+            response.answer = HostAnswer::NotListening;
+            answerSide(n, process, 1, response, answer);
+            return;
+        }
+        response = carryOut(*m_sides[n].host);
+        if (!m_calm && chance(0.01)) {
+            response = HostResponse {};
+            answerSide(n, process, callTimeout, response, answer);
+            return;
+        }
+        answerSide(n, process, any(4), response, answer);
+    });
+}
+
+HostResponse OrderWorld::carryOutList(VirtualHost& host, const ListHost& order) const
+{
+    HostResponse response;
+    response.incarnation = host.incarnation();
+    response.clockMilliseconds = host.clock(m_now);
+    if (!host.renew(m_now, order.term, order.leaseUntilMilliseconds, order.acknowledgedNumber)) {
+        response.answer = HostAnswer::Refused;
+        response.reason = "fence";
+        return response;
+    }
+    response.answer = HostAnswer::Done;
+    Wire::HostReport report;
+    host.list(report);
+    response.running = report.running;
+    response.ended = report.ended;
+    return response;
+}
+
+void OrderWorld::listHost(std::size_t n, const ListHost& order)
+{
+    const int wait = static_cast<int>(toMilliseconds(order.wait));
+    if (m_now < m_lateUntil && chance(0.4)) {
+        after(2000 + any(10'000), [this, n, order] {
+            if (m_sides[n].hostUp)
+                carryOutList(*m_sides[n].host, order);
+        });
+        answerList(n, m_sides[n].process, wait + listMargin, order, HostResponse {});
+        return;
+    }
+    // The lease and the acknowledgement count from the arrival; the answer waits for an end.
+    after(1, [this, n, order, process = m_sides[n].process, wait] {
+        if (m_sides[n].hostUp)
+            carryOutList(*m_sides[n].host, order);
+        const std::int64_t incarnation = m_sides[n].hostUp ? m_sides[n].host->incarnation() : 0;
+        awaitEnd(n, process, incarnation, m_now + wait, order);
+    });
+}
+
+void OrderWorld::awaitEnd(std::size_t n, int process, std::int64_t incarnation, int until, const ListHost& order)
+{
+    const Side& side = m_sides[n];
+    if (incarnation == 0) {
+        HostResponse response;
+        response.answer = HostAnswer::NotListening;
+        answerList(n, process, 1, order, response);
+    } else if (!side.hostUp || side.host->incarnation() != incarnation) {
+        answerList(n, process, 1, order, HostResponse {});
+    } else if (side.host->hasEnds() || m_now >= until) {
+        answerList(n, process, any(3), order, carryOutList(*side.host, order));
+    } else {
+        after(stepMilliseconds, [=, this] { awaitEnd(n, process, incarnation, until, order); });
+    }
+}
+
+void OrderWorld::answerList(std::size_t n, int process, int delay, const ListHost& order, const HostResponse& response)
+{
+    answerSide(n, process, delay, response, [this, order](HostAgent& agent, const HostResponse& said, Actions& more) {
+        agent.onListed(at(m_now), order, said, more);
+    });
+}
+
+void OrderWorld::performSide(std::size_t n, Actions&& actions)
+{
+    for (Action& action : actions) {
+        if (const WriteLog* line = std::get_if<WriteLog>(&action)) {
+            if (m_trace)
+                std::cout << m_now << " side " << n << " " << line->line << "\n";
+        } else if (const OpenLink* order = std::get_if<OpenLink>(&action)) {
+            open(n, *order);
+        } else if (const CloseLink* order = std::get_if<CloseLink>(&action)) {
+            close(n, order->link);
+        } else if (const ReadNewest* read = std::get_if<ReadNewest>(&action)) {
+            readClaims(n, read->callId, 0, true, m_now);
+        } else if (const ReadStore* read = std::get_if<ReadStore>(&action)) {
+            readClaims(n, read->callId, read->from, false, m_now + static_cast<int>(toMilliseconds(read->wait)));
+        } else if (const ListHost* order = std::get_if<ListHost>(&action)) {
+            listHost(n, *order);
+        } else if (const StartOnHost* order = std::get_if<StartOnHost>(&action)) {
+            const bool lasts = order->order.task.jobId.starts_with("lasting");
+            const Wire::RunEnd::type how = chance(0.15) ? Wire::RunEnd::Failed : Wire::RunEnd::Completed;
+            const int takes = lasts ? (m_calm || chance(0.7) ? forever : any(4000)) : 20 + any(600);
+            const std::int64_t milliCores = lasts ? 500 : 1000;
+            callHost(
+                n,
+                [this, order = *order, how, takes, lasts, milliCores](VirtualHost& host) {
+                    HostResponse response;
+                    response.incarnation = host.incarnation();
+                    response.reason = host.start(m_now, order.term, order.order, order.leaseUntilMilliseconds, takes,
+                        lasts ? Wire::RunEnd::Failed : how, milliCores);
+                    response.answer = response.reason.empty() ? HostAnswer::Done : HostAnswer::Refused;
+                    return response;
+                },
+                [this, order = *order](HostAgent& agent, const HostResponse& response, Actions& more) {
+                    agent.onStarted(at(m_now), order, response, more);
+                });
+        } else if (const HaltOnHost* order = std::get_if<HaltOnHost>(&action)) {
+            callHost(
+                n,
+                [this, order = *order](VirtualHost& host) {
+                    HostResponse response;
+                    response.incarnation = host.incarnation();
+                    const bool done = host.stop(m_now, order.term, order.order.task, order.order.run);
+                    response.answer = done ? HostAnswer::Done : HostAnswer::Refused;
+                    response.reason = done ? "" : "fence";
+                    return response;
+                },
+                [this, order = *order](HostAgent& agent, const HostResponse& response, Actions& more) {
+                    agent.onHalted(at(m_now), order, response, more);
+                });
+        } else if (const SendMessage* send = std::get_if<SendMessage>(&action)) {
+            for (const std::pair<const LinkId, Connection>& entry : m_connections) {
+                const Connection& connection = entry.second;
+                if (connection.side != n || connection.sideLink != send->link || connection.closed
+                    || connection.process != m_sides[n].process)
+                    continue;
+                const LinkId link = entry.first;
+                if (const Wire::HostReport* report = std::get_if<Wire::HostReport>(&send->message))
+                    sendToOwner(link, [this, link, report = *report](JobOwner& owner, Actions& more) {
+                        owner.onReport(at(m_now), link, report, more);
+                    });
+                if (const Wire::Ping* ping = std::get_if<Wire::Ping>(&send->message))
+                    sendToOwner(link, [this, link, number = ping->number](JobOwner&, Actions& more) {
+                        Wire::Pong pong;
+                        pong.number = number;
+                        more.push_back(SendMessage { link, pong });
+                    });
+                break;
+            }
+        }
+    }
+}
+
+void OrderWorld::performOwner(std::int64_t term, Actions&& actions)
+{
+    for (Action& action : actions) {
+        if (const WriteLog* line = std::get_if<WriteLog>(&action)) {
+            if (m_trace)
+                std::cout << m_now << " term " << term << " " << line->line << "\n";
+        } else if (SendMessage* send = std::get_if<SendMessage>(&action)) {
+            sendToSide(send->link, std::move(send->message));
+        }
+    }
+}
+
+// The checks.
+
+std::vector<std::string> OrderWorld::faults() const
+{
+    std::vector<std::string> found;
+    for (const RunRecord& record : m_records)
+        checkStart(record, found);
+    for (const Wire::JobDefinition& job : m_jobs)
+        checkOutcome(job, found);
+    return found;
+}
+
+void OrderWorld::checkStart(const RunRecord& start, std::vector<std::string>& found) const
+{
+    if (start.milliCoresTaken > milliCoresOfAHost)
+        found.push_back(text(start) + " brought its host to " + std::to_string(start.milliCoresTaken));
+    const bool lasts = start.task.jobId.starts_with("lasting");
+    int failures = 0;
+    for (const RunRecord& other : m_records) {
+        if (&other == &start || !(other.task == start.task))
+            continue;
+        const bool before = other.endedAt >= 0 && other.endedAt < start.startedAt;
+        failures += before && other.how == Wire::RunEnd::Failed && other.acknowledged ? 1 : 0;
+        if (before && other.how == Wire::RunEnd::Completed && other.acknowledged)
+            found.push_back(text(start) + " started after run " + std::to_string(other.run) + " was completed");
+        if (&other < &start && (other.endedAt < 0 || other.endedAt > start.startedAt))
+            found.push_back(text(start) + " started while run " + std::to_string(other.run) + " went on");
+    }
+    if (!lasts && failures >= maximumAttempts)
+        found.push_back(text(start) + " started after " + std::to_string(failures) + " failed runs");
+}
+
+void OrderWorld::checkOutcome(const Wire::JobDefinition& job, std::vector<std::string>& found) const
+{
+    const std::map<std::string, std::unique_ptr<JobState>>& jobs = m_owners.back().owner->state().jobs;
+    const std::map<std::string, std::unique_ptr<JobState>>::const_iterator it = jobs.find(job.jobId);
+    if (it == jobs.end())
+        return;
+    if (!job.steps[0].longRunning) {
+        if (it->second->isOpen())
+            found.push_back(job.jobId + " is still open");
+        return;
+    }
+    for (int index = 0; index < job.steps[0].count; ++index) {
+        const bool runs = std::any_of(m_records.begin(), m_records.end(), [&](const RunRecord& record) {
+            return record.task.jobId == job.jobId && record.task.index == index && record.endedAt < 0;
+        });
+        if (!runs)
+            found.push_back(job.jobId + " task " + std::to_string(index) + " is to last and does not run");
+    }
+}
+
+} // namespace Plantainpier
--- a/Tests/Support/VirtualHost.h
+++ b/Tests/Support/VirtualHost.h
@@ -1,9 +1,10 @@
 /// A host for histories in virtual time: starts, stops, leases and ends as the platform's hosts keep them, and a record
-/// of what it did for the checks. Used by RunHistoryTest.
+/// of what it did for the checks. Used by RunHistoryTest and OrderHistoryTest.
 #pragma once
 
 #include "Decision/Job/HostBook.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -23,15 +24,19 @@
     /// Acknowledged before the lease of its host lapsed.
     bool acknowledged = false;
     bool lapsedUnacknowledged = false;
+    /// Processors that ran on its host at its start, itself included.
+    std::int64_t milliCoresTaken = 0;
 };
 
 /// The tasks of one incarnation of a host.
 class VirtualHost {
 public:
-    VirtualHost(std::string hostId, std::int64_t incarnation, std::vector<RunRecord>& records)
+    /// Its clock counts from bornAt, in ms of the history.
+    VirtualHost(std::string hostId, std::int64_t incarnation, std::vector<RunRecord>& records, int bornAt = 0)
         : m_hostId(std::move(hostId))
         , m_incarnation(incarnation)
         , m_records(records)
+        , m_bornAt(bornAt)
     {
     }
 
@@ -39,52 +44,61 @@
     std::int64_t incarnation() const { return m_incarnation; }
 
     /// Runs until its time is over, then ends as told. The reason when it refuses; empty when it starts.
-    std::string start(int now, std::int64_t term, const Wire::StartOrder& order, std::int64_t lease, int takes,
-        Wire::RunEnd::type how)
+    std::string start(int now, std::int64_t fence, const Wire::StartOrder& order, std::int64_t lease, int takes,
+        Wire::RunEnd::type how, std::int64_t milliCores = 0)
     {
-        if (!admit(term))
+        if (!admit(fence))
             return "fence";
-        hold(lease);
+        hold(now, lease);
+        if (isRunning(order.task, order.run))
+            return {};
         int& stopped = m_stopped[taskKey(order.task)];
         if (order.run <= stopped)
             return "old";
-        if (m_leaseUntil <= now)
+        if (m_leaseUntil <= clock(now))
             return "late";
         stopped = order.run;
         m_records.push_back(RunRecord { order.task, order.run, now });
-        m_running.emplace(runKey(order.task, order.run), Going { m_records.size() - 1, now + takes, how });
+        m_running.emplace(runKey(order.task, order.run), Going { m_records.size() - 1, now + takes, how, milliCores });
+        for (const std::pair<const RunKey, Going>& entry : m_running)
+            m_records.back().milliCoresTaken += entry.second.milliCores;
         return {};
     }
 
-    void stop(int now, std::int64_t term, const Wire::TaskName& task, int run)
+    /// False when the fence is too low.
+    bool stop(int now, std::int64_t fence, const Wire::TaskName& task, int run)
     {
-        if (!admit(term))
-            return;
+        if (!admit(fence))
+            return false;
         int& stopped = m_stopped[taskKey(task)];
         stopped = std::max(stopped, run);
         std::map<RunKey, Going>::iterator it = m_running.find(runKey(task, run));
         if (it == m_running.end())
-            return;
+            return true;
         end(now, it->second.record, Wire::RunEnd::Stopped);
         m_running.erase(it);
+        return true;
     }
 
-    /// Extends the lease and takes note that ends up to a number are remembered elsewhere.
-    void renew(std::int64_t term, std::int64_t lease, std::int64_t acknowledged)
+    /// Extends the lease and takes note that ends up to a number are remembered elsewhere. False when the fence is too
+    /// low.
+    bool renew(int now, std::int64_t fence, std::int64_t lease, std::int64_t acknowledged)
     {
-        if (!admit(term))
-            return;
-        hold(lease);
+        if (!admit(fence))
+            return false;
+        hold(now, lease);
+        m_acknowledged = std::max(m_acknowledged, acknowledged);
         while (!m_ended.empty() && m_records[m_ended.front()].number <= acknowledged) {
             RunRecord& record = m_records[m_ended.front()];
             record.acknowledged = !record.lapsedUnacknowledged;
             m_ended.erase(m_ended.begin());
         }
+        return true;
     }
 
     void tick(int now)
     {
-        const bool lapses = m_leaseUntil > 0 && now >= m_leaseUntil;
+        const bool lapses = m_leaseUntil > 0 && clock(now) >= m_leaseUntil;
         for (std::map<RunKey, Going>::iterator it = m_running.begin(); it != m_running.end();) {
             if (!lapses && now < it->second.until) {
                 ++it;
@@ -133,7 +147,9 @@
             report.ended.push_back(row);
         }
     }
-    std::int64_t term() const { return m_term; }
+    bool hasEnds() const { return !m_ended.empty(); }
+    std::int64_t fence() const { return m_fence; }
+    std::int64_t clock(int now) const { return now - m_bornAt; }
 
 private:
     /// A run that goes on; its place in the records, when and how it will end by itself.
@@ -141,35 +157,47 @@
         std::size_t record;
         int until;
         Wire::RunEnd::type how;
+        std::int64_t milliCores;
     };
 
+    /// The platform's longest lease.
+    static constexpr std::int64_t longestLease = 10'000;
+
     static std::string taskKey(const Wire::TaskName& task)
     {
         return task.jobId + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
             + std::to_string(task.index);
     }
-    bool admit(std::int64_t term)
+    bool admit(std::int64_t fence)
     {
-        if (term < m_term)
+        if (fence < m_fence)
             return false;
-        m_term = term;
+        m_fence = fence;
         return true;
     }
-    void hold(std::int64_t lease) { m_leaseUntil = std::max(m_leaseUntil, lease); }
+    void hold(int now, std::int64_t lease)
+    {
+        m_leaseUntil = std::max(m_leaseUntil, std::min(lease, clock(now) + longestLease));
+    }
     void end(int now, std::size_t n, Wire::RunEnd::type how)
     {
         m_records[n].endedAt = now;
         m_records[n].how = how;
         m_records[n].number = ++m_lastNumber;
-        m_ended.push_back(n);
+        if (m_lastNumber <= m_acknowledged)
+            m_records[n].acknowledged = true;
+        else
+            m_ended.push_back(n);
     }
 
     std::string m_hostId;
     std::int64_t m_incarnation;
     std::vector<RunRecord>& m_records;
-    std::int64_t m_term = 0;
+    int m_bornAt;
+    std::int64_t m_fence = 0;
     std::int64_t m_leaseUntil = 0;
     std::int64_t m_lastNumber = 0;
+    std::int64_t m_acknowledged = 0;
     std::map<RunKey, Going> m_running;
     std::vector<std::size_t> m_ended;
     /// Highest run that was started or stopped, by task.
--- a/Tests/Unit/RunHistoryTest.cpp
+++ b/Tests/Unit/RunHistoryTest.cpp
@@ -194,13 +194,13 @@
             side.link = ++m_lastLink;
             side.nextList = m_now;
             // A list of the new link is asked for under the new owner's term, as its first orders do.
-            host.renew(side.term, 0, 0);
+            host.renew(m_now, side.term, 0, 0);
         }
         if (m_now < side.nextList)
             return;
         side.nextList = m_now + 10 + static_cast<int>(any(60));
         Wire::HostReport report = makeReport(host.hostId(), host.incarnation(), m_now);
-        report.highestTerm = std::min(host.term(), side.term);
+        report.highestTerm = std::min(host.fence(), side.term);
         host.list(report);
         report.results.swap(side.results);
         for (const Wire::StartOrder& order : side.unanswered) {
@@ -246,7 +246,7 @@
         VirtualHost& host = *m_hosts[n];
         if (orders.incarnation != host.incarnation())
             return;
-        host.renew(orders.term, orders.leaseUntilMilliseconds, orders.acknowledgedNumber);
+        host.renew(m_now, orders.term, orders.leaseUntilMilliseconds, orders.acknowledgedNumber);
         for (const Wire::StartOrder& order : orders.starts) {
             const bool lost = !m_calm && chance(0.05);
             if (lost)
