--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -76,6 +76,7 @@
     report.state = Wire::HostState::Gone;
     send(std::move(report), actions);
     m_facts.reset();
+    m_farewellHeard = false;
     m_contactUnconfirmed = false;
     m_contactLost = false;
     m_clockMilliseconds = 0;
@@ -120,8 +121,14 @@
 
 void HostAgent::onFarewell(Instant now, const std::string& hostId, Actions& actions)
 {
-    if (m_facts && m_facts->hostId == hostId)
-        replaceHost(now, "said_farewell", actions);
+    if (!m_facts || m_facts->hostId != hostId || m_farewellHeard)
+        return;
+    // It does not name a life: it may be a late one of an earlier life under the same id.
+    m_farewellHeard = true;
+    m_listWanted = true;
+    m_notBefore = now;
+    actions.push_back(
+        WriteLog { LogLine("farewell_heard").add("host", hostId).add("incarnation", m_facts->incarnation).text() });
 }
 
 void HostAgent::onLinkUp(Instant now, LinkId link, Actions& actions)
@@ -237,6 +244,12 @@
         paceFromStart(now, start, actions);
         return;
     case HostAnswer::Refused:
+        // The host knows a run of this number or a higher one: it may be this one, which has ended meanwhile. The list
+        // tells.
+        if (response.reason == "old") {
+            addHalt(now, start.task, start.run, response.reason);
+            return;
+        }
         sendResult(start.task, start.run, Wire::OrderOutcome::Refused,
             response.reason == "fence" && order.fence < fence() ? "overtaken" : response.reason, actions);
         return;
@@ -375,7 +388,7 @@
     }
     case HostAnswer::NotListening:
         onListFailed(now);
-        if (++m_refusedConnections >= refusalsOfAnEndedHost)
+        if (++m_refusedConnections >= refusalsOfAnEndedHost || m_farewellHeard)
             replaceHost(now, "its_port_is_closed", actions);
         return;
     case HostAnswer::OtherIncarnation:
@@ -410,7 +423,7 @@
     if (!m_contactLost)
         raiseOwnFence();
     m_contactLost = true;
-    m_notBefore = now + m_timing.failurePause;
+    m_notBefore = now + (m_farewellHeard ? m_timing.listPause : m_timing.failurePause);
     m_contactUnconfirmed = true;
 }
 
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -111,6 +111,8 @@
     /// Added to it since: an order that was sent before contact was lost must not reach a later life of the host.
     std::int64_t m_raises = 0;
     std::optional<HostFacts> m_facts;
+    /// The host has said that it ends: a closed port is then no accident.
+    bool m_farewellHeard = false;
     /// The host has not answered lately: whoever answers next may be a later life, for which neither the lease
     /// nor the acknowledgements of this one are meant.
     bool m_contactUnconfirmed = false;
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(aHostThatMayHaveRestartedGetsNoLeaseOfItsEarlierLife);
     CPPUNIT_TEST(aListOfAnEarlierFenceIsNotReported);
     CPPUNIT_TEST(aStartThatALaterLifeAnswersIsNotReported);
+    CPPUNIT_TEST(aStartRefusedAsOldIsLookedFor);
+    CPPUNIT_TEST(aFarewellIsBelievedOnceThePortIsClosed);
     CPPUNIT_TEST_SUITE_END();
 
     static HostFacts facts(std::int64_t incarnation, std::int64_t sequence)
@@ -246,6 +248,33 @@
         CPPUNIT_ASSERT(report.results.empty());
     }
 
+    // Guards against a second run of what has ended: the host refuses a repeated start of it as old.
+    void aStartRefusedAsOldIsLookedFor()
+    {
+        Harness harness;
+        const StartOnHost start = actionsOf<StartOnHost>(harness.order(10, Harness::startOrders(4))).at(0);
+        HostResponse refused = answer(HostAnswer::Refused);
+        refused.reason = "old";
+        Actions actions;
+        harness.agent.onStarted(at(20), start, refused, actions);
+        CPPUNIT_ASSERT_MESSAGE("it may have run", messagesOf<Wire::HostReport>(actions).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), actionsOf<HaltOnHost>(harness.tick(21)).size());
+    }
+
+    // Guards against a second run of what goes on: a farewell may be a late one of an earlier life.
+    void aFarewellIsBelievedOnceThePortIsClosed()
+    {
+        Harness harness;
+        harness.order(10, Harness::startOrders(4));
+        const ListHost list = actionsOf<ListHost>(harness.tick(11)).at(0);
+        Actions actions;
+        harness.agent.onFarewell(at(12), "host-1", actions);
+        CPPUNIT_ASSERT(messagesOf<Wire::HostReport>(actions).empty());
+        Actions closed;
+        harness.agent.onListed(at(14), list, answer(HostAnswer::NotListening), closed);
+        CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, messagesOf<Wire::HostReport>(closed).at(0).state);
+    }
+
     void repeatsAPaceThatWasNotAnswered()
     {
         Harness harness;
