--- a/Source/Shell/Connection/HttpClient.cpp
+++ b/Source/Shell/Connection/HttpClient.cpp
@@ -29,9 +29,18 @@
     OnResponse onResponse;
     HttpResponse response;
     curl_slist* headers = nullptr;
+    /// How often it has been sent, in whole or in part.
+    int sendings = 0;
 
     ~Transfer() { curl_slist_free_all(headers); }
 
+    /// Called by the library when a connection stands, before a byte of the request goes out on it.
+    static int beforeSending(void* transfer, char*, char*, int, int)
+    {
+        ++static_cast<Transfer*>(transfer)->sendings;
+        return CURL_PREREQFUNC_OK;
+    }
+
     void configure(CURL* handle)
     {
         const std::string url = "http://" + request.address + ":" + std::to_string(request.port) + request.path;
@@ -49,6 +58,8 @@
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, appendBody);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
+        curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, beforeSending);
+        curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(toMilliseconds(request.timeout)));
         curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(toMilliseconds(connectTimeout)));
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
@@ -65,7 +76,7 @@
         response.text = curl_easy_strerror(code);
         if (code == CURLE_OK)
             response.kind = HttpResponse::Kind::Answered;
-        else if (code == CURLE_COULDNT_CONNECT)
+        else if (code == CURLE_COULDNT_CONNECT && sendings == 0)
             response.kind = HttpResponse::Kind::NotConnected;
         else
             response.kind = HttpResponse::Kind::Broken;
