--- a/Source/CommandLine/Command.cpp
+++ b/Source/CommandLine/Command.cpp
@@ -96,7 +96,7 @@
     request.path = path;
     request.body = body;
     request.timeout = milliseconds(timeoutMilliseconds);
-    request.mayRepeat = false;
+    request.ownConnection = true;
     const HttpResponse response = valueOf(http)->fetch(std::move(request));
     if (response.kind == HttpResponse::Kind::NotConnected)
         return Error { ErrorCode::Unreachable, "entry " + entry + " accepts no connection; nothing was sent" };
--- a/Source/Shell/Connection/HttpClient.cpp
+++ b/Source/Shell/Connection/HttpClient.cpp
@@ -35,9 +35,12 @@
     ~Transfer() { curl_slist_free_all(headers); }
 
     /// Called by the library when a connection stands, before a byte of the request goes out on it.
-    static int beforeSending(void* transfer, char*, char*, int, int)
+    static int beforeSending(void* data, char*, char*, int, int)
     {
-        ++static_cast<Transfer*>(transfer)->sendings;
+        Transfer& transfer = *static_cast<Transfer*>(data);
+        if (transfer.sendings > 0 && !transfer.request.mayRepeat)
+            return CURL_PREREQFUNC_ABORT;
+        ++transfer.sendings;
         return CURL_PREREQFUNC_OK;
     }
 
@@ -64,8 +67,8 @@
         curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(toMilliseconds(connectTimeout)));
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
-        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, request.mayRepeat ? 0L : 1L);
-        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, request.mayRepeat ? 0L : 1L);
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, request.ownConnection ? 1L : 0L);
+        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, request.ownConnection ? 1L : 0L);
     }
 
     void finish(CURL* handle, CURLcode code)
@@ -73,7 +76,8 @@
         long status = 0;
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
         response.status = static_cast<int>(status);
-        response.text = curl_easy_strerror(code);
+        response.text
+            = code == CURLE_ABORTED_BY_CALLBACK ? "connection broke; not sent again" : curl_easy_strerror(code);
         if (code == CURLE_OK)
             response.kind = HttpResponse::Kind::Answered;
         else if (code == CURLE_COULDNT_CONNECT && sendings == 0)
--- a/Source/Shell/Connection/HttpClient.h
+++ b/Source/Shell/Connection/HttpClient.h
@@ -26,9 +26,12 @@
     std::string body;
     std::vector<std::string> headers;
     Duration timeout = seconds(5);
-    /// Whether the library may send the request a second time when a kept connection turns out to be closed. False
-    /// makes it use a connection of its own.
-    bool mayRepeat = true;
+    /// Whether the request may be sent again, on another connection, when a kept one breaks before a byte of the answer
+    /// came. Only for what does no harm when it is carried out twice, or by whoever listens there next. Otherwise it
+    /// ends as Broken.
+    bool mayRepeat = false;
+    /// Takes a new connection that is closed afterwards: no kept one can break under it.
+    bool ownConnection = false;
     std::string contentType = "application/json";
 };
 
@@ -36,7 +39,7 @@
 struct HttpResponse {
     enum class Kind {
         Answered,
-        /// No connection was made, so nothing was sent.
+        /// No connection was made at any time, so nothing was sent.
         NotConnected,
         /// Anything may have happened.
         Broken,
--- a/Source/Shell/Connection/LogClient.cpp
+++ b/Source/Shell/Connection/LogClient.cpp
@@ -63,7 +63,7 @@
     request.path = "/v1/records";
     request.body = Json { { "records", texts } }.dump();
     request.timeout = appendTimeout;
-    request.mayRepeat = false;
+    request.ownConnection = true;
     m_http->submit(std::move(request),
         [onAppended = std::move(onAppended)](HttpResponse&& response) { onAppended(resultOf(response)); });
 }
@@ -75,6 +75,7 @@
     request.port = m_port;
     request.path = "/v1/records?from=" + std::to_string(from) + "&limit=" + std::to_string(recordsPerRead);
     request.timeout = readTimeout;
+    request.mayRepeat = true;
     const HttpResponse response = m_http->fetch(std::move(request));
     if (response.kind != HttpResponse::Kind::Answered || response.status != httpOk)
         return Error { ErrorCode::LogUnavailable, "log: " + response.text };
--- a/Source/Shell/Connection/WorkerClient.cpp
+++ b/Source/Shell/Connection/WorkerClient.cpp
@@ -86,7 +86,7 @@
         { "payload", task.payload }, { "checkpoint", task.checkpoint } };
     // Whether it started is learned from listings; an answer that was lost changes nothing.
     HttpRequest request = makePost("/v1/tasks", body.dump());
-    request.mayRepeat = false;
+    request.ownConnection = true;
     m_http->submit(std::move(request), [](HttpResponse&&) {});
 }
 
@@ -94,13 +94,18 @@
 {
     const Json body { { "job", task.taskId }, { "attempt", task.attempt },
         { "lease_until_ms", task.leaseUntilMilliseconds } };
-    m_http->submit(makePost("/v1/tasks/lease", body.dump()), [](HttpResponse&&) {});
+    // The end is a point in time: the second of two changes nothing.
+    HttpRequest request = makePost("/v1/tasks/lease", body.dump());
+    request.mayRepeat = true;
+    m_http->submit(std::move(request), [](HttpResponse&&) {});
 }
 
 void WorkerClient::stop(const StopTask& task)
 {
     const Json body { { "job", task.taskId }, { "attempt", task.attempt }, { "checkpoint", task.checkpoint } };
-    m_http->submit(makePost("/v1/tasks/stop", body.dump()), [](HttpResponse&&) {});
+    HttpRequest request = makePost("/v1/tasks/stop", body.dump());
+    request.mayRepeat = true;
+    m_http->submit(std::move(request), [](HttpResponse&&) {});
 }
 
 void WorkerClient::list(OnListing onListing)
@@ -112,6 +117,7 @@
     request.port = m_port;
     request.path = "/v1/tasks";
     request.timeout = callTimeout;
+    request.mayRepeat = true;
     m_http->submit(
         std::move(request), [listing = m_listing, onListing = std::move(onListing)](HttpResponse&& response) {
             *listing = false;
--- a/Source/Shell/Process/SideDaemon.cpp
+++ b/Source/Shell/Process/SideDaemon.cpp
@@ -123,6 +123,7 @@
     request.headers.push_back("X-Dispatch: " + call.dispatchId);
     request.timeout = call.timeout;
     request.mayRepeat = call.idempotent;
+    request.ownConnection = !call.idempotent;
     http()->submit(std::move(request), [this, dispatchId = call.dispatchId](HttpResponse&& response) {
         const TargetResult result = resultOf(std::move(response));
         loop().post([this, dispatchId, result](
--- a/Tests/Benchmark/ClockBenchmarks.cpp
+++ b/Tests/Benchmark/ClockBenchmarks.cpp
@@ -145,6 +145,7 @@
             request.port = ports[static_cast<std::size_t>(sent++) % ports.size()];
             request.path = path;
             request.body = body;
+            request.mayRepeat = true;
             const Clock::time_point began = Clock::now();
             cluster.http()->submit(std::move(request), [&, began](HttpResponse&&) {
                 std::lock_guard<std::mutex> lock(mutex);
--- a/Tests/Process/CallerLoad.cpp
+++ b/Tests/Process/CallerLoad.cpp
@@ -66,7 +66,7 @@
     request.path = "/v1/requests";
     request.body = body.dump();
     request.timeout = milliseconds(m_options.deadlineMilliseconds) + answerGrace;
-    request.mayRepeat = false;
+    request.ownConnection = true;
     const std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
     m_cluster.http()->submit(
         std::move(request), [this, n, began](HttpResponse&& response) { onResponse(n, began, std::move(response)); });
--- a/Tests/Process/Cluster.cpp
+++ b/Tests/Process/Cluster.cpp
@@ -225,7 +225,7 @@
     request.path = path;
     request.body = body;
     request.timeout = callTimeout;
-    request.mayRepeat = false;
+    request.ownConnection = true;
     return m_http->fetch(std::move(request));
 }
 
--- a/Tests/Process/HttpClientTest.cpp
+++ b/Tests/Process/HttpClientTest.cpp
@@ -12,6 +12,8 @@
 
 class HttpClientTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(HttpClientTest);
+    CPPUNIT_TEST(anOrderOnABrokenConnectionArrivesOnce);
+    CPPUNIT_TEST(anAppendOnABrokenConnectionArrivesOnce);
     CPPUNIT_TEST(anOrderThatWasSentIsNotCalledUnsent);
     CPPUNIT_TEST(aReadThatWasSentIsNotCalledUnsent);
     CPPUNIT_TEST(aReadOnABrokenConnectionIsRepeated);
@@ -31,6 +33,15 @@
         return HostProtocol("127.0.0.1", standIn.port()).start(order);
     }
 
+    static HttpRequest appendOf(const HttpStandIn& standIn, int number)
+    {
+        AppendToStore append;
+        append.epoch = 1;
+        append.number = number;
+        append.timeout = seconds(1);
+        return StoreProtocol("127.0.0.1", standIn.port()).append(append);
+    }
+
     static HttpRequest readOf(const HttpStandIn& standIn, int from)
     {
         ReadStore read;
@@ -62,6 +73,29 @@
     void tearDown() override { m_http.reset(); }
 
 private:
+    // Guards against an order that one life of a host has read being sent to the next one by the library.
+    void anOrderOnABrokenConnectionArrivesOnce()
+    {
+        HttpStandIn standIn({ .unanswered = 2 });
+        checkKind("first", HttpResponse::Kind::Answered, startOf(standIn, 1));
+        const HttpResponse broken = m_http->fetch(startOf(standIn, 2));
+        // Goes the same way through the client, and later: whatever was sent before has arrived by then.
+        checkKind("next", HttpResponse::Kind::Answered, startOf(standIn, 3));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("sent again", 1, standIn.received("\"run\":2"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.text, nameOf(HttpResponse::Kind::Broken), nameOf(broken.kind));
+    }
+
+    // Guards against an append being stored twice, or refused as its own repeat, without the journal knowing.
+    void anAppendOnABrokenConnectionArrivesOnce()
+    {
+        HttpStandIn standIn({ .unanswered = 2 });
+        checkKind("first", HttpResponse::Kind::Answered, appendOf(standIn, 1));
+        const HttpResponse broken = m_http->fetch(appendOf(standIn, 2));
+        checkKind("next", HttpResponse::Kind::Answered, appendOf(standIn, 3));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("sent again", 1, standIn.received("&seq=2"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.text, nameOf(HttpResponse::Kind::Broken), nameOf(broken.kind));
+    }
+
     // Guards against a task that runs twice: the owner places a start elsewhere that is said never to have been sent.
     void anOrderThatWasSentIsNotCalledUnsent()
     {
--- a/Tests/Process/NodeLogTest.cpp
+++ b/Tests/Process/NodeLogTest.cpp
@@ -71,6 +71,7 @@
             request.port = announcePort;
             request.path = "/plantainpier/instances/host-1";
             request.timeout = seconds(1);
+            request.mayRepeat = true;
             // The state changes each time, which the log tells each time.
             request.body = Json {
                 { "service", "desk" }, { "state", sequence % 2 == 0 ? "ready" : "draining" }, { "seq", sequence },
--- a/Tests/Soak/HostStandIn.cpp
+++ b/Tests/Soak/HostStandIn.cpp
@@ -242,6 +242,7 @@
     request.port = m_sidePort;
     request.path = pathPrefix + "instances/" + m_id;
     request.timeout = seconds(1);
+    request.mayRepeat = true;
     request.body = Json {
         { "service", "desk" }, { "address", "127.0.0.1:1" }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", 4 },
         { "state", "ready" }, { "born", m_born }, { "seq", ++m_sequence },
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -268,6 +268,7 @@
     request.headers = { "Host: " + hostName, "Request-Deadline: 3000" };
     request.body = body;
     request.timeout = milliseconds(3200);
+    request.mayRepeat = true;
     return m_http->fetch(std::move(request));
 }
 
