--- a/Source/Shell/Connection/HttpClient.cpp
+++ b/Source/Shell/Connection/HttpClient.cpp
@@ -29,9 +29,21 @@
     OnResponse onResponse;
     HttpResponse response;
     curl_slist* headers = nullptr;
+    /// How often it has been sent, in whole or in part.
+    int sendings = 0;
 
     ~Transfer() { curl_slist_free_all(headers); }
 
+    /// Called by the library when a connection stands, before a byte of the request goes out on it.
+    static int beforeSending(void* data, char*, char*, int, int)
+    {
+        Transfer& transfer = *static_cast<Transfer*>(data);
+        if (transfer.sendings > 0 && !transfer.request.mayRepeat)
+            return CURL_PREREQFUNC_ABORT;
+        ++transfer.sendings;
+        return CURL_PREREQFUNC_OK;
+    }
+
     void configure(CURL* handle)
     {
         const std::string url = "http://" + request.address + ":" + std::to_string(request.port) + request.path;
@@ -49,12 +61,14 @@
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, appendBody);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
+        curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, beforeSending);
+        curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(toMilliseconds(request.timeout)));
         curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(toMilliseconds(connectTimeout)));
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
-        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, request.mayRepeat ? 0L : 1L);
-        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, request.mayRepeat ? 0L : 1L);
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, request.ownConnection ? 1L : 0L);
+        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, request.ownConnection ? 1L : 0L);
     }
 
     void finish(CURL* handle, CURLcode code)
@@ -62,10 +76,11 @@
         long status = 0;
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
         response.status = static_cast<int>(status);
-        response.text = curl_easy_strerror(code);
+        response.text
+            = code == CURLE_ABORTED_BY_CALLBACK ? "connection broke; not sent again" : curl_easy_strerror(code);
         if (code == CURLE_OK)
             response.kind = HttpResponse::Kind::Answered;
-        else if (code == CURLE_COULDNT_CONNECT)
+        else if (code == CURLE_COULDNT_CONNECT && sendings == 0)
             response.kind = HttpResponse::Kind::NotConnected;
         else
             response.kind = HttpResponse::Kind::Broken;
