--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -32,6 +32,12 @@
     Duration storeRetryAfter = seconds(1);
     /// A task that failed by itself is tried again after this, so that a broken host does not use up its attempts.
     Duration failurePause = milliseconds(50);
+
+    /// How long something that another clock measures must be waited for, by this process's clock.
+    Duration stretched(Duration duration) const
+    {
+        return std::chrono::duration_cast<Duration>(duration * (1 + 1.5 * clockSlowness)) + milliseconds(20);
+    }
 };
 
 /// Counters and latencies that the owner collects; the shell turns them into metrics.
@@ -115,10 +121,7 @@
     bool hostsAccounted(Instant now) const { return hostsUnheard(now) == 0; }
 
     /// How long whoever was granted a lease must be waited for, by this process's clock.
-    Duration stretched(Duration duration) const
-    {
-        return std::chrono::duration_cast<Duration>(duration * (1 + 1.5 * rules.clockSlowness)) + milliseconds(20);
-    }
+    Duration stretched(Duration duration) const { return rules.stretched(duration); }
 };
 
 /// Keys of the records in the store.
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -106,6 +106,9 @@
     Wire::OwnerPulse pulse;
     pulse.term = m_current.term;
     pulse.resigning = resigning;
+    if (m_stage == Stage::Owning)
+        pulse.predecessorsHoldMilliseconds
+            = std::max(std::int64_t(0), static_cast<std::int64_t>(toMilliseconds(m_formerLeasesEnd - now))) + 1;
     AppendToStore append;
     append.callId = m_pulseCall = newCall();
     append.topic = StoreTopic::Pulses;
@@ -160,6 +163,7 @@
     if (m_resigning || now < m_notBefore)
         return;
     m_claimWhy = nullptr;
+    m_formerTerm = m_current.term;
     Wire::OwnerClaim claim;
     claim.nodeId = m_identity.nodeId;
     claim.incarnation = m_identity.incarnation;
@@ -201,6 +205,7 @@
 {
     const bool owned = m_stage == Stage::Owning;
     m_stage = Stage::Following;
+    m_oldOwnerEnded = false;
     m_owner.reset();
     m_notBefore = now + m_timing.pause;
     actions.push_back(WriteLog { LogLine("ownership_ended").add("term", m_current.term).add("why", why).text() });
@@ -237,7 +242,14 @@
 {
     for (const StoreRecord& record : records) {
         const std::optional<Wire::OwnerPulse> pulse = Wire::decode<Wire::OwnerPulse>(record.value);
-        if (!pulse || pulse->term < m_current.term)
+        if (!pulse)
+            continue;
+        // A process that claims at once reads the former owner's sign of life beside its own claim.
+        const bool ofFormer = m_stage == Stage::Following || pulse->term == m_formerTerm;
+        if (ofFormer && pulse->predecessorsHoldMilliseconds > 0)
+            m_predecessors = Predecessors { pulse->term,
+                now + m_rules.stretched(milliseconds(pulse->predecessorsHoldMilliseconds)) };
+        if (pulse->term < m_current.term)
             continue;
         m_lastPulseSeen = now;
         if (!pulse->resigning)
@@ -273,7 +285,7 @@
         return true;
     }
     if (callId == m_pulsesCall) {
-        m_pulses.onNewest(now, response);
+        takePulses(now, m_pulses.onNewest(now, response));
         return true;
     }
     if (callId != m_loadCall)
@@ -290,13 +302,40 @@
         m_loadAfter = response.records.back().key;
         return true;
     }
-    // A process that has ended grants nothing more; any other may have until its own hold is over.
-    const Duration longest = m_oldOwnerEnded ? m_rules.lease : m_rules.ownershipHold;
-    const Duration stretched = m_owner->state().stretched(longest);
-    m_owner->finishLoad(now, m_unixMilliseconds, now + stretched, actions);
+    finishTakeOver(now, actions);
+    return true;
+}
+
+Ownership::LeaseWait Ownership::formerLeases(Instant now) const
+{
+    // Whatever any earlier owner grants ends within the hold: the store has confirmed none of them since the fence.
+    const Duration hold = m_rules.stretched(m_rules.ownershipHold);
+    if (!m_oldOwnerEnded)
+        return LeaseWait { hold, "former_owner_may_hold" };
+    // A process that has ended grants nothing more. The owners before it may, for as long as it would have waited.
+    if (m_formerTerm == 0 || m_predecessors.term != m_formerTerm)
+        return LeaseWait { hold, "predecessors_unknown" };
+    const Duration lease = m_rules.stretched(m_rules.lease);
+    const Duration left = m_predecessors.holdUntil - now;
+    if (left > lease)
+        return LeaseWait { std::min(left, hold), "predecessors_may_hold" };
+    return LeaseWait { lease, "former_owner_ended" };
+}
+
+void Ownership::finishTakeOver(Instant now, Actions& actions)
+{
+    const LeaseWait former = formerLeases(now);
+    LogLine line("former_leases");
+    line.add("term", m_current.term).add("wait_ms", toMilliseconds(former.wait)).add("why", former.why);
+    line.add("former_term", m_formerTerm).add("former_owner_ended", m_oldOwnerEnded);
+    if (m_predecessors.term > 0)
+        line.add("told_by_term", m_predecessors.term)
+            .add("told_left_ms", toMilliseconds(m_predecessors.holdUntil - now));
+    actions.push_back(WriteLog { line.text() });
+    m_formerLeasesEnd = now + former.wait;
+    m_owner->finishLoad(now, m_unixMilliseconds, m_formerLeasesEnd, actions);
     m_stage = Stage::Owning;
     onChange(now, true, actions);
-    return true;
 }
 
 bool Ownership::onAppendResponse(Instant now, std::uint64_t callId, const AppendResponse& response, Actions& actions)
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -69,6 +69,20 @@
     std::function<void(Instant now, bool owns, Actions& actions)> onChange;
 
 private:
+    /// What an owner's sign of life says of the owners before it.
+    struct Predecessors {
+        /// Term of the owner that said it.
+        std::int64_t term = 0;
+        /// They grant nothing after this.
+        Instant holdUntil;
+    };
+
+    /// How long leases from before this process owned may last.
+    struct LeaseWait {
+        Duration wait {};
+        const char* why = nullptr;
+    };
+
     enum class Stage {
         Following,
         Claiming,
@@ -79,6 +93,8 @@
 
     void takeClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
     void takePulses(Instant now, const std::vector<StoreRecord>& records);
+    LeaseWait formerLeases(Instant now) const;
+    void finishTakeOver(Instant now, Actions& actions);
     void wantOwnership(Instant now, const char* why);
     void claim(Instant now, const char* why, Actions& actions);
     void begin(Instant now, std::int64_t term, Actions& actions);
@@ -101,6 +117,11 @@
     bool m_resigning = false;
     bool m_resigned = false;
     bool m_oldOwnerEnded = false;
+    Predecessors m_predecessors;
+    /// The newest term when this process claimed last.
+    std::int64_t m_formerTerm = 0;
+    /// Leases from before this process owned are over.
+    Instant m_formerLeasesEnd;
     Instant m_lastPulseSeen;
     Instant m_pulsesSentAt;
     /// Why and when this process will claim; null when it does not intend to.
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -270,7 +270,8 @@
 }
 
 // The owner is alive and reaches the store. A resigning owner asks for a successor at once. Owners before this one may
-// go on granting leases for predecessorsHoldMilliseconds from the time at which the pulse was written.
+// go on granting leases for predecessorsHoldMilliseconds from the time at which the pulse was written; zero while the
+// owner has not taken over, when that is not known.
 struct OwnerPulse {
   1: i64 term
   2: bool resigning
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -1,7 +1,9 @@
 /// One owner at a time: several entries over one store in virtual time.
 #include "Decision/Process/JobEntryCore.h"
+#include "Support/JobFixture.h"
 #include "Support/VirtualStore.h"
 #include "Support/VirtualTime.h"
+#include "Wire/Codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <deque>
@@ -17,16 +19,21 @@
     CPPUNIT_TEST(nobodyClaimsWhileTheStoreIsAway);
     CPPUNIT_TEST(aFrozenOwnerWakesAndStepsDown);
     CPPUNIT_TEST(aClaimWhoseAnswerWasLostIsFound);
+    CPPUNIT_TEST(aRestartedOwnerWaitsForTheOwnerBeforeIt);
+    CPPUNIT_TEST(aClaimOfAProcessThatNeverOwnedShortensNoWait);
+    CPPUNIT_TEST(aRestartedOwnerWaitsOneLeaseWhenNobodyBeforeItHolds);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int stepMilliseconds = 5;
     static constexpr int storeDelay = 5;
 
+    static std::string nodeName(std::size_t number) { return "entry-" + std::to_string(number); }
+
     /// One entry and its way to the store.
     struct Node {
-        explicit Node(int number)
-            : ownership(NodeIdentity { "entry-" + std::to_string(number), 100 + number, "127.0.0.1", number },
-                OwnerRules {}, OwnershipTiming {})
+        explicit Node(int number, std::int64_t incarnation = 1)
+            : ownership(
+                NodeIdentity { nodeName(number), incarnation, "127.0.0.1", number }, OwnerRules {}, OwnershipTiming {})
         {
             ownership.onChange = [](Instant, bool, Actions&) {};
         }
@@ -139,7 +146,33 @@
             return limit;
         }
 
+        /// The process of a node ends, and a new one starts.
+        void restart(std::size_t node)
+        {
+            std::erase_if(calls, [node](const Call& call) { return call.node == node; });
+            nodes[node] = std::make_unique<Node>(static_cast<int>(node), ++lastIncarnation);
+        }
+
+        /// A host that was given orders; no owner hears it.
+        void addUnheardHost()
+        {
+            AppendToStore append;
+            append.topic = StoreTopic::Jobs;
+            append.records.push_back(StoreRecord { StoreKey::host("i-1"), Wire::encode(Wire::HostRecord()) });
+            store.append(append);
+        }
+
+        /// Milliseconds until an owner takes every lease that was granted before it for over.
+        int untilAccounted(std::size_t owner, int limit)
+        {
+            const int begun = now;
+            while (now < begun + limit && !nodes[owner]->ownership.owner()->state().hostsAccounted(at(now)))
+                run(now + stepMilliseconds);
+            return now - begun;
+        }
+
         int now = 0;
+        std::int64_t lastIncarnation = 1;
         bool away = false;
         VirtualStore store;
         std::vector<std::unique_ptr<Node>> nodes;
@@ -228,5 +261,68 @@
         world.run(4000);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.owners().size());
     }
+
+    /// This owner must not take leases for over that a former one, which is cut from the store, may still grant.
+    static void checkOutlasts(World& world, std::size_t owner, std::size_t former)
+    {
+        CPPUNIT_ASSERT(world.nodes[owner]->ownership.owner());
+        CPPUNIT_ASSERT(world.nodes[former]->ownership.owner());
+        const Duration hold = OwnerRules {}.ownershipHold;
+        const Instant holdsUntil = world.nodes[former]->ownership.owner()->state().confirmedAt + hold;
+        world.untilAccounted(owner, 20'000);
+        CPPUNIT_ASSERT_MESSAGE(
+            "the former owner may grant for " + std::to_string(toMilliseconds(holdsUntil - at(world.now))) + " ms more",
+            at(world.now) >= holdsUntil);
+        CPPUNIT_ASSERT(at(world.now) <= holdsUntil + hold);
+    }
+
+    // Guards against tasks started twice: the owner before the one that ended may still extend leases.
+    void aRestartedOwnerWaitsForTheOwnerBeforeIt()
+    {
+        World world(2);
+        world.run(3000);
+        const std::size_t first = world.owners().at(0);
+        const std::size_t second = 1 - first;
+        world.addUnheardHost();
+        world.nodes[first]->cut = true;
+        CPPUNIT_ASSERT(world.untilReplaced(first, 5000) <= 2500);
+        world.restart(second);
+        CPPUNIT_ASSERT(world.untilReplaced(first, 5000) <= 500);
+        checkOutlasts(world, second, first);
+    }
+
+    // Guards against tasks started twice: a claim that is carried out late says nothing of the owner before it.
+    void aClaimOfAProcessThatNeverOwnedShortensNoWait()
+    {
+        World world(2);
+        world.run(3000);
+        const std::size_t first = world.owners().at(0);
+        const std::size_t second = 1 - first;
+        world.addUnheardHost();
+        world.nodes[first]->cut = true;
+        Wire::OwnerClaim claim;
+        claim.nodeId = nodeName(second);
+        claim.incarnation = ++world.lastIncarnation;
+        AppendToStore append;
+        append.topic = StoreTopic::Owners;
+        append.records.push_back(StoreRecord { "owner", Wire::encode(claim) });
+        world.store.append(append);
+        CPPUNIT_ASSERT(world.untilReplaced(first, 5000) <= 500);
+        checkOutlasts(world, second, first);
+    }
+
+    // Guards against a wait that is longer than needed when an owner is restarted.
+    void aRestartedOwnerWaitsOneLeaseWhenNobodyBeforeItHolds()
+    {
+        World world(1);
+        world.run(12'000);
+        world.addUnheardHost();
+        world.restart(0);
+        CPPUNIT_ASSERT(world.untilReplaced(1, 5000) <= 500);
+        const Duration lease = OwnerRules {}.lease;
+        const int waited = world.untilAccounted(0, 20'000);
+        CPPUNIT_ASSERT(milliseconds(waited) >= lease);
+        CPPUNIT_ASSERT(milliseconds(waited) <= lease + milliseconds(500));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
