--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -278,6 +278,14 @@
 
 void JobOwner::onPulseConfirmed(Instant sent) { m_state.confirmedAt = std::max(m_state.confirmedAt, sent); }
 
+void JobOwner::handOver()
+{
+    rest();
+    m_state.handedOver = true;
+    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts())
+        entry.second.orders.starts.clear();
+}
+
 void JobOwner::completeWaiting(Actions& actions)
 {
     while (!m_waiting.empty() && m_waiting.front().ticket <= m_state.journal.stored()) {
@@ -342,10 +350,10 @@
 
 void JobOwner::grantLeases(Instant now)
 {
+    if (!m_state.mayGrant(now))
+        return;
     const Duration held = m_state.confirmedAt + m_state.rules.ownershipHold - now;
     const Duration grant = std::min(m_state.rules.lease, held);
-    if (grant <= Duration::zero())
-        return;
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
         if (!host.listed || host.link == noLink)
@@ -408,8 +416,7 @@
     m_ledger.tick(now, actions);
     m_interference.observe(now, m_state.hosts);
     const Duration sincePass = now - m_lastPass;
-    const bool granting = now < m_state.confirmedAt + m_state.rules.ownershipHold;
-    if (!m_resting && granting
+    if (!m_resting && m_state.mayGrant(now)
         && ((m_state.scheduleDue && sincePass >= passInterval) || sincePass >= idlePassInterval)) {
         m_state.scheduleDue = false;
         m_lastPass = now;
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -44,6 +44,8 @@
     bool isStoreAway(Instant now) const;
     /// Starts nothing more; for a graceful hand-over.
     void rest() { m_resting = true; }
+    /// Grants nothing more, for good: a successor may be told that this owner has resigned.
+    void handOver();
 
     const OwnerState& state() const { return m_state; }
     std::int64_t term() const { return m_state.term; }
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -89,10 +89,14 @@
     /// When this process last knew that nobody else owned: the start of the newest append or sign of life that the
     /// store confirmed.
     Instant confirmedAt;
+    /// The store may show that this owner has resigned: a successor waits for its leases from then on.
+    bool handedOver = false;
     OwnerCounters counters;
 
     /// Nobody else owns as far as the store has confirmed lately.
-    bool isCertain(Instant now) const { return now - confirmedAt <= rules.certainFor; }
+    bool isCertain(Instant now) const { return !handedOver && now - confirmedAt <= rules.certainFor; }
+    /// Leases may be granted and extended.
+    bool mayGrant(Instant now) const { return !handedOver && now < confirmedAt + rules.ownershipHold; }
 
     JobState* findJob(const std::string& jobId)
     {
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -87,8 +87,9 @@
 void Ownership::runOwner(Instant now, Actions& actions)
 {
     if (!m_pulseInFlight && now >= m_notBefore && (m_resigning || now - m_pulseSentAt >= m_timing.pulse)) {
-        const bool leaving = m_resigning && m_owner->isSettled();
-        if (leaving || now - m_pulseSentAt >= m_timing.pulse)
+        // The store answers a repeated number with what it stored first: the resignation needs a number of its own.
+        const bool leaving = m_resignationSent || (m_resigning && !m_pulseUncertain && m_owner->isSettled());
+        if (leaving || m_pulseUncertain || now - m_pulseSentAt >= m_timing.pulse)
             sendPulse(now, leaving, actions);
     }
     m_owner->tick(now, m_unixMilliseconds, actions);
@@ -118,7 +119,11 @@
     append.timeout = m_timing.appendTimeout;
     m_pulseSentAt = now;
     m_pulseInFlight = true;
-    m_resigned = m_resigned || resigning;
+    if (resigning && !m_resignationSent) {
+        m_resignationSent = true;
+        m_owner->handOver();
+        actions.push_back(WriteLog { LogLine("resignation_sent").add("term", m_current.term).text() });
+    }
     actions.push_back(std::move(append));
 }
 
@@ -128,10 +133,11 @@
     switch (response.outcome) {
     case AppendOutcome::Stored:
         ++m_pulseNumber;
+        m_pulseUncertain = false;
         m_pulseConfirmed = true;
         if (m_owner)
             m_owner->onPulseConfirmed(m_pulseSentAt);
-        if (m_resigned)
+        if (m_resignationSent)
             stepDown(now, "resigned", actions);
         return;
     case AppendOutcome::Fenced:
@@ -141,8 +147,8 @@
     case AppendOutcome::TurnedAway:
     case AppendOutcome::Uncertain:
         // Sent again under the same number.
+        m_pulseUncertain = m_pulseUncertain || response.outcome == AppendOutcome::Uncertain;
         m_notBefore = now + m_timing.pause;
-        m_resigned = false;
         return;
     }
 }
@@ -192,6 +198,8 @@
     m_current.term = term;
     m_pulseNumber = 0;
     m_pulseInFlight = false;
+    m_pulseUncertain = false;
+    m_resignationSent = false;
     m_pulseConfirmed = false;
     m_fenceConfirmed = false;
     m_fenceCall = 0;
@@ -206,6 +214,7 @@
     const bool owned = m_stage == Stage::Owning;
     m_stage = Stage::Following;
     m_oldOwnerEnded = false;
+    m_resigned = m_resigned || m_resignationSent;
     m_owner.reset();
     m_notBefore = now + m_timing.pause;
     actions.push_back(WriteLog { LogLine("ownership_ended").add("term", m_current.term).add("why", why).text() });
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -116,6 +116,8 @@
     bool m_linkBroken = false;
     bool m_resigning = false;
     bool m_resigned = false;
+    /// The store may hold that the owner of this term has resigned; this is never taken back.
+    bool m_resignationSent = false;
     bool m_oldOwnerEnded = false;
     Predecessors m_predecessors;
     /// The newest term when this process claimed last.
@@ -131,6 +133,8 @@
     std::int64_t m_pulseNumber = 0;
     Instant m_pulseSentAt;
     bool m_pulseInFlight = false;
+    /// A sign of life may be stored under the number of the next one.
+    bool m_pulseUncertain = false;
     bool m_pulseConfirmed = false;
     bool m_fenceConfirmed = false;
     std::string m_loadAfter;
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(aRestartedOwnerWaitsForTheOwnerBeforeIt);
     CPPUNIT_TEST(aClaimOfAProcessThatNeverOwnedShortensNoWait);
     CPPUNIT_TEST(aRestartedOwnerWaitsOneLeaseWhenNobodyBeforeItHolds);
+    CPPUNIT_TEST(aResignationWhoseAnswerIsLostIsNotTakenBack);
+    CPPUNIT_TEST(aResignationAfterAnUnansweredSignOfLifeIsRead);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int stepMilliseconds = 5;
@@ -43,6 +45,10 @@
         bool cut = false;
         /// Loses the answers of appends.
         bool loses = false;
+        /// Loses the answers of reads.
+        bool losesReads = false;
+        /// The longest lease that it ordered, on the hosts' clock.
+        std::int64_t leaseOrdered = 0;
     };
 
     /// A call under way: due when its answer is handed on.
@@ -79,6 +85,8 @@
 
         void take(std::size_t node, const Actions& actions)
         {
+            for (const Wire::HostOrders& orders : messagesOf<Wire::HostOrders>(actions))
+                nodes[node]->leaseOrdered = std::max(nodes[node]->leaseOrdered, orders.leaseUntilMilliseconds);
             for (const Action& action : actions) {
                 const ReadStore* read = std::get_if<ReadStore>(&action);
                 const bool toStore = read || std::holds_alternative<AppendToStore>(action)
@@ -117,7 +125,7 @@
                     return;
                 }
                 if (!node.frozen)
-                    node.ownership.onRead(at(now), read->callId, response, actions);
+                    node.ownership.onRead(at(now), read->callId, node.losesReads ? ReadResponse() : response, actions);
             }
             take(call.node, actions);
         }
@@ -171,6 +179,47 @@
             return now - begun;
         }
 
+        /// The owner is told that a host runs this.
+        void report(std::size_t owner, const std::vector<Wire::RunningTask>& running)
+        {
+            Wire::HostReport report = makeReport("i-1", 1, now);
+            report.listFence = nodes[owner]->ownership.current().term;
+            report.running = running;
+            Actions actions;
+            nodes[owner]->ownership.owner()->onReport(at(now), testLink, report, actions);
+            take(owner, actions);
+        }
+
+        void submit(std::size_t owner, const std::string& jobId)
+        {
+            const Wire::JobCall call
+                = makeCall(Wire::JobCallKind::Submit, makeJob(jobId, { makeStep(1, 1000, 60'000) }));
+            Actions actions;
+            nodes[owner]->ownership.owner()->onCall(at(now), CallOrigin { noLink, 1 }, call, actions);
+            take(owner, actions);
+        }
+
+        /// The newest sign of life in the store.
+        Wire::OwnerPulse newestPulse() const
+        {
+            const NewestResponse newest = store.newest(ReadNewest { 0, StoreTopic::Pulses, {} });
+            const std::optional<Wire::OwnerPulse> pulse
+                = newest.records.empty() ? std::nullopt : Wire::decode<Wire::OwnerPulse>(newest.records[0].value);
+            return pulse ? *pulse : Wire::OwnerPulse();
+        }
+
+        /// Another process claims and wins; it does nothing else.
+        void claimAs(const std::string& nodeId)
+        {
+            Wire::OwnerClaim claim;
+            claim.nodeId = nodeId;
+            claim.incarnation = ++lastIncarnation;
+            AppendToStore append;
+            append.topic = StoreTopic::Owners;
+            append.records.push_back(StoreRecord { "owner", Wire::encode(claim) });
+            store.append(append);
+        }
+
         int now = 0;
         std::int64_t lastIncarnation = 1;
         bool away = false;
@@ -300,13 +349,7 @@
         const std::size_t second = 1 - first;
         world.addUnheardHost();
         world.nodes[first]->cut = true;
-        Wire::OwnerClaim claim;
-        claim.nodeId = nodeName(second);
-        claim.incarnation = ++world.lastIncarnation;
-        AppendToStore append;
-        append.topic = StoreTopic::Owners;
-        append.records.push_back(StoreRecord { "owner", Wire::encode(claim) });
-        world.store.append(append);
+        world.claimAs(nodeName(second));
         CPPUNIT_ASSERT(world.untilReplaced(first, 5000) <= 500);
         checkOutlasts(world, second, first);
     }
@@ -324,5 +367,60 @@
         CPPUNIT_ASSERT(milliseconds(waited) >= lease);
         CPPUNIT_ASSERT(milliseconds(waited) <= lease + milliseconds(500));
     }
+
+    // Guards against tasks started twice: a successor that read the resignation waits one lease only.
+    void aResignationWhoseAnswerIsLostIsNotTakenBack()
+    {
+        World world(2);
+        world.run(3000);
+        const std::size_t owner = world.owners().at(0);
+        Node& node = *world.nodes[owner];
+        world.report(owner, {});
+        world.submit(owner, "aa");
+        world.run(world.now + 200);
+        CPPUNIT_ASSERT(node.leaseOrdered > 0);
+        const std::vector<Wire::RunningTask> running { makeRunning(makeTask("aa", 0, 0), 1) };
+        for (int n = 0; n < 15; ++n) {
+            world.report(owner, running);
+            world.run(world.now + 100);
+        }
+        Actions actions;
+        node.ownership.resign(at(world.now), actions);
+        node.loses = true;
+        node.losesReads = true;
+        while (!world.newestPulse().resigning && world.now < 10'000)
+            world.run(world.now + stepMilliseconds);
+        CPPUNIT_ASSERT(world.newestPulse().resigning);
+        const std::int64_t granted = node.leaseOrdered;
+        bool certain = false;
+        for (int n = 0; n < 30 && node.ownership.owner(); ++n) {
+            world.report(owner, running);
+            world.run(world.now + 100);
+            const JobOwner* resigned = node.ownership.owner();
+            certain = certain || (resigned && resigned->state().isCertain(at(world.now)));
+        }
+        CPPUNIT_ASSERT(world.nodes[1 - owner]->ownership.owner());
+        CPPUNIT_ASSERT_EQUAL(granted, node.leaseOrdered);
+        CPPUNIT_ASSERT(!certain);
+        node.loses = false;
+        world.run(world.now + 1000);
+        CPPUNIT_ASSERT(node.ownership.hasResigned() && !node.ownership.owner());
+    }
+
+    // Guards against a hand-over that nobody reads: the store answers a repeated number with what it stored first.
+    void aResignationAfterAnUnansweredSignOfLifeIsRead()
+    {
+        World world(2);
+        world.run(3000);
+        const std::size_t owner = world.owners().at(0);
+        Node& node = *world.nodes[owner];
+        node.loses = true;
+        world.run(world.now + 550);
+        node.loses = false;
+        Actions actions;
+        node.ownership.resign(at(world.now), actions);
+        CPPUNIT_ASSERT(world.untilReplaced(owner, 5000) <= 500);
+        CPPUNIT_ASSERT(world.newestPulse().term > 1);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
