--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -202,7 +202,11 @@
     m_resignationSent = false;
     m_pulseConfirmed = false;
     m_fenceConfirmed = false;
+    // Answers to calls of an earlier term say nothing of this one.
     m_fenceCall = 0;
+    m_pulseCall = 0;
+    m_loadCall = 0;
+    m_journalCall = 0;
     m_notBefore = now;
     m_loadAfter.clear();
     m_loading = false;
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -7,6 +7,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <deque>
+#include <functional>
 
 using namespace Plantainpier;
 
@@ -24,6 +25,8 @@
     CPPUNIT_TEST(aRestartedOwnerWaitsOneLeaseWhenNobodyBeforeItHolds);
     CPPUNIT_TEST(aResignationWhoseAnswerIsLostIsNotTakenBack);
     CPPUNIT_TEST(aResignationAfterAnUnansweredSignOfLifeIsRead);
+    CPPUNIT_TEST(anAnswerToAnEarlierTermIsNoSignOfLife);
+    CPPUNIT_TEST(aPageReadForAnEarlierTermIsNotLoaded);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int stepMilliseconds = 5;
@@ -47,8 +50,13 @@
         bool loses = false;
         /// Loses the answers of reads.
         bool losesReads = false;
+        /// Signs of life do not reach the store.
+        bool silent = false;
         /// The longest lease that it ordered, on the hosts' clock.
         std::int64_t leaseOrdered = 0;
+        /// Calls that the store carries out, but whose answers are late.
+        std::function<bool(const Action&)> delays;
+        std::vector<std::function<void(Actions&)>> late;
     };
 
     /// A call under way: due when its answer is handed on.
@@ -108,14 +116,26 @@
             Actions actions;
             if (const AppendToStore* append = std::get_if<AppendToStore>(&call.action)) {
                 AppendResponse response;
-                if (!node.cut && !away)
+                const bool hangs = node.silent && append->topic == StoreTopic::Pulses;
+                if (!node.cut && !away && !hangs)
                     response = store.append(*append);
+                if (node.delays && node.delays(call.action)) {
+                    node.late.push_back([this, &node, id = append->callId, response](Actions& more) {
+                        node.ownership.onAppendResponse(at(now), id, response, more);
+                    });
+                    return;
+                }
                 if (node.loses)
                     response = AppendResponse();
                 if (!node.frozen)
                     node.ownership.onAppendResponse(at(now), append->callId, response, actions);
             } else if (const ReadNewest* newest = std::get_if<ReadNewest>(&call.action)) {
                 const NewestResponse response = node.cut || away ? NewestResponse() : store.newest(*newest);
+                if (node.delays && node.delays(call.action)) {
+                    node.late.push_back([this, &node, id = newest->callId, response](
+                                            Actions& more) { node.ownership.onNewest(at(now), id, response, more); });
+                    return;
+                }
                 if (!node.frozen)
                     node.ownership.onNewest(at(now), newest->callId, response, actions);
             } else if (const ReadStore* read = std::get_if<ReadStore>(&call.action)) {
@@ -220,6 +240,40 @@
             store.append(append);
         }
 
+        /// The owner of this term, which is no node of this world, stores one record.
+        void appendAs(std::int64_t term, StoreTopic topic, const std::string& key, const std::string& value)
+        {
+            AppendToStore append;
+            append.topic = topic;
+            append.epoch = term;
+            append.number = 1;
+            append.records.push_back(StoreRecord { key, value });
+            store.append(append);
+        }
+
+        /// While the only node has a call of term 1 under way, another process owns as term 2, stores a job and
+        /// resigns; then the node has won term 3 and done nothing yet.
+        void letAnotherOwnAndResign()
+        {
+            claimAs("entry-9");
+            appendAs(2, StoreTopic::Jobs, StoreKey::job("aa"), Wire::encode(makeJob("aa", { makeStep(1, 1000, 100) })));
+            Wire::OwnerPulse pulse;
+            pulse.term = 2;
+            pulse.resigning = true;
+            appendAs(2, StoreTopic::Pulses, "pulse", Wire::encode(pulse));
+            while (nodes[0]->ownership.current().term < 3 && now < 10'000)
+                run(now + stepMilliseconds);
+        }
+
+        void handLateAnswers(std::size_t node)
+        {
+            Actions actions;
+            for (const std::function<void(Actions&)>& answer : nodes[node]->late)
+                answer(actions);
+            nodes[node]->late.clear();
+            take(node, actions);
+        }
+
         int now = 0;
         std::int64_t lastIncarnation = 1;
         bool away = false;
@@ -422,5 +476,51 @@
         CPPUNIT_ASSERT(world.untilReplaced(owner, 5000) <= 500);
         CPPUNIT_ASSERT(world.newestPulse().term > 1);
     }
+
+    // Guards against an owner whose predecessor may still be confirmed: an answer to a call of an earlier term.
+    void anAnswerToAnEarlierTermIsNoSignOfLife()
+    {
+        World world(1);
+        world.run(3000);
+        Node& node = *world.nodes[0];
+        node.delays = [](const Action& action) {
+            const AppendToStore* append = std::get_if<AppendToStore>(&action);
+            return append && append->topic == StoreTopic::Pulses;
+        };
+        while (node.late.empty())
+            world.run(world.now + stepMilliseconds);
+        node.delays = nullptr;
+        node.silent = true;
+        world.letAnotherOwnAndResign();
+        world.handLateAnswers(0);
+        world.run(world.now + 500);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(3), node.ownership.current().term);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), world.newestPulse().term);
+        CPPUNIT_ASSERT_MESSAGE("owns without a sign of life of its term in the store", !node.ownership.owner());
+        node.silent = false;
+        world.run(world.now + 500);
+        CPPUNIT_ASSERT(node.ownership.owner());
+    }
+
+    // Guards against an owner that does not know jobs which were accepted before it: a page that was read earlier.
+    void aPageReadForAnEarlierTermIsNotLoaded()
+    {
+        World world(1);
+        Node& node = *world.nodes[0];
+        node.delays = [](const Action& action) {
+            const ReadNewest* read = std::get_if<ReadNewest>(&action);
+            return read && read->topic == StoreTopic::Jobs;
+        };
+        while (node.late.empty())
+            world.run(world.now + stepMilliseconds);
+        node.delays = nullptr;
+        world.letAnotherOwnAndResign();
+        while (world.newestPulse().term < 3)
+            world.run(world.now + stepMilliseconds);
+        world.handLateAnswers(0);
+        world.run(world.now + 500);
+        CPPUNIT_ASSERT(node.ownership.owner());
+        CPPUNIT_ASSERT(node.ownership.owner()->state().jobs.contains("aa"));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
