--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -29,6 +29,7 @@
     , m_scheduler(m_state, m_ledger, m_paces, PlacementRules {})
 {
     m_state.confirmedAt = now;
+    m_state.pulseConfirmedAt = now;
 }
 
 void JobOwner::load(const std::vector<StoreRecord>& records)
@@ -189,7 +190,7 @@
         answer.retryAfterMilliseconds = toMilliseconds(m_state.rules.storeRetryAfter);
         actions.push_back(WriteLog { LogLine("job_not_denied")
                                          .add("job", call.jobId)
-                                         .add("confirmed_age_ms", toMilliseconds(now - m_state.confirmedAt))
+                                         .add("pulse_age_ms", toMilliseconds(now - m_state.pulseConfirmedAt))
                                          .text() });
     }
     reply(origin, answer, actions);
@@ -276,7 +277,11 @@
     acknowledgeEnds();
 }
 
-void JobOwner::onPulseConfirmed(Instant sent) { m_state.confirmedAt = std::max(m_state.confirmedAt, sent); }
+void JobOwner::onPulseConfirmed(Instant sent)
+{
+    m_state.confirmedAt = std::max(m_state.confirmedAt, sent);
+    m_state.pulseConfirmedAt = std::max(m_state.pulseConfirmedAt, sent);
+}
 
 void JobOwner::handOver()
 {
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -26,7 +26,8 @@
     Duration statusMemory = seconds(120);
     /// The store counts as away when an append has been tried for this long; a refusal is then quicker than a wait.
     Duration storeAway = milliseconds(700);
-    /// An owner that the store has not confirmed for this long may have been replaced; a successor claims no sooner.
+    /// An owner whose signs of life the store has not confirmed for this long may have been replaced; a successor
+    /// claims no sooner.
     Duration certainFor = milliseconds(700);
     /// Told to callers that are refused while the store is away or no owner is known.
     Duration storeRetryAfter = seconds(1);
@@ -89,12 +90,14 @@
     /// When this process last knew that nobody else owned: the start of the newest append or sign of life that the
     /// store confirmed.
     Instant confirmedAt;
+    /// The same for signs of life alone: others claim when these fail to come, whatever else is stored.
+    Instant pulseConfirmedAt;
     /// The store may show that this owner has resigned: a successor waits for its leases from then on.
     bool handedOver = false;
     OwnerCounters counters;
 
     /// Nobody else owns as far as the store has confirmed lately.
-    bool isCertain(Instant now) const { return !handedOver && now - confirmedAt <= rules.certainFor; }
+    bool isCertain(Instant now) const { return !handedOver && now - pulseConfirmedAt <= rules.certainFor; }
     /// Leases may be granted and extended.
     bool mayGrant(Instant now) const { return !handedOver && now < confirmedAt + rules.ownershipHold; }
 
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(aResignationAfterAnUnansweredSignOfLifeIsRead);
     CPPUNIT_TEST(anAnswerToAnEarlierTermIsNoSignOfLife);
     CPPUNIT_TEST(aPageReadForAnEarlierTermIsNotLoaded);
+    CPPUNIT_TEST(anOwnerWithoutSignsOfLifeIsNotCertainWhenItIsReplaced);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int stepMilliseconds = 5;
@@ -522,5 +523,26 @@
         CPPUNIT_ASSERT(node.ownership.owner());
         CPPUNIT_ASSERT(node.ownership.owner()->state().jobs.contains("aa"));
     }
+
+    // Guards against a run that goes on under a successor and is started again: only signs of life keep others from
+    // claiming.
+    void anOwnerWithoutSignsOfLifeIsNotCertainWhenItIsReplaced()
+    {
+        World world(2);
+        world.run(3000);
+        const std::size_t owner = world.owners().at(0);
+        Node& node = *world.nodes[owner];
+        const Ownership& other = world.nodes[1 - owner]->ownership;
+        node.silent = true;
+        node.losesReads = true;
+        for (int n = 0; n < 400 && !other.owner(); ++n) {
+            if (n % 10 == 0 && node.ownership.owner())
+                world.submit(owner, "job-" + std::to_string(n));
+            world.run(world.now + stepMilliseconds);
+            const bool certain = node.ownership.owner() && node.ownership.owner()->state().isCertain(at(world.now));
+            CPPUNIT_ASSERT(!certain || (!other.isTakingOver() && !other.owner()));
+        }
+        CPPUNIT_ASSERT(other.owner());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
