--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -12,6 +12,10 @@
     constexpr const char* pulseKey = "pulse";
     /// A store that has not answered for this long counts as away for this process.
     constexpr Duration storeSilence = milliseconds(2000);
+    /// An answer is read within this time after its wait, as is a claim made that it calls for; the call itself is
+    /// given up no later. Longer, and this process was suspended: what the store said is old.
+    constexpr Duration newsKeep = milliseconds(700);
+    constexpr const char* noSignOfLife = "no_sign_of_life";
 
 } // namespace
 
@@ -47,11 +51,19 @@
         if (read) {
             m_pulsesCall = newCall();
             m_pulsesSentAt = now;
+            m_pulsesWait = m_linkBroken ? m_timing.lapseWhenBroken : m_timing.lapse;
             actions.push_back(std::move(*read));
         }
     }
     if (follows && m_current.term == 0)
         wantOwnership(now, "no_owner_yet");
+    if (m_claimWhy == noSignOfLife && now - m_claimAt > newsKeep) {
+        actions.push_back(WriteLog { LogLine("silence_is_old")
+                                         .add("term", m_current.term)
+                                         .add("age_ms", toMilliseconds(now - m_claimAt))
+                                         .text() });
+        m_claimWhy = nullptr;
+    }
     if (follows && m_claimWhy && now >= m_claimAt)
         claim(now, m_claimWhy, actions);
     const bool wasMine
@@ -285,9 +297,15 @@
     const std::vector<StoreRecord> records = m_pulses.onRead(now, response);
     takePulses(now, records);
     // The store itself says that the owner has shown no sign of life for the whole wait.
-    const bool waited = now - m_pulsesSentAt >= m_timing.lapseWhenBroken;
-    if (waited && response.answered && !response.truncated && records.empty() && m_stage == Stage::Following)
-        wantOwnership(now, "no_sign_of_life");
+    const Duration age = now - m_pulsesSentAt;
+    const bool silent = age >= m_timing.lapseWhenBroken && response.answered && !response.truncated && records.empty();
+    if (!silent || m_stage != Stage::Following)
+        return true;
+    if (age > m_pulsesWait + newsKeep)
+        actions.push_back(WriteLog {
+            LogLine("silence_is_old").add("term", m_current.term).add("age_ms", toMilliseconds(age)).text() });
+    else
+        wantOwnership(now, noSignOfLife);
     return true;
 }
 
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -126,6 +126,8 @@
     Instant m_formerLeasesEnd;
     Instant m_lastPulseSeen;
     Instant m_pulsesSentAt;
+    /// How long the store was asked to wait for a sign of life.
+    Duration m_pulsesWait {};
     /// Why and when this process will claim; null when it does not intend to.
     const char* m_claimWhy = nullptr;
     Instant m_claimAt;
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(anAnswerToAnEarlierTermIsNoSignOfLife);
     CPPUNIT_TEST(aPageReadForAnEarlierTermIsNotLoaded);
     CPPUNIT_TEST(anOwnerWithoutSignsOfLifeIsNotCertainWhenItIsReplaced);
+    CPPUNIT_TEST(aSilenceOfBeforeASuspensionMakesNobodyClaim);
+    CPPUNIT_TEST(anIntentionOfBeforeASuspensionMakesNobodyClaim);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int stepMilliseconds = 5;
@@ -145,6 +147,11 @@
                     calls.push_back(call);
                     return;
                 }
+                if (node.delays && node.delays(call.action)) {
+                    node.late.push_back([this, &node, id = read->callId, response](
+                                            Actions& more) { node.ownership.onRead(at(now), id, response, more); });
+                    return;
+                }
                 if (!node.frozen)
                     node.ownership.onRead(at(now), read->callId, node.losesReads ? ReadResponse() : response, actions);
             }
@@ -544,5 +551,41 @@
         }
         CPPUNIT_ASSERT(other.owner());
     }
+
+    /// The store tells a follower of a short silence of its owner; the follower is suspended before it handles that
+    /// answer, or once it has.
+    static void checkSuspendedFollower(bool answerHandled)
+    {
+        World world(2);
+        world.run(3000);
+        const std::size_t owner = world.owners().at(0);
+        Node& other = *world.nodes[1 - owner];
+        const std::int64_t term = other.ownership.current().term;
+        other.delays = [](const Action& action) {
+            const ReadStore* read = std::get_if<ReadStore>(&action);
+            return read && read->topic == StoreTopic::Pulses;
+        };
+        world.nodes[owner]->silent = true;
+        while (other.late.empty() && world.now < 10'000)
+            world.run(world.now + stepMilliseconds);
+        CPPUNIT_ASSERT(!other.late.empty());
+        other.delays = nullptr;
+        if (answerHandled)
+            world.handLateAnswers(1 - owner);
+        world.nodes[owner]->silent = false;
+        other.frozen = true;
+        world.run(world.now + 2000);
+        other.frozen = false;
+        world.handLateAnswers(1 - owner);
+        world.run(world.now + 3000);
+        CPPUNIT_ASSERT_EQUAL(term, other.ownership.current().term);
+        CPPUNIT_ASSERT(world.nodes[owner]->ownership.owner());
+    }
+
+    // Guards against a sound owner that is replaced: a process was suspended after the store had told it of a silence.
+    void aSilenceOfBeforeASuspensionMakesNobodyClaim() { checkSuspendedFollower(false); }
+
+    // Guards against a sound owner that is replaced: a process was suspended before it claimed.
+    void anIntentionOfBeforeASuspensionMakesNobodyClaim() { checkSuspendedFollower(true); }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
