--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -29,6 +29,7 @@
     , m_scheduler(m_state, m_ledger, m_paces, PlacementRules {})
 {
     m_state.confirmedAt = now;
+    m_state.pulseConfirmedAt = now;
 }
 
 void JobOwner::load(const std::vector<StoreRecord>& records)
@@ -189,7 +190,7 @@
         answer.retryAfterMilliseconds = toMilliseconds(m_state.rules.storeRetryAfter);
         actions.push_back(WriteLog { LogLine("job_not_denied")
                                          .add("job", call.jobId)
-                                         .add("confirmed_age_ms", toMilliseconds(now - m_state.confirmedAt))
+                                         .add("pulse_age_ms", toMilliseconds(now - m_state.pulseConfirmedAt))
                                          .text() });
     }
     reply(origin, answer, actions);
@@ -276,7 +277,19 @@
     acknowledgeEnds();
 }
 
-void JobOwner::onPulseConfirmed(Instant sent) { m_state.confirmedAt = std::max(m_state.confirmedAt, sent); }
+void JobOwner::onPulseConfirmed(Instant sent)
+{
+    m_state.confirmedAt = std::max(m_state.confirmedAt, sent);
+    m_state.pulseConfirmedAt = std::max(m_state.pulseConfirmedAt, sent);
+}
+
+void JobOwner::handOver()
+{
+    rest();
+    m_state.handedOver = true;
+    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts())
+        entry.second.orders.starts.clear();
+}
 
 void JobOwner::completeWaiting(Actions& actions)
 {
@@ -342,10 +355,10 @@
 
 void JobOwner::grantLeases(Instant now)
 {
+    if (!m_state.mayGrant(now))
+        return;
     const Duration held = m_state.confirmedAt + m_state.rules.ownershipHold - now;
     const Duration grant = std::min(m_state.rules.lease, held);
-    if (grant <= Duration::zero())
-        return;
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
         if (!host.listed || host.link == noLink)
@@ -409,8 +422,7 @@
     m_ledger.tick(now, actions);
     m_interference.observe(now, m_state.hosts);
     const Duration sincePass = now - m_lastPass;
-    const bool granting = now < m_state.confirmedAt + m_state.rules.ownershipHold;
-    if (!m_resting && granting
+    if (!m_resting && m_state.mayGrant(now)
         && ((m_state.scheduleDue && sincePass >= passInterval) || sincePass >= idlePassInterval)) {
         m_state.scheduleDue = false;
         m_lastPass = now;
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -28,12 +28,19 @@
     Duration statusMemory = seconds(120);
     /// The store counts as away when an append has been tried for this long; a refusal is then quicker than a wait.
     Duration storeAway = milliseconds(700);
-    /// An owner that the store has not confirmed for this long may have been replaced; a successor claims no sooner.
+    /// An owner whose signs of life the store has not confirmed for this long may have been replaced; a successor
+    /// claims no sooner.
     Duration certainFor = milliseconds(700);
     /// Told to callers that are refused while the store is away or no owner is known.
     Duration storeRetryAfter = seconds(1);
     /// A task that failed by itself is tried again after this, so that a broken host does not use up its attempts.
     Duration failurePause = milliseconds(50);
+
+    /// How long something that another clock measures must be waited for, by this process's clock.
+    Duration stretched(Duration duration) const
+    {
+        return std::chrono::duration_cast<Duration>(duration * (1 + 1.5 * clockSlowness)) + milliseconds(20);
+    }
 };
 
 /// Counters and latencies that the owner collects; the shell turns them into metrics.
@@ -94,10 +101,16 @@
     /// When this process last knew that nobody else owned: the start of the newest append or sign of life that the
     /// store confirmed.
     Instant confirmedAt;
+    /// The same for signs of life alone: others claim when these fail to come, whatever else is stored.
+    Instant pulseConfirmedAt;
+    /// The store may show that this owner has resigned: a successor waits for its leases from then on.
+    bool handedOver = false;
     OwnerCounters counters;
 
     /// Nobody else owns as far as the store has confirmed lately.
-    bool isCertain(Instant now) const { return now - confirmedAt <= rules.certainFor; }
+    bool isCertain(Instant now) const { return !handedOver && now - pulseConfirmedAt <= rules.certainFor; }
+    /// Leases may be granted and extended.
+    bool mayGrant(Instant now) const { return !handedOver && now < confirmedAt + rules.ownershipHold; }
 
     /// Makes the host refuse every order that was sent to it before, once it has been listed again: orders may be
     /// carried out late, over another connection or by a later life. Until then nothing is started on it.
@@ -139,10 +152,7 @@
     bool hostsAccounted(Instant now) const { return hostsUnheard(now) == 0; }
 
     /// How long whoever was granted a lease must be waited for, by this process's clock.
-    Duration stretched(Duration duration) const
-    {
-        return std::chrono::duration_cast<Duration>(duration * (1 + 1.5 * rules.clockSlowness)) + milliseconds(20);
-    }
+    Duration stretched(Duration duration) const { return rules.stretched(duration); }
 };
 
 /// Keys of the records in the store.
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -12,6 +12,10 @@
     constexpr const char* pulseKey = "pulse";
     /// A store that has not answered for this long counts as away for this process.
     constexpr Duration storeSilence = milliseconds(2000);
+    /// An answer is read within this time after its wait, as is a claim made that it calls for; the call itself is
+    /// given up no later. Longer, and this process was suspended: what the store said is old.
+    constexpr Duration newsKeep = milliseconds(700);
+    constexpr const char* noSignOfLife = "no_sign_of_life";
 
 } // namespace
 
@@ -47,11 +51,19 @@
         if (read) {
             m_pulsesCall = newCall();
             m_pulsesSentAt = now;
+            m_pulsesWait = m_linkBroken ? m_timing.lapseWhenBroken : m_timing.lapse;
             actions.push_back(std::move(*read));
         }
     }
     if (follows && m_current.term == 0)
         wantOwnership(now, "no_owner_yet");
+    if (m_claimWhy == noSignOfLife && now - m_claimAt > newsKeep) {
+        actions.push_back(WriteLog { LogLine("silence_is_old")
+                                         .add("term", m_current.term)
+                                         .add("age_ms", toMilliseconds(now - m_claimAt))
+                                         .text() });
+        m_claimWhy = nullptr;
+    }
     if (follows && m_claimWhy && now >= m_claimAt)
         claim(now, m_claimWhy, actions);
     const bool wasMine
@@ -87,8 +99,9 @@
 void Ownership::runOwner(Instant now, Actions& actions)
 {
     if (!m_pulseInFlight && now >= m_notBefore && (m_resigning || now - m_pulseSentAt >= m_timing.pulse)) {
-        const bool leaving = m_resigning && m_owner->isSettled();
-        if (leaving || now - m_pulseSentAt >= m_timing.pulse)
+        // The store answers a repeated number with what it stored first: the resignation needs a number of its own.
+        const bool leaving = m_resignationSent || (m_resigning && !m_pulseUncertain && m_owner->isSettled());
+        if (leaving || m_pulseUncertain || now - m_pulseSentAt >= m_timing.pulse)
             sendPulse(now, leaving, actions);
     }
     m_owner->tick(now, m_unixMilliseconds, actions);
@@ -106,6 +119,9 @@
     Wire::OwnerPulse pulse;
     pulse.term = m_current.term;
     pulse.resigning = resigning;
+    if (m_stage == Stage::Owning)
+        pulse.predecessorsHoldMilliseconds
+            = std::max(std::int64_t(0), static_cast<std::int64_t>(toMilliseconds(m_formerLeasesEnd - now))) + 1;
     AppendToStore append;
     append.callId = m_pulseCall = newCall();
     append.topic = StoreTopic::Pulses;
@@ -115,7 +131,11 @@
     append.timeout = m_timing.appendTimeout;
     m_pulseSentAt = now;
     m_pulseInFlight = true;
-    m_resigned = m_resigned || resigning;
+    if (resigning && !m_resignationSent) {
+        m_resignationSent = true;
+        m_owner->handOver();
+        actions.push_back(WriteLog { LogLine("resignation_sent").add("term", m_current.term).text() });
+    }
     actions.push_back(std::move(append));
 }
 
@@ -125,10 +145,11 @@
     switch (response.outcome) {
     case AppendOutcome::Stored:
         ++m_pulseNumber;
+        m_pulseUncertain = false;
         m_pulseConfirmed = true;
         if (m_owner)
             m_owner->onPulseConfirmed(m_pulseSentAt);
-        if (m_resigned)
+        if (m_resignationSent)
             stepDown(now, "resigned", actions);
         return;
     case AppendOutcome::Fenced:
@@ -138,8 +159,8 @@
     case AppendOutcome::TurnedAway:
     case AppendOutcome::Uncertain:
         // Sent again under the same number.
+        m_pulseUncertain = m_pulseUncertain || response.outcome == AppendOutcome::Uncertain;
         m_notBefore = now + m_timing.pause;
-        m_resigned = false;
         return;
     }
 }
@@ -160,6 +181,7 @@
     if (m_resigning || now < m_notBefore)
         return;
     m_claimWhy = nullptr;
+    m_formerTerm = m_current.term;
     Wire::OwnerClaim claim;
     claim.nodeId = m_identity.nodeId;
     claim.incarnation = m_identity.incarnation;
@@ -188,9 +210,15 @@
     m_current.term = term;
     m_pulseNumber = 0;
     m_pulseInFlight = false;
+    m_pulseUncertain = false;
+    m_resignationSent = false;
     m_pulseConfirmed = false;
     m_fenceConfirmed = false;
+    // Answers to calls of an earlier term say nothing of this one.
     m_fenceCall = 0;
+    m_pulseCall = 0;
+    m_loadCall = 0;
+    m_journalCall = 0;
     m_notBefore = now;
     m_loadAfter.clear();
     m_loading = false;
@@ -201,6 +229,8 @@
 {
     const bool owned = m_stage == Stage::Owning;
     m_stage = Stage::Following;
+    m_oldOwnerEnded = false;
+    m_resigned = m_resigned || m_resignationSent;
     m_owner.reset();
     m_notBefore = now + m_timing.pause;
     actions.push_back(WriteLog { LogLine("ownership_ended").add("term", m_current.term).add("why", why).text() });
@@ -237,7 +267,14 @@
 {
     for (const StoreRecord& record : records) {
         const std::optional<Wire::OwnerPulse> pulse = Wire::decode<Wire::OwnerPulse>(record.value);
-        if (!pulse || pulse->term < m_current.term)
+        if (!pulse)
+            continue;
+        // A process that claims at once reads the former owner's sign of life beside its own claim.
+        const bool ofFormer = m_stage == Stage::Following || pulse->term == m_formerTerm;
+        if (ofFormer && pulse->predecessorsHoldMilliseconds > 0)
+            m_predecessors = Predecessors { pulse->term,
+                now + m_rules.stretched(milliseconds(pulse->predecessorsHoldMilliseconds)) };
+        if (pulse->term < m_current.term)
             continue;
         m_lastPulseSeen = now;
         if (!pulse->resigning)
@@ -260,9 +297,15 @@
     const std::vector<StoreRecord> records = m_pulses.onRead(now, response);
     takePulses(now, records);
     // The store itself says that the owner has shown no sign of life for the whole wait.
-    const bool waited = now - m_pulsesSentAt >= m_timing.lapseWhenBroken;
-    if (waited && response.answered && !response.truncated && records.empty() && m_stage == Stage::Following)
-        wantOwnership(now, "no_sign_of_life");
+    const Duration age = now - m_pulsesSentAt;
+    const bool silent = age >= m_timing.lapseWhenBroken && response.answered && !response.truncated && records.empty();
+    if (!silent || m_stage != Stage::Following)
+        return true;
+    if (age > m_pulsesWait + newsKeep)
+        actions.push_back(WriteLog {
+            LogLine("silence_is_old").add("term", m_current.term).add("age_ms", toMilliseconds(age)).text() });
+    else
+        wantOwnership(now, noSignOfLife);
     return true;
 }
 
@@ -273,7 +316,7 @@
         return true;
     }
     if (callId == m_pulsesCall) {
-        m_pulses.onNewest(now, response);
+        takePulses(now, m_pulses.onNewest(now, response));
         return true;
     }
     if (callId != m_loadCall)
@@ -290,13 +333,40 @@
         m_loadAfter = response.records.back().key;
         return true;
     }
-    // A process that has ended grants nothing more; any other may have until its own hold is over.
-    const Duration longest = m_oldOwnerEnded ? m_rules.lease : m_rules.ownershipHold;
-    const Duration stretched = m_owner->state().stretched(longest);
-    m_owner->finishLoad(now, m_unixMilliseconds, now + stretched, actions);
+    finishTakeOver(now, actions);
+    return true;
+}
+
+Ownership::LeaseWait Ownership::formerLeases(Instant now) const
+{
+    // Whatever any earlier owner grants ends within the hold: the store has confirmed none of them since the fence.
+    const Duration hold = m_rules.stretched(m_rules.ownershipHold);
+    if (!m_oldOwnerEnded)
+        return LeaseWait { hold, "former_owner_may_hold" };
+    // A process that has ended grants nothing more. The owners before it may, for as long as it would have waited.
+    if (m_formerTerm == 0 || m_predecessors.term != m_formerTerm)
+        return LeaseWait { hold, "predecessors_unknown" };
+    const Duration lease = m_rules.stretched(m_rules.lease);
+    const Duration left = m_predecessors.holdUntil - now;
+    if (left > lease)
+        return LeaseWait { std::min(left, hold), "predecessors_may_hold" };
+    return LeaseWait { lease, "former_owner_ended" };
+}
+
+void Ownership::finishTakeOver(Instant now, Actions& actions)
+{
+    const LeaseWait former = formerLeases(now);
+    LogLine line("former_leases");
+    line.add("term", m_current.term).add("wait_ms", toMilliseconds(former.wait)).add("why", former.why);
+    line.add("former_term", m_formerTerm).add("former_owner_ended", m_oldOwnerEnded);
+    if (m_predecessors.term > 0)
+        line.add("told_by_term", m_predecessors.term)
+            .add("told_left_ms", toMilliseconds(m_predecessors.holdUntil - now));
+    actions.push_back(WriteLog { line.text() });
+    m_formerLeasesEnd = now + former.wait;
+    m_owner->finishLoad(now, m_unixMilliseconds, m_formerLeasesEnd, actions);
     m_stage = Stage::Owning;
     onChange(now, true, actions);
-    return true;
 }
 
 bool Ownership::onAppendResponse(Instant now, std::uint64_t callId, const AppendResponse& response, Actions& actions)
