--- a/Source/Decision/Process/JobEntryCore.cpp
+++ b/Source/Decision/Process/JobEntryCore.cpp
@@ -132,10 +132,21 @@
     pending.answerBy = now + std::max(wait - m_timing.answerMargin, m_timing.answerMargin);
     Pending& kept = m_pending.insert_or_assign(token, std::move(pending)).first->second;
     const std::size_t from = actions.size();
-    route(now, token, kept, actions);
+    if (mayAsk())
+        route(now, token, kept, actions);
+    else
+        refuse(token, kept.call, "leaving", actions);
     collectAnswers(now, from, actions);
 }
 
+bool JobEntryCore::mayAsk() const
+{
+    // A process that leaves claims no more, and what follows it is better reached elsewhere than waited for here.
+    if (m_leaving)
+        return !m_ending && (m_ownership.owner() || m_ownership.isTakingOver() || m_ownerLink.isUp());
+    return true;
+}
+
 void JobEntryCore::route(Instant now, CallerToken token, Pending& pending, Actions& actions)
 {
     if (JobOwner* owner = m_ownership.owner(); owner && m_ownership.isStoreAnswering(now)) {
@@ -326,11 +337,14 @@
 void JobEntryCore::expire(Instant now, Actions& actions)
 {
     const std::size_t from = actions.size();
+    const bool mayAskLater = mayAsk();
     for (const std::pair<const CallerToken, Pending>& entry : m_pending) {
         const Pending& pending = entry.second;
-        if (!pending.asked && now - pending.arrived >= m_timing.ownerWait) {
+        if (!pending.asked && !mayAskLater) {
+            refuse(entry.first, pending.call, "leaving", actions);
+        } else if (!pending.asked && now - pending.arrived >= m_timing.ownerWait) {
             refuse(entry.first, pending.call, "no_owner", actions);
-        } else if (now >= pending.answerBy) {
+        } else if (now >= pending.answerBy || m_ending) {
             Wire::JobReply reply;
             reply.kind = pending.asked ? Wire::JobReplyKind::Unknown : Wire::JobReplyKind::Refused;
             reply.reason = pending.asked ? "no_answer_from_owner" : "no_owner";
@@ -366,6 +380,14 @@
 {
     m_leaving = true;
     m_ownership.resign(now, actions);
+    expire(now, actions);
+}
+
+void JobEntryCore::end(Instant now, Actions& actions)
+{
+    m_leaving = true;
+    m_ending = true;
+    expire(now, actions);
 }
 
 bool JobEntryCore::isReady(Instant now) const
--- a/Source/Decision/Process/JobEntryCore.h
+++ b/Source/Decision/Process/JobEntryCore.h
@@ -52,8 +52,10 @@
     void onRead(Instant now, std::uint64_t callId, const ReadResponse& response, Actions& actions);
     void onNewest(Instant now, std::uint64_t callId, const NewestResponse& response, Actions& actions);
     void tick(Instant now, std::int64_t unixMilliseconds, Actions& actions);
-    /// Graceful end: hands the ownership over, finishes what is in progress.
+    /// Graceful end: hands the ownership over, finishes what is in progress, refuses what nobody can be asked any more.
     void leave(Instant now, Actions& actions);
+    /// The process ends: whoever still waits is answered, and nobody is asked any more.
+    void end(Instant now, Actions& actions);
     bool isDrained() const { return m_pending.empty() && (m_ownership.hasResigned() && !m_ownership.owner()); }
     bool isReady(Instant now) const;
 
@@ -73,6 +75,8 @@
 
     Wire::NodeHello makeHello() const;
     void onHello(Instant now, LinkId link, const Wire::NodeHello& hello, Actions& actions);
+    /// Whether an owner can be asked now or is worth waiting for.
+    bool mayAsk() const;
     void route(Instant now, CallerToken token, Pending& pending, Actions& actions);
     void answer(CallerToken token, Wire::JobReply reply, Actions& actions);
     void refuse(CallerToken token, const Wire::JobCall& call, const char* why, Actions& actions);
@@ -96,6 +100,7 @@
     std::set<LinkId> m_followers;
     Instant m_ownerSeenAt;
     bool m_leaving = false;
+    bool m_ending = false;
 };
 
 } // namespace Plantainpier
--- a/Source/Shell/Connection/HttpServer.cpp
+++ b/Source/Shell/Connection/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <pistache/endpoint.h>
 #include <pistache/http.h>
+#include <thread>
 
 namespace Plantainpier {
 
@@ -16,15 +17,46 @@
     constexpr Duration headerTimeout = seconds(5);
     constexpr Duration bodyTimeout = seconds(10);
     constexpr int listenBacklog = 1024;
+    /// Answers are on their way to the socket for a few milliseconds; a caller that does not read holds the end up for
+    /// this long.
+    constexpr Duration lastAnswers = milliseconds(150);
+    constexpr Duration lastAnswersPoll = milliseconds(1);
 
     std::string methodName(Pistache::Http::Method method) { return Pistache::Http::methodString(method); }
 
+    /// Counts one request from when it was read in full until its answer is written or nobody waits for it.
+    class OpenRequest {
+    public:
+        using Count = std::atomic<std::size_t>;
+
+        explicit OpenRequest(std::shared_ptr<Count> count)
+            : m_count(std::move(count))
+        {
+            ++*m_count;
+        }
+
+        ~OpenRequest() { close(); }
+        OpenRequest(const OpenRequest&) = delete;
+        OpenRequest& operator=(const OpenRequest&) = delete;
+
+        void close()
+        {
+            if (!m_closed.exchange(true))
+                --*m_count;
+        }
+
+    private:
+        std::shared_ptr<Count> m_count;
+        std::atomic<bool> m_closed { false };
+    };
+
     /// A Pistache request with its response writer.
     class PistacheCall : public HttpCall {
     public:
         PistacheCall(const Pistache::Http::Request& request, Pistache::Http::ResponseWriter&& response,
-            const std::vector<std::string>& keptHeaders)
+            const std::vector<std::string>& keptHeaders, const std::shared_ptr<OpenRequest::Count>& openRequests)
             : m_response(std::move(response))
+            , m_open(std::make_shared<OpenRequest>(openRequests))
         {
             method = methodName(request.method());
             const std::shared_ptr<const Pistache::Http::Header::Host> host
@@ -56,12 +88,15 @@
         {
             if (m_answered.exchange(true))
                 return false;
+            const std::shared_ptr<OpenRequest> open = std::move(m_open);
             try {
                 for (const std::pair<std::string, std::string>& header : more)
                     m_response.headers().addRaw(Pistache::Http::Header::Raw(header.first, header.second));
                 const bool isJson = !text.empty() && text.front() == '{';
                 const Pistache::Http::Mime::MediaType mime = isJson ? MIME(Application, Json) : MIME(Text, Plain);
-                m_response.send(static_cast<Pistache::Http::Code>(status), text, mime);
+                // The server's thread writes it later. A write that fails had a caller that has gone.
+                m_response.send(static_cast<Pistache::Http::Code>(status), text, mime)
+                    .then([open](ssize_t) { open->close(); }, [open](std::exception_ptr&) { open->close(); });
                 return true;
             } catch (const std::exception&) {
                 return false;
@@ -70,6 +105,7 @@
 
     private:
         Pistache::Http::ResponseWriter m_response;
+        std::shared_ptr<OpenRequest> m_open;
         std::atomic<bool> m_answered { false };
     };
 
@@ -77,27 +113,31 @@
     public:
         HTTP_PROTOTYPE(CallHandler)
 
-        CallHandler(HttpServer::OnCall onCall, std::vector<std::string> keptHeaders)
+        CallHandler(HttpServer::OnCall onCall, std::vector<std::string> keptHeaders,
+            std::shared_ptr<OpenRequest::Count> openRequests)
             : m_onCall(std::move(onCall))
             , m_keptHeaders(std::move(keptHeaders))
+            , m_openRequests(std::move(openRequests))
         {
         }
 
         void onRequest(const Pistache::Http::Request& request, Pistache::Http::ResponseWriter response) override
         {
-            m_onCall(std::make_shared<PistacheCall>(request, std::move(response), m_keptHeaders));
+            m_onCall(std::make_shared<PistacheCall>(request, std::move(response), m_keptHeaders, m_openRequests));
         }
 
     private:
         HttpServer::OnCall m_onCall;
         std::vector<std::string> m_keptHeaders;
+        std::shared_ptr<OpenRequest::Count> m_openRequests;
     };
 
     class PistacheServer : public HttpServer {
     public:
         PistacheServer(
             const std::string& address, int port, int threads, OnCall onCall, std::vector<std::string> keptHeaders)
-            : m_endpoint(Pistache::Address(address, Pistache::Port(static_cast<std::uint16_t>(port))))
+            : m_openRequests(std::make_shared<OpenRequest::Count>(0))
+            , m_endpoint(Pistache::Address(address, Pistache::Port(static_cast<std::uint16_t>(port))))
         {
             Pistache::Http::Endpoint::Options options
                 = Pistache::Http::Endpoint::options()
@@ -109,7 +149,8 @@
                       .headerTimeout(headerTimeout)
                       .bodyTimeout(bodyTimeout);
             m_endpoint.init(options);
-            m_endpoint.setHandler(std::make_shared<CallHandler>(std::move(onCall), std::move(keptHeaders)));
+            m_endpoint.setHandler(
+                std::make_shared<CallHandler>(std::move(onCall), std::move(keptHeaders), m_openRequests));
             m_endpoint.serveThreaded();
         }
 
@@ -117,13 +158,20 @@
         PistacheServer(const PistacheServer&) = delete;
         PistacheServer& operator=(const PistacheServer&) = delete;
 
-        void stop() override
+        std::size_t stop() override
         {
-            if (!m_stopped.exchange(true))
-                m_endpoint.shutdown();
+            if (m_stopped.exchange(true))
+                return 0;
+            const std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() + lastAnswers;
+            while (*m_openRequests > 0 && std::chrono::steady_clock::now() < limit)
+                std::this_thread::sleep_for(lastAnswersPoll);
+            const std::size_t left = *m_openRequests;
+            m_endpoint.shutdown();
+            return left;
         }
 
     private:
+        std::shared_ptr<OpenRequest::Count> m_openRequests;
         Pistache::Http::Endpoint m_endpoint;
         std::atomic<bool> m_stopped { false };
     };
--- a/Source/Shell/Connection/HttpServer.h
+++ b/Source/Shell/Connection/HttpServer.h
@@ -50,8 +50,9 @@
         const std::string& address, int port, int threads, OnCall onCall, std::vector<std::string> keptHeaders = {});
     virtual ~HttpServer() = default;
 
-    /// Closes the port and its connections.
-    virtual void stop() = 0;
+    /// Waits a moment until the answers to all requests that were read are written, then closes the port and its
+    /// connections. Returns how many requests are left without an answer.
+    virtual std::size_t stop() = 0;
 };
 
 /// A pause as the header Retry-After gives it: whole seconds, rounded up.
--- /dev/null
+++ b/Tests/Process/NodeDrainTest.cpp
@@ -0,0 +1,196 @@
+/// What clients see while plantainpier-node is told to stop: whatever it has read in full is answered.
+#include "Base/Json.h"
+#include "Process/ChildProcess.h"
+#include "Shell/Connection/HttpClient.h"
+#include "Soak/StoreStandIn.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <unistd.h>
+
+using namespace Plantainpier;
+
+class NodeDrainTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(NodeDrainTest);
+    CPPUNIT_TEST(anEntryThatNobodySucceedsAnswersEveryCall);
+    CPPUNIT_TEST(answersAreWrittenBeforeThePortCloses);
+    CPPUNIT_TEST_SUITE_END();
+
+    using SteadyTime = std::chrono::steady_clock::time_point;
+
+    static constexpr int storePort = 20'421;
+    static constexpr int peerPort = 20'422;
+    static constexpr int clientPort = 20'423;
+    static constexpr int healthPort = 20'424;
+    static constexpr int serverPort = 20'425;
+    static constexpr unsigned storeSeed = 1;
+    static constexpr int callers = 4;
+    static constexpr int waitingCalls = 40;
+    static constexpr std::chrono::seconds stopLimit { 10 };
+    static constexpr std::chrono::milliseconds pause { 20 };
+    /// A call that waited longer before it was cut had been read.
+    static constexpr std::chrono::milliseconds slack { 50 };
+    /// Callers give up then, whatever the process does.
+    static constexpr std::chrono::seconds callersLimit { 15 };
+    static constexpr int httpOk = 200;
+    static constexpr int httpUnavailable = 503;
+
+    /// How one call went.
+    struct Call {
+        SteadyTime sent;
+        SteadyTime ended;
+        HttpResponse response;
+    };
+
+    /// An entry alone with a store.
+    struct Entry {
+        Entry()
+            : folder(std::filesystem::temp_directory_path() / ("plantainpier-drain-" + std::to_string(::getpid())))
+        {
+            std::filesystem::create_directories(folder);
+            Result<std::unique_ptr<StoreStandIn>> created = StoreStandIn::create(storePort, storeSeed);
+            CPPUNIT_ASSERT(isOk(created));
+            store = takeValue(std::move(created));
+            const Json route { { "name", "plans" }, { "hostname", "desk.example" }, { "path_prefix", "/plans/" },
+                { "service", "desk" }, { "priority", 0 }, { "max_attempts", 2 }, { "stretch", 2 }, { "slo_ms", 1000 },
+                { "timeout_ms", 3000 } };
+            const Json service { { "name", "desk" }, { "enforces_capacity", false } };
+            store->put("keyed.op", "config",
+                Json { { "version", 1 }, { "routes", Json::array({ route }) }, { "services", Json::array({ service }) },
+                    { "limits", { { "max_body_bytes", 262144 } } } }
+                    .dump());
+            const std::string settings = folder / "entry.json";
+            std::ofstream(settings) << Json { { "id", "entry-1" }, { "zone", "zone-a" }, { "address", "127.0.0.1" },
+                { "peer_port", peerPort }, { "store_address", address(storePort) },
+                { "client_address", address(clientPort) }, { "health_address", address(healthPort) },
+                { "processor_share", 0.5 }, { "shutdown_s", 6 } };
+            process = std::make_unique<ChildProcess>(
+                std::vector<std::string> { NODE_PROGRAM, "entry", "--settings", settings }, folder / "entry.log");
+            Result<std::shared_ptr<HttpClient>> client = HttpClient::create();
+            CPPUNIT_ASSERT(isOk(client));
+            http = takeValue(std::move(client));
+        }
+
+        ~Entry()
+        {
+            process.reset();
+            std::filesystem::remove_all(folder);
+        }
+
+        static std::string address(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+        /// Asks for a job on a connection of its own, which nothing is sent over twice.
+        Call ask(const std::string& path) const
+        {
+            HttpRequest request;
+            request.address = "127.0.0.1";
+            request.port = clientPort;
+            request.path = path;
+            request.headers = { "Host: desk.example", "Request-Deadline: 3000" };
+            request.mayRepeat = false;
+            Call call;
+            call.sent = std::chrono::steady_clock::now();
+            call.response = http->fetch(std::move(request));
+            call.ended = std::chrono::steady_clock::now();
+            return call;
+        }
+
+        /// Calls one after the other until the port is closed.
+        std::vector<Call> askUntilClosed() const
+        {
+            const SteadyTime limit = std::chrono::steady_clock::now() + callersLimit;
+            std::vector<Call> calls;
+            do {
+                calls.push_back(ask("/plans/00000000000000aa"));
+                std::this_thread::sleep_for(pause);
+            } while (calls.back().response.kind != HttpResponse::Kind::NotConnected && calls.back().ended < limit);
+            return calls;
+        }
+
+        std::filesystem::path folder;
+        std::unique_ptr<StoreStandIn> store;
+        std::unique_ptr<ChildProcess> process;
+        std::shared_ptr<HttpClient> http;
+    };
+
+    // Guards against calls that wait for an owner when nobody can own any more, and are cut off when the process ends.
+    void anEntryThatNobodySucceedsAnswersEveryCall()
+    {
+        Entry entry;
+        int status = 0;
+        for (int n = 0; n < 200 && status != httpOk; ++n) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            status = entry.ask("/plans/").response.status;
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("it owns and serves", httpOk, status);
+        entry.process->askToStop();
+        std::vector<std::future<std::vector<Call>>> running;
+        running.reserve(callers);
+        for (int n = 0; n < callers; ++n)
+            running.push_back(std::async(std::launch::async, [&entry] { return entry.askUntilClosed(); }));
+        CPPUNIT_ASSERT_EQUAL(0, entry.process->stop(stopLimit));
+        std::size_t lost = 0;
+        std::size_t refused = 0;
+        std::chrono::milliseconds longest {};
+        for (std::future<std::vector<Call>>& caller : running) {
+            for (const Call& call : caller.get()) {
+                if (call.response.kind == HttpResponse::Kind::Broken && call.ended - call.sent > slack)
+                    ++lost;
+                if (call.response.status != httpUnavailable)
+                    continue;
+                ++refused;
+                longest
+                    = std::max(longest, std::chrono::duration_cast<std::chrono::milliseconds>(call.ended - call.sent));
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("calls without an answer", std::size_t(0), lost);
+        CPPUNIT_ASSERT_MESSAGE("calls that nobody could serve were refused", refused > 0);
+        CPPUNIT_ASSERT_MESSAGE(
+            "a refusal took " + std::to_string(longest.count()) + " ms", longest < std::chrono::milliseconds(1000));
+    }
+
+    // Guards against answers that are still on their way to the socket when the port is closed.
+    void answersAreWrittenBeforeThePortCloses()
+    {
+        std::mutex mutex;
+        std::vector<std::shared_ptr<HttpCall>> waiting;
+        Result<std::unique_ptr<HttpServer>> server
+            = HttpServer::create("127.0.0.1", serverPort, 1, [&](const std::shared_ptr<HttpCall>& call) {
+                  std::lock_guard<std::mutex> lock(mutex);
+                  waiting.push_back(call);
+              });
+        CPPUNIT_ASSERT(isOk(server));
+        Result<std::shared_ptr<HttpClient>> client = HttpClient::create();
+        CPPUNIT_ASSERT(isOk(client));
+        std::vector<std::future<HttpResponse>> answers;
+        answers.reserve(waitingCalls);
+        for (int n = 0; n < waitingCalls; ++n) {
+            answers.push_back(std::async(std::launch::async, [&client] {
+                HttpRequest request;
+                request.address = "127.0.0.1";
+                request.port = serverPort;
+                request.path = "/";
+                request.mayRepeat = false;
+                return valueOf(client)->fetch(std::move(request));
+            }));
+        }
+        std::vector<std::shared_ptr<HttpCall>> calls;
+        for (int n = 0; n < 200 && calls.size() < waitingCalls; ++n) {
+            std::this_thread::sleep_for(pause);
+            std::lock_guard<std::mutex> lock(mutex);
+            calls = waiting;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(waitingCalls), calls.size());
+        waiting.clear();
+        for (const std::shared_ptr<HttpCall>& call : calls)
+            CPPUNIT_ASSERT(call->reply(httpOk, "{}"));
+        valueOf(server)->stop();
+        int answered = 0;
+        for (std::future<HttpResponse>& answer : answers)
+            answered += answer.get().status == httpOk ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(waitingCalls, answered);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeDrainTest);
