--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -11,10 +11,13 @@
         return label.empty() || std::find(host.labels.begin(), host.labels.end(), label) != host.labels.end();
     }
 
-    bool fits(const Wire::Resources& free, const Wire::StepDefinition& step)
+    HostVerdict judgeRoom(const Wire::Resources& free, const Wire::StepDefinition& step)
     {
-        return (step.filler || step.demand.milliProcessors <= free.milliProcessors)
-            && step.demand.memoryMegabytes <= free.memoryMegabytes && step.demand.accelerators <= free.accelerators;
+        if (!step.filler && step.demand.milliProcessors > free.milliProcessors)
+            return HostVerdict::NoProcessors;
+        if (step.demand.memoryMegabytes > free.memoryMegabytes)
+            return HostVerdict::NoMemory;
+        return step.demand.accelerators > free.accelerators ? HostVerdict::NoAccelerators : HostVerdict::Eligible;
     }
 
 } // namespace
@@ -33,40 +36,56 @@
     return host.capacity.milliProcessors - used;
 }
 
-bool Placement::isEligible(const Host& host, const PlacementRequest& request, Instant now) const
+HostVerdict Placement::judgeFiller(const Host& host, const PlacementRequest& request) const
 {
     const Wire::StepDefinition& step = request.definition;
-    if (!host.listed || host.draining || host.link == noLink || host.service != request.job.serviceName)
-        return false;
-    if (now - host.heardAt > m_rules.maximumSilence || now < host.health.quarantinedUntil)
-        return false;
+    const double reserve = m_rules.memoryReserve * static_cast<double>(host.capacity.memoryMegabytes);
+    if (static_cast<double>(host.freeMegabytes() - step.demand.memoryMegabytes) < reserve)
+        return HostVerdict::NoMemory;
+    if (idleMilliCores(host) < step.demand.milliProcessors)
+        return HostVerdict::NoIdleProcessors;
+    if (m_paces.bearablePace(host, step.image, step.demand.milliProcessors) < request.leastPace)
+        return HostVerdict::FillerNotBorne;
+    return HostVerdict::Eligible;
+}
+
+HostVerdict Placement::judge(const Host& host, const PlacementRequest& request, Instant now) const
+{
+    const Wire::StepDefinition& step = request.definition;
+    if (host.service != request.job.serviceName)
+        return HostVerdict::OtherService;
+    if (!host.listed)
+        return HostVerdict::NotListed;
+    if (host.draining)
+        return HostVerdict::Draining;
+    if (host.link == noLink)
+        return HostVerdict::NoLink;
+    if (now - host.heardAt > m_rules.maximumSilence)
+        return HostVerdict::Silent;
+    if (now < host.health.quarantinedUntil)
+        return HostVerdict::Quarantined;
     if (host.health.onTrial && !host.runs.empty())
-        return false;
+        return HostVerdict::OnTrial;
     if (!request.rack.empty() && host.rack != request.rack)
-        return false;
+        return HostVerdict::OtherRack;
     if (!hasLabel(host, step.requiredLabel))
-        return false;
+        return HostVerdict::NoLabel;
     Wire::Resources free;
     free.milliProcessors = host.freeMilliCores();
     free.memoryMegabytes = host.freeMegabytes();
     free.accelerators = host.freeAccelerators();
-    if (!fits(free, step))
-        return false;
-    if (step.filler) {
-        const double reserve = m_rules.memoryReserve * static_cast<double>(host.capacity.memoryMegabytes);
-        if (static_cast<double>(free.memoryMegabytes - step.demand.memoryMegabytes) < reserve)
-            return false;
-        if (idleMilliCores(host) < step.demand.milliProcessors)
-            return false;
-        if (m_paces.bearablePace(host, step.image, step.demand.milliProcessors) < request.leastPace)
-            return false;
-    }
+    HostVerdict verdict = judgeRoom(free, step);
+    if (verdict == HostVerdict::Eligible && step.filler)
+        verdict = judgeFiller(host, request);
+    if (verdict != HostVerdict::Eligible)
+        return verdict;
     for (const RunPlace& place : request.taken) {
         if (place.hostId == host.hostId)
-            return false;
+            return HostVerdict::RunsTheTask;
     }
-    return step.maximumPerHost <= 0
-        || HostBook::runsOfStep(host, request.job.jobId, request.occurrence, request.step) < step.maximumPerHost;
+    const bool full = step.maximumPerHost > 0
+        && HostBook::runsOfStep(host, request.job.jobId, request.occurrence, request.step) >= step.maximumPerHost;
+    return full ? HostVerdict::StepAtMaximum : HostVerdict::Eligible;
 }
 
 double Placement::company(const Host& host, const std::string& image)
@@ -105,13 +124,18 @@
     return value / host.health.slowness;
 }
 
-Host* Placement::choose(HostBook& hosts, const PlacementRequest& request, Instant now) const
+Host* Placement::choose(HostBook& hosts, const PlacementRequest& request, Instant now, HostCounts* counts) const
 {
+    if (counts)
+        counts->clear();
     Host* best = nullptr;
     double bestScore = 0;
     for (std::pair<const std::string, Host>& entry : hosts.hosts()) {
         Host& host = entry.second;
-        if (!isEligible(host, request, now))
+        const HostVerdict verdict = judge(host, request, now);
+        if (counts)
+            counts->add(verdict);
+        if (verdict != HostVerdict::Eligible)
             continue;
         const double value = score(host, request);
         if (!best || value > bestScore) {
@@ -126,7 +150,8 @@
 {
     for (const std::pair<const std::string, Host>& entry : hosts.hosts()) {
         const Host& host = entry.second;
-        if (host.service == service && fits(host.capacity, step) && hasLabel(host, step.requiredLabel))
+        const bool fits = judgeRoom(host.capacity, step) == HostVerdict::Eligible;
+        if (host.service == service && fits && hasLabel(host, step.requiredLabel))
             return true;
     }
     return false;
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Decision/Job/HostBook.h"
+#include "Decision/Job/HostVerdict.h"
 #include "Decision/Job/JobState.h"
 #include "Decision/Job/PaceControl.h"
 
@@ -41,15 +42,16 @@
     {
     }
 
-    /// The best host now; null when none is eligible.
-    Host* choose(HostBook& hosts, const PlacementRequest& request, Instant now) const;
+    /// The best host now; null when none is eligible. Counts the hosts by what was said of them, if asked to.
+    Host* choose(HostBook& hosts, const PlacementRequest& request, Instant now, HostCounts* counts = nullptr) const;
     /// Whether any host that is known could ever hold the task when empty.
     static bool couldEverFit(const HostBook& hosts, const std::string& service, const Wire::StepDefinition& step);
     /// Processors of the host that nobody uses, by estimate.
     std::int64_t idleMilliCores(const Host& host) const;
 
 private:
-    bool isEligible(const Host& host, const PlacementRequest& request, Instant now) const;
+    HostVerdict judge(const Host& host, const PlacementRequest& request, Instant now) const;
+    HostVerdict judgeFiller(const Host& host, const PlacementRequest& request) const;
     double score(const Host& host, const PlacementRequest& request) const;
     static double company(const Host& host, const std::string& image);
 
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -128,33 +128,76 @@
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
     const bool copyAllowed = job.stepDefinition(step).allowDuplicates;
+    HostCounts hosts;
+    // Of the tasks that are passed over, the one that has waited longest.
+    const TaskState* heldUp = nullptr;
+    WaitCause cause = WaitCause::NoHost;
+    const auto passOver = [&heldUp, &cause](const TaskState& task, WaitCause why) {
+        if (heldUp && heldUp->waitingSince <= task.waitingSince)
+            return;
+        heldUp = &task;
+        cause = why;
+    };
     for (std::size_t n = 0; n < step.tasks.size(); ++n) {
         TaskState& task = step.tasks[n];
-        if (!task.isWaiting() || now < task.notBefore)
+        if (!task.isWaiting())
+            continue;
+        if (now < task.notBefore) {
+            passOver(task, WaitCause::Paused);
             continue;
+        }
         // An earlier owner may have started it on a host that has not been heard yet.
-        if (inherited && !accounted && !copyAllowed)
-            return;
-        if (!copyAllowed && mayBeTakenOver(now, task))
+        if (inherited && !accounted && !copyAllowed) {
+            passOver(task, WaitCause::HostsUnheard);
+            break;
+        }
+        if (!copyAllowed && mayBeTakenOver(now, task)) {
+            passOver(task, WaitCause::EndUnheard);
             continue;
-        Host* host = m_placement.choose(m_state.hosts, request(job, step, task), now);
-        if (!host || m_state.journal.stored() < host->recordTicket)
-            return;
+        }
+        Host* host = m_placement.choose(m_state.hosts, request(job, step, task), now, &hosts);
+        if (!host || m_state.journal.stored() < host->recordTicket) {
+            passOver(task, host ? WaitCause::HostNotStored : WaitCause::NoHost);
+            break;
+        }
         start(now, job, step, n, nextRun(job, task), *host, actions);
     }
+    if (heldUp)
+        m_waitingLog.note(now, Wait { job, step, *heldUp, cause, hosts }, actions);
 }
 
 void TaskScheduler::placeGang(Instant now, JobState& job, StepState& step, Actions& actions)
+{
+    HostCounts hosts;
+    const std::optional<WaitCause> cause = startGang(now, job, step, hosts, actions);
+    if (!cause)
+        return;
+    const TaskState* heldUp = nullptr;
+    for (const TaskState& task : step.tasks) {
+        if (task.isWaiting() && (!heldUp || task.waitingSince < heldUp->waitingSince))
+            heldUp = &task;
+    }
+    if (heldUp)
+        m_waitingLog.note(now, Wait { job, step, *heldUp, *cause, hosts }, actions);
+}
+
+std::optional<WaitCause> TaskScheduler::startGang(
+    Instant now, JobState& job, StepState& step, HostCounts& hosts, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
     if (inherited && !m_state.hostsAccounted(now))
-        return;
+        return WaitCause::HostsUnheard;
     int run = 0;
     for (const TaskState& task : step.tasks) {
-        if (!task.isWaiting() || now < task.notBefore || mayBeTakenOver(now, task))
-            return;
+        if (!task.isWaiting())
+            return WaitCause::GangNotWhole;
+        if (now < task.notBefore)
+            return WaitCause::Paused;
+        if (mayBeTakenOver(now, task))
+            return WaitCause::EndUnheard;
         run = std::max(run, nextRun(job, task));
     }
+    WaitCause cause = WaitCause::NoHost;
     // All members or none: the choice is tried on the books and taken back when one finds no host.
     std::vector<std::string> racks { std::string() };
     if (job.stepDefinition(step).sameRack) {
@@ -168,7 +211,8 @@
         for (std::size_t n = 0; n < step.tasks.size(); ++n) {
             PlacementRequest wanted = request(job, step, step.tasks[n]);
             wanted.rack = rack;
-            Host* host = m_placement.choose(m_state.hosts, wanted, now);
+            Host* host = m_placement.choose(m_state.hosts, wanted, now, &hosts);
+            cause = host ? WaitCause::HostNotStored : WaitCause::NoHost;
             if (!host || m_state.journal.stored() < host->recordTicket)
                 break;
             HostRun trial;
@@ -191,8 +235,9 @@
             step.tasks[n].checkpoint = checkpoint;
             start(now, job, step, n, run, *chosen[n], actions);
         }
-        return;
+        return std::nullopt;
     }
+    return cause;
 }
 
 bool TaskScheduler::makeRoom(JobState& job, StepState& step, Actions& actions)
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -5,6 +5,7 @@
 #include "Decision/Job/PaceControl.h"
 #include "Decision/Job/Placement.h"
 #include "Decision/Job/RunLedger.h"
+#include "Decision/Job/WaitingLog.h"
 #include "Decision/Job/WorkOrder.h"
 
 namespace Plantainpier {
@@ -17,6 +18,7 @@
         , m_ledger(ledger)
         , m_paces(paces)
         , m_placement(rules, paces)
+        , m_waitingLog(state)
     {
     }
 
@@ -33,6 +35,9 @@
     std::vector<Candidate> collect(Instant now);
     void placeStep(Instant now, JobState& job, StepState& step, bool accounted, Actions& actions);
     void placeGang(Instant now, JobState& job, StepState& step, Actions& actions);
+    /// Starts the whole gang, or says why it waits.
+    std::optional<WaitCause> startGang(
+        Instant now, JobState& job, StepState& step, HostCounts& hosts, Actions& actions);
     bool makeRoom(JobState& job, StepState& step, Actions& actions);
     void start(Instant now, JobState& job, StepState& step, std::size_t index, int run, Host& host, Actions& actions);
     void moveStuckFillers(Instant now, Actions& actions);
@@ -47,6 +52,7 @@
     RunLedger& m_ledger;
     const PaceControl& m_paces;
     Placement m_placement;
+    WaitingLog m_waitingLog;
     Instant m_lastMoves;
 };
 
--- a/Tests/Support/JobFixture.h
+++ b/Tests/Support/JobFixture.h
@@ -158,6 +158,8 @@
         for (const Action& action : actions) {
             if (const AnswerJobCall* answer = std::get_if<AnswerJobCall>(&action))
                 replies.push_back(answer->reply);
+            if (const WriteLog* line = std::get_if<WriteLog>(&action))
+                log.push_back(line->line);
             const SendMessage* send = std::get_if<SendMessage>(&action);
             const Wire::HostOrders* orders = send ? std::get_if<Wire::HostOrders>(&send->message) : nullptr;
             if (!orders)
@@ -178,6 +180,7 @@
     std::vector<Wire::StartOrder> starts;
     std::vector<Wire::HaltOrder> halts;
     std::vector<Wire::PaceOrder> paces;
+    std::vector<std::string> log;
 };
 
 } // namespace Plantainpier
--- a/Tests/Unit/DocumentationTest.cpp
+++ b/Tests/Unit/DocumentationTest.cpp
@@ -44,8 +44,9 @@
         std::vector<std::filesystem::path> sources;
         for (const std::filesystem::directory_entry& entry : std::filesystem::directory_iterator(root / "platform"))
             sources.push_back(entry.path());
-        for (const char* name : { "Job/JobOwner", "Job/PaceControl", "Job/RunLedger", "Job/TaskScheduler",
-                 "Process/HostAgent", "Process/JobEntryCore", "Process/Ownership", "Process/PeerLink" })
+        for (const char* name :
+            { "Job/JobOwner", "Job/PaceControl", "Job/RunLedger", "Job/TaskScheduler", "Job/WaitingLog",
+                "Process/HostAgent", "Process/JobEntryCore", "Process/Ownership", "Process/PeerLink" })
             sources.push_back(root / "Source/Decision" / (std::string(name) + ".cpp"));
         const std::regex event(R"re(LogLine(?: line)?\("([a-z_]+)"\))re");
         std::size_t found = 0;
