--- a/Source/Base/Json.cpp
+++ b/Source/Base/Json.cpp
@@ -2,11 +2,48 @@
 
 namespace Plantainpier {
 
+namespace {
+
+    /// Levels of arrays and objects; what the platform and our own processes write has less than ten.
+    constexpr int maximumNesting = 64;
+
+    bool isNestedTooDeep(const std::string& text)
+    {
+        int level = 0;
+        bool inString = false;
+        for (std::size_t n = 0; n < text.size(); ++n) {
+            const char c = text[n];
+            if (inString) {
+                if (c == '\\')
+                    ++n;
+                else if (c == '"')
+                    inString = false;
+                continue;
+            }
+            if (c == '"')
+                inString = true;
+            else if ((c == '[' || c == '{') && ++level > maximumNesting)
+                return true;
+            else if (c == ']' || c == '}')
+                --level;
+        }
+        return false;
+    }
+
+} // namespace
+
+Json parseJson(const std::string& text)
+{
+    if (isNestedTooDeep(text))
+        return Json(Json::value_t::discarded);
+    return Json::parse(text, nullptr, false);
+}
+
 Result<Json> parseJsonObject(const std::string& text)
 {
-    Json json = Json::parse(text, nullptr, false);
+    Json json = parseJson(text);
     if (json.is_discarded())
-        return Error { ErrorCode::MalformedBody, "the text is not valid JSON" };
+        return Error { ErrorCode::MalformedBody, "the text is not valid JSON, or is nested too deep" };
     if (!json.is_object())
         return Error { ErrorCode::MalformedBody, "the JSON is not an object" };
     return json;
--- a/Source/Base/Json.h
+++ b/Source/Base/Json.h
@@ -14,6 +14,10 @@
 
 using Json = nlohmann::json;
 
+/// Parses JSON text from outside. The result is discarded (is_discarded()) for text that is no JSON or is nested deeper
+/// than maximumNesting: copying and writing go down one stack frame or more a level.
+Json parseJson(const std::string& text);
+
 /// Parses one JSON object; anything else is MalformedBody.
 Result<Json> parseJsonObject(const std::string& text);
 
--- a/Source/CommandLine/Command.cpp
+++ b/Source/CommandLine/Command.cpp
@@ -102,7 +102,7 @@
         return Error { ErrorCode::Unreachable, "entry " + entry + " accepts no connection; nothing was sent" };
     if (response.kind == HttpResponse::Kind::Broken)
         return Error { ErrorCode::Timeout, "entry " + entry + " gave no answer: " + response.text };
-    return EntryAnswer { response.status, response.body, Json::parse(response.body, nullptr, false) };
+    return EntryAnswer { response.status, response.body, parseJson(response.body) };
 }
 
 ExitCode showAnswer(const Result<EntryAnswer>& answer, bool asJson)
--- /dev/null
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -0,0 +1,203 @@
+/// Entries of other writers: each is passed over by itself, ends nothing, and the good ones beside it hold.
+#include "Decision/Process/HostAgent.h"
+#include "Decision/Process/JobEntryCore.h"
+#include "Shell/Process/NodeSettings.h"
+#include "Support/JobFixture.h"
+#include "Support/VirtualStore.h"
+#include "Wire/Codec.h"
+#include "platform/HostProtocol.h"
+#include "platform/JobProtocol.h"
+#include "platform/StoreProtocol.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
+
+using namespace Plantainpier;
+using namespace Plantainpier::Platform;
+
+class OddEntryTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(OddEntryTest);
+    CPPUNIT_TEST(aDeepAnnouncementIsRefused);
+    CPPUNIT_TEST(deepTextIsRefusedEverywhere);
+    CPPUNIT_TEST(ordinaryNestingIsRead);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// As many levels as fit into two megabytes, half of what a process takes in one call.
+    static constexpr std::size_t deepLevels = 1'000'000;
+
+    static std::string nested(std::size_t levels) { return std::string(levels, '[') + std::string(levels, ']'); }
+
+    static std::string replaced(std::string text, const std::string& word, const std::string& by)
+    {
+        for (std::size_t at = text.find(word); at != std::string::npos; at = text.find(word, at + by.size()))
+            text.replace(at, word.size(), by);
+        return text;
+    }
+
+    static HttpResponse response(int status, const std::string& body)
+    {
+        HttpResponse response;
+        response.kind = HttpResponse::Kind::Answered;
+        response.status = status;
+        response.body = body;
+        return response;
+    }
+
+    /// An announcement that is taken, with one member replaced or added.
+    static std::string announcementWith(const char* key, const Json& value)
+    {
+        Json json { { "service", "desk" }, { "address", "10.0.0.1:80" }, { "zone", "north" }, { "state", "ready" },
+            { "seq", 4 }, { "born", 1'700'000'000'000 }, { "capacity", { { "cpu", 16'000 }, { "mem_mb", 32'768 } } } };
+        json[key] = value;
+        return json.dump();
+    }
+
+    /// A client's call whose answer nobody waits for.
+    class PostedJob : public HttpCall {
+    public:
+        explicit PostedJob(std::string text)
+        {
+            method = "POST";
+            body = std::move(text);
+        }
+        bool replyWithHeaders(
+            int status, const std::string& text, const std::vector<std::pair<std::string, std::string>>& more) override
+        {
+            return status > 0 && !text.empty() && more.empty();
+        }
+        bool reply(int status, const std::string& text, Duration pause) override
+        {
+            return status > 0 && !text.empty() && pause == Duration::zero();
+        }
+    };
+
+    static ClientCall callWith(const std::string& body) { return decodeClientCall(PostedJob(body)); }
+    static std::string jobWith(const std::string& step, const std::string& more = "")
+    {
+        return R"({"spec":"x","steps":[{"count":1,"cpu":100,)" + step + "}]" + more + "}";
+    }
+
+    static Wire::OwnerClaim claimOf(const std::string& nodeId, const std::string& address, int port)
+    {
+        Wire::OwnerClaim claim;
+        claim.nodeId = nodeId;
+        claim.incarnation = 1;
+        claim.address = address;
+        claim.port = port;
+        return claim;
+    }
+
+    /// What another writer may append to the topic of owners: none of it names a process to follow.
+    static std::vector<StoreRecord> oddClaims()
+    {
+        return { StoreRecord { "owner", Wire::encode(claimOf("entry-9", "127.0.0.1", 70'000)) },
+            StoreRecord { "owner", Wire::encode(claimOf("entry-9", "127.0.0.1", -1)) },
+            StoreRecord { "owner", Wire::encode(claimOf("entry-9", "", 7720)) },
+            StoreRecord { "owner", Wire::encode(claimOf("", "127.0.0.1", 7720)) },
+            StoreRecord { "owner", std::string(1, '\0') }, StoreRecord { "owner", "no claim" },
+            StoreRecord { "owner", nested(deepLevels / 10) },
+            StoreRecord { "else", Wire::encode(claimOf("entry-9", "127.0.0.1", 7720)) } };
+    }
+
+    static bool logs(const Actions& actions, const std::string& event)
+    {
+        const std::vector<WriteLog> lines = actionsOf<WriteLog>(actions);
+        return std::any_of(lines.begin(), lines.end(),
+            [&event](const WriteLog& line) { return line.line.starts_with("event=" + event + " "); });
+    }
+
+    /// One entry over a store that answers at once; a read waits until there is something to read.
+    struct Entry {
+        Entry()
+            : ownership(NodeIdentity { "entry-1", 1, "127.0.0.1", 7720 }, OwnerRules {}, OwnershipTiming {})
+        {
+            ownership.onChange = [this](Instant, bool owns, Actions&) { changes += owns ? 1 : 100; };
+        }
+
+        void run(int until)
+        {
+            for (; now < until; now += 5) {
+                Actions actions;
+                ownership.tick(at(now), now, actions);
+                std::vector<ReadStore> waiting;
+                waiting.swap(reads);
+                for (const ReadStore& read : waiting)
+                    actions.emplace_back(read);
+                for (std::size_t n = 0; n < actions.size(); ++n) {
+                    const Action action = actions[n];
+                    serve(action, actions);
+                }
+                log.insert(log.end(), actions.begin(), actions.end());
+            }
+        }
+
+        void serve(const Action& action, Actions& actions)
+        {
+            if (const AppendToStore* append = std::get_if<AppendToStore>(&action)) {
+                ownership.onAppendResponse(at(now), append->callId, store.append(*append), actions);
+            } else if (const ReadNewest* newest = std::get_if<ReadNewest>(&action)) {
+                ownership.onNewest(at(now), newest->callId, store.newest(*newest), actions);
+            } else if (const ReadStore* read = std::get_if<ReadStore>(&action)) {
+                const ReadResponse answer = store.read(*read);
+                if (answer.records.empty())
+                    reads.push_back(*read);
+                else
+                    ownership.onRead(at(now), read->callId, answer, actions);
+            }
+        }
+
+        void write(StoreTopic topic, std::vector<StoreRecord> records)
+        {
+            AppendToStore append;
+            append.topic = topic;
+            append.records = std::move(records);
+            store.append(append);
+        }
+
+        Ownership ownership;
+        VirtualStore store;
+        std::vector<ReadStore> reads;
+        Actions log;
+        int now = 0;
+        int changes = 0;
+    };
+
+    // Guards against the end of a side by the stack: a member that was read was copied level by level.
+    void aDeepAnnouncementIsRefused()
+    {
+        const std::string body = R"({"service":"desk","state":"ready","seq":1,"capacity":{"cpu":1,"mem_mb":1,"more":)"
+            + nested(deepLevels) + "}}";
+        CPPUNIT_ASSERT(!isOk(decodeAnnouncement("i-1", body)));
+    }
+
+    // Guards against memory and time by the megabyte for text that nobody writes in earnest.
+    void deepTextIsRefusedEverywhere()
+    {
+        const std::string deep = nested(deepLevels);
+        CPPUNIT_ASSERT(!isOk(parseJsonObject(R"({"a":)" + deep + "}")));
+        CPPUNIT_ASSERT(!isOk(decodePolicy(R"({"version":7,"routes":[],"more":)" + deep + "}")));
+        CPPUNIT_ASSERT(!callWith(jobWith(R"("more":)" + deep)).invalid.empty());
+        CPPUNIT_ASSERT(!isOk(parseNodeSettings(
+            R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":7720,"store_address":"10.0.0.2:81","new":)" + deep
+            + "}")));
+        CPPUNIT_ASSERT_EQUAL(HostAnswer::Uncertain,
+            HostProtocol::decode(response(200, R"({"clock_ms":7,"running":)" + deep + "}")).answer);
+        CPPUNIT_ASSERT_EQUAL(AppendOutcome::Uncertain,
+            StoreProtocol::decodeAppend(response(200, R"({"offset":7,"end":)" + deep + "}")).outcome);
+        CPPUNIT_ASSERT(!StoreProtocol::decodeNewest(response(200, R"({"items":)" + deep + "}")).answered);
+        const std::string open(deepLevels, '{');
+        CPPUNIT_ASSERT(!isOk(parseJsonObject(open)));
+    }
+
+    // Guards against a bound of nesting that counts brackets within strings.
+    void ordinaryNestingIsRead()
+    {
+        const std::string text = R"({"a":"[[[\"[[\\","b":)" + nested(30) + "}";
+        CPPUNIT_ASSERT(isOk(parseJsonObject(text)));
+        const std::string quoted = R"({"a":")" + std::string(1000, '[') + R"(\"","b":[]})";
+        CPPUNIT_ASSERT(isOk(parseJsonObject(quoted)));
+        const std::string wide = R"({"a":[)" + std::string("[]") + R"(,[],{}],"b":[{},{}]})";
+        CPPUNIT_ASSERT(isOk(parseJsonObject(wide)));
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(OddEntryTest);
