--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(aDeepAnnouncementIsRefused);
     CPPUNIT_TEST(deepTextIsRefusedEverywhere);
     CPPUNIT_TEST(ordinaryNestingIsRead);
+    CPPUNIT_TEST(refusesAnnouncementsThatNoHostMakes);
     CPPUNIT_TEST_SUITE_END();
 
     /// As many levels as fit into two megabytes, half of what a process takes in one call.
@@ -199,5 +200,32 @@
         const std::string wide = R"({"a":[)" + std::string("[]") + R"(,[],{}],"b":[{},{}]})";
         CPPUNIT_ASSERT(isOk(parseJsonObject(wide)));
     }
+
+    // Guards against an announcement of another writer that takes the place of the host beside the side for good.
+    void refusesAnnouncementsThatNoHostMakes()
+    {
+        CPPUNIT_ASSERT(isOk(decodeAnnouncement("i-1", announcementWith("later", "ignored"))));
+        constexpr std::int64_t largest = std::numeric_limits<std::int64_t>::max();
+        const std::vector<std::pair<const char*, Json>> odd {
+            { "born", largest },
+            { "born", 1e300 },
+            { "seq", largest },
+            { "seq", 1e18 },
+            { "remaining_ms", largest },
+            { "capacity", { { "cpu", largest }, { "mem_mb", 1 } } },
+            { "capacity", { { "cpu", 1 }, { "mem_mb", largest } } },
+            { "capacity", { { "cpu", 1 }, { "mem_mb", 1 }, { "gpu", std::int64_t(1) << 31 } } },
+            { "address", "10.0.0.1:70000" },
+            { "address", "10.0.0.1:-1" },
+            { "address", "10.0.0.1:0" },
+            { "address", "10.0.0.1:99999999999999999999" },
+            { "address", "10.0.0.1" },
+            { "address", 7 },
+        };
+        for (const std::pair<const char*, Json>& member : odd) {
+            const std::string body = announcementWith(member.first, member.second);
+            CPPUNIT_ASSERT_MESSAGE(body, !isOk(decodeAnnouncement("i-1", body)));
+        }
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OddEntryTest);
