--- a/Source/Decision/Process/Message.h
+++ b/Source/Decision/Process/Message.h
@@ -241,6 +241,8 @@
     std::vector<Wire::EndedTask> ended;
     /// The list holds no more ends; others may wait until these are acknowledged.
     bool endsOmitted = false;
+    /// The first part that was passed over, for the log; empty when all was read.
+    std::string unreadable;
 };
 
 /// The final answer to a client's call about a job.
--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -21,6 +21,9 @@
     CPPUNIT_TEST(deepTextIsRefusedEverywhere);
     CPPUNIT_TEST(ordinaryNestingIsRead);
     CPPUNIT_TEST(refusesAnnouncementsThatNoHostMakes);
+    CPPUNIT_TEST(rowsWithNumbersThatDoNotFitNameNoRun);
+    CPPUNIT_TEST(figuresThatDoNotFitKeepTheirRow);
+    CPPUNIT_TEST(anAnswerWithAnOddClockTellsNothing);
     CPPUNIT_TEST_SUITE_END();
 
     /// As many levels as fit into two megabytes, half of what a process takes in one call.
@@ -227,5 +230,54 @@
             CPPUNIT_ASSERT_MESSAGE(body, !isOk(decodeAnnouncement("i-1", body)));
         }
     }
+
+    // Guards against a foreign row whose run number, cut to 32 bits, is that of a run of ours.
+    void rowsWithNumbersThatDoNotFitNameNoRun()
+    {
+        const std::string task = R"("00000000000000aa.0.1.17")";
+        for (const char* number : { "4294967297", "1e300", "-1e300", "18446744073709551615", "2147483647", "-1", "0",
+                 "\"1\"", "null", "[1]" }) {
+            std::string body = R"({"clock_ms":77,"running":[[TASK,NUMBER,"",41,900],[TASK,2,"",41,900]],)";
+            body += R"("ended":[[58,TASK,NUMBER,"done",""],[NUMBER,TASK,1,"done",""],[59,TASK,3,"done",""]]})";
+            const HostResponse list
+                = HostProtocol::decode(response(200, replaced(replaced(body, "TASK", task), "NUMBER", number)));
+            CPPUNIT_ASSERT_EQUAL(HostAnswer::Done, list.answer);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(number, std::size_t(1), list.running.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(number, 2, list.running[0].run);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(number, std::size_t(1), list.ended.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(number, 3, list.ended[0].run);
+        }
+        for (const char* odd : { "00000000000000aa.-1.1.17", "00000000000000aa.0.-1.17", "00000000000000aa.0.1.-17" }) {
+            const HostResponse list = HostProtocol::decode(
+                response(200, R"({"clock_ms":77,"running":[[")" + std::string(odd) + R"(",2,"",41,900]]})"));
+            CPPUNIT_ASSERT_MESSAGE(odd, list.running.empty());
+        }
+    }
+
+    // Guards against taking a run for gone because of a figure that only informs.
+    void figuresThatDoNotFitKeepTheirRow()
+    {
+        const HostResponse list = HostProtocol::decode(response(200,
+            R"({"clock_ms":77,"running":[["00000000000000aa.0.1.17",2,"",4294967337,1e300],
+                ["00000000000000aa.0.1.18",2,"",-4294967255,-9223372036854775808],
+                ["00000000000000aa.0.1.19",2,"",41.7,900.5]]})"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), list.running.size());
+        CPPUNIT_ASSERT_EQUAL(0, list.running[0].progressPercent);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), list.running[0].usage);
+        CPPUNIT_ASSERT_EQUAL(0, list.running[1].progressPercent);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), list.running[1].usage);
+        CPPUNIT_ASSERT_EQUAL(41, list.running[2].progressPercent);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(900), list.running[2].usage);
+    }
+
+    // Guards against a lease that is reckoned from a clock beyond all time: none would ever be longer.
+    void anAnswerWithAnOddClockTellsNothing()
+    {
+        for (const char* clock : { "9223372036854775807", "18446744073709551615", "1e300", "-5", "-1e300" }) {
+            const HostResponse answer = HostProtocol::decode(
+                response(200, R"({"running":[],"ended":[],"clock_ms":)" + std::string(clock) + "}"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(clock, HostAnswer::Uncertain, answer.answer);
+        }
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OddEntryTest);
