--- /dev/null
+++ b/Source/Decision/Job/JobLimits.cpp
@@ -0,0 +1,63 @@
+#include "Decision/Job/JobLimits.h"
+
+#include <algorithm>
+
+namespace Plantainpier {
+
+namespace {
+
+    bool isWithin(std::int64_t number, std::int64_t minimum, std::int64_t maximum)
+    {
+        return number >= minimum && number <= maximum;
+    }
+
+    /// The name of the first member that does not fit; empty when all do.
+    std::string oddMember(const Wire::StepDefinition& step, std::int32_t number)
+    {
+        if (!isWithin(step.count, 1, JobLimits::tasksOfAStep))
+            return "count";
+        const Wire::Resources& demand = step.demand;
+        if (!isWithin(demand.milliProcessors, 0, JobLimits::demand)
+            || !isWithin(demand.memoryMegabytes, 0, JobLimits::demand)
+            || !isWithin(demand.accelerators, 0, JobLimits::demand))
+            return "demand";
+        if (!isWithin(step.estimateMilliseconds, 0, JobLimits::milliseconds))
+            return "estimate";
+        if (!isWithin(step.targetMilliseconds, 0, JobLimits::milliseconds))
+            return "target";
+        if (step.maximumPerHost < 0)
+            return "maximum_per_host";
+        if (step.mayMiss < 0)
+            return "may_miss";
+        const bool ordered = std::all_of(step.after.begin(), step.after.end(),
+            [number](std::int32_t earlier) { return earlier >= 0 && earlier < number; });
+        return ordered ? "" : "after";
+    }
+
+} // namespace
+
+Result<Success> checkJob(const Wire::JobDefinition& job)
+{
+    if (job.steps.empty() || job.steps.size() > JobLimits::steps)
+        return Error { ErrorCode::InvalidField, "/steps: must be from 1 to " + std::to_string(JobLimits::steps) };
+    std::int64_t tasks = 0;
+    for (std::size_t n = 0; n < job.steps.size(); ++n) {
+        const std::string member = oddMember(job.steps[n], static_cast<std::int32_t>(n));
+        if (!member.empty())
+            return Error { ErrorCode::InvalidField, "/steps/" + std::to_string(n) + "/" + member + ": out of range" };
+        tasks += job.steps[n].count;
+    }
+    if (job.occurrences < 0 || tasks * std::max(job.occurrences, 1) > JobLimits::tasks)
+        return Error { ErrorCode::InvalidField,
+            "the job may have at most " + std::to_string(JobLimits::tasks) + " tasks in all its occurrences" };
+    if (!isWithin(job.firstDueUnixMilliseconds, 0, JobLimits::unixMilliseconds)
+        || !isWithin(job.intervalMilliseconds, 0, JobLimits::milliseconds)
+        || !isWithin(job.acceptedUnixMilliseconds, 0, JobLimits::unixMilliseconds))
+        return Error { ErrorCode::InvalidField, "the times of the job are out of range" };
+    if (!isWithin(job.objectiveMilliseconds, 0, JobLimits::milliseconds)
+        || !(job.stretch >= 0 && job.stretch <= JobLimits::stretch))
+        return Error { ErrorCode::InvalidField, "the objective of the job is out of range" };
+    return Success {};
+}
+
+} // namespace Plantainpier
--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -24,6 +24,9 @@
     CPPUNIT_TEST(rowsWithNumbersThatDoNotFitNameNoRun);
     CPPUNIT_TEST(figuresThatDoNotFitKeepTheirRow);
     CPPUNIT_TEST(anAnswerWithAnOddClockTellsNothing);
+    CPPUNIT_TEST(refusesJobsThatNoHostCouldHold);
+    CPPUNIT_TEST(takesTheLargestOrdinaryJobs);
+    CPPUNIT_TEST(aDeadlineBeyondAllTimeIsLong);
     CPPUNIT_TEST_SUITE_END();
 
     /// As many levels as fit into two megabytes, half of what a process takes in one call.
@@ -279,5 +282,51 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(clock, HostAnswer::Uncertain, answer.answer);
         }
     }
+
+    // Guards against a host that is given more than it holds: a demand below zero, or cut to 32 bits, frees room.
+    void refusesJobsThatNoHostCouldHold()
+    {
+        for (const char* step : { R"("cpu":-100)", R"("mem_mb":-1)", R"("gpu":-1)", R"("gpu":4294967296)",
+                 R"("cpu":9223372036854775807)", R"("mem_mb":1e300)", R"("cpu":18446744073709551615)",
+                 R"("cpu":"many")", R"("mem_mb":[])", R"("count":4294967297)", R"("count":1e300)", R"("count":-1)",
+                 R"("count":0)", R"("estimate_ms":9223372036854775807)", R"("estimate_ms":-1)", R"("target_ms":1e300)",
+                 R"("anti_affinity":4294967297)", R"("anti_affinity":-1)", R"("may_miss":4294967297)",
+                 R"("may_miss":-1)", R"("after":[18446744073709551615])", R"("after":[0])", R"("after":7)" }) {
+            // The last of two equal members counts.
+            const std::string body = jobWith(step);
+            CPPUNIT_ASSERT_MESSAGE(body, !callWith(body).invalid.empty());
+        }
+        for (const char* more : { R"(,"repeats":4294967297)", R"(,"repeats":1e300)", R"(,"repeats":-1)",
+                 R"(,"repeats":2147483647,"interval_ms":0)", R"(,"repeats":2,"interval_ms":9223372036854775807)",
+                 R"(,"repeats":2,"interval_ms":-1)", R"(,"repeats":2,"first_run_ms":9223372036854775807)" }) {
+            const std::string body = jobWith(R"("mem_mb":1)", more);
+            CPPUNIT_ASSERT_MESSAGE(body, !callWith(body).invalid.empty());
+        }
+        std::string steps;
+        for (int n = 0; n < 1000; ++n)
+            steps += std::string(n > 0 ? "," : "") + R"({"count":100000,"cpu":1})";
+        CPPUNIT_ASSERT_MESSAGE("too many tasks in all", !callWith(R"({"steps":[)" + steps + "]}").invalid.empty());
+    }
+
+    // Guards against bounds that refuse what clients send in earnest.
+    void takesTheLargestOrdinaryJobs()
+    {
+        const ClientCall call = callWith(
+            R"({"spec":"x","steps":[{"count":100000,"cpu":64000,"mem_mb":1048576,"gpu":8,"estimate_ms":86400000},
+                {"count":1,"cpu":500.0,"after":[0],"anti_affinity":4,"may_miss":1,"target_ms":250}],
+                "repeats":5,"first_run_ms":1700000000000,"interval_ms":86400000})");
+        CPPUNIT_ASSERT_EQUAL(std::string(), call.invalid);
+        CPPUNIT_ASSERT_EQUAL(100'000, call.job.steps.at(0).count);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(500), call.job.steps.at(1).demand.milliProcessors);
+        CPPUNIT_ASSERT_EQUAL(5, call.job.occurrences);
+    }
+
+    // Guards against an answer at once, "unknown", to a client that waits for as long as it can say.
+    void aDeadlineBeyondAllTimeIsLong()
+    {
+        PostedJob call(jobWith(R"("mem_mb":1)"));
+        call.headers[deadlineHeader] = "99999999999999999999";
+        CPPUNIT_ASSERT(decodeClientCall(call).deadline > seconds(10));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OddEntryTest);
