--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(refusesJobsThatNoHostCouldHold);
     CPPUNIT_TEST(takesTheLargestOrdinaryJobs);
     CPPUNIT_TEST(aDeadlineBeyondAllTimeIsLong);
+    CPPUNIT_TEST(anAnswerWithOddBytesIsSent);
     CPPUNIT_TEST_SUITE_END();
 
     /// As many levels as fit into two megabytes, half of what a process takes in one call.
@@ -328,5 +329,17 @@
         call.headers[deadlineHeader] = "99999999999999999999";
         CPPUNIT_ASSERT(decodeClientCall(call).deadline > seconds(10));
     }
+
+    // Guards against the end of an entry by a reason, as another process gave it, that is no text.
+    void anAnswerWithOddBytesIsSent()
+    {
+        for (const Wire::JobReplyKind::type kind :
+            { Wire::JobReplyKind::Refused, Wire::JobReplyKind::Unknown, Wire::JobReplyKind::Invalid }) {
+            Wire::JobReply reply;
+            reply.kind = kind;
+            reply.reason = "store\xff";
+            CPPUNIT_ASSERT(isOk(parseJsonObject(encodeAnswer(reply).body)));
+        }
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OddEntryTest);
