--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(takesTheLargestOrdinaryJobs);
     CPPUNIT_TEST(aDeadlineBeyondAllTimeIsLong);
     CPPUNIT_TEST(anAnswerWithOddBytesIsSent);
+    CPPUNIT_TEST(numbersOfAConfigurationKeepTheirOrder);
     CPPUNIT_TEST_SUITE_END();
 
     /// As many levels as fit into two megabytes, half of what a process takes in one call.
@@ -341,5 +342,28 @@
             CPPUNIT_ASSERT(isOk(parseJsonObject(encodeAnswer(reply).body)));
         }
     }
+
+    // Guards against limits that are cut to 32 bits or to nothing: no attempt would be left, or no time.
+    void numbersOfAConfigurationKeepTheirOrder()
+    {
+        const auto policyWith = [](const std::string& member) {
+            return decodePolicy(R"({"version":7,"routes":[{"name":"r1","hostname":"a.example","path_prefix":"/p/",
+                "service":"desk","priority":2,"max_attempts":4,"slo_ms":250,"timeout_ms":3000,)"
+                + member + "}]}");
+        };
+        const Result<PolicySnapshot> attempts = policyWith(R"("max_attempts":4294967296)");
+        CPPUNIT_ASSERT(isOk(attempts));
+        CPPUNIT_ASSERT(valueOf(attempts).queues.at(0).maximumAttempts > 1000);
+        const Result<PolicySnapshot> priority = policyWith(R"("priority":4294967296)");
+        CPPUNIT_ASSERT(valueOf(priority).queues.at(0).priority > 1000);
+        const Result<PolicySnapshot> slow = policyWith(R"("slo_ms":9223372036854775807,"timeout_ms":1e300)");
+        CPPUNIT_ASSERT(valueOf(slow).queues.at(0).objective > seconds(10));
+        CPPUNIT_ASSERT(valueOf(slow).queues.at(0).timeout > seconds(10));
+        const Result<PolicySnapshot> stretch = policyWith(R"("stretch":1e300)");
+        CPPUNIT_ASSERT(valueOf(stretch).queues.at(0).stretch < 1e9);
+        for (const char* version : { "1e300", "-1e300", "18446744073709551615", "\"7\"" })
+            CPPUNIT_ASSERT_MESSAGE(
+                version, !isOk(decodePolicy(R"({"routes":[],"version":)" + std::string(version) + "}")));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OddEntryTest);
