--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(takesTheLargestOrdinaryJobs);
     CPPUNIT_TEST(aDeadlineBeyondAllTimeIsLong);
     CPPUNIT_TEST(anAnswerWithOddBytesIsSent);
+    CPPUNIT_TEST(anEmptyRecordAtTheEndOfAReadIsPassed);
     CPPUNIT_TEST(numbersOfAConfigurationKeepTheirOrder);
     CPPUNIT_TEST_SUITE_END();
 
@@ -343,6 +344,21 @@
         }
     }
 
+    // Guards against a reader that asks for the same record again and again: it was there, and was not counted.
+    void anEmptyRecordAtTheEndOfAReadIsPassed()
+    {
+        const StoreProtocol protocol("127.0.0.1", 1);
+        AppendToStore append;
+        append.records = { StoreRecord { "owner", "value" } };
+        const std::string header(16, '\0');
+        const std::string empty(4, '\0');
+        const ReadResponse read
+            = StoreProtocol::decodeRead(response(200, header + protocol.append(append).body + empty), 40);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.records.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(41), read.records[1].offset);
+        CPPUNIT_ASSERT(read.records[1].key.empty());
+    }
+
     // Guards against limits that are cut to 32 bits or to nothing: no attempt would be left, or no time.
     void numbersOfAConfigurationKeepTheirOrder()
     {
