--- a/Source/Wire/Codec.h
+++ b/Source/Wire/Codec.h
@@ -1,6 +1,8 @@
 /// Encodes Thrift structures to bytes and back, for records in the store.
 #pragma once
 
+#include <algorithm>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,7 +28,11 @@
         = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
     buffer->resetBuffer(
         reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())), static_cast<std::uint32_t>(bytes.size()));
-    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+    // Each element takes a byte or more: a list that says it is longer is not made that long first.
+    constexpr std::int32_t noStringLimit = 0;
+    const std::int32_t mostElements
+        = static_cast<std::int32_t>(std::min<std::size_t>(bytes.size(), std::numeric_limits<std::int32_t>::max()));
+    apache::thrift::protocol::TCompactProtocol protocol(buffer, noStringLimit, mostElements);
     T value;
     try {
         value.read(&protocol);
--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(aDeadlineBeyondAllTimeIsLong);
     CPPUNIT_TEST(anAnswerWithOddBytesIsSent);
     CPPUNIT_TEST(anEmptyRecordAtTheEndOfAReadIsPassed);
+    CPPUNIT_TEST(aCountBeyondItsRecordTakesNoMemory);
     CPPUNIT_TEST(numbersOfAConfigurationKeepTheirOrder);
     CPPUNIT_TEST_SUITE_END();
 
@@ -359,6 +360,27 @@
         CPPUNIT_ASSERT(read.records[1].key.empty());
     }
 
+    // Guards against the end of a process by memory: a list was made as long as it said, not as long as it is.
+    void aCountBeyondItsRecordTakesNoMemory()
+    {
+        using namespace apache::thrift;
+        const std::shared_ptr<transport::TMemoryBuffer> buffer = std::make_shared<transport::TMemoryBuffer>();
+        protocol::TCompactProtocol writer(buffer);
+        constexpr std::int16_t stepsField = 9;
+        constexpr std::uint32_t claimedSteps = 400'000;
+        constexpr long mostKilobytes = 16'384;
+        writer.writeStructBegin("JobDefinition");
+        writer.writeFieldBegin("steps", protocol::T_LIST, stepsField);
+        writer.writeListBegin(protocol::T_STRUCT, claimedSteps);
+        rusage before {};
+        rusage after {};
+        getrusage(RUSAGE_SELF, &before);
+        CPPUNIT_ASSERT(!Wire::decode<Wire::JobDefinition>(buffer->getBufferAsString()));
+        getrusage(RUSAGE_SELF, &after);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(after.ru_maxrss - before.ru_maxrss) + " KB",
+            after.ru_maxrss - before.ru_maxrss < mostKilobytes);
+    }
+
     // Guards against limits that are cut to 32 bits or to nothing: no attempt would be left, or no time.
     void numbersOfAConfigurationKeepTheirOrder()
     {
