--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -1,6 +1,6 @@
 #include "Decision/Process/HostAgent.h"
 
-#include "Wire/Codec.h"
+#include "Decision/Process/OwnerRecords.h"
 
 #include <algorithm>
 
@@ -354,12 +354,14 @@
 void HostAgent::takeClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions)
 {
     for (const StoreRecord& record : records) {
-        const std::optional<Wire::OwnerClaim> claim = Wire::decode<Wire::OwnerClaim>(record.value);
-        if (!claim || record.offset + 1 <= m_owner.term)
+        const Result<Wire::OwnerClaim> claim = decodeClaim(record);
+        if (!isOk(claim))
+            actions.push_back(passedOver("claim_unreadable", record, errorOf(claim)));
+        if (!isOk(claim) || record.offset + 1 <= m_owner.term)
             continue;
-        m_owner = CurrentOwner { record.offset + 1, *claim };
+        m_owner = CurrentOwner { record.offset + 1, valueOf(claim) };
         actions.push_back(
-            WriteLog { LogLine("owner_seen").add("term", m_owner.term).add("owner", claim->nodeId).text() });
+            WriteLog { LogLine("owner_seen").add("term", m_owner.term).add("owner", valueOf(claim).nodeId).text() });
     }
     if (m_owner.term > 0)
         m_link.setOwner(now, m_owner.term, m_owner.claim.address, m_owner.claim.port, actions);
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -1,5 +1,6 @@
 #include "Decision/Process/Ownership.h"
 
+#include "Decision/Process/OwnerRecords.h"
 #include "Wire/Codec.h"
 
 #include <cmath>
@@ -8,8 +9,6 @@
 
 namespace {
 
-    constexpr const char* ownerKey = "owner";
-    constexpr const char* pulseKey = "pulse";
     /// A store that has not answered for this long counts as away for this process.
     constexpr Duration storeSilence = milliseconds(2000);
 
@@ -109,7 +108,7 @@
     AppendToStore append;
     append.callId = m_pulseCall = newCall();
     append.topic = StoreTopic::Pulses;
-    append.records.push_back(StoreRecord { pulseKey, Wire::encode(pulse) });
+    append.records.push_back(StoreRecord { OwnerRecords::pulseKey, Wire::encode(pulse) });
     append.epoch = m_current.term;
     append.number = m_pulseNumber + 1;
     append.timeout = m_timing.appendTimeout;
@@ -168,7 +167,7 @@
     AppendToStore append;
     append.callId = m_claimCall = newCall();
     append.topic = StoreTopic::Owners;
-    append.records.push_back(StoreRecord { ownerKey, Wire::encode(claim) });
+    append.records.push_back(StoreRecord { OwnerRecords::claimKey, Wire::encode(claim) });
     append.expectedEnd = m_claims.from();
     append.timeout = m_timing.appendTimeout;
     actions.push_back(std::move(append));
@@ -211,9 +210,14 @@
 void Ownership::takeClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions)
 {
     for (const StoreRecord& record : records) {
-        const std::optional<Wire::OwnerClaim> claim = Wire::decode<Wire::OwnerClaim>(record.value);
+        const Result<Wire::OwnerClaim> decoded = decodeClaim(record);
+        if (!isOk(decoded)) {
+            actions.push_back(passedOver("claim_unreadable", record, errorOf(decoded)));
+            continue;
+        }
+        const Wire::OwnerClaim* claim = &valueOf(decoded);
         const std::int64_t term = record.offset + 1;
-        if (!claim || term <= m_current.term)
+        if (term <= m_current.term)
             continue;
         m_current = CurrentOwner { term, *claim };
         m_claimWhy = nullptr;
@@ -233,11 +237,16 @@
     }
 }
 
-void Ownership::takePulses(Instant now, const std::vector<StoreRecord>& records)
+void Ownership::takePulses(Instant now, const std::vector<StoreRecord>& records, Actions& actions)
 {
     for (const StoreRecord& record : records) {
-        const std::optional<Wire::OwnerPulse> pulse = Wire::decode<Wire::OwnerPulse>(record.value);
-        if (!pulse || pulse->term < m_current.term)
+        const Result<Wire::OwnerPulse> decoded = decodePulse(record);
+        if (!isOk(decoded)) {
+            actions.push_back(passedOver("pulse_unreadable", record, errorOf(decoded)));
+            continue;
+        }
+        const Wire::OwnerPulse* pulse = &valueOf(decoded);
+        if (pulse->term < m_current.term)
             continue;
         m_lastPulseSeen = now;
         if (!pulse->resigning)
@@ -258,7 +267,7 @@
     if (callId != m_pulsesCall)
         return false;
     const std::vector<StoreRecord> records = m_pulses.onRead(now, response);
-    takePulses(now, records);
+    takePulses(now, records, actions);
     // The store itself says that the owner has shown no sign of life for the whole wait.
     const bool waited = now - m_pulsesSentAt >= m_timing.lapseWhenBroken;
     if (waited && response.answered && !response.truncated && records.empty() && m_stage == Stage::Following)
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -78,7 +78,7 @@
     };
 
     void takeClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
-    void takePulses(Instant now, const std::vector<StoreRecord>& records);
+    void takePulses(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
     void wantOwnership(Instant now, const char* why);
     void claim(Instant now, const char* why, Actions& actions);
     void begin(Instant now, std::int64_t term, Actions& actions);
--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -30,6 +30,9 @@
     CPPUNIT_TEST(anAnswerWithOddBytesIsSent);
     CPPUNIT_TEST(anEmptyRecordAtTheEndOfAReadIsPassed);
     CPPUNIT_TEST(aCountBeyondItsRecordTakesNoMemory);
+    CPPUNIT_TEST(anOddClaimUnseatsNobody);
+    CPPUNIT_TEST(aSideKeepsItsOwnerBesideAnOddClaim);
+    CPPUNIT_TEST(anOddPulseIsNoSignOfLife);
     CPPUNIT_TEST(numbersOfAConfigurationKeepTheirOrder);
     CPPUNIT_TEST_SUITE_END();
 
@@ -381,6 +384,71 @@
             after.ru_maxrss - before.ru_maxrss < mostKilobytes);
     }
 
+    // Guards against an owner that gives up, and followers that dial nobody, for a record that names no process.
+    void anOddClaimUnseatsNobody()
+    {
+        for (const StoreRecord& odd : oddClaims()) {
+            Entry entry;
+            entry.run(3000);
+            CPPUNIT_ASSERT(entry.ownership.owner());
+            const std::int64_t term = entry.ownership.current().term;
+            entry.write(StoreTopic::Owners, { odd });
+            entry.run(6000);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("the owner holds", 1, entry.changes);
+            CPPUNIT_ASSERT_EQUAL(term, entry.ownership.current().term);
+            CPPUNIT_ASSERT_MESSAGE("told with a reason", logs(entry.log, "claim_unreadable"));
+            entry.write(
+                StoreTopic::Owners, { StoreRecord { "owner", Wire::encode(claimOf("entry-2", "127.0.0.1", 7720)) } });
+            entry.run(6100);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("later records are read", term + 2, entry.ownership.current().term);
+        }
+    }
+
+    // Guards against a side that drops its connection for a record that names no process.
+    void aSideKeepsItsOwnerBesideAnOddClaim()
+    {
+        for (const StoreRecord& odd : oddClaims()) {
+            HostAgent agent(NodeIdentity { "side-1", 1, "127.0.0.1", 7720 }, HostAgentTiming {});
+            Actions actions;
+            agent.tick(at(0), actions);
+            NewestResponse newest;
+            newest.answered = true;
+            newest.records = { StoreRecord { "owner", Wire::encode(claimOf("entry-1", "127.0.0.1", 7720)), 3 } };
+            agent.onNewest(at(1), actionsOf<ReadNewest>(actions).at(0).callId, newest, actions);
+            agent.tick(at(2), actions);
+            agent.onLinkUp(at(3), actionsOf<OpenLink>(actions).at(0).link, actions);
+            Actions later;
+            agent.tick(at(4), actions);
+            ReadResponse read;
+            read.answered = true;
+            read.records = { odd };
+            read.records[0].offset = 4;
+            agent.onRead(at(5), actionsOf<ReadStore>(actions).at(0).callId, read, later);
+            agent.tick(at(10), later);
+            CPPUNIT_ASSERT(agent.isLinked());
+            CPPUNIT_ASSERT(actionsOf<CloseLink>(later).empty());
+            CPPUNIT_ASSERT(logs(later, "claim_unreadable"));
+        }
+    }
+
+    // Guards against waiting for an owner that nobody is: any record would do as its sign of life.
+    void anOddPulseIsNoSignOfLife()
+    {
+        Entry entry;
+        entry.write(
+            StoreTopic::Owners, { StoreRecord { "owner", Wire::encode(claimOf("entry-2", "127.0.0.1", 7720)) } });
+        Wire::OwnerPulse resigning;
+        resigning.term = 1;
+        resigning.resigning = true;
+        entry.run(100);
+        entry.write(StoreTopic::Pulses,
+            { StoreRecord { "else", Wire::encode(resigning) }, StoreRecord { "pulse", "no pulse" } });
+        entry.run(200);
+        CPPUNIT_ASSERT_MESSAGE("nobody has resigned", !logs(entry.log, "claim_ownership"));
+        CPPUNIT_ASSERT(logs(entry.log, "pulse_unreadable"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), entry.ownership.current().term);
+    }
+
     // Guards against limits that are cut to 32 bits or to nothing: no attempt would be left, or no time.
     void numbersOfAConfigurationKeepTheirOrder()
     {
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -25,7 +25,7 @@
     /// One entry and its way to the store.
     struct Node {
         explicit Node(int number)
-            : ownership(NodeIdentity { "entry-" + std::to_string(number), 100 + number, "127.0.0.1", number },
+            : ownership(NodeIdentity { "entry-" + std::to_string(number), 100 + number, "127.0.0.1", 7720 + number },
                 OwnerRules {}, OwnershipTiming {})
         {
             ownership.onChange = [](Instant, bool, Actions&) {};
