--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -1,5 +1,6 @@
 #include "Decision/Job/JobOwner.h"
 
+#include "Decision/Job/JobLimits.h"
 #include "Wire/Codec.h"
 
 #include <algorithm>
@@ -33,19 +34,27 @@
 
 void JobOwner::load(const std::vector<StoreRecord>& records)
 {
+    const Result<Success> unreadable = Error { ErrorCode::MalformedBody, "the value is of another kind" };
     for (const StoreRecord& record : records) {
         if (record.key.size() <= 2)
             continue;
         const std::string id = record.key.substr(2);
         if (isKeyOf(record.key, 'j')) {
             std::optional<Wire::JobDefinition> definition = Wire::decode<Wire::JobDefinition>(record.value);
-            if (definition)
+            const Result<Success> checked = definition ? checkJob(*definition) : unreadable;
+            if (isOk(checked))
                 m_state.jobs[id]
                     = std::make_unique<JobState>(std::move(*definition), m_state.ownedSince, m_state.unixMilliseconds);
+            else
+                m_loadFaults.emplace_back(record.key, errorOf(checked).message);
         } else if (isKeyOf(record.key, 'p')) {
             std::optional<Wire::JobProgress> progress = Wire::decode<Wire::JobProgress>(record.value);
-            if (progress)
+            const bool known = progress && progress->outcome >= Wire::JobOutcome::Open
+                && progress->outcome <= Wire::JobOutcome::Cancelled;
+            if (known)
                 m_loadedProgress[id] = std::move(*progress);
+            else
+                m_loadFaults.emplace_back(record.key, errorOf(unreadable).message);
         } else if (isKeyOf(record.key, 'c')) {
             m_loadedCancellations.insert(id);
         } else if (isKeyOf(record.key, 'h')) {
@@ -62,6 +71,10 @@
 void JobOwner::finishLoad(Instant now, std::int64_t unixMilliseconds, Instant leasesEnd, Actions& actions)
 {
     m_state.unixMilliseconds = unixMilliseconds;
+    for (const std::pair<std::string, std::string>& fault : m_loadFaults)
+        actions.push_back(
+            WriteLog { LogLine("record_unreadable").add("key", fault.first).add("why", fault.second).text() });
+    m_loadFaults.clear();
     for (std::pair<const std::string, std::unique_ptr<JobState>>& entry : m_state.jobs) {
         // The acceptance lies in the past: what is due counts from it.
         Wire::JobDefinition definition = entry.second->definition();
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -84,6 +84,8 @@
     std::deque<WaitingReply> m_waiting;
     std::map<std::string, Wire::JobProgress> m_loadedProgress;
     std::set<std::string> m_loadedCancellations;
+    /// Keys that could not be read while loading, and why.
+    std::vector<std::pair<std::string, std::string>> m_loadFaults;
     std::map<std::string, Instant> m_finishedAt;
     Instant m_lastPass;
     Instant m_lastForgotten;
--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(anOddClaimUnseatsNobody);
     CPPUNIT_TEST(aSideKeepsItsOwnerBesideAnOddClaim);
     CPPUNIT_TEST(anOddPulseIsNoSignOfLife);
+    CPPUNIT_TEST(oddJobsOfTheStoreArePassedOver);
     CPPUNIT_TEST(numbersOfAConfigurationKeepTheirOrder);
     CPPUNIT_TEST_SUITE_END();
 
@@ -449,6 +450,32 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1), entry.ownership.current().term);
     }
 
+    // Guards against a job that ends one owner after the other, each while it takes over.
+    void oddJobsOfTheStoreArePassedOver()
+    {
+        const std::string oddId = "00000000000000bb";
+        Wire::JobDefinition good = makeJob("00000000000000aa", { makeStep(1, 100, 1000) });
+        std::vector<Wire::JobDefinition> odd(7, makeJob(oddId, { makeStep(1, 100, 1000) }));
+        odd[0].steps[0].count = -1;
+        odd[1].steps.clear();
+        odd[2].steps[0].demand.milliProcessors = -100;
+        odd[3].steps[0].after = { 4 };
+        odd[4].steps[0].estimateMilliseconds = std::numeric_limits<std::int64_t>::max();
+        odd[5].stretch = std::numeric_limits<double>::quiet_NaN();
+        odd[6].occurrences = -5;
+        for (const Wire::JobDefinition& definition : odd) {
+            JobOwner owner("entry-1", 1, OwnerRules {}, at(0));
+            owner.load({ StoreRecord { StoreKey::job(oddId), Wire::encode(definition) },
+                StoreRecord { StoreKey::job(good.jobId), Wire::encode(good) }, StoreRecord { "j/odd", "no job" },
+                StoreRecord { "p/00000000000000aa", "no progress" } });
+            Actions actions;
+            owner.finishLoad(at(0), 0, at(0), actions);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.state().openJobs.size());
+            CPPUNIT_ASSERT(owner.state().openJobs.contains(good.jobId));
+            CPPUNIT_ASSERT(logs(actions, "record_unreadable"));
+        }
+    }
+
     // Guards against limits that are cut to 32 bits or to nothing: no attempt would be left, or no time.
     void numbersOfAConfigurationKeepTheirOrder()
     {
