--- a/Source/Shell/Process/NodeSettings.cpp
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -34,14 +34,18 @@
         return endpoint;
     }
 
+    /// Of milliseconds, seconds or cores; a billion milliseconds are eleven days.
+    constexpr double maximumNumber = 1'000'000'000;
+
     double readNumber(JsonReader& reader, const Json& object, const std::string& key, double otherwise)
     {
         Json::const_iterator it = object.find(key);
         if (it == object.end())
             return otherwise;
-        if (it->is_number() && it->get<double>() > 0)
+        if (it->is_number() && it->get<double>() > 0 && it->get<double>() <= maximumNumber)
             return it->get<double>();
-        reader.fault(ErrorCode::InvalidField, key, "must be a number above 0");
+        reader.fault(ErrorCode::InvalidField, key,
+            "must be a number above 0, at most " + std::to_string(static_cast<long long>(maximumNumber)));
         return otherwise;
     }
 
--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(anOddPulseIsNoSignOfLife);
     CPPUNIT_TEST(oddJobsOfTheStoreArePassedOver);
     CPPUNIT_TEST(numbersOfAConfigurationKeepTheirOrder);
+    CPPUNIT_TEST(namesSettingsThatAreTooLarge);
     CPPUNIT_TEST_SUITE_END();
 
     /// As many levels as fit into two megabytes, half of what a process takes in one call.
@@ -498,5 +499,17 @@
             CPPUNIT_ASSERT_MESSAGE(
                 version, !isOk(decodePolicy(R"({"routes":[],"version":)" + std::string(version) + "}")));
     }
+
+    // Guards against a lease or a time to stop below zero, out of a number that does not fit.
+    void namesSettingsThatAreTooLarge()
+    {
+        for (const char* key : { "longest_lease_ms", "harm_ms", "status_memory_s", "shutdown_s", "processor_share" }) {
+            const Result<NodeSettings> settings = parseNodeSettings(
+                R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":7720,"store_address":"10.0.0.2:81",")"
+                + std::string(key) + R"(":1e300})");
+            CPPUNIT_ASSERT_MESSAGE(key, !isOk(settings));
+            CPPUNIT_ASSERT_MESSAGE(key, errorOf(settings).message.find("/" + std::string(key)) != std::string::npos);
+        }
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OddEntryTest);
