--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -74,6 +74,7 @@
     report.state = Wire::HostState::Gone;
     send(std::move(report), actions);
     m_facts.reset();
+    m_answersAsAnnounced = false;
     m_halts.clear();
     m_paces.clear();
     m_leaseUntilMilliseconds = 0;
@@ -90,6 +91,16 @@
     const bool same = m_facts && m_facts->hostId == facts.hostId && m_facts->incarnation == facts.incarnation;
     if (same && facts.sequence < m_facts->sequence)
         return;
+    // The next life of a host belongs to the same service: one of another is none of this side's.
+    if (m_facts && m_answersAsAnnounced && m_facts->service != facts.service) {
+        actions.push_back(WriteLog { LogLine("announcement_passed_over")
+                                         .add("host", facts.hostId)
+                                         .add("incarnation", facts.incarnation)
+                                         .add("service", facts.service)
+                                         .add("known_service", m_facts->service)
+                                         .text() });
+        return;
+    }
     if (m_facts && !same)
         replaceHost(now, "announced_anew", actions);
     const bool news = !same || m_facts->draining != facts.draining;
@@ -316,6 +327,7 @@
             replaceHost(now, "other_incarnation_listed", actions);
             return;
         }
+        m_answersAsAnnounced = true;
         Wire::HostReport report = makeReport();
         report.listed = true;
         report.clockMilliseconds = response.clockMilliseconds;
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -97,6 +97,8 @@
     /// The highest term that has given orders.
     std::int64_t m_term = 0;
     std::optional<HostFacts> m_facts;
+    /// The host beside this side has answered under the id that was announced.
+    bool m_answersAsAnnounced = false;
     std::int64_t m_leaseUntilMilliseconds = 0;
     std::int64_t m_acknowledgedNumber = 0;
     bool m_listInFlight = false;
--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(takesTheLargestOrdinaryJobs);
     CPPUNIT_TEST(aDeadlineBeyondAllTimeIsLong);
     CPPUNIT_TEST(anAnswerWithOddBytesIsSent);
+    CPPUNIT_TEST(anotherServiceTakesNoHostsPlace);
     CPPUNIT_TEST(anEmptyRecordAtTheEndOfAReadIsPassed);
     CPPUNIT_TEST(aCountBeyondItsRecordTakesNoMemory);
     CPPUNIT_TEST(anOddClaimUnseatsNobody);
@@ -350,6 +351,39 @@
         }
     }
 
+    // Guards against giving up a host that runs on, and its runs with it, for an announcement of another writer.
+    void anotherServiceTakesNoHostsPlace()
+    {
+        HostAgent agent(NodeIdentity { "side-1", 1, "127.0.0.1", 7720 }, HostAgentTiming {});
+        HostFacts facts;
+        facts.hostId = "i-1";
+        facts.incarnation = 5;
+        facts.service = "desk";
+        HostFacts other = facts;
+        other.hostId = "i-2";
+        other.incarnation = 4;
+        other.service = "elsewhere";
+        Actions first;
+        agent.onAnnouncement(at(0), other, first);
+        agent.onAnnouncement(at(1), facts, first);
+        CPPUNIT_ASSERT_MESSAGE("nobody has answered as the other one", logs(first, "host_ended"));
+        ListHost list;
+        list.hostId = facts.hostId;
+        list.incarnation = facts.incarnation;
+        HostResponse listed;
+        listed.answer = HostAnswer::Done;
+        agent.onListed(at(2), list, listed, first);
+        other.incarnation = 6;
+        Actions later;
+        agent.onAnnouncement(at(3), other, later);
+        CPPUNIT_ASSERT(!logs(later, "host_ended"));
+        CPPUNIT_ASSERT(logs(later, "announcement_passed_over"));
+        Actions last;
+        other.service = "desk";
+        agent.onAnnouncement(at(4), other, last);
+        CPPUNIT_ASSERT_MESSAGE("the next life of the host", logs(last, "host_ended"));
+    }
+
     // Guards against a reader that asks for the same record again and again: it was there, and was not counted.
     void anEmptyRecordAtTheEndOfAReadIsPassed()
     {
