--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -1,6 +1,6 @@
 #include "Decision/Process/HostAgent.h"
 
-#include "Wire/Codec.h"
+#include "Decision/Process/OwnerRecords.h"
 
 #include <algorithm>
 
@@ -81,6 +81,7 @@
     m_contactLost = false;
     m_clockMilliseconds = 0;
     raiseOwnFence();
+    m_answersAsAnnounced = false;
     m_halts.clear();
     m_paces.clear();
     m_leaseUntilMilliseconds = 0;
@@ -98,6 +99,16 @@
     const bool same = m_facts && m_facts->hostId == facts.hostId && m_facts->incarnation == facts.incarnation;
     if (same && facts.sequence < m_facts->sequence)
         return;
+    // The next life of a host belongs to the same service: one of another is none of this side's.
+    if (m_facts && m_answersAsAnnounced && m_facts->service != facts.service) {
+        actions.push_back(WriteLog { LogLine("announcement_passed_over")
+                                         .add("host", facts.hostId)
+                                         .add("incarnation", facts.incarnation)
+                                         .add("service", facts.service)
+                                         .add("known_service", m_facts->service)
+                                         .text() });
+        return;
+    }
     if (m_facts && !same)
         replaceHost(now, "announced_anew", actions);
     const bool news = !same || m_facts->draining != facts.draining;
@@ -367,6 +378,7 @@
             return;
         }
         m_clockMilliseconds = response.clockMilliseconds;
+        m_answersAsAnnounced = true;
         Wire::HostReport report = makeReport();
         report.listed = true;
         report.listFence = order.fence;
@@ -430,12 +442,14 @@
 void HostAgent::takeClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions)
 {
     for (const StoreRecord& record : records) {
-        const std::optional<Wire::OwnerClaim> claim = Wire::decode<Wire::OwnerClaim>(record.value);
-        if (!claim || record.offset + 1 <= m_owner.term)
+        const Result<Wire::OwnerClaim> claim = decodeClaim(record);
+        if (!isOk(claim))
+            actions.push_back(passedOver("claim_unreadable", record, errorOf(claim)));
+        if (!isOk(claim) || record.offset + 1 <= m_owner.term)
             continue;
-        m_owner = CurrentOwner { record.offset + 1, *claim };
+        m_owner = CurrentOwner { record.offset + 1, valueOf(claim) };
         actions.push_back(
-            WriteLog { LogLine("owner_seen").add("term", m_owner.term).add("owner", claim->nodeId).text() });
+            WriteLog { LogLine("owner_seen").add("term", m_owner.term).add("owner", valueOf(claim).nodeId).text() });
     }
     if (m_owner.term > 0)
         m_link.setOwner(now, m_owner.term, m_owner.claim.address, m_owner.claim.port, actions);
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -120,6 +120,8 @@
     bool m_contactLost = false;
     /// The newest reading of the host's clock.
     std::int64_t m_clockMilliseconds = 0;
+    /// The host beside this side has answered under the id that was announced.
+    bool m_answersAsAnnounced = false;
     std::int64_t m_leaseUntilMilliseconds = 0;
     std::int64_t m_acknowledgedNumber = 0;
     bool m_listInFlight = false;
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -92,9 +92,9 @@
     };
 
     void takeClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
-    void takePulses(Instant now, const std::vector<StoreRecord>& records);
     LeaseWait formerLeases(Instant now) const;
     void finishTakeOver(Instant now, Actions& actions);
+    void takePulses(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
     void wantOwnership(Instant now, const char* why);
     void claim(Instant now, const char* why, Actions& actions);
     void begin(Instant now, std::int64_t term, Actions& actions);
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(aStartThatALaterLifeAnswersIsNotReported);
     CPPUNIT_TEST(aStartRefusedAsOldIsLookedFor);
     CPPUNIT_TEST(aFarewellIsBelievedOnceThePortIsClosed);
+    CPPUNIT_TEST(anotherServiceTakesNoHostsPlace);
     CPPUNIT_TEST_SUITE_END();
 
     static HostFacts facts(std::int64_t incarnation, std::int64_t sequence)
@@ -275,6 +276,43 @@
         CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, messagesOf<Wire::HostReport>(closed).at(0).state);
     }
 
+    static bool logs(const Actions& actions, const std::string& event)
+    {
+        for (const WriteLog& line : actionsOf<WriteLog>(actions)) {
+            if (line.line.starts_with("event=" + event + " "))
+                return true;
+        }
+        return false;
+    }
+
+    // Guards against giving up a host that runs on, and its runs with it, for an announcement of another writer.
+    void anotherServiceTakesNoHostsPlace()
+    {
+        Harness harness;
+        HostFacts other = facts(2, 1);
+        other.hostId = "host-2";
+        other.service = "elsewhere";
+        Actions first;
+        harness.agent.onAnnouncement(at(5), other, first);
+        harness.agent.onAnnouncement(at(6), facts(3, 1), first);
+        CPPUNIT_ASSERT_MESSAGE("nobody has answered as the other one", logs(first, "host_ended"));
+        Wire::HostOrders orders = Harness::startOrders(4);
+        orders.incarnation = 3;
+        harness.order(10, orders);
+        HostResponse listed = answer(HostAnswer::Done);
+        listed.incarnation = 3;
+        harness.agent.onListed(at(12), actionsOf<ListHost>(harness.tick(11)).at(0), listed, first);
+        other.incarnation = 4;
+        Actions later;
+        harness.agent.onAnnouncement(at(13), other, later);
+        CPPUNIT_ASSERT(!logs(later, "host_ended"));
+        CPPUNIT_ASSERT(logs(later, "announcement_passed_over"));
+        Actions last;
+        other.service = "desk";
+        harness.agent.onAnnouncement(at(14), other, last);
+        CPPUNIT_ASSERT_MESSAGE("the next life of the host", logs(last, "host_ended"));
+    }
+
     void repeatsAPaceThatWasNotAnswered()
     {
         Harness harness;
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -40,8 +40,8 @@
     /// One entry and its way to the store.
     struct Node {
         explicit Node(int number, std::int64_t incarnation = 1)
-            : ownership(
-                NodeIdentity { nodeName(number), incarnation, "127.0.0.1", number }, OwnerRules {}, OwnershipTiming {})
+            : ownership(NodeIdentity { nodeName(number), incarnation, "127.0.0.1", 7720 + number }, OwnerRules {},
+                OwnershipTiming {})
         {
             ownership.onChange = [](Instant, bool, Actions&) {};
         }
@@ -210,11 +210,15 @@
         /// The owner is told that a host runs this.
         void report(std::size_t owner, const std::vector<Wire::RunningTask>& running)
         {
+            JobOwner& reader = *nodes[owner]->ownership.owner();
             Wire::HostReport report = makeReport("i-1", 1, now);
-            report.listFence = nodes[owner]->ownership.current().term;
-            report.running = running;
             Actions actions;
-            nodes[owner]->ownership.owner()->onReport(at(now), testLink, report, actions);
+            report.listed = false;
+            reader.onReport(at(now), testLink, report, actions);
+            report.listed = true;
+            report.listFence = reader.state().hosts.hosts().at("i-1").fence;
+            report.running = running;
+            reader.onReport(at(now), testLink, report, actions);
             take(owner, actions);
         }
 
@@ -242,6 +246,8 @@
             Wire::OwnerClaim claim;
             claim.nodeId = nodeId;
             claim.incarnation = ++lastIncarnation;
+            claim.address = "127.0.0.1";
+            claim.port = 7720;
             AppendToStore append;
             append.topic = StoreTopic::Owners;
             append.records.push_back(StoreRecord { "owner", Wire::encode(claim) });
