--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -13,6 +13,8 @@
     /// Distinct jobs that fail in a row on a host before it gets no new work: one hopeless job must not brand it.
     constexpr std::size_t failedJobsToQuarantine = 3;
     constexpr Duration quarantine = seconds(2);
+    /// A lasting task that goes on for this long ends the trial of its host: it never completes.
+    constexpr Duration trialOfALastingTask = seconds(1);
     /// A host that was away for this long and holds nothing is forgotten; longer than any bound of the platform.
     constexpr Duration forgetHostAfter = seconds(30);
     /// Weight of the newest run in the smoothed slowness of a host.
@@ -248,6 +250,10 @@
     run.progressPercent = row.progressPercent;
     if (!row.checkpoint.empty())
         run.checkpoint = row.checkpoint;
+    if (host.health.onTrial && run.longRunning && now - run.confirmedAt >= trialOfALastingTask) {
+        host.health.onTrial = false;
+        host.health.failedJobs.clear();
+    }
 }
 
 void RunLedger::describe(HostRun& run, const JobState& job, const StepState& step)
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(aListUnderAnEarlierFenceMakesNoHostHeard);
     CPPUNIT_TEST(anOrderToAnEarlierLifeIsKeptUntilTheNextIsListed);
     CPPUNIT_TEST(aRunThatIsNoLongerListedIsPlacedAgain);
+    CPPUNIT_TEST(aHostOnTrialIsTrustedWhenALastingTaskGoesOn);
     CPPUNIT_TEST_SUITE_END();
 
     /// A report of host-1 that shows these runs.
@@ -482,5 +483,34 @@
         harness.settle(310);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.starts.size());
     }
+
+    // Guards against lasting tasks that are never placed again: the trial task of a host that was quarantined lasts, so
+    // it never completes.
+    void aHostOnTrialIsTrustedWhenALastingTaskGoesOn()
+    {
+        constexpr int jobs = 4;
+        OwnerHarness harness;
+        harness.report(0, makeReport("host-1", 1, 100));
+        harness.settle(10);
+        Wire::StepDefinition step = makeStep(1, 500, 1000);
+        step.longRunning = true;
+        for (int n = 0; n < jobs; ++n)
+            harness.submit(60 + n, makeJob("a" + std::to_string(n), { step }));
+        harness.settle(70);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(jobs), harness.starts.size());
+        Wire::HostReport failed = makeReport("host-1", 1, 200);
+        for (int n = 0; n < jobs; ++n)
+            failed.ended.push_back(
+                makeEnded(n + 1, harness.starts[static_cast<std::size_t>(n)].task, 1, Wire::RunEnd::Failed));
+        harness.report(200, failed);
+        for (int now = 300; now < 12'000; now += 100) {
+            Wire::HostReport running = makeReport("host-1", 1, now);
+            for (std::size_t n = jobs; n < harness.starts.size(); ++n)
+                running.running.push_back(makeRunning(harness.starts[n].task, harness.starts[n].run));
+            harness.report(now, running);
+            harness.settle(now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2 * jobs), harness.starts.size());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(JobOwnerTest);
