--- a/Tests/Process/Relay.cpp
+++ b/Tests/Process/Relay.cpp
@@ -14,6 +14,7 @@
 
     constexpr int backlog = 64;
     constexpr int pollMilliseconds = 50;
+    constexpr std::chrono::milliseconds closedPoll(5);
 
     bool isReadable(int file)
     {
@@ -24,23 +25,34 @@
 } // namespace
 
 Relay::Relay(int listenPort, int targetPort)
-    : m_targetPort(targetPort)
+    : m_listenPort(listenPort)
+    , m_targetPort(targetPort)
+{
+    if (!listen())
+        throw std::runtime_error("the relay cannot listen");
+    m_acceptor = std::thread([this] { accept(); });
+}
+
+bool Relay::listen()
 {
     const int on = 1;
-    const sockaddr_in address = loopback(listenPort);
+    const sockaddr_in address = loopback(m_listenPort);
     m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    if (::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0
-        || ::listen(m_listener, backlog) != 0)
-        throw std::runtime_error("the relay cannot listen");
-    m_acceptor = std::thread([this] { accept(); });
+    if (::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0
+        && ::listen(m_listener, backlog) == 0)
+        return true;
+    ::close(m_listener);
+    m_listener = -1;
+    return false;
 }
 
 Relay::~Relay()
 {
     m_stopping = true;
     m_acceptor.join();
-    ::close(m_listener);
+    if (m_listener >= 0)
+        ::close(m_listener);
     for (const std::shared_ptr<Connection>& connection : m_connections) {
         connection->closed = true;
         connection->forward.join();
@@ -53,6 +65,14 @@
 void Relay::accept()
 {
     while (!m_stopping) {
+        if (!m_listening && m_listener >= 0) {
+            ::close(m_listener);
+            m_listener = -1;
+        }
+        if (m_listener < 0 && (!m_listening || !listen())) {
+            std::this_thread::sleep_for(closedPoll);
+            continue;
+        }
         if (!isReadable(m_listener))
             continue;
         const std::shared_ptr<Connection> connection = std::make_shared<Connection>();
@@ -86,6 +106,8 @@
             break;
         if (m_delayMilliseconds > 0)
             std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMilliseconds));
+        while (m_held && !connection.closed && !m_stopping)
+            std::this_thread::sleep_for(closedPoll);
         for (ssize_t sent = 0; sent < n && !silent;) {
             const ssize_t written = ::send(to, buf + sent, static_cast<std::size_t>(n - sent), MSG_NOSIGNAL);
             if (written <= 0)
--- a/Tests/Process/Relay.h
+++ b/Tests/Process/Relay.h
@@ -24,6 +24,10 @@
     void resetExisting();
     /// Bytes of all connections are passed on this much later.
     void setDelay(std::chrono::milliseconds delay) { m_delayMilliseconds = delay.count(); }
+    /// While held, no connection carries anything; what was sent meanwhile arrives afterwards.
+    void setHeld(bool held) { m_held = held; }
+    /// Without listening, new connections are refused.
+    void setListening(bool listening) { m_listening = listening; }
 
 private:
     struct Connection {
@@ -36,13 +40,17 @@
         std::thread backward;
     };
 
+    bool listen();
     void accept();
     void pump(Connection& connection, int from, int to, const std::atomic<bool>& silent) const;
 
     int m_listener = -1;
+    int m_listenPort;
     int m_targetPort;
     std::atomic<bool> m_stopping { false };
     std::atomic<long> m_delayMilliseconds { 0 };
+    std::atomic<bool> m_held { false };
+    std::atomic<bool> m_listening { true };
     std::mutex m_mutex;
     std::vector<std::shared_ptr<Connection>> m_connections;
     std::thread m_acceptor;
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -48,7 +48,8 @@
         std::unique_ptr<ChildProcess> process;
         /// Killed, stopping or frozen, and not back yet.
         bool away = false;
-        SteadyTime launchedAt;
+        /// When it was told to stop.
+        SteadyTime stoppedAt;
     };
     /// Something that a fault undoes later.
     struct Undo {
@@ -60,10 +61,15 @@
     bool start();
     void writeSettings(const Node& node) const;
     void launch(Node& node);
+    /// Waits without holding up the faults.
+    void startAfterStop(Node& node, bool young);
+    /// The entry whose claim is the newest in the store; null before the first.
+    Node* owner();
     void hurt();
     void hurtNode(Node& node, unsigned kind);
+    void hurtEverybody();
     void hurtStore(unsigned kind);
-    void hurtHost(HostStandIn& host, unsigned kind);
+    void hurtHost(std::size_t number, unsigned kind);
     void undoLater(unsigned least, unsigned most, std::function<void()> action);
     void undoDue(bool all);
     unsigned draw(unsigned below) { return m_random() % below; }
@@ -72,6 +78,8 @@
     void handIn(std::mt19937& random, int number);
     void cancel(std::mt19937& random, const std::string& jobId);
     void follow(std::mt19937& random);
+    void follow(std::mt19937& random, const std::string& jobId);
+    bool isAllWell() const;
     HttpResponse call(int entry, const std::string& method, const std::string& jobId, const std::string& body);
 
     SoakOptions m_options;
@@ -79,11 +87,15 @@
     RunAudit m_audit;
     std::shared_ptr<HttpClient> m_http;
     std::unique_ptr<StoreStandIn> m_store;
-    std::vector<std::unique_ptr<HostStandIn>> m_hosts;
     std::vector<std::unique_ptr<Relay>> m_hostRelays;
+    std::vector<std::unique_ptr<HostStandIn>> m_hosts;
     std::vector<Node> m_nodes;
     std::vector<Undo> m_undo;
     std::vector<std::string> m_faults;
+    /// Until then each owner is hurt in turn.
+    SteadyTime m_ownersHurtUntil;
+    /// The part of faults of hosts in this run, against 8 of the rest.
+    unsigned m_hostWeight;
     std::atomic<bool> m_handsIn { true };
     std::atomic<bool> m_stopping { false };
 };
--- a/Tests/Soak/StoreStandIn.cpp
+++ b/Tests/Soak/StoreStandIn.cpp
@@ -100,6 +100,17 @@
     wake();
 }
 
+std::string StoreStandIn::newestValue(const std::string& topic)
+{
+    const Guard guard(m_mutex);
+    std::pair<std::string, std::int64_t> newest { {}, -1 };
+    for (const std::pair<const std::string, std::pair<std::string, std::int64_t>>& entry : m_topics[topic].newest) {
+        if (entry.second.second > newest.second)
+            newest = entry.second;
+    }
+    return newest.first;
+}
+
 void StoreStandIn::onCall(const std::shared_ptr<HttpCall>& call)
 {
     const Guard guard(m_mutex);
--- a/Tests/Soak/StoreStandIn.h
+++ b/Tests/Soak/StoreStandIn.h
@@ -39,6 +39,8 @@
     void compact();
     /// What the operator writes.
     void put(const std::string& topic, const std::string& key, const std::string& value);
+    /// The newest record of a topic; empty when there is none.
+    std::string newestValue(const std::string& topic);
 
 private:
     struct Record {
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -29,6 +29,7 @@
         std::cout << soak.summary() << "\n";
         for (const std::string& breach : breaches)
             std::cout << "  " << breach << "\n";
+        std::cout.flush();
         failed += breaches.empty() ? 0 : 1;
     }
     std::cout << seeds - failed << " passed, " << failed << " failed\n";
