--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -207,8 +207,8 @@
             sendResult(start.task, start.run, Wire::OrderOutcome::Refused, "draining", actions);
             continue;
         }
-        actions.push_back(
-            StartOnHost { m_facts->hostId, m_facts->incarnation, fence(), m_leaseUntilMilliseconds, start });
+        actions.push_back(StartOnHost {
+            m_facts->hostId, m_facts->incarnation, fence(), m_leaseUntilMilliseconds, m_clockMilliseconds, start });
     }
     for (const Wire::HaltOrder& halt : orders.halts)
         addHalt(now, halt.task, halt.run, "stopped_before_it_ran");
@@ -245,7 +245,7 @@
     if (!current)
         return;
     const Wire::StartOrder& start = order.order;
-    if (response.answer == HostAnswer::Done && isOtherLife(response)) {
+    if (response.answer == HostAnswer::Done && isOtherLife(response, order.clockMilliseconds)) {
         replaceHost(now, "other_life_answered", actions);
         return;
     }
@@ -373,7 +373,7 @@
     switch (response.answer) {
     case HostAnswer::Done: {
         m_refusedConnections = 0;
-        if (isOtherLife(response)) {
+        if (isOtherLife(response, m_clockMilliseconds)) {
             replaceHost(now, "other_incarnation_listed", actions);
             return;
         }
@@ -421,11 +421,11 @@
     }
 }
 
-bool HostAgent::isOtherLife(const HostResponse& response) const
+bool HostAgent::isOtherLife(const HostResponse& response, std::int64_t clockBefore) const
 {
     if (response.incarnation != 0)
         return response.incarnation != m_facts->incarnation;
-    return response.clockMilliseconds != 0 && response.clockMilliseconds < m_clockMilliseconds;
+    return response.clockMilliseconds != 0 && response.clockMilliseconds < clockBefore;
 }
 
 void HostAgent::raiseOwnFence() { m_raises = std::min(m_raises + 1, fencesOfASide - 1); }
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -88,7 +88,7 @@
     void onListFailed(Instant now);
     void raiseOwnFence();
     /// The answer of a host does not always name its life; its clock starts anew with each.
-    bool isOtherLife(const HostResponse& response) const;
+    bool isOtherLife(const HostResponse& response, std::int64_t clockBefore) const;
     ListHost makeList(Instant now);
     void settleHalts(const HostResponse& response, Wire::HostReport& report);
     void replaceHost(Instant now, const char* why, Actions& actions);
--- a/Source/Decision/Process/Message.h
+++ b/Source/Decision/Process/Message.h
@@ -192,6 +192,8 @@
     std::int64_t incarnation = 0;
     std::int64_t fence = 0;
     std::int64_t leaseUntilMilliseconds = 0;
+    /// The newest reading of the host's clock when the order was sent.
+    std::int64_t clockMilliseconds = 0;
     Wire::StartOrder order;
 };
 
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(aHostThatMayHaveRestartedGetsNoLeaseOfItsEarlierLife);
     CPPUNIT_TEST(aListOfAnEarlierFenceIsNotReported);
     CPPUNIT_TEST(aStartThatALaterLifeAnswersIsNotReported);
+    CPPUNIT_TEST(aStartWhoseAnswerAListOvertookEndsNoHost);
     CPPUNIT_TEST(aStartRefusedAsOldIsLookedFor);
     CPPUNIT_TEST(aFarewellIsBelievedOnceThePortIsClosed);
     CPPUNIT_TEST(anotherServiceTakesNoHostsPlace);
@@ -234,21 +235,45 @@
     void aStartThatALaterLifeAnswersIsNotReported()
     {
         Harness harness;
-        const StartOnHost start = actionsOf<StartOnHost>(harness.order(10, Harness::startOrders(4))).at(0);
+        harness.order(10, Harness::startOrders(4));
         HostResponse listed = answer(HostAnswer::Done);
         listed.incarnation = 1;
         listed.clockMilliseconds = 5000;
         Actions actions;
         harness.agent.onListed(at(12), actionsOf<ListHost>(harness.tick(11)).at(0), listed, actions);
+        const StartOnHost later = actionsOf<StartOnHost>(harness.order(13, Harness::startOrders(4))).at(0);
         HostResponse started = answer(HostAnswer::Done);
         started.clockMilliseconds = 20;
         Actions after;
-        harness.agent.onStarted(at(300), start, started, after);
+        harness.agent.onStarted(at(300), later, started, after);
         const Wire::HostReport report = messagesOf<Wire::HostReport>(after).at(0);
         CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, report.state);
         CPPUNIT_ASSERT(report.results.empty());
     }
 
+    // Guards against a second run of all that goes on: a list that was answered later comes before the answer to a
+    // start, whose reading of the clock is then the smaller one.
+    void aStartWhoseAnswerAListOvertookEndsNoHost()
+    {
+        Harness harness;
+        HostResponse listed = answer(HostAnswer::Done);
+        listed.incarnation = 1;
+        listed.clockMilliseconds = 1000;
+        Actions actions;
+        harness.order(10, Harness::startOrders(4));
+        harness.agent.onListed(at(12), actionsOf<ListHost>(harness.tick(11)).at(0), listed, actions);
+        const StartOnHost start = actionsOf<StartOnHost>(harness.order(13, Harness::startOrders(4))).at(0);
+        listed.clockMilliseconds = 1005;
+        harness.agent.onListed(at(15), actionsOf<ListHost>(harness.tick(14)).at(0), listed, actions);
+        HostResponse started = answer(HostAnswer::Done);
+        started.clockMilliseconds = 1003;
+        Actions after;
+        harness.agent.onStarted(at(16), start, started, after);
+        const Wire::HostReport report = messagesOf<Wire::HostReport>(after).at(0);
+        CPPUNIT_ASSERT_EQUAL(Wire::HostState::Ready, report.state);
+        CPPUNIT_ASSERT_EQUAL(Wire::OrderOutcome::Started, report.results.at(0).outcome);
+    }
+
     // Guards against a second run of what has ended: the host refuses a repeated start of it as old.
     void aStartRefusedAsOldIsLookedFor()
     {
