--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -112,6 +112,9 @@
     if (m_facts && !same)
         replaceHost(now, "announced_anew", actions);
     const bool news = !same || m_facts->draining != facts.draining;
+    // It goes on announcing itself: the farewell was one of an earlier life.
+    if (same && !facts.draining)
+        m_farewellHeard = false;
     m_facts = facts;
     if (!same) {
         // The sooner it sees the raised fence the less can reach it that was meant for an earlier life.
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(aStartThatALaterLifeAnswersIsNotReported);
     CPPUNIT_TEST(aStartWhoseAnswerAListOvertookEndsNoHost);
     CPPUNIT_TEST(aStartRefusedAsOldIsLookedFor);
+    CPPUNIT_TEST(aFarewellOfAnEarlierLifeIsForgotten);
     CPPUNIT_TEST(aFarewellIsBelievedOnceThePortIsClosed);
     CPPUNIT_TEST(anotherServiceTakesNoHostsPlace);
     CPPUNIT_TEST_SUITE_END();
@@ -301,6 +302,19 @@
         CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, messagesOf<Wire::HostReport>(closed).at(0).state);
     }
 
+    // Guards against a second run of what goes on: a late farewell makes one refused connection enough for good.
+    void aFarewellOfAnEarlierLifeIsForgotten()
+    {
+        Harness harness;
+        harness.order(10, Harness::startOrders(4));
+        const ListHost list = actionsOf<ListHost>(harness.tick(11)).at(0);
+        Actions actions;
+        harness.agent.onFarewell(at(12), "host-1", actions);
+        harness.agent.onAnnouncement(at(13), facts(1, 2), actions);
+        harness.agent.onListed(at(14), list, answer(HostAnswer::NotListening), actions);
+        CPPUNIT_ASSERT(messagesOf<Wire::HostReport>(actions).empty());
+    }
+
     static bool logs(const Actions& actions, const std::string& event)
     {
         for (const WriteLog& line : actionsOf<WriteLog>(actions)) {
