--- a/Source/Decision/Job/HostBook.h
+++ b/Source/Decision/Job/HostBook.h
@@ -110,6 +110,8 @@
     Duration remaining {};
     /// A list of its runs has come that was asked for under the present fence.
     bool listed = false;
+    /// Orders to an earlier life under this id may have reached it; false once it has been listed.
+    bool hasEarlierLife = false;
     /// This life has ended; only what a later life under the same id may still begin is kept.
     bool departed = false;
     /// Ticket of its record; nothing is ordered before that is stored.
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -91,6 +91,8 @@
     /// Jobs whose acceptance is stored and that are not finished.
     std::map<std::string, JobState*> openJobs;
     HostBook hosts;
+    /// Hosts that have ended lately, and when.
+    std::map<std::string, Instant> departedHosts;
     StoreJournal journal;
     /// Jobs with progress that is not in the journal yet.
     std::set<std::string> dirtyJobs;
--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -66,14 +66,14 @@
     host.hostId = report.hostId;
     host.incarnation = report.incarnation;
     host.lapsesAt = now;
+    host.hasEarlierLife = m_state.hosts.find(report.hostId) || m_state.departedHosts.contains(report.hostId);
     host.orders.hostId = report.hostId;
     if (Host* earlier = m_state.hosts.find(report.hostId)) {
         loseLife(now, *earlier, "host_restarted", actions);
         host.runs = std::move(earlier->runs);
         host.committed = earlier->committed;
         host.newestLink = earlier->newestLink;
-        // An extension that was meant for the earlier life may have reached this one.
-        host.lapsesAt = now + m_state.stretched(m_state.rules.longestLease);
+        host.lapsesAt = std::max(now, earlier->lapsesAt);
     }
     Wire::HostRecord record;
     record.incarnation = report.incarnation;
@@ -116,6 +116,7 @@
 void RunLedger::onGone(Instant now, Host& host, Actions& actions)
 {
     loseLife(now, host, "host_gone", actions);
+    m_state.departedHosts[host.hostId] = now;
     m_state.scheduleDue = true;
     if (!host.runs.empty()) {
         host.departed = true;
@@ -165,6 +166,10 @@
         ++m_state.counters.reportsOutOfDate;
         return;
     }
+    // An extension that was meant for an earlier life may have reached this one before its first list.
+    if (host.hasEarlierLife)
+        host.lapsesAt = std::max(host.lapsesAt, now + m_state.stretched(m_state.rules.longestLease));
+    host.hasEarlierLife = false;
     host.clockMilliseconds = report.clockMilliseconds;
     host.clockReadAt = now;
     addOccurrences(now, report);
@@ -600,6 +605,8 @@
 
 void RunLedger::tick(Instant now, Actions& actions)
 {
+    std::erase_if(m_state.departedHosts,
+        [now](const std::pair<const std::string, Instant>& entry) { return now - entry.second > forgetHostAfter; });
     std::map<std::string, Host>& hosts = m_state.hosts.hosts();
     for (std::map<std::string, Host>::iterator it = hosts.begin(); it != hosts.end();) {
         Host& host = it->second;
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(anOrderToAnEarlierLifeIsKeptUntilTheNextIsListed);
     CPPUNIT_TEST(aRunThatIsNoLongerListedIsPlacedAgain);
     CPPUNIT_TEST(aHostOnTrialIsTrustedWhenALastingTaskGoesOn);
+    CPPUNIT_TEST(waitsForTheLongestLeaseOfANewLife);
     CPPUNIT_TEST_SUITE_END();
 
     /// A report of host-1 that shows these runs.
@@ -512,5 +513,33 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(2 * jobs), harness.starts.size());
     }
+
+    // Guards against two runs of a task: an extension that was sent to an earlier life has reached this one.
+    void waitsForTheLongestLeaseOfANewLife()
+    {
+        OwnerHarness harness;
+        harness.report(0, makeReport("host-1", 1, 100));
+        Wire::HostReport gone = makeReport("host-1", 1, 0);
+        gone.listed = false;
+        gone.state = Wire::HostState::Gone;
+        harness.deliver(5, gone);
+        harness.report(10, makeReport("host-1", 2, 100));
+        harness.settle(10);
+        harness.submit(60, makeJob("aa", { makeStep(1, 1000, 1000) }));
+        harness.settle(70);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.starts.size());
+        harness.report(150, makeReport("host-2", 1, 100), testLink + 1);
+        harness.owner.onLinkDown(at(200), testLink);
+        for (int now = 300; now < 9800; now += 100) {
+            harness.report(now, makeReport("host-2", 1, now), testLink + 1);
+            harness.tick(now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.starts.size());
+        for (int now = 9800; now < 11'000; now += 100) {
+            harness.report(now, makeReport("host-2", 1, now), testLink + 1);
+            harness.tick(now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.starts.size());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(JobOwnerTest);
