--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -255,7 +255,8 @@
     run.progressPercent = row.progressPercent;
     if (!row.checkpoint.empty())
         run.checkpoint = row.checkpoint;
-    if (host.health.onTrial && run.longRunning && now - run.confirmedAt >= trialOfALastingTask) {
+    const bool isTrial = host.health.onTrial && run.since >= host.health.quarantinedUntil;
+    if (isTrial && run.longRunning && now - run.confirmedAt >= trialOfALastingTask) {
         host.health.onTrial = false;
         host.health.failedJobs.clear();
     }
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(anOrderToAnEarlierLifeIsKeptUntilTheNextIsListed);
     CPPUNIT_TEST(aRunThatIsNoLongerListedIsPlacedAgain);
     CPPUNIT_TEST(aHostOnTrialIsTrustedWhenALastingTaskGoesOn);
+    CPPUNIT_TEST(aLastingTaskOfBeforeTheQuarantineEndsNoTrial);
     CPPUNIT_TEST(waitsForTheLongestLeaseOfANewLife);
     CPPUNIT_TEST_SUITE_END();
 
@@ -514,6 +515,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2 * jobs), harness.starts.size());
     }
 
+    // Guards against attempts that are used up on a host that fails everything: a task that it ran before does not
+    // speak for it.
+    void aLastingTaskOfBeforeTheQuarantineEndsNoTrial()
+    {
+        OwnerHarness harness;
+        harness.report(0, makeReport("host-1", 1, 100));
+        harness.settle(10);
+        Wire::StepDefinition step = makeStep(1, 500, 1000);
+        step.longRunning = true;
+        for (int n = 0; n < 4; ++n)
+            harness.submit(60 + n, makeJob("a" + std::to_string(n), { step }));
+        harness.settle(70);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), harness.starts.size());
+        const std::vector<Wire::StartOrder> first = harness.starts;
+        Wire::HostReport failed = makeReport("host-1", 1, 1500);
+        failed.running.push_back(makeRunning(first[0].task, 1));
+        harness.report(200, failed);
+        for (std::size_t n = 1; n < 4; ++n)
+            failed.ended.push_back(makeEnded(static_cast<std::int64_t>(n), first[n].task, 1, Wire::RunEnd::Failed));
+        harness.report(1500, failed);
+        CPPUNIT_ASSERT(harness.owner.state().hosts.hosts().at("host-1").health.onTrial);
+        harness.report(1600, failed);
+        CPPUNIT_ASSERT(harness.owner.state().hosts.hosts().at("host-1").health.onTrial);
+    }
+
     // Guards against two runs of a task: an extension that was sent to an earlier life has reached this one.
     void waitsForTheLongestLeaseOfANewLife()
     {
