--- a/Source/Decision/Job/RunLedger.cpp
+++ b/Source/Decision/Job/RunLedger.cpp
@@ -62,13 +62,14 @@
 
 Host& RunLedger::add(Instant now, const Wire::HostReport& report, Actions& actions)
 {
+    Host* earlier = m_state.hosts.find(report.hostId);
     Host host;
     host.hostId = report.hostId;
     host.incarnation = report.incarnation;
     host.lapsesAt = now;
-    host.hasEarlierLife = m_state.hosts.find(report.hostId) || m_state.departedHosts.contains(report.hostId);
+    host.hasEarlierLife = earlier || m_state.departedHosts.contains(report.hostId);
     host.orders.hostId = report.hostId;
-    if (Host* earlier = m_state.hosts.find(report.hostId)) {
+    if (earlier) {
         loseLife(now, *earlier, "host_restarted", actions);
         host.runs = std::move(earlier->runs);
         host.committed = earlier->committed;
--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -191,7 +191,7 @@
     m_term = orders.term;
     if (orders.fence > m_fence)
         raiseFence(now, orders.fence);
-    if (!m_facts || orders.hostId != m_facts->hostId || orders.incarnation != m_facts->incarnation) {
+    if (!isCurrent(orders)) {
         // The incarnation that was meant is over: nothing of it runs.
         Wire::HostReport report;
         report.hostId = orders.hostId;
@@ -224,8 +224,8 @@
 {
     m_fence = fence;
     m_raises = 0;
-    // A list that was asked for under a lower fence does not say what may still be carried out.
-    // What it would have told of the host is not known: it may have started again meanwhile.
+    // A list that was asked for under a lower fence does not say what may still be carried out. It is given up, and
+    // with it the news of whether the host has started again meanwhile.
     m_contactUnconfirmed = m_contactUnconfirmed || m_listInFlight;
     m_listInFlight = false;
     m_fenceIsNew = true;
@@ -244,8 +244,7 @@
 
 void HostAgent::onStarted(Instant now, const StartOnHost& order, const HostResponse& response, Actions& actions)
 {
-    const bool current = m_facts && m_facts->hostId == order.hostId && m_facts->incarnation == order.incarnation;
-    if (!current)
+    if (!isCurrent(order))
         return;
     const Wire::StartOrder& start = order.order;
     if (response.answer == HostAnswer::Done && isOtherLife(response, order.clockMilliseconds)) {
@@ -306,7 +305,7 @@
 {
     (void)actions;
     std::map<RunKey, Halt>::iterator it = m_halts.find(runKey(order.order.task, order.order.run));
-    if (it == m_halts.end() || !m_facts || order.incarnation != m_facts->incarnation)
+    if (it == m_halts.end() || !isCurrent(order))
         return;
     it->second.inFlight = false;
     it->second.answered = response.answer == HostAnswer::Done;
@@ -330,8 +329,7 @@
 void HostAgent::onPaced(Instant now, const PaceOnHost& order, const HostResponse& response, Actions& actions)
 {
     std::map<RunKey, PendingPace>::iterator it = m_paces.find(runKey(order.order.task, order.order.run));
-    const bool current = m_facts && order.incarnation == m_facts->incarnation;
-    if (!current || it == m_paces.end() || it->second.order.percent != order.order.percent)
+    if (!isCurrent(order) || it == m_paces.end() || it->second.order.percent != order.order.percent)
         return;
     const bool overtaken = response.answer == HostAnswer::Refused && order.fence < fence();
     if (response.answer != HostAnswer::Uncertain && !overtaken) {
@@ -370,8 +368,7 @@
     if (order.number != m_listNumber || !m_listInFlight)
         return;
     m_listInFlight = false;
-    const bool current = m_facts && m_facts->hostId == order.hostId && m_facts->incarnation == order.incarnation;
-    if (!current)
+    if (!isCurrent(order))
         return;
     switch (response.answer) {
     case HostAnswer::Done: {
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -83,6 +83,11 @@
     void onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions);
     void paceFromStart(Instant now, const Wire::StartOrder& start, Actions& actions);
     void sendPaces(Instant now, Actions& actions);
+    /// The order was meant for the life that this side stands beside now.
+    template <typename Order> bool isCurrent(const Order& order) const
+    {
+        return m_facts && m_facts->hostId == order.hostId && m_facts->incarnation == order.incarnation;
+    }
     void raiseFence(Instant now, std::int64_t fence);
     void addHalt(Instant now, const Wire::TaskName& task, int run, const std::string& reason);
     void onListFailed(Instant now);
