Process: A refused connection does not end the runs of a host

Cause: a side took two refused connections, or one after a departure notice, for the end of its host's process. The owner then gave up its runs and placed their tasks elsewhere. Class: absence of contact taken for an end.

Change: runs of a host are over when a list of that life says so, when another life of it answers or announces itself, when a draining host has said farewell and its port is closed, or when every lease that it may hold is over (LeaseBound). Until then the side reports that the host refuses connections, and the owner keeps the runs and places nothing there. A departure notice names no incarnation, so it counts only for a host that drains. A relative: orders for a later life than the side knows made it call that life ended; it passes them over now and logs that.

HostAgentTest.twoRefusedConnectionsEndTheHost stated the fault as the wanted behaviour. It is replaced by two cases that are stricter: any number of refused connections keeps the runs, and the leases end them.

Ruled out: the departure notice of an earlier life as the only cause; the histories fail without any notice.

--- a/Source/Decision/Job/HostEligibility.h
+++ b/Source/Decision/Job/HostEligibility.h
@@ -17,6 +17,8 @@
     NotListed,
     Draining,
     NoLink,
+    /// The host accepted no new connection when its side last tried.
+    RefusesConnections,
     /// The last report of the host is too old.
     Silent,
     Quarantined,
@@ -43,6 +45,7 @@
     NamedValue { HostEligibility::NotListed, "not_listed" },
     NamedValue { HostEligibility::Draining, "draining" },
     NamedValue { HostEligibility::NoLink, "no_link" },
+    NamedValue { HostEligibility::RefusesConnections, "refuses_connections" },
     NamedValue { HostEligibility::Silent, "silent" },
     NamedValue { HostEligibility::Quarantined, "quarantined" },
     NamedValue { HostEligibility::OnProbation, "on_trial" },
--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -113,6 +113,9 @@
     bool draining = false;
     /// Time until the host shuts down, as reported.
     Duration remaining {};
+    /// The host accepted no new connection when its side last tried. Its runs may continue, so they are kept, but
+    /// nothing is placed on the host.
+    bool refusesConnections = false;
     /// A complete list of the host's runs under the current fence has been received.
     bool listed = false;
     /// Orders to an earlier incarnation may have reached this one; false once a list has been processed.
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -392,7 +392,7 @@
         host.leaseUntilMilliseconds = std::max(host.leaseUntilMilliseconds, leaseEnd);
         host.orders.leaseUntilMilliseconds = host.leaseUntilMilliseconds;
         const Duration granted = milliseconds(host.leaseUntilMilliseconds - host.clockMilliseconds);
-        host.leaseExpiresAt = std::max(host.leaseExpiresAt, host.clockReadAt + m_state.withClockMargin(granted));
+        host.leaseExpiresAt = std::max(host.leaseExpiresAt, host.clockReadAt + withClockMargin(granted));
     }
 }
 
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Base/LogLine.h"
+#include "Decision/Job/ClockMargin.h"
 #include "Decision/Job/HostRegistry.h"
 #include "Decision/Job/JobState.h"
 #include "Decision/Job/StoreWriter.h"
@@ -21,8 +22,6 @@
     /// An owner grants no leases if the store has not confirmed its ownership for this time. A successor waits this
     /// long, so that no earlier owner can still be granting leases.
     Duration ownershipHold = seconds(9);
-    /// Largest share by which a host's clock may run slow.
-    double maximumClockDrift = 0.02;
     /// Longest uninterrupted time for which co-located tasks may push a serving task over its target.
     Duration interferenceBound = seconds(4);
     /// Finished jobs are kept for this time, so that clients can query their outcome.
@@ -38,12 +37,6 @@
     /// Delay before a task is retried after a failure or a refused start, so that a broken host does not use up the
     /// task's attempts.
     Duration retryDelayAfterFailure = milliseconds(50);
-
-    /// Returns how long to wait by this process's clock until the duration has certainly passed on another clock.
-    Duration withClockMargin(Duration duration) const
-    {
-        return std::chrono::duration_cast<Duration>(duration * (1 + 1.5 * maximumClockDrift)) + milliseconds(20);
-    }
 };
 
 /// Counters of the owner. The shell publishes them as metrics.
@@ -163,9 +156,6 @@
 
     /// Every run that this owner or an earlier one may have started is recorded or has ended.
     bool areAllHostsAccountedFor(Instant now) const { return countUnlistedHosts(now) == 0; }
-
-    /// See OwnerRules::withClockMargin().
-    Duration withClockMargin(Duration duration) const { return rules.withClockMargin(duration); }
 };
 
 /// Keys of the owner's records in the store.
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -61,6 +61,8 @@
         return HostEligibility::Draining;
     if (host.link == noLink)
         return HostEligibility::NoLink;
+    if (host.refusesConnections)
+        return HostEligibility::RefusesConnections;
     if (now - host.lastContactAt > m_rules.maximumReportAge)
         return HostEligibility::Silent;
     if (now < host.health.quarantinedUntil)
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -111,6 +111,7 @@
     host.labels = report.labels;
     host.capacity = report.capacity;
     host.remaining = milliseconds(report.remainingMilliseconds);
+    host.refusesConnections = report.refusesConnections;
     host.lastContactAt = now;
     return host;
 }
@@ -170,7 +171,7 @@
     }
     // A lease extension sent to an earlier incarnation may have reached this one before the first list.
     if (host.hasEarlierIncarnation)
-        host.leaseExpiresAt = std::max(host.leaseExpiresAt, now + m_state.withClockMargin(m_state.rules.longestLease));
+        host.leaseExpiresAt = std::max(host.leaseExpiresAt, now + withClockMargin(m_state.rules.longestLease));
     host.hasEarlierIncarnation = false;
     host.clockMilliseconds = report.clockMilliseconds;
     host.clockReadAt = now;
@@ -286,7 +287,7 @@
     run.fence = host.fence;
     // No recorded lease covers the run, so the host is assumed to hold the longest lease.
     if (now >= host.leaseExpiresAt)
-        host.leaseExpiresAt = now + m_state.withClockMargin(m_state.rules.longestLease);
+        host.leaseExpiresAt = now + withClockMargin(m_state.rules.longestLease);
     run.placedAt = now;
     run.startConfirmedAt = now;
     run.listed = true;
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -253,7 +253,8 @@
     std::vector<HostRun*> bestRuns;
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
-        if (!host.listed || host.draining || host.link == noLink || host.service != job.definition().serviceName)
+        if (!host.listed || host.draining || host.link == noLink || host.refusesConnections
+            || host.service != job.definition().serviceName)
             continue;
         std::int64_t processors = host.freeMilliCores();
         std::int64_t memory = host.freeMegabytes();
--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    /// Consecutive refused connections after which the host's process counts as ended: its port is closed.
-    constexpr int refusedConnectionsUntilEnded = 2;
     /// A host that answered within this time is still the same process, because a restart takes longer.
     constexpr Duration contactValidity = milliseconds(100);
 
@@ -46,6 +44,7 @@
     report.state = m_host->draining ? Wire::HostState::Draining : Wire::HostState::Ready;
     report.remainingMilliseconds = m_host->remainingMilliseconds;
     report.highestTerm = m_term;
+    report.refusesConnections = m_refusesConnections;
     return report;
 }
 
@@ -79,6 +78,8 @@
     m_departureNoticeReceived = false;
     m_incarnationUnconfirmed = false;
     m_contactLost = false;
+    m_refusesConnections = false;
+    m_leaseBound.reset();
     m_clockMilliseconds = 0;
     raiseLocalFence();
     m_announcedIdConfirmed = false;
@@ -86,7 +87,6 @@
     m_paces.clear();
     m_leaseUntilMilliseconds = 0;
     m_acknowledgedNumber = 0;
-    m_refusedConnections = 0;
     m_listWanted = false;
     m_listInFlight = false;
     m_nextListAt = now;
@@ -122,6 +122,7 @@
         m_listWanted = true;
         m_incarnationUnconfirmed = true;
         m_nextListAt = now;
+        m_leaseBound.emplace(now, m_timing.longestLease);
     }
     if (!isChanged)
         return;
@@ -193,17 +194,28 @@
     if (orders.fence > m_ownerFence)
         adoptOwnerFence(now, orders.fence);
     if (!isForCurrentIncarnation(orders)) {
+        if (!m_host)
+            return;
+        if (orders.incarnation >= m_host->incarnation) {
+            // A late announcement of an earlier incarnation may be the newest that this process has received.
+            actions.push_back(WriteLog { LogLine("orders_passed_over")
+                                             .add("host", orders.hostId)
+                                             .add("incarnation", orders.incarnation)
+                                             .add("known_incarnation", m_host->incarnation)
+                                             .text() });
+            return;
+        }
         // The incarnation that the orders were meant for has ended, and none of its runs continue.
         Wire::HostReport report;
         report.hostId = orders.hostId;
         report.incarnation = orders.incarnation;
         report.state = Wire::HostState::Gone;
         report.highestTerm = m_term;
-        if (m_host)
-            sendReport(std::move(report), actions);
+        sendReport(std::move(report), actions);
         return;
     }
     m_leaseUntilMilliseconds = std::max(m_leaseUntilMilliseconds, orders.leaseUntilMilliseconds);
+    m_leaseBound->onLeaseGranted(m_leaseUntilMilliseconds);
     m_acknowledgedNumber = std::max(m_acknowledgedNumber, orders.acknowledgedNumber);
     m_listWanted = true;
     for (const Wire::StartOrder& start : orders.starts) {
@@ -268,6 +280,7 @@
             response.reason == "fence" && order.fence < fence() ? "overtaken" : response.reason, actions);
         return;
     case HostAnswer::NotListening:
+        m_refusesConnections = true;
         sendResult(start.task, start.run, Wire::OrderOutcome::Refused, "not_listening", actions);
         m_nextListAt = now;
         return;
@@ -373,13 +386,14 @@
         return;
     switch (response.answer) {
     case HostAnswer::Done: {
-        m_refusedConnections = 0;
         if (isOtherIncarnation(response, m_clockMilliseconds)) {
             endIncarnation(now, "other_incarnation_listed", actions);
             return;
         }
         m_clockMilliseconds = response.clockMilliseconds;
+        m_leaseBound->onClockReading(now, response.clockMilliseconds);
         m_announcedIdConfirmed = true;
+        m_refusesConnections = false;
         Wire::HostReport report = makeReport();
         report.listed = true;
         report.listFence = order.fence;
@@ -400,9 +414,8 @@
         return;
     }
     case HostAnswer::NotListening:
-        onListFailed(now);
-        if (++m_refusedConnections >= refusedConnectionsUntilEnded || m_departureNoticeReceived)
-            endIncarnation(now, "its_port_is_closed", actions);
+        onListFailed(now, "connection_refused", actions);
+        onConnectionRefused(now, actions);
         return;
     case HostAnswer::OtherIncarnation:
         endIncarnation(now, "other_incarnation_answered", actions);
@@ -417,11 +430,29 @@
         return;
     }
     case HostAnswer::Uncertain:
-        onListFailed(now);
+        onListFailed(now, "no_answer", actions);
         return;
     }
 }
 
+void HostAgent::onConnectionRefused(Instant now, Actions& actions)
+{
+    // A refused connection alone does not show that the process has ended: a host at its limit of connections refuses
+    // new ones while its runs continue.
+    if (m_departureNoticeReceived && m_host->draining) {
+        endIncarnation(now, "departed", actions);
+        return;
+    }
+    if (m_leaseBound->isOver(now)) {
+        endIncarnation(now, "unreachable_beyond_its_leases", actions);
+        return;
+    }
+    if (m_refusesConnections)
+        return;
+    m_refusesConnections = true;
+    sendReport(makeReport(), actions);
+}
+
 bool HostAgent::isOtherIncarnation(const HostResponse& response, std::int64_t previousClock) const
 {
     if (response.incarnation != 0)
@@ -431,10 +462,16 @@
 
 void HostAgent::raiseLocalFence() { m_localFenceRaises = std::min(m_localFenceRaises + 1, fencesPerOwnerFence - 1); }
 
-void HostAgent::onListFailed(Instant now)
+void HostAgent::onListFailed(Instant now, const char* reason, Actions& actions)
 {
-    if (!m_contactLost)
+    if (!m_contactLost) {
         raiseLocalFence();
+        actions.push_back(WriteLog { LogLine("host_contact_lost")
+                                         .add("host", m_host->hostId)
+                                         .add("incarnation", m_host->incarnation)
+                                         .add("why", reason)
+                                         .text() });
+    }
     m_contactLost = true;
     m_nextListAt = now + (m_departureNoticeReceived ? m_timing.shortListDelay : m_timing.failureRetryDelay);
     m_incarnationUnconfirmed = true;
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "Decision/Job/HostRegistry.h"
+#include "Decision/Process/LeaseBound.h"
 #include "Decision/Process/Ownership.h"
 #include "Decision/Process/PeerLink.h"
 
@@ -40,6 +41,8 @@
     /// Longest wait of a read of the owner claims while this side is not connected to an owner. Bounds how late a new
     /// owner is found.
     Duration ownerReadWait = milliseconds(700);
+    /// The platform's longest lease.
+    Duration longestLease = seconds(10);
 };
 
 /// Runs one side without a clock, threads or sockets. One object per process.
@@ -95,7 +98,8 @@
     }
     void adoptOwnerFence(Instant now, std::int64_t fence);
     void addHalt(Instant now, const Wire::TaskName& task, int run, const std::string& reason);
-    void onListFailed(Instant now);
+    void onListFailed(Instant now, const char* reason, Actions& actions);
+    void onConnectionRefused(Instant now, Actions& actions);
     void raiseLocalFence();
     /// Whether the response comes from another incarnation. If the response names no incarnation, a host clock below
     /// its previous reading shows this, because the clock restarts with each incarnation.
@@ -123,8 +127,12 @@
     /// incarnation refuses orders sent before that.
     std::int64_t m_localFenceRaises = 0;
     std::optional<HostDescription> m_host;
-    /// The host has announced its departure, so the first refused connection already means that it has ended.
+    /// The host has announced its departure. The notice names no incarnation, so it counts only while the host is
+    /// draining, as every host is before it shuts down.
     bool m_departureNoticeReceived = false;
+    /// The newest list or start found no listener. The host may have ended, or its runs may go on while it accepts no
+    /// new connection.
+    bool m_refusesConnections = false;
     /// The host has not answered recently, so its next answer may come from a later incarnation. Until that is ruled
     /// out, lists carry neither the lease nor the acknowledgements, which are meant for this incarnation only.
     bool m_incarnationUnconfirmed = false;
@@ -135,6 +143,7 @@
     /// The host has answered a list under the id that it announced.
     bool m_announcedIdConfirmed = false;
     std::int64_t m_leaseUntilMilliseconds = 0;
+    std::optional<LeaseBound> m_leaseBound;
     std::int64_t m_acknowledgedNumber = 0;
     bool m_listInFlight = false;
     bool m_listWanted = false;
@@ -144,7 +153,6 @@
     Instant m_listSentAt;
     Instant m_lastListAnswerAt;
     Instant m_nextListAt;
-    int m_refusedConnections = 0;
     std::map<RunKey, Halt> m_halts;
     /// The newest unconfirmed pace order of each run. Only this one is repeated, so that an older order cannot override
     /// it.
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -285,7 +285,7 @@
         const bool isFromFormerOwner = m_stage == Stage::Following || pulse->term == m_formerTerm;
         if (isFromFormerOwner && pulse->predecessorsHoldMilliseconds > 0)
             m_predecessorHold = PredecessorHold { pulse->term,
-                now + m_rules.withClockMargin(milliseconds(pulse->predecessorsHoldMilliseconds)) };
+                now + withClockMargin(milliseconds(pulse->predecessorsHoldMilliseconds)) };
         if (pulse->term < m_current.term)
             continue;
         m_lastPulseReadAt = now;
@@ -354,14 +354,14 @@
 {
     // The store has confirmed no earlier owner since the fence, so every lease of an earlier owner ends within the
     // ownership hold.
-    const Duration hold = m_rules.withClockMargin(m_rules.ownershipHold);
+    const Duration hold = withClockMargin(m_rules.ownershipHold);
     if (!m_formerOwnerEnded)
         return LeaseWait { hold, "former_owner_may_hold" };
     // A former owner that has ended grants no more leases. Owners before it may still do so for as long as the former
     // owner would have waited.
     if (m_formerTerm == 0 || m_predecessorHold.term != m_formerTerm)
         return LeaseWait { hold, "predecessors_unknown" };
-    const Duration lease = m_rules.withClockMargin(m_rules.lease);
+    const Duration lease = withClockMargin(m_rules.lease);
     const Duration left = m_predecessorHold.holdUntil - now;
     if (left > lease)
         return LeaseWait { std::min(left, hold), "predecessors_may_hold" };
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -6719,6 +6719,10 @@
 void HostReport::__set_endsOmitted(const bool val) {
   this->endsOmitted = val;
 }
+
+void HostReport::__set_refusesConnections(const bool val) {
+  this->refusesConnections = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -6933,6 +6937,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refusesConnections);
+          this->__isset.refusesConnections = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7050,6 +7062,10 @@
   xfer += oprot->writeBool(this->endsOmitted);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("refusesConnections", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->refusesConnections);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7074,6 +7090,7 @@
   swap(a.highestTerm, b.highestTerm);
   swap(a.listFence, b.listFence);
   swap(a.endsOmitted, b.endsOmitted);
+  swap(a.refusesConnections, b.refusesConnections);
   swap(a.__isset, b.__isset);
 }
 
@@ -7095,6 +7112,7 @@
   highestTerm = other178.highestTerm;
   listFence = other178.listFence;
   endsOmitted = other178.endsOmitted;
+  refusesConnections = other178.refusesConnections;
   __isset = other178.__isset;
 }
 HostReport::HostReport(HostReport&& other179) noexcept {
@@ -7115,6 +7133,7 @@
   highestTerm = other179.highestTerm;
   listFence = other179.listFence;
   endsOmitted = other179.endsOmitted;
+  refusesConnections = other179.refusesConnections;
   __isset = other179.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other180) {
@@ -7135,6 +7154,7 @@
   highestTerm = other180.highestTerm;
   listFence = other180.listFence;
   endsOmitted = other180.endsOmitted;
+  refusesConnections = other180.refusesConnections;
   __isset = other180.__isset;
   return *this;
 }
@@ -7156,6 +7176,7 @@
   highestTerm = other181.highestTerm;
   listFence = other181.listFence;
   endsOmitted = other181.endsOmitted;
+  refusesConnections = other181.refusesConnections;
   __isset = other181.__isset;
   return *this;
 }
@@ -7179,6 +7200,7 @@
   out << ", " << "highestTerm=" << to_string(highestTerm);
   out << ", " << "listFence=" << to_string(listFence);
   out << ", " << "endsOmitted=" << to_string(endsOmitted);
+  out << ", " << "refusesConnections=" << to_string(refusesConnections);
   out << ")";
 }
 
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -2629,7 +2629,7 @@
 std::ostream& operator<<(std::ostream& out, const OrderResult& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : hostId(false), incarnation(false), serviceName(false), zone(false), rack(false), labels(false), capacity(false), state(false), remainingMilliseconds(false), listed(false), clockMilliseconds(false), running(false), ended(false), results(false), highestTerm(false), listFence(false), endsOmitted(false) {}
+  _HostReport__isset() : hostId(false), incarnation(false), serviceName(false), zone(false), rack(false), labels(false), capacity(false), state(false), remainingMilliseconds(false), listed(false), clockMilliseconds(false), running(false), ended(false), results(false), highestTerm(false), listFence(false), endsOmitted(false), refusesConnections(false) {}
   bool hostId :1;
   bool incarnation :1;
   bool serviceName :1;
@@ -2647,6 +2647,7 @@
   bool highestTerm :1;
   bool listFence :1;
   bool endsOmitted :1;
+  bool refusesConnections :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -2668,7 +2669,8 @@
                clockMilliseconds(0),
                highestTerm(0),
                listFence(0),
-               endsOmitted(0) {
+               endsOmitted(0),
+               refusesConnections(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -2693,6 +2695,7 @@
   int64_t highestTerm;
   int64_t listFence;
   bool endsOmitted;
+  bool refusesConnections;
 
   _HostReport__isset __isset;
 
@@ -2730,6 +2733,8 @@
 
   void __set_endsOmitted(const bool val);
 
+  void __set_refusesConnections(const bool val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(hostId == rhs.hostId))
@@ -2766,6 +2771,8 @@
       return false;
     if (!(endsOmitted == rhs.endsOmitted))
       return false;
+    if (!(refusesConnections == rhs.refusesConnections))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -339,6 +339,8 @@
   // the list does not contain.
   16: i64 listFence
   17: bool endsOmitted
+  // The host accepts no new connections. Its runs may continue.
+  18: bool refusesConnections
 }
 
 struct StartOrder {
--- a/Tests/Support/OrderSimulation.cpp
+++ b/Tests/Support/OrderSimulation.cpp
@@ -57,8 +57,10 @@
     m_ordersLateUntil = m_now;
     for (OwnerModel& model : m_owners)
         model.frozenUntil = m_now;
-    for (Side& side : m_sides)
+    for (Side& side : m_sides) {
         side.unreachableUntil = m_now;
+        side.refusesConnectionsUntil = m_now;
+    }
     for (const int until = m_now + faultFreeMilliseconds; m_now < until;)
         step();
 }
@@ -80,6 +82,9 @@
         m_storeUnavailableUntil = m_now + randomBelow(3000);
     if (chance(0.001))
         m_ordersLateUntil = m_now + randomBelow(4000);
+    if (chance(0.001))
+        m_sides[static_cast<std::size_t>(randomBelow(hostCount))].refusesConnectionsUntil
+            = m_now + randomBelow(chance(0.5) ? 500 : 4000);
 }
 
 void OrderSimulation::submit()
@@ -130,7 +135,7 @@
     next.owner = std::make_unique<JobOwner>("entry", term, OwnerRules {}, at(m_now));
     next.owner->loadRecords(newestRecords());
     Actions actions;
-    const Duration hold = next.owner->state().withClockMargin(OwnerRules {}.ownershipHold);
+    const Duration hold = withClockMargin(OwnerRules {}.ownershipHold);
     next.owner->finishLoad(at(m_now), m_now, at(m_now) + hold, actions);
     m_owners.push_back(std::move(next));
     performOwner(term, std::move(actions));
@@ -391,6 +396,13 @@
     return m_sides[n].hostUp && (m_restartMode == HostRestarts::Immediate || m_sides[n].host->fence() > 0);
 }
 
+bool OrderSimulation::isConnectionRefused(std::size_t n)
+{
+    // Connections that the side has kept open still reach a host that refuses new ones.
+    constexpr double refusedShare = 0.8;
+    return !m_sides[n].hostUp || (m_now < m_sides[n].refusesConnectionsUntil && chance(refusedShare));
+}
+
 void OrderSimulation::respondToSide(std::size_t n, int process, int delay, const HostResponse& response,
     const std::function<void(HostAgent&, const HostResponse&, Actions&)>& answer)
 {
@@ -420,7 +432,7 @@
     }
     schedule(randomBelow(3), [this, n, process, execute, answer] {
         HostResponse response;
-        if (!m_sides[n].hostUp) {
+        if (isConnectionRefused(n)) {
             response.answer = HostAnswer::NotListening;
             respondToSide(n, process, 1, response, answer);
             return;
@@ -466,9 +478,10 @@
     }
     // The lease and the acknowledgement take effect on arrival; the response waits for an end of a run.
     schedule(1, [this, n, order, process = m_sides[n].process, wait] {
-        if (m_sides[n].hostUp)
+        const bool refused = isConnectionRefused(n);
+        if (!refused)
             executeList(*m_sides[n].host, order);
-        const std::int64_t incarnation = m_sides[n].hostUp ? m_sides[n].host->incarnation() : 0;
+        const std::int64_t incarnation = refused ? 0 : m_sides[n].host->incarnation();
         awaitEnd(n, process, incarnation, m_now + wait, order);
     });
 }
--- a/Tests/Support/OrderSimulation.h
+++ b/Tests/Support/OrderSimulation.h
@@ -70,6 +70,8 @@
         int announceAt = 0;
         /// Messages to and from the side are delayed until then.
         int unreachableUntil = 0;
+        /// The host refuses most new connections until then, while its runs continue.
+        int refusesConnectionsUntil = 0;
     };
 
     bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
@@ -101,6 +103,8 @@
     void callHost(std::size_t n, const std::function<HostResponse(VirtualHost&)>& execute,
         const std::function<void(HostAgent&, const HostResponse&, Actions&)>& answer);
     void listHost(std::size_t n, const ListHost& order);
+    /// Whether a call to the host finds no listener: the host is down, or it refuses this connection.
+    bool isConnectionRefused(std::size_t n);
     /// Whether a late order to an earlier incarnation takes effect on the host.
     bool acceptsLateOrders(std::size_t n) const;
     HostResponse executeList(VirtualHost& host, const ListHost& order) const;
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -15,7 +15,9 @@
     CPPUNIT_TEST(startsNothingOnADrainingHost);
     CPPUNIT_TEST(ignoresOrdersOfAnEarlierTerm);
     CPPUNIT_TEST(ignoresALateAnnouncement);
-    CPPUNIT_TEST(twoRefusedConnectionsEndTheHost);
+    CPPUNIT_TEST(refusedConnectionsDoNotEndTheHost);
+    CPPUNIT_TEST(aHostThatRefusesConnectionsEndsWithItsLeases);
+    CPPUNIT_TEST(ordersForALaterIncarnationDoNotEndIt);
     CPPUNIT_TEST(repeatsAnUnansweredPaceOrder);
     CPPUNIT_TEST(aHostThatMayHaveRestartedGetsNoLeaseOfAnEarlierIncarnation);
     CPPUNIT_TEST(aListOfAnEarlierFenceIsNotReported);
@@ -23,7 +25,7 @@
     CPPUNIT_TEST(aStartResponseThatAListOvertookDoesNotEndTheHost);
     CPPUNIT_TEST(aStartRefusedAsOldIsHalted);
     CPPUNIT_TEST(anAnnouncementRevokesADepartureNotice);
-    CPPUNIT_TEST(aDepartureNoticeTakesEffectOnceThePortIsClosed);
+    CPPUNIT_TEST(aDepartureNoticeEndsADrainingHostOnceThePortIsClosed);
     CPPUNIT_TEST(anAnnouncementOfAnotherServiceReplacesNoHost);
     CPPUNIT_TEST_SUITE_END();
 
@@ -180,18 +182,62 @@
         CPPUNIT_ASSERT(messagesOf<Wire::HostReport>(late).empty());
     }
 
-    void twoRefusedConnectionsEndTheHost()
+    /// Answers the list that is due at this time with a refused connection.
+    static Actions refuseList(Harness& harness, int now)
+    {
+        Actions actions;
+        harness.agent.onListResponse(
+            at(now + 1), actionsOf<ListHost>(harness.tick(now)).at(0), makeResponse(HostAnswer::NotListening), actions);
+        return actions;
+    }
+
+    // Guards against a second run of a running task: a host at its limit of connections refuses new ones while its runs
+    // continue.
+    void refusedConnectionsDoNotEndTheHost()
     {
         Harness harness;
         harness.sendOrders(10, Harness::makeStartOrders(4));
+        const std::vector<Wire::HostReport> first = messagesOf<Wire::HostReport>(refuseList(harness, 11));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.size());
+        CPPUNIT_ASSERT_EQUAL(Wire::HostState::Ready, first[0].state);
+        CPPUNIT_ASSERT_MESSAGE("nothing is to be placed on the host", first[0].refusesConnections);
+        for (int now = 200; now < 1500; now += 200)
+            CPPUNIT_ASSERT_MESSAGE(
+                "the refusal is reported once", messagesOf<Wire::HostReport>(refuseList(harness, now)).empty());
+        HostResponse listed = makeResponse(HostAnswer::Done);
+        listed.running.push_back(makeRunningTask(makeTask("00000000000000aa", 0, 0), 1));
         Actions actions;
-        harness.agent.onListResponse(
-            at(12), actionsOf<ListHost>(harness.tick(11)).at(0), makeResponse(HostAnswer::NotListening), actions);
-        CPPUNIT_ASSERT_MESSAGE(
-            "one refused connection may come from a full accept queue", messagesOf<Wire::HostReport>(actions).empty());
-        harness.agent.onListResponse(
-            at(200), actionsOf<ListHost>(harness.tick(150)).at(0), makeResponse(HostAnswer::NotListening), actions);
-        CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, messagesOf<Wire::HostReport>(actions).at(0).state);
+        harness.agent.onListResponse(at(1601), actionsOf<ListHost>(harness.tick(1600)).at(0), listed, actions);
+        const std::vector<Wire::HostReport> later = messagesOf<Wire::HostReport>(actions);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), later.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), later[0].incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), later[0].running.size());
+        CPPUNIT_ASSERT(!later[0].refusesConnections);
+    }
+
+    // Guards against runs that are never given up: a host that ended without a notice refuses all connections.
+    void aHostThatRefusesConnectionsEndsWithItsLeases()
+    {
+        constexpr int leasesEnd = 4 + 10'320;
+        Harness harness;
+        harness.sendOrders(10, Harness::makeStartOrders(4));
+        CPPUNIT_ASSERT(messagesOf<Wire::HostReport>(refuseList(harness, leasesEnd - 200)).at(0).refusesConnections);
+        const std::vector<Wire::HostReport> reports = messagesOf<Wire::HostReport>(refuseList(harness, leasesEnd));
+        CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, reports.at(0).state);
+    }
+
+    // Guards against giving up the runs of a later incarnation when a late announcement of an earlier one is the newest
+    // that a restarted side has received.
+    void ordersForALaterIncarnationDoNotEndIt()
+    {
+        Harness harness;
+        Wire::HostOrders orders = Harness::makeStartOrders(4);
+        orders.incarnation = 2;
+        CPPUNIT_ASSERT(messagesOf<Wire::HostReport>(harness.sendOrders(10, orders)).empty());
+        orders.incarnation = 0;
+        const std::vector<Wire::HostReport> earlier = messagesOf<Wire::HostReport>(harness.sendOrders(11, orders));
+        CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, earlier.at(0).state);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), earlier.at(0).incarnation);
     }
 
     // Guards against a lease and acknowledgements that reach the next incarnation of a host under the same id.
@@ -292,18 +338,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), actionsOf<HaltOnHost>(harness.tick(21)).size());
     }
 
-    // Guards against a second run of a running task: a delayed departure notice may stem from an earlier incarnation.
-    void aDepartureNoticeTakesEffectOnceThePortIsClosed()
+    // Guards against a second run of a running task: a delayed departure notice may stem from an earlier incarnation,
+    // and a host at its limit of connections refuses new ones. Only a host that drains shuts down.
+    void aDepartureNoticeEndsADrainingHostOnceThePortIsClosed()
     {
-        Harness harness;
-        harness.sendOrders(10, Harness::makeStartOrders(4));
-        const ListHost list = actionsOf<ListHost>(harness.tick(11)).at(0);
-        Actions actions;
-        harness.agent.onDepartureNotice(at(12), "host-1", actions);
-        CPPUNIT_ASSERT(messagesOf<Wire::HostReport>(actions).empty());
-        Actions closed;
-        harness.agent.onListResponse(at(14), list, makeResponse(HostAnswer::NotListening), closed);
-        CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, messagesOf<Wire::HostReport>(closed).at(0).state);
+        for (const bool draining : { false, true }) {
+            Harness harness;
+            harness.sendOrders(10, Harness::makeStartOrders(4));
+            HostDescription description = describeHost(1, 2);
+            description.draining = draining;
+            Actions actions;
+            harness.agent.onAnnouncement(at(10), description, actions);
+            const ListHost list = actionsOf<ListHost>(harness.tick(11)).at(0);
+            Actions notice;
+            harness.agent.onDepartureNotice(at(12), "host-1", notice);
+            CPPUNIT_ASSERT(messagesOf<Wire::HostReport>(notice).empty());
+            Actions closed;
+            harness.agent.onListResponse(at(14), list, makeResponse(HostAnswer::NotListening), closed);
+            CPPUNIT_ASSERT_EQUAL(draining ? Wire::HostState::Gone : Wire::HostState::Ready,
+                messagesOf<Wire::HostReport>(closed).at(0).state);
+        }
     }
 
     // Guards against a second run of a running task: after a delayed departure notice of an earlier incarnation, one
@@ -317,7 +371,7 @@
         harness.agent.onDepartureNotice(at(12), "host-1", actions);
         harness.agent.onAnnouncement(at(13), describeHost(1, 2), actions);
         harness.agent.onListResponse(at(14), list, makeResponse(HostAnswer::NotListening), actions);
-        CPPUNIT_ASSERT(messagesOf<Wire::HostReport>(actions).empty());
+        CPPUNIT_ASSERT_EQUAL(Wire::HostState::Ready, messagesOf<Wire::HostReport>(actions).at(0).state);
     }
 
     static bool logs(const Actions& actions, const std::string& event)
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(reportsCompletedOnceTheEndIsStored);
     CPPUNIT_TEST(aCancelledJobStaysCancelled);
     CPPUNIT_TEST(restartsTasksElsewhereAfterTheLeaseExpires);
+    CPPUNIT_TEST(keepsTheRunsOfAHostThatRefusesConnections);
     CPPUNIT_TEST(restartsNoRunThatASuccessorMayHaveAdopted);
     CPPUNIT_TEST(stopsGrantingLeasesWhenTheStoreStaysUnavailable);
     CPPUNIT_TEST(doesNotReportAJobAsMissingWhenItMayHaveBeenReplaced);
@@ -57,6 +58,30 @@
         harness.settle(70);
     }
 
+    // Guards against a second run of a running task whose host accepts no new connection, and against tasks that are
+    // placed on that host again and again.
+    void keepsTheRunsOfAHostThatRefusesConnections()
+    {
+        OwnerHarness harness;
+        acceptJobWithOneHost(harness, makeJob("00000000000000aa", { makeStep(1, 1000, 300) }));
+        const Wire::TaskName task = harness.startOrders.at(0).task;
+        harness.announceAndReport(200, listing(300, { makeRunningTask(task, 1) }));
+        Wire::HostReport refusing = listing(300, {});
+        refusing.listed = false;
+        refusing.refusesConnections = true;
+        harness.deliverReport(300, refusing);
+        harness.announceAndReport(310, makeReport("host-2", 1, 100), testLink + 1);
+        harness.submit(320, makeJob("00000000000000ab", { makeStep(2, 500, 300) }));
+        harness.settle(330);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.owner.state().hosts.hosts().at("host-1").runs.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.owner.state().hosts.hosts().at("host-2").runs.size());
+        harness.announceAndReport(500, listing(600, { makeRunningTask(task, 1) }));
+        harness.submit(510, makeJob("00000000000000ac", { makeStep(1, 3000, 300) }));
+        harness.settle(520);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            "host-1 is reachable again", std::size_t(2), harness.owner.state().hosts.hosts().at("host-1").runs.size());
+    }
+
     void acceptsAndStartsOnlyStoredJobs()
     {
         OwnerHarness harness;
--- a/Tests/Unit/RunHistoryTest.cpp
+++ b/Tests/Unit/RunHistoryTest.cpp
@@ -118,7 +118,7 @@
         OwnerModel next { term, std::make_unique<JobOwner>("entry", term, OwnerRules {}, at(m_now)) };
         next.owner->loadRecords(newestRecords());
         Actions actions;
-        const Duration hold = next.owner->state().withClockMargin(OwnerRules {}.ownershipHold);
+        const Duration hold = withClockMargin(OwnerRules {}.ownershipHold);
         next.owner->finishLoad(at(m_now), m_now, at(m_now) + hold, actions);
         m_owners.push_back(std::move(next));
         for (SideModel& side : m_sides)
--- a/Tests/Unit/WaitLoggerTest.cpp
+++ b/Tests/Unit/WaitLoggerTest.cpp
@@ -169,6 +169,7 @@
         addHost(hosts).listed = false;
         addHost(hosts).draining = true;
         addHost(hosts).link = noLink;
+        addHost(hosts).refusesConnections = true;
         addHost(hosts).lastContactAt = at(-5000);
         addHost(hosts).health.quarantinedUntil = at(500);
         Host& hostOnProbation = addHost(hosts);
@@ -188,11 +189,12 @@
         const Placement placement(PlacementRules {}, paces);
         HostEligibilityCounts counts;
         CPPUNIT_ASSERT(!placement.chooseHost(hosts, request, at(0), &counts));
-        for (const HostEligibility eligibility : { HostEligibility::OtherService, HostEligibility::NotListed,
-                 HostEligibility::Draining, HostEligibility::NoLink, HostEligibility::Silent,
-                 HostEligibility::Quarantined, HostEligibility::OnProbation, HostEligibility::OtherRack,
-                 HostEligibility::NoLabel, HostEligibility::NoProcessors, HostEligibility::NoMemory,
-                 HostEligibility::NoAccelerators, HostEligibility::RunsTheTask, HostEligibility::StepAtMaximum })
+        for (const HostEligibility eligibility :
+            { HostEligibility::OtherService, HostEligibility::NotListed, HostEligibility::Draining,
+                HostEligibility::NoLink, HostEligibility::RefusesConnections, HostEligibility::Silent,
+                HostEligibility::Quarantined, HostEligibility::OnProbation, HostEligibility::OtherRack,
+                HostEligibility::NoLabel, HostEligibility::NoProcessors, HostEligibility::NoMemory,
+                HostEligibility::NoAccelerators, HostEligibility::RunsTheTask, HostEligibility::StepAtMaximum })
             CPPUNIT_ASSERT_EQUAL_MESSAGE(
                 std::string(nameIn(hostEligibilityNames, eligibility)), 1, counts.count(eligibility));
         CPPUNIT_ASSERT_EQUAL(0, counts.count(HostEligibility::Eligible));
