Entry: Answer a call by the owner that decides it

Cause: a reply was matched with its call by the call's id alone. A call that was forwarded again after a change of owner could be ended by the refusal of the former owner while the present one stored the job. Class: what an earlier owner says is taken for the present one's answer.

Change: each forwarded copy has an id of its own (CallForwards). An acceptance ends the call whoever sent it, as it is stored. Any other reply counts only from the newest term. A refusal counts only if the same owner has no other copy left to read; a copy on a lost connection makes the answer "unknown", one on the same connection is waited for. A call is no longer forwarded to the former owner while this entry takes over. Ownership::isStoreAnswering was always true where it was asked and is removed.

Four cases in JobEntryCoreTest name the patterns.

--- a/Source/Decision/Process/JobEntryCore.cpp
+++ b/Source/Decision/Process/JobEntryCore.cpp
@@ -90,7 +90,6 @@
 {
     Wire::JobCall wireCall;
     wireCall.kind = call.kind;
-    wireCall.callId = static_cast<std::int64_t>(token);
     if (!m_policy) {
         refuseCall(token, wireCall, "no_configuration", actions);
         return;
@@ -150,15 +149,50 @@
 
 void JobEntryCore::forwardCall(Instant now, CallerToken token, PendingCall& pending, Actions& actions)
 {
-    if (JobOwner* owner = m_ownership.owner(); owner && m_ownership.isStoreAnswering(now)) {
-        pending.isForwarded = true;
-        // The owner may answer within onCall(), which may remove the pending call, so the call is copied.
-        const Wire::JobCall call = pending.call;
-        owner->onCall(now, CallOrigin { noLink, token }, call, actions);
-    } else if (m_ownerLink.isUp()) {
-        pending.isForwarded = true;
-        actions.push_back(SendMessage { m_ownerLink.link(), pending.call });
+    JobOwner* owner = m_ownership.owner();
+    // During a take-over the connection still leads to the former owner, whose writes the store no longer accepts.
+    if (!owner && (m_ownership.isTakingOver() || !m_ownerLink.isUp()))
+        return;
+    Wire::JobCall copy = pending.call;
+    copy.callId = ++m_lastForwardedCallId;
+    m_forwardedCopies.emplace(copy.callId, token);
+    if (owner) {
+        pending.forwards.add(copy.callId, owner->term(), noLink);
+        // The owner may answer within onCall(), which may remove the pending call.
+        owner->onCall(now, CallOrigin { noLink, token }, copy, actions);
+    } else {
+        pending.forwards.add(copy.callId, m_ownership.currentOwner().term, m_ownerLink.link());
+        actions.push_back(SendMessage { m_ownerLink.link(), std::move(copy) });
+    }
+}
+
+void JobEntryCore::onReply(const Wire::JobReply& reply, Actions& actions)
+{
+    const std::unordered_map<std::int64_t, CallerToken>::const_iterator copy = m_forwardedCopies.find(reply.callId);
+    // A copy without a record belongs to a call that has been answered.
+    if (copy == m_forwardedCopies.end())
+        return;
+    const CallerToken token = copy->second;
+    m_forwardedCopies.erase(copy);
+    PendingCall& pending = m_pending.at(token);
+    const CallForwards::Verdict verdict = pending.forwards.onReply(reply.callId, reply.kind);
+    if (verdict == CallForwards::Verdict::Final) {
+        sendAnswer(token, reply, actions);
+        return;
     }
+    actions.push_back(WriteLog { LogLine("reply_passed_over")
+                                     .add("job", pending.call.jobId)
+                                     .add("outcome", nameIn(replyNames, reply.kind))
+                                     .add("reason", reply.reason)
+                                     .add("term", m_ownership.currentOwner().term)
+                                     .text() });
+    if (verdict == CallForwards::Verdict::Superseded)
+        return;
+    Wire::JobReply unknown;
+    unknown.kind = Wire::JobReplyKind::Unknown;
+    unknown.reason = "one_of_several_copies_refused";
+    unknown.retryAfterMilliseconds = toMilliseconds(m_timing.retryAfter);
+    sendAnswer(token, std::move(unknown), actions);
 }
 
 void JobEntryCore::sendAnswer(CallerToken token, Wire::JobReply reply, Actions& actions)
@@ -198,6 +232,8 @@
         LogLine line("answer");
         line.add("call", nameIn(callNames, call.kind)).add("job", call.jobId).add("outcome", nameIn(replyNames, kind));
         line.add("reason", answer->reply.reason).add("took_ms", toMilliseconds(elapsed));
+        for (const std::int64_t callId : it->second.forwards.callIds())
+            m_forwardedCopies.erase(callId);
         m_pending.erase(it);
         if (!isRoutine || elapsed > milliseconds(500))
             actions.push_back(WriteLog { line.text() });
@@ -268,9 +304,7 @@
         pong.number = ping->number;
         actions.push_back(SendMessage { link, pong });
     } else if (const Wire::JobReply* reply = std::get_if<Wire::JobReply>(&message)) {
-        const CallerToken token = static_cast<CallerToken>(reply->callId);
-        if (m_pending.contains(token))
-            actions.push_back(AnswerJobCall { token, *reply });
+        onReply(*reply, actions);
     } else if (const Wire::NodeHello* hello = std::get_if<Wire::NodeHello>(&message)) {
         onHello(now, link, *hello, actions);
     } else if (!owner) {
@@ -343,14 +377,15 @@
     const bool canForwardLater = mayForwardCalls();
     for (const std::pair<const CallerToken, PendingCall>& entry : m_pending) {
         const PendingCall& pending = entry.second;
-        if (!pending.isForwarded && !canForwardLater) {
+        if (pending.forwards.isEmpty() && !canForwardLater) {
             refuseCall(entry.first, pending.call, "leaving", actions);
-        } else if (!pending.isForwarded && now - pending.arrived >= m_timing.ownerTimeout) {
+        } else if (pending.forwards.isEmpty() && now - pending.arrived >= m_timing.ownerTimeout) {
             refuseCall(entry.first, pending.call, "no_owner", actions);
         } else if (now >= pending.answerBy || m_isFinishingShutdown) {
             Wire::JobReply reply;
-            reply.kind = pending.isForwarded ? Wire::JobReplyKind::Unknown : Wire::JobReplyKind::Refused;
-            reply.reason = pending.isForwarded ? "no_answer_from_owner" : "no_owner";
+            const bool isForwarded = !pending.forwards.isEmpty();
+            reply.kind = isForwarded ? Wire::JobReplyKind::Unknown : Wire::JobReplyKind::Refused;
+            reply.reason = isForwarded ? "no_answer_from_owner" : "no_owner";
             reply.retryAfterMilliseconds = toMilliseconds(m_timing.retryAfter);
             actions.push_back(AnswerJobCall { entry.first, reply });
         }
@@ -370,7 +405,7 @@
         }
     }
     const bool awaitsAnswer = std::any_of(m_pending.begin(), m_pending.end(),
-        [](const std::pair<const CallerToken, PendingCall>& entry) { return entry.second.isForwarded; });
+        [](const std::pair<const CallerToken, PendingCall>& entry) { return !entry.second.forwards.isEmpty(); });
     if (m_ownerLink.tick(now, awaitsAnswer, actions))
         m_ownership.setLinkBroken(true);
     if (m_ownership.owner() || m_ownerLink.isUp())
--- a/Source/Decision/Process/JobEntryCore.h
+++ b/Source/Decision/Process/JobEntryCore.h
@@ -2,6 +2,7 @@
 /// the owner while this process holds the ownership.
 #pragma once
 
+#include "Decision/Process/CallForwards.h"
 #include "Decision/Process/Ownership.h"
 #include "Decision/Process/PeerLink.h"
 
@@ -71,8 +72,8 @@
         Wire::JobCall call;
         Instant arrived;
         Instant answerBy;
-        /// Whether the call was passed to an owner. After that, only the owner can state that nothing was accepted.
-        bool isForwarded = false;
+        /// After the call was forwarded, only an owner can state that nothing was accepted.
+        CallForwards forwards;
     };
 
     Wire::NodeHello makeHello() const;
@@ -80,6 +81,7 @@
     /// Whether calls can be forwarded to an owner now or may wait for one.
     bool mayForwardCalls() const;
     void forwardCall(Instant now, CallerToken token, PendingCall& pending, Actions& actions);
+    void onReply(const Wire::JobReply& reply, Actions& actions);
     void sendAnswer(CallerToken token, Wire::JobReply reply, Actions& actions);
     void refuseCall(CallerToken token, const Wire::JobCall& call, const char* reason, Actions& actions);
     void expirePendingCalls(Instant now, Actions& actions);
@@ -98,6 +100,9 @@
     std::uint64_t m_lastPolicyCallId;
     std::shared_ptr<const PolicySnapshot> m_policy;
     std::unordered_map<CallerToken, PendingCall> m_pending;
+    /// The calls whose copies were forwarded, by the copy's call id.
+    std::unordered_map<std::int64_t, CallerToken> m_forwardedCopies;
+    std::int64_t m_lastForwardedCallId = 0;
     /// Links of sides and other entries to this process.
     std::set<LinkId> m_followers;
     Instant m_ownerLastConnectedAt;
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-    /// A store that has not answered for this time counts as unavailable.
-    constexpr Duration storeTimeout = milliseconds(2000);
     /// Time limit for handling a read's response after the read's wait, and for the claim that results from it. The
     /// call itself times out no later, so a longer delay means that this process was suspended and the response is out
     /// of date.
@@ -28,12 +26,6 @@
 {
 }
 
-bool Ownership::isStoreAnswering(Instant now) const
-{
-    return now - std::max(m_pulseWatcher.lastAnswerAt(), m_claimWatcher.lastAnswerAt()) < storeTimeout
-        || m_stage == Stage::Owning;
-}
-
 void Ownership::tick(Instant now, std::int64_t unixMilliseconds, Actions& actions)
 {
     m_unixMilliseconds = unixMilliseconds;
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -66,7 +66,6 @@
     /// This process has won the ownership and has not yet finished the take-over.
     bool isTakingOver() const { return m_stage == Stage::Fencing || m_stage == Stage::Loading; }
     const CurrentOwner& currentOwner() const { return m_current; }
-    bool isStoreAnswering(Instant now) const;
 
     /// Called when the ownership changes; `owns` says whether this process is the owner now.
     std::function<void(Instant now, bool owns, Actions& actions)> onChange;
--- /dev/null
+++ b/Tests/Support/CallSimulation.cpp
@@ -0,0 +1,361 @@
+#include "Support/CallSimulation.h"
+
+#include "Support/JobFixture.h"
+
+#include <iostream>
+
+namespace Plantainpier {
+
+namespace {
+
+    constexpr std::size_t entryCount = 3;
+    constexpr int stepMilliseconds = 5;
+    constexpr int submissionIntervalMilliseconds = 40;
+    constexpr int maximumAttempts = 5;
+    constexpr int clientTimeoutMilliseconds = 3000;
+    /// Longer than any fault, a take-over and the attempts of a client.
+    constexpr int faultFreeMilliseconds = 30'000;
+
+    Result<PolicySnapshot> decodePolicy(const std::string&)
+    {
+        PolicySnapshot policy;
+        policy.version = 1;
+        QueuePolicy queue;
+        queue.name = "checks";
+        queue.hostName = "desk.example";
+        queue.pathPrefix = "/checks/";
+        queue.service = "desk";
+        policy.queues.push_back(queue);
+        return policy;
+    }
+
+    std::string jobIdOf(std::size_t number)
+    {
+        std::string id = std::to_string(number);
+        return std::string(16 - id.size(), '0') + id;
+    }
+
+} // namespace
+
+CallSimulation::CallSimulation(unsigned seed)
+    : m_random(seed)
+    , m_trace(std::getenv("PLANTAINPIER_TRACE") != nullptr)
+    , m_entries(entryCount)
+{
+    AppendToStore policy;
+    policy.topic = StoreTopic::Policy;
+    policy.records.push_back(StoreRecord { "config", "1" });
+    m_store.append(policy);
+    for (std::size_t n = 0; n < m_entries.size(); ++n)
+        restart(n);
+}
+
+void CallSimulation::run(int milliseconds)
+{
+    for (const int end = m_now + milliseconds; m_now < end; step())
+        injectFaults();
+    m_faultFree = true;
+    for (Entry& entry : m_entries)
+        entry.frozenUntil = entry.cutFromStoreUntil = entry.slowUntil = m_now;
+    for (const int end = m_now + faultFreeMilliseconds; m_now < end;)
+        step();
+}
+
+void CallSimulation::injectFaults()
+{
+    constexpr int contactLossMilliseconds = 3000;
+    if (chance(0.001))
+        restart(randomEntry());
+    if (chance(0.002))
+        m_entries[randomEntry()].frozenUntil = m_now + randomBelow(contactLossMilliseconds);
+    if (chance(0.003))
+        m_entries[randomEntry()].cutFromStoreUntil = m_now + randomBelow(2 * contactLossMilliseconds);
+    if (chance(0.003))
+        m_entries[randomEntry()].slowUntil = m_now + randomBelow(contactLossMilliseconds);
+}
+
+void CallSimulation::restart(std::size_t n)
+{
+    Entry& entry = m_entries[n];
+    for (const std::unique_ptr<Connection>& connection : m_connections) {
+        for (const LinkEnd& end : connection->ends) {
+            if (end.entry == n && end.process == entry.process && !end.closed)
+                close(n, end.link);
+        }
+    }
+    ++entry.process;
+    entry.backlog.clear();
+    entry.core = std::make_unique<JobEntryCore>(
+        NodeIdentity { "entry-" + std::to_string(n), entry.process, "127.0.0.1", static_cast<int>(n) + 1 },
+        OwnerRules {}, JobEntryTiming {}, decodePolicy);
+}
+
+void CallSimulation::deliver(std::size_t n, int delay, std::function<void(JobEntryCore&, Actions&)> handle)
+{
+    m_events.emplace(m_now + delay, [this, n, process = m_entries[n].process, handle = std::move(handle)] {
+        Entry& entry = m_entries[n];
+        if (entry.process != process)
+            return;
+        if (m_now < entry.frozenUntil || !entry.backlog.empty()) {
+            entry.backlog.push_back(handle);
+            return;
+        }
+        Actions actions;
+        handle(*entry.core, actions);
+        perform(n, std::move(actions));
+    });
+}
+
+void CallSimulation::step()
+{
+    m_now += stepMilliseconds;
+    while (!m_events.empty() && m_events.begin()->first <= m_now) {
+        const std::function<void()> event = std::move(m_events.begin()->second);
+        m_events.erase(m_events.begin());
+        event();
+    }
+    for (std::size_t n = 0; n < m_entries.size(); ++n)
+        stepEntry(n);
+    stepClients();
+}
+
+void CallSimulation::stepEntry(std::size_t n)
+{
+    Entry& entry = m_entries[n];
+    if (m_now < entry.frozenUntil)
+        return;
+    while (!entry.backlog.empty()) {
+        const std::function<void(JobEntryCore&, Actions&)> handle = std::move(entry.backlog.front());
+        entry.backlog.pop_front();
+        Actions actions;
+        handle(*entry.core, actions);
+        perform(n, std::move(actions));
+    }
+    Actions actions;
+    entry.core->tick(at(m_now), m_now, actions);
+    perform(n, std::move(actions));
+}
+
+// Clients.
+
+void CallSimulation::stepClients()
+{
+    if (!m_faultFree && m_now % submissionIntervalMilliseconds == 0) {
+        Submission submission;
+        submission.job = makeJob(jobIdOf(m_submissions.size()), { makeStep(1, 1000, 300) });
+        submission.nextAttemptAt = m_now;
+        m_submissions.push_back(std::move(submission));
+    }
+    for (Submission& submission : m_submissions) {
+        if (submission.token != 0 && m_now >= submission.answerDueAt) {
+            m_attempts.erase(submission.token);
+            submission.token = 0;
+            submission.isOutcomeUnknown = true;
+            submission.nextAttemptAt = m_now;
+        }
+        const bool isIdle = submission.token == 0 && !submission.isAccepted;
+        if (isIdle && submission.attempts < maximumAttempts && m_now >= submission.nextAttemptAt)
+            sendAttempt(submission);
+    }
+}
+
+void CallSimulation::sendAttempt(Submission& submission)
+{
+    ++submission.attempts;
+    submission.token = ++m_lastToken;
+    submission.answerDueAt = m_now + clientTimeoutMilliseconds;
+    m_attempts[submission.token] = static_cast<std::size_t>(&submission - m_submissions.data());
+    ClientCall call;
+    call.kind = Wire::JobCallKind::Submit;
+    call.hostName = "desk.example";
+    call.path = "/checks/" + submission.job.jobId;
+    call.job = submission.job;
+    deliver(randomEntry(), 1 + randomBelow(5),
+        [this, token = submission.token, call](
+            JobEntryCore& core, Actions& actions) { core.onClientCall(at(m_now), token, call, actions); });
+}
+
+void CallSimulation::onAnswer(CallerToken token, const Wire::JobReply& reply)
+{
+    const std::map<CallerToken, std::size_t>::iterator it = m_attempts.find(token);
+    if (it == m_attempts.end())
+        return;
+    Submission& submission = m_submissions[it->second];
+    m_attempts.erase(it);
+    submission.token = 0;
+    submission.isAccepted = reply.kind == Wire::JobReplyKind::Accepted;
+    submission.isOutcomeUnknown = submission.isOutcomeUnknown || reply.kind == Wire::JobReplyKind::Unknown;
+    submission.nextAttemptAt = m_now + 50 + randomBelow(1000);
+}
+
+// The store and the connections.
+
+void CallSimulation::perform(std::size_t n, Actions&& actions)
+{
+    for (const Action& action : actions) {
+        if (const WriteLog* line = std::get_if<WriteLog>(&action)) {
+            if (m_trace)
+                std::cout << m_now << " entry-" << n << " " << line->line << "\n";
+            m_takeOverCount += line->line.starts_with("event=take_over ") ? 1 : 0;
+        } else if (const AppendToStore* call = std::get_if<AppendToStore>(&action)) {
+            append(n, *call);
+        } else if (const ReadStore* call = std::get_if<ReadStore>(&action)) {
+            read(n, *call, m_now + static_cast<int>(toMilliseconds(call->wait)));
+        } else if (const ReadNewest* call = std::get_if<ReadNewest>(&action)) {
+            NewestResponse response;
+            if (!isCutFromStore(n))
+                response = m_store.newest(*call);
+            deliver(
+                n, response.answered ? 4 : 900, [this, id = call->callId, response](JobEntryCore& core, Actions& more) {
+                    core.onNewestResponse(at(m_now), id, response, more);
+                });
+        } else if (const OpenLink* order = std::get_if<OpenLink>(&action)) {
+            open(n, *order);
+        } else if (const CloseLink* order = std::get_if<CloseLink>(&action)) {
+            close(n, order->link);
+        } else if (const SendMessage* message = std::get_if<SendMessage>(&action)) {
+            send(n, *message);
+        } else if (const AnswerJobCall* answer = std::get_if<AnswerJobCall>(&action)) {
+            onAnswer(answer->token, answer->reply);
+        }
+    }
+}
+
+void CallSimulation::append(std::size_t n, const AppendToStore& call)
+{
+    const auto respond = [this, n, id = call.callId](int delay, const AppendResponse& response) {
+        deliver(n, delay, [this, id, response](JobEntryCore& core, Actions& actions) {
+            core.onAppendResponse(at(m_now), id, response, actions);
+        });
+    };
+    const int timeout = static_cast<int>(toMilliseconds(call.timeout));
+    if (isCutFromStore(n)) {
+        // Some appends arrive all the same, at once or late; the response is lost.
+        if (chance(0.3))
+            m_events.emplace(m_now + (chance(0.5) ? 4 : randomBelow(3000)), [this, call] { m_store.append(call); });
+        respond(timeout, AppendResponse {});
+        return;
+    }
+    m_events.emplace(m_now + 2, [this, call, respond, timeout] {
+        const AppendResponse response = m_store.append(call);
+        const bool isLost = !m_faultFree && chance(0.02);
+        respond(isLost ? timeout : 2 + randomBelow(4), isLost ? AppendResponse {} : response);
+    });
+}
+
+void CallSimulation::read(std::size_t n, const ReadStore& call, int until)
+{
+    if (isCutFromStore(n)) {
+        deliver(n, 900, [this, id = call.callId](JobEntryCore& core, Actions& actions) {
+            core.onReadResponse(at(m_now), id, ReadResponse {}, actions);
+        });
+        return;
+    }
+    const ReadResponse response = m_store.read(call);
+    if (response.records.empty() && m_now < until) {
+        m_events.emplace(m_now + 20, [this, n, call, until, process = m_entries[n].process] {
+            if (m_entries[n].process == process)
+                read(n, call, until);
+        });
+        return;
+    }
+    deliver(n, 4, [this, id = call.callId, response](JobEntryCore& core, Actions& actions) {
+        core.onReadResponse(at(m_now), id, response, actions);
+    });
+}
+
+CallSimulation::Connection* CallSimulation::findConnection(std::size_t n, LinkId link, std::size_t& end)
+{
+    for (const std::unique_ptr<Connection>& connection : m_connections) {
+        for (end = 0; end < 2; ++end) {
+            const LinkEnd& side = connection->ends[end];
+            if (side.entry == n && side.process == m_entries[n].process && side.link == link)
+                return connection.get();
+        }
+    }
+    return nullptr;
+}
+
+void CallSimulation::open(std::size_t n, const OpenLink& order)
+{
+    const std::size_t target = static_cast<std::size_t>(order.port) - 1;
+    m_connections.push_back(std::make_unique<Connection>());
+    Connection& connection = *m_connections.back();
+    connection.ends[0] = LinkEnd { n, m_entries[n].process, order.link, false };
+    connection.ends[1] = LinkEnd { target, m_entries[target].process, ++m_lastAcceptedLink, false };
+    const int delay = 1 + randomBelow(4);
+    for (std::size_t end = 0; end < 2; ++end) {
+        connection.lastArrival[end] = m_now + delay;
+        deliver(connection.ends[end].entry, delay,
+            [this, link = connection.ends[end].link](
+                JobEntryCore& core, Actions& actions) { core.onLinkUp(at(m_now), link, actions); });
+    }
+}
+
+void CallSimulation::close(std::size_t n, LinkId link)
+{
+    std::size_t end = 0;
+    Connection* connection = findConnection(n, link, end);
+    if (!connection || connection->ends[end].closed)
+        return;
+    // Messages that have arrived but were not handled yet are still handled by the end that closed the connection.
+    connection->ends[end].closed = true;
+    const LinkEnd& other = connection->ends[1 - end];
+    if (other.closed || m_entries[other.entry].process != other.process)
+        return;
+    const int arrival = std::max(m_now + 1, connection->lastArrival[1 - end]);
+    deliver(
+        other.entry, arrival - m_now, [this, connection, end, link = other.link](JobEntryCore& core, Actions& actions) {
+            connection->ends[1 - end].closed = true;
+            core.onLinkDown(at(m_now), link, actions);
+        });
+}
+
+void CallSimulation::send(std::size_t n, const SendMessage& message)
+{
+    std::size_t end = 0;
+    Connection* connection = findConnection(n, message.link, end);
+    if (!connection || connection->ends[end].closed)
+        return;
+    const LinkEnd& other = connection->ends[1 - end];
+    if (m_entries[other.entry].process != other.process)
+        return;
+    const int slowUntil = std::max(m_entries[n].slowUntil, m_entries[other.entry].slowUntil);
+    int& lastArrival = connection->lastArrival[1 - end];
+    lastArrival = std::max({ lastArrival, slowUntil, m_now + 1 + randomBelow(4) });
+    deliver(other.entry, lastArrival - m_now,
+        [this, link = other.link, message = message.message](
+            JobEntryCore& core, Actions& actions) { core.onMessage(at(m_now), link, message, actions); });
+}
+
+// The checks.
+
+std::vector<std::string> CallSimulation::violations() const
+{
+    std::set<std::string> storedJobs;
+    ReadNewest all;
+    all.topic = StoreTopic::Jobs;
+    for (const StoreRecord& record : m_store.newest(all).records) {
+        if (record.key.starts_with("j/"))
+            storedJobs.insert(record.key.substr(2));
+    }
+    std::vector<std::string> violations;
+    for (const Submission& submission : m_submissions) {
+        const bool isStored = storedJobs.contains(submission.job.jobId);
+        if (submission.isAccepted && !isStored)
+            violations.push_back(submission.job.jobId + " was accepted and is not stored");
+        const bool isRefused = !submission.isAccepted && !submission.isOutcomeUnknown;
+        if (isRefused && isStored)
+            violations.push_back(submission.job.jobId + " is stored although each of "
+                + std::to_string(submission.attempts) + " attempts was refused");
+    }
+    return violations;
+}
+
+std::size_t CallSimulation::acceptedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_submissions.begin(), m_submissions.end(),
+        [](const Submission& submission) { return submission.isAccepted; }));
+}
+
+} // namespace Plantainpier
--- a/Tests/Unit/JobEntryCoreTest.cpp
+++ b/Tests/Unit/JobEntryCoreTest.cpp
@@ -17,6 +17,10 @@
     CPPUNIT_TEST(servesCallsDuringShutdownWhileAnotherOwnerIsConnected);
     CPPUNIT_TEST(refusesAtOnceDuringShutdownWithoutAnOwner);
     CPPUNIT_TEST(aCallThatTheFormerOwnerReceivedIsSentAgain);
+    CPPUNIT_TEST(aRefusalOfTheFormerOwnerDoesNotEndTheCall);
+    CPPUNIT_TEST(anAcceptanceOfTheFormerOwnerEndsTheCall);
+    CPPUNIT_TEST(aRefusalIsNotTrueWhileAnotherCopyMayBeAccepted);
+    CPPUNIT_TEST(theLastCopyOnAConnectionDecides);
     CPPUNIT_TEST(answersAllCallsWhenShutdownFinishes);
     CPPUNIT_TEST(forwardsNoCallAfterShutdown);
     CPPUNIT_TEST_SUITE_END();
@@ -26,7 +30,7 @@
     /// Longer than a call waits for an owner, shorter than its client waits for an answer.
     static constexpr int afterOwnerWaitMilliseconds = 1600;
 
-    /// One entry with a store that responds at once; a read that finds no records gets no response.
+    /// One entry with a store that responds at once; a read that finds no records waits for one.
     struct Entry {
         Entry()
             : core(NodeIdentity { "entry-1", 101, "127.0.0.1", 1 }, OwnerRules {}, JobEntryTiming {}, decode)
@@ -54,11 +58,29 @@
         {
             for (; now < until; now += stepMilliseconds) {
                 Actions actions;
+                answerWaitingReads(actions);
                 core.tick(at(now), now, actions);
                 perform(actions);
             }
         }
 
+        void answerWaitingReads(Actions& actions)
+        {
+            std::vector<ReadStore> reads;
+            reads.swap(waitingReads);
+            for (const ReadStore& read : reads)
+                answerRead(read, actions);
+        }
+
+        void answerRead(const ReadStore& read, Actions& actions)
+        {
+            const ReadResponse response = store.read(read);
+            if (response.records.empty())
+                waitingReads.push_back(read);
+            else
+                core.onReadResponse(at(now), read.callId, response, actions);
+        }
+
         void perform(Actions actions)
         {
             for (std::size_t n = 0; n < actions.size(); ++n) {
@@ -81,11 +103,8 @@
                 core.onAppendResponse(at(now), append->callId, store.append(*append), more);
             else if (const ReadNewest* newest = std::get_if<ReadNewest>(&action))
                 core.onNewestResponse(at(now), newest->callId, store.newest(*newest), more);
-            else if (const ReadStore* read = std::get_if<ReadStore>(&action)) {
-                const ReadResponse response = store.read(*read);
-                if (!response.records.empty())
-                    core.onReadResponse(at(now), read->callId, response, more);
-            }
+            else if (const ReadStore* read = std::get_if<ReadStore>(&action))
+                answerRead(*read, more);
         }
 
         /// Stores a claim of another entry, which makes that entry the owner.
@@ -108,9 +127,7 @@
             storeClaim("entry-2");
             run(100);
             CPPUNIT_ASSERT_MESSAGE("the entry opens a connection to the owner", ownerLink != noLink);
-            Actions actions;
-            core.onLinkUp(at(now), ownerLink, actions);
-            perform(actions);
+            linkUp();
         }
 
         void linkDown()
@@ -148,11 +165,19 @@
             return lastToken;
         }
 
-        /// Delivers the reply of the connected owner.
-        void reply(CallerToken token, Wire::JobReplyKind::type kind)
+        /// Connects to the owner that the entry has found.
+        void linkUp()
+        {
+            Actions actions;
+            core.onLinkUp(at(now), ownerLink, actions);
+            perform(actions);
+        }
+
+        /// Delivers the reply of an owner to the forwarded copy with this index.
+        void reply(std::size_t copy, Wire::JobReplyKind::type kind)
         {
             Wire::JobReply reply;
-            reply.callId = static_cast<std::int64_t>(token);
+            reply.callId = forwardedCalls.at(copy).callId;
             reply.kind = kind;
             Actions actions;
             core.onMessage(at(now), ownerLink, reply, actions);
@@ -172,6 +197,7 @@
         int now = 0;
         VirtualStore store;
         JobEntryCore core;
+        std::vector<ReadStore> waitingReads;
         LinkId ownerLink = noLink;
         CallerToken lastToken = 0;
         std::map<CallerToken, std::vector<Wire::JobReply>> answers;
@@ -203,9 +229,7 @@
         const CallerToken token = entry.call(Wire::JobCallKind::Submit);
         entry.run(entry.now + 300);
         CPPUNIT_ASSERT(!entry.isAnswered(token));
-        Actions actions;
-        entry.core.onLinkUp(at(entry.now), entry.ownerLink, actions);
-        entry.perform(actions);
+        entry.linkUp();
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.forwardedCalls.size());
     }
 
@@ -243,7 +267,7 @@
         entry.run(entry.now + 100);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.forwardedCalls.size());
         CPPUNIT_ASSERT_MESSAGE("a call is still in progress", !entry.core.isDrained());
-        entry.reply(token, Wire::JobReplyKind::Accepted);
+        entry.reply(0, Wire::JobReplyKind::Accepted);
         CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Accepted, entry.answerTo(token).kind);
     }
 
@@ -269,14 +293,79 @@
         entry.linkDown();
         entry.run(entry.now + afterOwnerWaitMilliseconds);
         CPPUNIT_ASSERT(!entry.isAnswered(token));
-        Actions actions;
-        entry.core.onLinkUp(at(entry.now), entry.ownerLink, actions);
-        entry.perform(actions);
+        entry.linkUp();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.forwardedCalls.size());
+        entry.reply(1, Wire::JobReplyKind::Accepted);
+        CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Accepted, entry.answerTo(token).kind);
+    }
+
+    /// Forwards a submission to one owner, and then to the next one.
+    static CallerToken forwardToTwoOwners(Entry& entry)
+    {
+        entry.connectToOtherOwner();
+        const CallerToken token = entry.call(Wire::JobCallKind::Submit);
+        const LinkId formerLink = entry.ownerLink;
+        entry.storeClaim("entry-3");
+        entry.run(entry.now + 1000);
+        CPPUNIT_ASSERT_MESSAGE("the entry opens a connection to the next owner", entry.ownerLink != formerLink);
+        entry.linkUp();
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.forwardedCalls.size());
-        entry.reply(token, Wire::JobReplyKind::Accepted);
+        return token;
+    }
+
+    // Guards against telling the client that a job will not run although the next owner accepts it.
+    void aRefusalOfTheFormerOwnerDoesNotEndTheCall()
+    {
+        Entry entry;
+        const CallerToken token = forwardToTwoOwners(entry);
+        entry.reply(0, Wire::JobReplyKind::Refused);
+        CPPUNIT_ASSERT(!entry.isAnswered(token));
+        entry.reply(1, Wire::JobReplyKind::Accepted);
+        CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Accepted, entry.answerTo(token).kind);
+    }
+
+    // Guards against delaying an answer that is ready: the former owner has stored the job.
+    void anAcceptanceOfTheFormerOwnerEndsTheCall()
+    {
+        Entry entry;
+        const CallerToken token = forwardToTwoOwners(entry);
+        entry.reply(0, Wire::JobReplyKind::Accepted);
         CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Accepted, entry.answerTo(token).kind);
     }
 
+    // Guards against a refusal of one copy while the same owner has another one, from a lost connection, still to read.
+    void aRefusalIsNotTrueWhileAnotherCopyMayBeAccepted()
+    {
+        Entry entry;
+        entry.connectToOtherOwner();
+        const CallerToken token = entry.call(Wire::JobCallKind::Submit);
+        entry.linkDown();
+        entry.run(entry.now + 300);
+        entry.linkUp();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.forwardedCalls.size());
+        entry.reply(1, Wire::JobReplyKind::Refused);
+        CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Unknown, entry.answerTo(token).kind);
+    }
+
+    // Guards against a refusal of a copy that the owner received while it took over: the copy that was sent after its
+    // greeting may be accepted.
+    void theLastCopyOnAConnectionDecides()
+    {
+        for (const Wire::JobReplyKind::type kind : { Wire::JobReplyKind::Accepted, Wire::JobReplyKind::Refused }) {
+            Entry entry;
+            entry.connectToOtherOwner();
+            const CallerToken token = entry.call(Wire::JobCallKind::Submit);
+            Actions actions;
+            entry.core.onMessage(at(entry.now), entry.ownerLink, Wire::NodeHello(), actions);
+            entry.perform(actions);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.forwardedCalls.size());
+            entry.reply(0, Wire::JobReplyKind::Refused);
+            CPPUNIT_ASSERT(!entry.isAnswered(token));
+            entry.reply(1, kind);
+            CPPUNIT_ASSERT_EQUAL(kind, entry.answerTo(token).kind);
+        }
+    }
+
     // Guards against connections that are closed without an answer, and against refusing a call that the owner may have
     // accepted.
     void answersAllCallsWhenShutdownFinishes()
@@ -291,7 +380,7 @@
         CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::Unknown, entry.answerTo(statusCall).kind);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), entry.core.pendingCalls());
         // A late reply of the owner must not cause a second answer.
-        entry.reply(submitCall, Wire::JobReplyKind::Accepted);
+        entry.reply(0, Wire::JobReplyKind::Accepted);
         entry.answerTo(submitCall);
     }
 
