--- a/Source/Decision/Job/HostRegistry.cpp
+++ b/Source/Decision/Job/HostRegistry.cpp
@@ -1,13 +1,25 @@
 #include "Decision/Job/HostRegistry.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace Plantainpier {
 
 namespace {
 
+    std::int64_t pacedMilliCores(const HostRun& run)
+    {
+        constexpr int fullPace = 100;
+        return run.demand.milliProcessors * std::max(0, run.orderedPacePercent) / fullPace;
+    }
+
     void addToCommitted(Host& host, const HostRun& run, std::int64_t sign)
     {
+        if (run.filler)
+            host.processorUse.fillers += sign * pacedMilliCores(run);
+        else
+            (run.longRunning ? host.processorUse.longRunning : host.processorUse.batch)
+                += sign * run.demand.milliProcessors;
         if (!run.filler)
             host.committed.milliProcessors += sign * run.demand.milliProcessors;
         host.committed.memoryMegabytes += sign * run.demand.memoryMegabytes;
@@ -40,6 +52,15 @@
     return run;
 }
 
+void HostRegistry::setOrderedPace(Host& host, HostRun& run, int percent)
+{
+    if (run.filler)
+        host.processorUse.fillers -= pacedMilliCores(run);
+    run.orderedPacePercent = percent;
+    if (run.filler)
+        host.processorUse.fillers += pacedMilliCores(run);
+}
+
 int HostRegistry::countRunsOfStep(const Host& host, const std::string& jobId, int occurrence, int step)
 {
     int count = 0;
--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -60,6 +60,8 @@
     std::int64_t usage = 0;
     /// A list of the host has shown the run since it was ordered.
     bool listed = false;
+    /// Number of the newest list with a row for the run; see Host::listNumber.
+    std::uint64_t listNumber = 0;
     /// When the serving task began to exceed its target; the epoch while the target is met.
     Instant overTargetSince;
     /// Until then fillers are not slowed down for this task, because its own load exceeds its target.
@@ -71,6 +73,14 @@
     bool isStartUnconfirmed() const { return startConfirmedAt == Instant(); }
 };
 
+/// Processors that the runs of a host request, in thousandths of a core.
+struct ProcessorUse {
+    std::int64_t longRunning = 0;
+    std::int64_t batch = 0;
+    /// At the ordered paces.
+    std::int64_t fillers = 0;
+};
+
 /// Interference that the serving tasks of one image on a host tolerate, as headroom.
 struct ServingGroup {
     std::string image;
@@ -118,6 +128,8 @@
     bool refusesConnections = false;
     /// A complete list of the host's runs under the current fence has been received.
     bool listed = false;
+    /// Number of lists of this incarnation that were processed.
+    std::uint64_t listNumber = 0;
     /// Orders to an earlier incarnation may have reached this one; false once a list has been processed.
     bool hasEarlierIncarnation = false;
     /// The incarnation has shut down. Only runs that a later incarnation may still start are kept.
@@ -144,6 +156,7 @@
     std::map<RunKey, HostRun> runs;
     /// Sum of all runs; fillers commit memory and accelerators only.
     Wire::Resources committed;
+    ProcessorUse processorUse;
     HostHealth health;
     /// Orders that have not been sent yet.
     Wire::HostOrders orders;
@@ -169,6 +182,8 @@
     static HostRun& addRun(Host& host, HostRun run);
     /// Removes a run and frees the run's demand. Returns nothing if there is no such run.
     static std::optional<HostRun> removeRun(Host& host, const RunKey& key);
+    /// Records the ordered pace of a run of the host.
+    static void setOrderedPace(Host& host, HostRun& run, int percent);
     /// Number of runs of a step on the host.
     static int countRunsOfStep(const Host& host, const std::string& jobId, int occurrence, int step);
 
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-    /// Minimum time between two scheduling passes, since each pass examines all waiting tasks.
+    /// Minimum time between two scheduling passes, since each pass examines all waiting steps and searches all hosts.
     constexpr Duration minimumPassInterval = milliseconds(4);
+    constexpr Duration passIntervalPerHost = microseconds(80);
+    constexpr Duration maximumPassInterval = milliseconds(20);
     /// Interval of passes without a change of state, for retry delays that have ended and occurrences that are due.
     constexpr Duration idlePassInterval = milliseconds(50);
     /// Progress that is not urgent is written within this time. The delay only postpones acknowledgements to hosts.
@@ -19,6 +21,12 @@
     constexpr double minimumExtensionShare = 0.2;
     constexpr Duration jobCleanupInterval = seconds(5);
 
+    Duration passInterval(std::size_t hosts)
+    {
+        return std::clamp(
+            passIntervalPerHost * static_cast<std::int64_t>(hosts), minimumPassInterval, maximumPassInterval);
+    }
+
     bool isKeyOfKind(const std::string& key, char kind) { return key.size() > 2 && key[0] == kind && key[1] == '/'; }
 
 } // namespace
@@ -409,6 +417,7 @@
             continue;
         orders.term = m_state.term;
         orders.fence = host.fence;
+        orders.acceptsChanges = true;
         orders.hostId = host.hostId;
         orders.incarnation = host.incarnation;
         orders.leaseUntilMilliseconds = host.leaseUntilMilliseconds;
@@ -444,7 +453,8 @@
     m_interference.updatePressures(now, m_state.hosts);
     const Duration sinceLastPass = now - m_lastSchedulingPass;
     if (!m_schedulingStopped && m_state.mayGrantLeases(now)
-        && ((m_state.scheduleDue && sinceLastPass >= minimumPassInterval) || sinceLastPass >= idlePassInterval)) {
+        && ((m_state.scheduleDue && sinceLastPass >= passInterval(m_state.hosts.hosts().size()))
+            || sinceLastPass >= idlePassInterval)) {
         m_state.scheduleDue = false;
         m_lastSchedulingPass = now;
         m_scheduler.schedule(now, actions);
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -58,6 +58,8 @@
     std::int64_t outdatedReports = 0;
     /// Orders that a list under a higher fence showed to have never been carried out.
     std::int64_t voidOrders = 0;
+    /// Searches for a host over all hosts.
+    std::int64_t hostSearches = 0;
     /// Runs that were listed as running and later missing without a listed end.
     std::int64_t vanishedRuns = 0;
 };
--- a/Source/Decision/Job/PaceController.cpp
+++ b/Source/Decision/Job/PaceController.cpp
@@ -45,7 +45,7 @@
     order.run = run.run;
     order.percent = percent;
     host.orders.paces.push_back(std::move(order));
-    run.orderedPacePercent = percent;
+    HostRegistry::setOrderedPace(host, run, percent);
     return 1;
 }
 
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -25,16 +25,9 @@
 
 std::int64_t Placement::idleMilliCores(const Host& host) const
 {
-    std::int64_t used = 0;
-    for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
-        const HostRun& run = entry.second;
-        double share = run.longRunning ? m_rules.servingLoad : 1.0;
-        // A filler uses processors in proportion to its ordered pace.
-        if (run.filler)
-            share = static_cast<double>(std::max(0, run.orderedPacePercent)) / 100;
-        used += static_cast<std::int64_t>(share * static_cast<double>(run.demand.milliProcessors));
-    }
-    return host.capacity.milliProcessors - used;
+    const ProcessorUse& use = host.processorUse;
+    const double serving = m_rules.servingLoad * static_cast<double>(use.longRunning);
+    return host.capacity.milliProcessors - static_cast<std::int64_t>(serving) - use.batch - use.fillers;
 }
 
 HostEligibility Placement::evaluateFiller(const Host& host, const PlacementRequest& request) const
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -74,6 +74,7 @@
         abandonConfirmedRuns(now, *earlier, "host_restarted", actions);
         host.runs = std::move(earlier->runs);
         host.committed = earlier->committed;
+        host.processorUse = earlier->processorUse;
         host.newestLink = earlier->newestLink;
         host.leaseExpiresAt = std::max(now, earlier->leaseExpiresAt);
     }
@@ -105,11 +106,13 @@
         m_state.raiseFence(host);
         host.orders.leaseUntilMilliseconds = 0;
     }
-    host.service = report.serviceName;
-    host.zone = report.zone;
-    host.rack = report.rack;
-    host.labels = report.labels;
-    host.capacity = report.capacity;
+    if (!report.changesOnly) {
+        host.service = report.serviceName;
+        host.zone = report.zone;
+        host.rack = report.rack;
+        host.labels = report.labels;
+        host.capacity = report.capacity;
+    }
     host.remaining = milliseconds(report.remainingMilliseconds);
     host.refusesConnections = report.refusesConnections;
     host.lastContactAt = now;
@@ -136,7 +139,10 @@
     if (report.highestTerm > m_state.term)
         m_fenced = true;
     Host* existing = m_state.hosts.find(report.hostId);
-    if (existing && (existing->incarnation > report.incarnation || link < existing->newestLink)) {
+    // Changes refer to a complete list over the same connection.
+    const bool hasBase = existing && existing->incarnation == report.incarnation && existing->link == link;
+    const bool isOutdated = existing && (existing->incarnation > report.incarnation || link < existing->newestLink);
+    if (isOutdated || (report.changesOnly && !hasBase)) {
         ++m_state.counters.outdatedReports;
         return;
     }
@@ -164,7 +170,8 @@
 
 void RunTracker::processRunList(Instant now, Host& host, const Wire::HostReport& report, Actions& actions)
 {
-    if (report.listFence / fencesPerOwnerFence != host.fence / fencesPerOwnerFence) {
+    const bool isUnderFence = report.listFence / fencesPerOwnerFence == host.fence / fencesPerOwnerFence;
+    if (!isUnderFence || (report.changesOnly && !host.listed)) {
         // The list is outdated: listed runs may have ended, and orders that it does not show may still be carried out.
         ++m_state.counters.outdatedReports;
         return;
@@ -176,13 +183,18 @@
     host.clockMilliseconds = report.clockMilliseconds;
     host.clockReadAt = now;
     addListedOccurrences(now, report);
+    ++host.listNumber;
     for (const Wire::RunningTask& listedRun : report.running)
         onRunningTask(now, host, listedRun, actions);
     for (const Wire::EndedTask& listedRun : report.ended)
         onEndedTask(now, host, listedRun, actions);
+    if (report.changesOnly) {
+        abandonRemovedRuns(now, host, report, actions);
+        return;
+    }
     if (report.endsOmitted)
         return;
-    abandonUnlistedRuns(now, host, report, actions);
+    abandonUnlistedRuns(now, host, actions);
     if (!host.listed)
         actions.push_back(WriteLog { LogLine("host_listed")
                                          .add("host", host.hostId)
@@ -255,6 +267,7 @@
         haltRun(host, run, "unresolved_order", actions);
     run.fence = host.fence;
     run.listed = true;
+    run.listNumber = host.listNumber;
     run.usage = listedRun.usage;
     run.progressPercent = listedRun.progressPercent;
     if (!listedRun.checkpoint.empty())
@@ -291,6 +304,7 @@
     run.placedAt = now;
     run.startConfirmedAt = now;
     run.listed = true;
+    run.listNumber = host.listNumber;
     run.usage = listedRun.usage;
     run.progressPercent = listedRun.progressPercent;
     run.checkpoint = listedRun.checkpoint;
@@ -473,26 +487,38 @@
     m_state.scheduleDue = true;
 }
 
-void RunTracker::abandonUnlistedRuns(Instant now, Host& host, const Wire::HostReport& report, Actions& actions)
+void RunTracker::abandonUnlistedRuns(Instant now, Host& host, Actions& actions)
 {
-    std::set<RunKey> listedRuns;
-    for (const Wire::RunningTask& listedRun : report.running)
-        listedRuns.insert(runKey(listedRun.task, listedRun.run));
     std::vector<RunKey> unlistedRuns;
     for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
         const HostRun& run = entry.second;
         const bool orderVoid = run.fence < host.fence;
         const bool vanished = run.listed && run.phase == RunPhase::Running;
-        if (listedRuns.contains(entry.first) || (!orderVoid && !vanished))
-            continue;
-        unlistedRuns.push_back(entry.first);
-        ++(run.isStartUnconfirmed() ? m_state.counters.voidOrders : m_state.counters.vanishedRuns);
-        LogLine line(run.isStartUnconfirmed() ? "order_void" : "run_vanished");
-        addTaskFields(line, run.task).add("run", run.run).add("host", host.hostId).add("ordered_under", run.fence);
-        actions.push_back(WriteLog { line.add("listed_under", host.fence).text() });
+        if (run.listNumber != host.listNumber && (orderVoid || vanished))
+            unlistedRuns.push_back(entry.first);
     }
     for (const RunKey& key : unlistedRuns)
-        abandonRun(now, host, key, false);
+        abandonMissingRun(now, host, key, actions);
+}
+
+void RunTracker::abandonRemovedRuns(Instant now, Host& host, const Wire::HostReport& report, Actions& actions)
+{
+    for (const Wire::RunName& removed : report.removed) {
+        const RunKey key = runKey(removed.task, removed.run);
+        const std::map<RunKey, HostRun>::const_iterator it = host.runs.find(key);
+        if (it != host.runs.end() && it->second.listed && it->second.phase == RunPhase::Running)
+            abandonMissingRun(now, host, key, actions);
+    }
+}
+
+void RunTracker::abandonMissingRun(Instant now, Host& host, const RunKey& key, Actions& actions)
+{
+    const HostRun& run = host.runs.at(key);
+    ++(run.isStartUnconfirmed() ? m_state.counters.voidOrders : m_state.counters.vanishedRuns);
+    LogLine line(run.isStartUnconfirmed() ? "order_void" : "run_vanished");
+    addTaskFields(line, run.task).add("run", run.run).add("host", host.hostId).add("ordered_under", run.fence);
+    actions.push_back(WriteLog { line.add("listed_under", host.fence).text() });
+    abandonRun(now, host, key, false);
 }
 
 void RunTracker::haltRun(Host& host, HostRun& run, const char* reason, Actions& actions)
--- a/Source/Decision/Job/RunTracker.h
+++ b/Source/Decision/Job/RunTracker.h
@@ -65,7 +65,11 @@
         Actions& actions);
     void updateHostHealth(Instant now, Host& host, const HostRun& run, Wire::RunEnd::type runEnd, Actions& actions);
     /// Abandons runs that the host lists neither as running nor as ended and that can no longer start.
-    void abandonUnlistedRuns(Instant now, Host& host, const Wire::HostReport& report, Actions& actions);
+    void abandonUnlistedRuns(Instant now, Host& host, Actions& actions);
+    /// The same for a report of changes, which names the runs that the previous list showed and the newest does not.
+    void abandonRemovedRuns(Instant now, Host& host, const Wire::HostReport& report, Actions& actions);
+    /// Abandons a run that a list under the host's current fence does not show.
+    void abandonMissingRun(Instant now, Host& host, const RunKey& key, Actions& actions);
     /// Abandons all runs of a host whose lease has expired. Their ends have not been reported.
     void abandonRunsAfterLeaseExpiry(Instant now, Host& host, Actions& actions);
     /// Abandons the runs that ended with an incarnation of the host. Runs with an unconfirmed start are kept, because a
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -49,7 +49,9 @@
 
 void TaskScheduler::schedule(Instant now, Actions& actions)
 {
-    const bool earlierRunsKnown = m_state.areAllHostsAccountedFor(now);
+    m_failedPlacements.clear();
+    m_unlistedHosts = m_state.countUnlistedHosts(now);
+    const bool earlierRunsKnown = m_unlistedHosts == 0;
     moveSlowFillers(now, actions);
     int stepsWithPreemption = 0;
     for (const Candidate& candidate : collectCandidates(now)) {
@@ -103,7 +105,8 @@
         return false;
     PlacementRequest request = makePlacementRequest(*job, *step, *task);
     request.minimumPacePercent = minimumPaceAfterMovePercent;
-    if (!m_placement.chooseHost(m_state.hosts, request, now))
+    HostEligibilityCounts hostCounts;
+    if (!findHost(now, request, hostCounts))
         return false;
     m_runTracker.haltRun(host, run, "moves_to_a_quieter_host", actions);
     return true;
@@ -127,6 +130,19 @@
     return PlacementRequest { job.definition(), job.stepDefinition(step), step.occurrence, step.step, task.runs, {} };
 }
 
+Host* TaskScheduler::findHost(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts)
+{
+    if (const HostEligibilityCounts* known = m_failedPlacements.find(request)) {
+        hostCounts = *known;
+        return nullptr;
+    }
+    ++m_state.counters.hostSearches;
+    Host* host = m_placement.chooseHost(m_state.hosts, request, now, &hostCounts);
+    if (!host)
+        m_failedPlacements.add(request, hostCounts);
+    return host;
+}
+
 void TaskScheduler::placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
@@ -158,7 +174,7 @@
             recordWait(task, WaitReason::EndNotReported);
             continue;
         }
-        Host* host = m_placement.chooseHost(m_state.hosts, makePlacementRequest(job, step, task), now, &hostCounts);
+        Host* host = findHost(now, makePlacementRequest(job, step, task), hostCounts);
         if (!host || m_state.storeWriter.storedSequenceNumber() < host->recordSequenceNumber) {
             recordWait(task, host ? WaitReason::HostNotPersisted : WaitReason::NoHost);
             break;
@@ -335,7 +351,7 @@
                                      .add("waited_ms", toMilliseconds(now - task.waitingSince))
                                      .add("host_age_ms", toMilliseconds(now - host.clockReadAt))
                                      .add("failures_before", task.failedRuns.size())
-                                     .add("hosts_unheard", m_state.countUnlistedHosts(now))
+                                     .add("hosts_unheard", m_unlistedHosts)
                                      .add("fence", host.fence)
                                      .add("free_milli", host.freeMilliCores())
                                      .add("free_mb", host.freeMegabytes())
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -1,6 +1,7 @@
 /// Starts waiting tasks on hosts. Each pass takes the waiting steps in order of priority and places their tasks.
 #pragma once
 
+#include "Decision/Job/FailedPlacements.h"
 #include "Decision/Job/OwnerState.h"
 #include "Decision/Job/PaceController.h"
 #include "Decision/Job/Placement.h"
@@ -50,13 +51,19 @@
     /// Whether the task's last run may still be executing under a new owner: the run was abandoned here, but a
     /// successor that this owner has not yet observed may have reached the host and adopted the run.
     bool mayContinueUnderSuccessor(Instant now, const TaskState& task) const;
+    /// Returns the host for the request, or null. Requests that a failed one of the same pass rules out are not
+    /// searched for.
+    Host* findHost(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts);
     PlacementRequest makePlacementRequest(const JobState& job, const StepState& step, const TaskState& task) const;
 
     OwnerState& m_state;
     RunTracker& m_runTracker;
     const PaceController& m_paceController;
     Placement m_placement;
+    FailedPlacements m_failedPlacements;
     WaitLogger m_waitLogger;
+    /// OwnerState::countUnlistedHosts() at the start of the pass.
+    int m_unlistedHosts = 0;
     Instant m_lastMovePass;
 };
 
--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -54,6 +54,14 @@
         actions.push_back(SendMessage { m_ownerLink.link(), std::move(report) });
 }
 
+void HostAgent::sendListReport(Instant now, Wire::HostReport report, Actions& actions)
+{
+    if (!m_ownerLink.isUp())
+        return;
+    if (!m_ownerAcceptsChanges || m_reportedRuns.reduce(now, report))
+        sendReport(std::move(report), actions);
+}
+
 void HostAgent::sendResult(
     const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome, const std::string& reason, Actions& actions)
 {
@@ -79,6 +87,7 @@
     m_incarnationUnconfirmed = false;
     m_contactLost = false;
     m_refusesConnections = false;
+    m_reportedRuns.reset();
     m_leaseBound.reset();
     m_clockMilliseconds = 0;
     raiseLocalFence();
@@ -160,6 +169,8 @@
     }
     actions.push_back(
         WriteLog { LogLine("owner_link_up").add("owner", m_owner.claim.nodeId).add("term", m_owner.term).text() });
+    m_reportedRuns.reset();
+    m_ownerAcceptsChanges = false;
     if (m_host)
         sendReport(makeReport(), actions);
 }
@@ -182,8 +193,10 @@
     if (const Wire::HostOrders* orders = std::get_if<Wire::HostOrders>(&message))
         onOrders(now, *orders, actions);
     // The greeting means that the owner has just taken over. Reports sent before that are lost.
-    if (std::holds_alternative<Wire::NodeHello>(message) && m_host)
+    if (std::holds_alternative<Wire::NodeHello>(message) && m_host) {
+        m_reportedRuns.reset();
         sendReport(makeReport(), actions);
+    }
 }
 
 void HostAgent::onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions)
@@ -191,6 +204,7 @@
     if (orders.term < m_term || orders.fence < m_ownerFence)
         return;
     m_term = orders.term;
+    m_ownerAcceptsChanges = orders.acceptsChanges;
     if (orders.fence > m_ownerFence)
         adoptOwnerFence(now, orders.fence);
     if (!isForCurrentIncarnation(orders)) {
@@ -241,6 +255,7 @@
     // whether the host has restarted meanwhile is unconfirmed.
     m_incarnationUnconfirmed = m_incarnationUnconfirmed || m_listInFlight;
     m_listInFlight = false;
+    m_reportedRuns.reset();
     m_fenceIsNew = true;
     m_nextListAt = now;
 }
@@ -393,6 +408,8 @@
         m_clockMilliseconds = response.clockMilliseconds;
         m_leaseBound->onClockReading(now, response.clockMilliseconds);
         m_announcedIdConfirmed = true;
+        if (m_refusesConnections)
+            m_reportedRuns.reset();
         m_refusesConnections = false;
         Wire::HostReport report = makeReport();
         report.listed = true;
@@ -402,7 +419,7 @@
         report.running = response.running;
         report.ended = response.ended;
         resolveHalts(response, report);
-        sendReport(std::move(report), actions);
+        sendListReport(now, std::move(report), actions);
         const bool unacknowledged = std::any_of(response.ended.begin(), response.ended.end(),
             [this](const Wire::EndedTask& row) { return row.number > m_acknowledgedNumber; });
         m_nextListAt = unacknowledged ? now + m_timing.shortListDelay : now;
@@ -473,6 +490,7 @@
                                          .text() });
     }
     m_contactLost = true;
+    m_reportedRuns.reset();
     m_nextListAt = now + (m_departureNoticeReceived ? m_timing.shortListDelay : m_timing.failureRetryDelay);
     m_incarnationUnconfirmed = true;
 }
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -7,6 +7,7 @@
 #include "Decision/Process/LeaseBound.h"
 #include "Decision/Process/Ownership.h"
 #include "Decision/Process/PeerLink.h"
+#include "Decision/Process/ReportedRuns.h"
 
 #include <map>
 
@@ -109,6 +110,8 @@
     void endIncarnation(Instant now, const char* reason, Actions& actions);
     Wire::HostReport makeReport() const;
     void sendReport(Wire::HostReport report, Actions& actions);
+    /// Sends the report of a new list, reduced to its changes if the owner accepts that.
+    void sendListReport(Instant now, Wire::HostReport report, Actions& actions);
     void sendResult(const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome, const std::string& reason,
         Actions& actions);
 
@@ -150,6 +153,9 @@
     /// No list has been sent under the current fence.
     bool m_fenceIsNew = false;
     std::uint64_t m_listNumber = 0;
+    ReportedRuns m_reportedRuns;
+    /// The connected owner accepts reports of changes.
+    bool m_ownerAcceptsChanges = false;
     Instant m_listSentAt;
     Instant m_lastListAnswerAt;
     Instant m_nextListAt;
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -6648,6 +6648,129 @@
 }
 
 
+RunName::~RunName() noexcept {
+}
+
+
+void RunName::__set_task(const TaskName& val) {
+  this->task = val;
+}
+
+void RunName::__set_run(const int32_t val) {
+  this->run = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunName& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunName::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunName::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunName");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunName &a, RunName &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.__isset, b.__isset);
+}
+
+RunName::RunName(const RunName& other153) {
+  task = other153.task;
+  run = other153.run;
+  __isset = other153.__isset;
+}
+RunName::RunName(RunName&& other154) noexcept {
+  task = std::move(other154.task);
+  run = other154.run;
+  __isset = other154.__isset;
+}
+RunName& RunName::operator=(const RunName& other155) {
+  task = other155.task;
+  run = other155.run;
+  __isset = other155.__isset;
+  return *this;
+}
+RunName& RunName::operator=(RunName&& other156) noexcept {
+  task = std::move(other156.task);
+  run = other156.run;
+  __isset = other156.__isset;
+  return *this;
+}
+void RunName::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunName(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ")";
+}
+
+
 HostReport::~HostReport() noexcept {
 }
 
@@ -6723,6 +6846,14 @@
 void HostReport::__set_refusesConnections(const bool val) {
   this->refusesConnections = val;
 }
+
+void HostReport::__set_changesOnly(const bool val) {
+  this->changesOnly = val;
+}
+
+void HostReport::__set_removed(const std::vector<RunName> & val) {
+  this->removed = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -6795,14 +6926,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size153;
-            ::apache::thrift::protocol::TType _etype156;
-            xfer += iprot->readListBegin(_etype156, _size153);
-            this->labels.resize(_size153);
-            uint32_t _i157;
-            for (_i157 = 0; _i157 < _size153; ++_i157)
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->labels.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
             {
-              xfer += iprot->readString(this->labels[_i157]);
+              xfer += iprot->readString(this->labels[_i161]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6821,9 +6952,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast158;
-          xfer += iprot->readI32(ecast158);
-          this->state = static_cast<HostState::type>(ecast158);
+          int32_t ecast162;
+          xfer += iprot->readI32(ecast162);
+          this->state = static_cast<HostState::type>(ecast162);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6857,14 +6988,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size159;
-            ::apache::thrift::protocol::TType _etype162;
-            xfer += iprot->readListBegin(_etype162, _size159);
-            this->running.resize(_size159);
-            uint32_t _i163;
-            for (_i163 = 0; _i163 < _size159; ++_i163)
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->running.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
             {
-              xfer += this->running[_i163].read(iprot);
+              xfer += this->running[_i167].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6877,14 +7008,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->ended.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->ended.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->ended[_i168].read(iprot);
+              xfer += this->ended[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6897,14 +7028,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size169;
-            ::apache::thrift::protocol::TType _etype172;
-            xfer += iprot->readListBegin(_etype172, _size169);
-            this->results.resize(_size169);
-            uint32_t _i173;
-            for (_i173 = 0; _i173 < _size169; ++_i173)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->results.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += this->results[_i173].read(iprot);
+              xfer += this->results[_i177].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6945,6 +7076,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->changesOnly);
+          this->__isset.changesOnly = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->removed.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
+            {
+              xfer += this->removed[_i182].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6985,10 +7144,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter174;
-    for (_iter174 = this->labels.begin(); _iter174 != this->labels.end(); ++_iter174)
+    std::vector<std::string> ::const_iterator _iter183;
+    for (_iter183 = this->labels.begin(); _iter183 != this->labels.end(); ++_iter183)
     {
-      xfer += oprot->writeString((*_iter174));
+      xfer += oprot->writeString((*_iter183));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7017,10 +7176,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunningTask> ::const_iterator _iter175;
-    for (_iter175 = this->running.begin(); _iter175 != this->running.end(); ++_iter175)
+    std::vector<RunningTask> ::const_iterator _iter184;
+    for (_iter184 = this->running.begin(); _iter184 != this->running.end(); ++_iter184)
     {
-      xfer += (*_iter175).write(oprot);
+      xfer += (*_iter184).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7029,10 +7188,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndedTask> ::const_iterator _iter176;
-    for (_iter176 = this->ended.begin(); _iter176 != this->ended.end(); ++_iter176)
+    std::vector<EndedTask> ::const_iterator _iter185;
+    for (_iter185 = this->ended.begin(); _iter185 != this->ended.end(); ++_iter185)
     {
-      xfer += (*_iter176).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7041,10 +7200,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<OrderResult> ::const_iterator _iter177;
-    for (_iter177 = this->results.begin(); _iter177 != this->results.end(); ++_iter177)
+    std::vector<OrderResult> ::const_iterator _iter186;
+    for (_iter186 = this->results.begin(); _iter186 != this->results.end(); ++_iter186)
     {
-      xfer += (*_iter177).write(oprot);
+      xfer += (*_iter186).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7066,6 +7225,22 @@
   xfer += oprot->writeBool(this->refusesConnections);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("changesOnly", ::apache::thrift::protocol::T_BOOL, 19);
+  xfer += oprot->writeBool(this->changesOnly);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 20);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removed.size()));
+    std::vector<RunName> ::const_iterator _iter187;
+    for (_iter187 = this->removed.begin(); _iter187 != this->removed.end(); ++_iter187)
+    {
+      xfer += (*_iter187).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7091,93 +7266,103 @@
   swap(a.listFence, b.listFence);
   swap(a.endsOmitted, b.endsOmitted);
   swap(a.refusesConnections, b.refusesConnections);
+  swap(a.changesOnly, b.changesOnly);
+  swap(a.removed, b.removed);
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other178) {
-  hostId = other178.hostId;
-  incarnation = other178.incarnation;
-  serviceName = other178.serviceName;
-  zone = other178.zone;
-  rack = other178.rack;
-  labels = other178.labels;
-  capacity = other178.capacity;
-  state = other178.state;
-  remainingMilliseconds = other178.remainingMilliseconds;
-  listed = other178.listed;
-  clockMilliseconds = other178.clockMilliseconds;
-  running = other178.running;
-  ended = other178.ended;
-  results = other178.results;
-  highestTerm = other178.highestTerm;
-  listFence = other178.listFence;
-  endsOmitted = other178.endsOmitted;
-  refusesConnections = other178.refusesConnections;
-  __isset = other178.__isset;
-}
-HostReport::HostReport(HostReport&& other179) noexcept {
-  hostId = std::move(other179.hostId);
-  incarnation = other179.incarnation;
-  serviceName = std::move(other179.serviceName);
-  zone = std::move(other179.zone);
-  rack = std::move(other179.rack);
-  labels = std::move(other179.labels);
-  capacity = std::move(other179.capacity);
-  state = other179.state;
-  remainingMilliseconds = other179.remainingMilliseconds;
-  listed = other179.listed;
-  clockMilliseconds = other179.clockMilliseconds;
-  running = std::move(other179.running);
-  ended = std::move(other179.ended);
-  results = std::move(other179.results);
-  highestTerm = other179.highestTerm;
-  listFence = other179.listFence;
-  endsOmitted = other179.endsOmitted;
-  refusesConnections = other179.refusesConnections;
-  __isset = other179.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other180) {
-  hostId = other180.hostId;
-  incarnation = other180.incarnation;
-  serviceName = other180.serviceName;
-  zone = other180.zone;
-  rack = other180.rack;
-  labels = other180.labels;
-  capacity = other180.capacity;
-  state = other180.state;
-  remainingMilliseconds = other180.remainingMilliseconds;
-  listed = other180.listed;
-  clockMilliseconds = other180.clockMilliseconds;
-  running = other180.running;
-  ended = other180.ended;
-  results = other180.results;
-  highestTerm = other180.highestTerm;
-  listFence = other180.listFence;
-  endsOmitted = other180.endsOmitted;
-  refusesConnections = other180.refusesConnections;
-  __isset = other180.__isset;
+HostReport::HostReport(const HostReport& other188) {
+  hostId = other188.hostId;
+  incarnation = other188.incarnation;
+  serviceName = other188.serviceName;
+  zone = other188.zone;
+  rack = other188.rack;
+  labels = other188.labels;
+  capacity = other188.capacity;
+  state = other188.state;
+  remainingMilliseconds = other188.remainingMilliseconds;
+  listed = other188.listed;
+  clockMilliseconds = other188.clockMilliseconds;
+  running = other188.running;
+  ended = other188.ended;
+  results = other188.results;
+  highestTerm = other188.highestTerm;
+  listFence = other188.listFence;
+  endsOmitted = other188.endsOmitted;
+  refusesConnections = other188.refusesConnections;
+  changesOnly = other188.changesOnly;
+  removed = other188.removed;
+  __isset = other188.__isset;
+}
+HostReport::HostReport(HostReport&& other189) noexcept {
+  hostId = std::move(other189.hostId);
+  incarnation = other189.incarnation;
+  serviceName = std::move(other189.serviceName);
+  zone = std::move(other189.zone);
+  rack = std::move(other189.rack);
+  labels = std::move(other189.labels);
+  capacity = std::move(other189.capacity);
+  state = other189.state;
+  remainingMilliseconds = other189.remainingMilliseconds;
+  listed = other189.listed;
+  clockMilliseconds = other189.clockMilliseconds;
+  running = std::move(other189.running);
+  ended = std::move(other189.ended);
+  results = std::move(other189.results);
+  highestTerm = other189.highestTerm;
+  listFence = other189.listFence;
+  endsOmitted = other189.endsOmitted;
+  refusesConnections = other189.refusesConnections;
+  changesOnly = other189.changesOnly;
+  removed = std::move(other189.removed);
+  __isset = other189.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other190) {
+  hostId = other190.hostId;
+  incarnation = other190.incarnation;
+  serviceName = other190.serviceName;
+  zone = other190.zone;
+  rack = other190.rack;
+  labels = other190.labels;
+  capacity = other190.capacity;
+  state = other190.state;
+  remainingMilliseconds = other190.remainingMilliseconds;
+  listed = other190.listed;
+  clockMilliseconds = other190.clockMilliseconds;
+  running = other190.running;
+  ended = other190.ended;
+  results = other190.results;
+  highestTerm = other190.highestTerm;
+  listFence = other190.listFence;
+  endsOmitted = other190.endsOmitted;
+  refusesConnections = other190.refusesConnections;
+  changesOnly = other190.changesOnly;
+  removed = other190.removed;
+  __isset = other190.__isset;
   return *this;
 }
-HostReport& HostReport::operator=(HostReport&& other181) noexcept {
-  hostId = std::move(other181.hostId);
-  incarnation = other181.incarnation;
-  serviceName = std::move(other181.serviceName);
-  zone = std::move(other181.zone);
-  rack = std::move(other181.rack);
-  labels = std::move(other181.labels);
-  capacity = std::move(other181.capacity);
-  state = other181.state;
-  remainingMilliseconds = other181.remainingMilliseconds;
-  listed = other181.listed;
-  clockMilliseconds = other181.clockMilliseconds;
-  running = std::move(other181.running);
-  ended = std::move(other181.ended);
-  results = std::move(other181.results);
-  highestTerm = other181.highestTerm;
-  listFence = other181.listFence;
-  endsOmitted = other181.endsOmitted;
-  refusesConnections = other181.refusesConnections;
-  __isset = other181.__isset;
+HostReport& HostReport::operator=(HostReport&& other191) noexcept {
+  hostId = std::move(other191.hostId);
+  incarnation = other191.incarnation;
+  serviceName = std::move(other191.serviceName);
+  zone = std::move(other191.zone);
+  rack = std::move(other191.rack);
+  labels = std::move(other191.labels);
+  capacity = std::move(other191.capacity);
+  state = other191.state;
+  remainingMilliseconds = other191.remainingMilliseconds;
+  listed = other191.listed;
+  clockMilliseconds = other191.clockMilliseconds;
+  running = std::move(other191.running);
+  ended = std::move(other191.ended);
+  results = std::move(other191.results);
+  highestTerm = other191.highestTerm;
+  listFence = other191.listFence;
+  endsOmitted = other191.endsOmitted;
+  refusesConnections = other191.refusesConnections;
+  changesOnly = other191.changesOnly;
+  removed = std::move(other191.removed);
+  __isset = other191.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -7201,6 +7386,8 @@
   out << ", " << "listFence=" << to_string(listFence);
   out << ", " << "endsOmitted=" << to_string(endsOmitted);
   out << ", " << "refusesConnections=" << to_string(refusesConnections);
+  out << ", " << "changesOnly=" << to_string(changesOnly);
+  out << ", " << "removed=" << to_string(removed);
   out << ")";
 }
 
@@ -7365,42 +7552,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StartOrder::StartOrder(const StartOrder& other182) {
-  task = other182.task;
-  run = other182.run;
-  payload = other182.payload;
-  checkpoint = other182.checkpoint;
-  ticket = other182.ticket;
-  percent = other182.percent;
-  __isset = other182.__isset;
-}
-StartOrder::StartOrder(StartOrder&& other183) noexcept {
-  task = std::move(other183.task);
-  run = other183.run;
-  payload = std::move(other183.payload);
-  checkpoint = std::move(other183.checkpoint);
-  ticket = std::move(other183.ticket);
-  percent = other183.percent;
-  __isset = other183.__isset;
-}
-StartOrder& StartOrder::operator=(const StartOrder& other184) {
-  task = other184.task;
-  run = other184.run;
-  payload = other184.payload;
-  checkpoint = other184.checkpoint;
-  ticket = other184.ticket;
-  percent = other184.percent;
-  __isset = other184.__isset;
+StartOrder::StartOrder(const StartOrder& other192) {
+  task = other192.task;
+  run = other192.run;
+  payload = other192.payload;
+  checkpoint = other192.checkpoint;
+  ticket = other192.ticket;
+  percent = other192.percent;
+  __isset = other192.__isset;
+}
+StartOrder::StartOrder(StartOrder&& other193) noexcept {
+  task = std::move(other193.task);
+  run = other193.run;
+  payload = std::move(other193.payload);
+  checkpoint = std::move(other193.checkpoint);
+  ticket = std::move(other193.ticket);
+  percent = other193.percent;
+  __isset = other193.__isset;
+}
+StartOrder& StartOrder::operator=(const StartOrder& other194) {
+  task = other194.task;
+  run = other194.run;
+  payload = other194.payload;
+  checkpoint = other194.checkpoint;
+  ticket = other194.ticket;
+  percent = other194.percent;
+  __isset = other194.__isset;
   return *this;
 }
-StartOrder& StartOrder::operator=(StartOrder&& other185) noexcept {
-  task = std::move(other185.task);
-  run = other185.run;
-  payload = std::move(other185.payload);
-  checkpoint = std::move(other185.checkpoint);
-  ticket = std::move(other185.ticket);
-  percent = other185.percent;
-  __isset = other185.__isset;
+StartOrder& StartOrder::operator=(StartOrder&& other195) noexcept {
+  task = std::move(other195.task);
+  run = other195.run;
+  payload = std::move(other195.payload);
+  checkpoint = std::move(other195.checkpoint);
+  ticket = std::move(other195.ticket);
+  percent = other195.percent;
+  __isset = other195.__isset;
   return *this;
 }
 void StartOrder::printTo(std::ostream& out) const {
@@ -7508,26 +7695,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HaltOrder::HaltOrder(const HaltOrder& other186) {
-  task = other186.task;
-  run = other186.run;
-  __isset = other186.__isset;
+HaltOrder::HaltOrder(const HaltOrder& other196) {
+  task = other196.task;
+  run = other196.run;
+  __isset = other196.__isset;
 }
-HaltOrder::HaltOrder(HaltOrder&& other187) noexcept {
-  task = std::move(other187.task);
-  run = other187.run;
-  __isset = other187.__isset;
+HaltOrder::HaltOrder(HaltOrder&& other197) noexcept {
+  task = std::move(other197.task);
+  run = other197.run;
+  __isset = other197.__isset;
 }
-HaltOrder& HaltOrder::operator=(const HaltOrder& other188) {
-  task = other188.task;
-  run = other188.run;
-  __isset = other188.__isset;
+HaltOrder& HaltOrder::operator=(const HaltOrder& other198) {
+  task = other198.task;
+  run = other198.run;
+  __isset = other198.__isset;
   return *this;
 }
-HaltOrder& HaltOrder::operator=(HaltOrder&& other189) noexcept {
-  task = std::move(other189.task);
-  run = other189.run;
-  __isset = other189.__isset;
+HaltOrder& HaltOrder::operator=(HaltOrder&& other199) noexcept {
+  task = std::move(other199.task);
+  run = other199.run;
+  __isset = other199.__isset;
   return *this;
 }
 void HaltOrder::printTo(std::ostream& out) const {
@@ -7648,30 +7835,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PaceOrder::PaceOrder(const PaceOrder& other190) {
-  task = other190.task;
-  run = other190.run;
-  percent = other190.percent;
-  __isset = other190.__isset;
+PaceOrder::PaceOrder(const PaceOrder& other200) {
+  task = other200.task;
+  run = other200.run;
+  percent = other200.percent;
+  __isset = other200.__isset;
 }
-PaceOrder::PaceOrder(PaceOrder&& other191) noexcept {
-  task = std::move(other191.task);
-  run = other191.run;
-  percent = other191.percent;
-  __isset = other191.__isset;
+PaceOrder::PaceOrder(PaceOrder&& other201) noexcept {
+  task = std::move(other201.task);
+  run = other201.run;
+  percent = other201.percent;
+  __isset = other201.__isset;
 }
-PaceOrder& PaceOrder::operator=(const PaceOrder& other192) {
-  task = other192.task;
-  run = other192.run;
-  percent = other192.percent;
-  __isset = other192.__isset;
+PaceOrder& PaceOrder::operator=(const PaceOrder& other202) {
+  task = other202.task;
+  run = other202.run;
+  percent = other202.percent;
+  __isset = other202.__isset;
   return *this;
 }
-PaceOrder& PaceOrder::operator=(PaceOrder&& other193) noexcept {
-  task = std::move(other193.task);
-  run = other193.run;
-  percent = other193.percent;
-  __isset = other193.__isset;
+PaceOrder& PaceOrder::operator=(PaceOrder&& other203) noexcept {
+  task = std::move(other203.task);
+  run = other203.run;
+  percent = other203.percent;
+  __isset = other203.__isset;
   return *this;
 }
 void PaceOrder::printTo(std::ostream& out) const {
@@ -7723,6 +7910,10 @@
 void HostOrders::__set_fence(const int64_t val) {
   this->fence = val;
 }
+
+void HostOrders::__set_acceptsChanges(const bool val) {
+  this->acceptsChanges = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostOrders& obj)
 {
   obj.printTo(out);
@@ -7795,14 +7986,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->starts.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->starts.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->starts[_i198].read(iprot);
+              xfer += this->starts[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7815,14 +8006,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->halts.clear();
-            uint32_t _size199;
-            ::apache::thrift::protocol::TType _etype202;
-            xfer += iprot->readListBegin(_etype202, _size199);
-            this->halts.resize(_size199);
-            uint32_t _i203;
-            for (_i203 = 0; _i203 < _size199; ++_i203)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->halts.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += this->halts[_i203].read(iprot);
+              xfer += this->halts[_i213].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7835,14 +8026,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->paces.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->paces.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->paces.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->paces[_i208].read(iprot);
+              xfer += this->paces[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7859,6 +8050,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->acceptsChanges);
+          this->__isset.acceptsChanges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7899,10 +8098,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<StartOrder> ::const_iterator _iter209;
-    for (_iter209 = this->starts.begin(); _iter209 != this->starts.end(); ++_iter209)
+    std::vector<StartOrder> ::const_iterator _iter219;
+    for (_iter219 = this->starts.begin(); _iter219 != this->starts.end(); ++_iter219)
     {
-      xfer += (*_iter209).write(oprot);
+      xfer += (*_iter219).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7911,10 +8110,10 @@
   xfer += oprot->writeFieldBegin("halts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->halts.size()));
-    std::vector<HaltOrder> ::const_iterator _iter210;
-    for (_iter210 = this->halts.begin(); _iter210 != this->halts.end(); ++_iter210)
+    std::vector<HaltOrder> ::const_iterator _iter220;
+    for (_iter220 = this->halts.begin(); _iter220 != this->halts.end(); ++_iter220)
     {
-      xfer += (*_iter210).write(oprot);
+      xfer += (*_iter220).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7923,10 +8122,10 @@
   xfer += oprot->writeFieldBegin("paces", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->paces.size()));
-    std::vector<PaceOrder> ::const_iterator _iter211;
-    for (_iter211 = this->paces.begin(); _iter211 != this->paces.end(); ++_iter211)
+    std::vector<PaceOrder> ::const_iterator _iter221;
+    for (_iter221 = this->paces.begin(); _iter221 != this->paces.end(); ++_iter221)
     {
-      xfer += (*_iter211).write(oprot);
+      xfer += (*_iter221).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7936,6 +8135,10 @@
   xfer += oprot->writeI64(this->fence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("acceptsChanges", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->acceptsChanges);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7952,57 +8155,62 @@
   swap(a.halts, b.halts);
   swap(a.paces, b.paces);
   swap(a.fence, b.fence);
+  swap(a.acceptsChanges, b.acceptsChanges);
   swap(a.__isset, b.__isset);
 }
 
-HostOrders::HostOrders(const HostOrders& other212) {
-  term = other212.term;
-  hostId = other212.hostId;
-  incarnation = other212.incarnation;
-  leaseUntilMilliseconds = other212.leaseUntilMilliseconds;
-  acknowledgedNumber = other212.acknowledgedNumber;
-  starts = other212.starts;
-  halts = other212.halts;
-  paces = other212.paces;
-  fence = other212.fence;
-  __isset = other212.__isset;
-}
-HostOrders::HostOrders(HostOrders&& other213) noexcept {
-  term = other213.term;
-  hostId = std::move(other213.hostId);
-  incarnation = other213.incarnation;
-  leaseUntilMilliseconds = other213.leaseUntilMilliseconds;
-  acknowledgedNumber = other213.acknowledgedNumber;
-  starts = std::move(other213.starts);
-  halts = std::move(other213.halts);
-  paces = std::move(other213.paces);
-  fence = other213.fence;
-  __isset = other213.__isset;
-}
-HostOrders& HostOrders::operator=(const HostOrders& other214) {
-  term = other214.term;
-  hostId = other214.hostId;
-  incarnation = other214.incarnation;
-  leaseUntilMilliseconds = other214.leaseUntilMilliseconds;
-  acknowledgedNumber = other214.acknowledgedNumber;
-  starts = other214.starts;
-  halts = other214.halts;
-  paces = other214.paces;
-  fence = other214.fence;
-  __isset = other214.__isset;
+HostOrders::HostOrders(const HostOrders& other222) {
+  term = other222.term;
+  hostId = other222.hostId;
+  incarnation = other222.incarnation;
+  leaseUntilMilliseconds = other222.leaseUntilMilliseconds;
+  acknowledgedNumber = other222.acknowledgedNumber;
+  starts = other222.starts;
+  halts = other222.halts;
+  paces = other222.paces;
+  fence = other222.fence;
+  acceptsChanges = other222.acceptsChanges;
+  __isset = other222.__isset;
+}
+HostOrders::HostOrders(HostOrders&& other223) noexcept {
+  term = other223.term;
+  hostId = std::move(other223.hostId);
+  incarnation = other223.incarnation;
+  leaseUntilMilliseconds = other223.leaseUntilMilliseconds;
+  acknowledgedNumber = other223.acknowledgedNumber;
+  starts = std::move(other223.starts);
+  halts = std::move(other223.halts);
+  paces = std::move(other223.paces);
+  fence = other223.fence;
+  acceptsChanges = other223.acceptsChanges;
+  __isset = other223.__isset;
+}
+HostOrders& HostOrders::operator=(const HostOrders& other224) {
+  term = other224.term;
+  hostId = other224.hostId;
+  incarnation = other224.incarnation;
+  leaseUntilMilliseconds = other224.leaseUntilMilliseconds;
+  acknowledgedNumber = other224.acknowledgedNumber;
+  starts = other224.starts;
+  halts = other224.halts;
+  paces = other224.paces;
+  fence = other224.fence;
+  acceptsChanges = other224.acceptsChanges;
+  __isset = other224.__isset;
   return *this;
 }
-HostOrders& HostOrders::operator=(HostOrders&& other215) noexcept {
-  term = other215.term;
-  hostId = std::move(other215.hostId);
-  incarnation = other215.incarnation;
-  leaseUntilMilliseconds = other215.leaseUntilMilliseconds;
-  acknowledgedNumber = other215.acknowledgedNumber;
-  starts = std::move(other215.starts);
-  halts = std::move(other215.halts);
-  paces = std::move(other215.paces);
-  fence = other215.fence;
-  __isset = other215.__isset;
+HostOrders& HostOrders::operator=(HostOrders&& other225) noexcept {
+  term = other225.term;
+  hostId = std::move(other225.hostId);
+  incarnation = other225.incarnation;
+  leaseUntilMilliseconds = other225.leaseUntilMilliseconds;
+  acknowledgedNumber = other225.acknowledgedNumber;
+  starts = std::move(other225.starts);
+  halts = std::move(other225.halts);
+  paces = std::move(other225.paces);
+  fence = other225.fence;
+  acceptsChanges = other225.acceptsChanges;
+  __isset = other225.__isset;
   return *this;
 }
 void HostOrders::printTo(std::ostream& out) const {
@@ -8017,6 +8225,7 @@
   out << ", " << "halts=" << to_string(halts);
   out << ", " << "paces=" << to_string(paces);
   out << ", " << "fence=" << to_string(fence);
+  out << ", " << "acceptsChanges=" << to_string(acceptsChanges);
   out << ")";
 }
 
@@ -8164,38 +8373,38 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeHello::NodeHello(const NodeHello& other216) {
-  nodeId = other216.nodeId;
-  incarnation = other216.incarnation;
-  isSide = other216.isSide;
-  term = other216.term;
-  isOwner = other216.isOwner;
-  __isset = other216.__isset;
-}
-NodeHello::NodeHello(NodeHello&& other217) noexcept {
-  nodeId = std::move(other217.nodeId);
-  incarnation = other217.incarnation;
-  isSide = other217.isSide;
-  term = other217.term;
-  isOwner = other217.isOwner;
-  __isset = other217.__isset;
-}
-NodeHello& NodeHello::operator=(const NodeHello& other218) {
-  nodeId = other218.nodeId;
-  incarnation = other218.incarnation;
-  isSide = other218.isSide;
-  term = other218.term;
-  isOwner = other218.isOwner;
-  __isset = other218.__isset;
+NodeHello::NodeHello(const NodeHello& other226) {
+  nodeId = other226.nodeId;
+  incarnation = other226.incarnation;
+  isSide = other226.isSide;
+  term = other226.term;
+  isOwner = other226.isOwner;
+  __isset = other226.__isset;
+}
+NodeHello::NodeHello(NodeHello&& other227) noexcept {
+  nodeId = std::move(other227.nodeId);
+  incarnation = other227.incarnation;
+  isSide = other227.isSide;
+  term = other227.term;
+  isOwner = other227.isOwner;
+  __isset = other227.__isset;
+}
+NodeHello& NodeHello::operator=(const NodeHello& other228) {
+  nodeId = other228.nodeId;
+  incarnation = other228.incarnation;
+  isSide = other228.isSide;
+  term = other228.term;
+  isOwner = other228.isOwner;
+  __isset = other228.__isset;
   return *this;
 }
-NodeHello& NodeHello::operator=(NodeHello&& other219) noexcept {
-  nodeId = std::move(other219.nodeId);
-  incarnation = other219.incarnation;
-  isSide = other219.isSide;
-  term = other219.term;
-  isOwner = other219.isOwner;
-  __isset = other219.__isset;
+NodeHello& NodeHello::operator=(NodeHello&& other229) noexcept {
+  nodeId = std::move(other229.nodeId);
+  incarnation = other229.incarnation;
+  isSide = other229.isSide;
+  term = other229.term;
+  isOwner = other229.isOwner;
+  __isset = other229.__isset;
   return *this;
 }
 void NodeHello::printTo(std::ostream& out) const {
@@ -8279,9 +8488,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast220;
-          xfer += iprot->readI32(ecast220);
-          this->kind = static_cast<JobCallKind::type>(ecast220);
+          int32_t ecast230;
+          xfer += iprot->readI32(ecast230);
+          this->kind = static_cast<JobCallKind::type>(ecast230);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8389,46 +8598,46 @@
   swap(a.__isset, b.__isset);
 }
 
-JobCall::JobCall(const JobCall& other221) {
-  callId = other221.callId;
-  kind = other221.kind;
-  jobId = other221.jobId;
-  queue = other221.queue;
-  job = other221.job;
-  policyVersion = other221.policyVersion;
-  budgetMilliseconds = other221.budgetMilliseconds;
-  __isset = other221.__isset;
-}
-JobCall::JobCall(JobCall&& other222) noexcept {
-  callId = other222.callId;
-  kind = other222.kind;
-  jobId = std::move(other222.jobId);
-  queue = std::move(other222.queue);
-  job = std::move(other222.job);
-  policyVersion = other222.policyVersion;
-  budgetMilliseconds = other222.budgetMilliseconds;
-  __isset = other222.__isset;
-}
-JobCall& JobCall::operator=(const JobCall& other223) {
-  callId = other223.callId;
-  kind = other223.kind;
-  jobId = other223.jobId;
-  queue = other223.queue;
-  job = other223.job;
-  policyVersion = other223.policyVersion;
-  budgetMilliseconds = other223.budgetMilliseconds;
-  __isset = other223.__isset;
+JobCall::JobCall(const JobCall& other231) {
+  callId = other231.callId;
+  kind = other231.kind;
+  jobId = other231.jobId;
+  queue = other231.queue;
+  job = other231.job;
+  policyVersion = other231.policyVersion;
+  budgetMilliseconds = other231.budgetMilliseconds;
+  __isset = other231.__isset;
+}
+JobCall::JobCall(JobCall&& other232) noexcept {
+  callId = other232.callId;
+  kind = other232.kind;
+  jobId = std::move(other232.jobId);
+  queue = std::move(other232.queue);
+  job = std::move(other232.job);
+  policyVersion = other232.policyVersion;
+  budgetMilliseconds = other232.budgetMilliseconds;
+  __isset = other232.__isset;
+}
+JobCall& JobCall::operator=(const JobCall& other233) {
+  callId = other233.callId;
+  kind = other233.kind;
+  jobId = other233.jobId;
+  queue = other233.queue;
+  job = other233.job;
+  policyVersion = other233.policyVersion;
+  budgetMilliseconds = other233.budgetMilliseconds;
+  __isset = other233.__isset;
   return *this;
 }
-JobCall& JobCall::operator=(JobCall&& other224) noexcept {
-  callId = other224.callId;
-  kind = other224.kind;
-  jobId = std::move(other224.jobId);
-  queue = std::move(other224.queue);
-  job = std::move(other224.job);
-  policyVersion = other224.policyVersion;
-  budgetMilliseconds = other224.budgetMilliseconds;
-  __isset = other224.__isset;
+JobCall& JobCall::operator=(JobCall&& other234) noexcept {
+  callId = other234.callId;
+  kind = other234.kind;
+  jobId = std::move(other234.jobId);
+  queue = std::move(other234.queue);
+  job = std::move(other234.job);
+  policyVersion = other234.policyVersion;
+  budgetMilliseconds = other234.budgetMilliseconds;
+  __isset = other234.__isset;
   return *this;
 }
 void JobCall::printTo(std::ostream& out) const {
@@ -8510,9 +8719,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast225;
-          xfer += iprot->readI32(ecast225);
-          this->kind = static_cast<JobReplyKind::type>(ecast225);
+          int32_t ecast235;
+          xfer += iprot->readI32(ecast235);
+          this->kind = static_cast<JobReplyKind::type>(ecast235);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8520,9 +8729,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast226;
-          xfer += iprot->readI32(ecast226);
-          this->phase = static_cast<JobPhase::type>(ecast226);
+          int32_t ecast236;
+          xfer += iprot->readI32(ecast236);
+          this->phase = static_cast<JobPhase::type>(ecast236);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8609,42 +8818,42 @@
   swap(a.__isset, b.__isset);
 }
 
-JobReply::JobReply(const JobReply& other227) {
-  callId = other227.callId;
-  kind = other227.kind;
-  phase = other227.phase;
-  waiting = other227.waiting;
-  retryAfterMilliseconds = other227.retryAfterMilliseconds;
-  reason = other227.reason;
-  __isset = other227.__isset;
-}
-JobReply::JobReply(JobReply&& other228) noexcept {
-  callId = other228.callId;
-  kind = other228.kind;
-  phase = other228.phase;
-  waiting = other228.waiting;
-  retryAfterMilliseconds = other228.retryAfterMilliseconds;
-  reason = std::move(other228.reason);
-  __isset = other228.__isset;
-}
-JobReply& JobReply::operator=(const JobReply& other229) {
-  callId = other229.callId;
-  kind = other229.kind;
-  phase = other229.phase;
-  waiting = other229.waiting;
-  retryAfterMilliseconds = other229.retryAfterMilliseconds;
-  reason = other229.reason;
-  __isset = other229.__isset;
+JobReply::JobReply(const JobReply& other237) {
+  callId = other237.callId;
+  kind = other237.kind;
+  phase = other237.phase;
+  waiting = other237.waiting;
+  retryAfterMilliseconds = other237.retryAfterMilliseconds;
+  reason = other237.reason;
+  __isset = other237.__isset;
+}
+JobReply::JobReply(JobReply&& other238) noexcept {
+  callId = other238.callId;
+  kind = other238.kind;
+  phase = other238.phase;
+  waiting = other238.waiting;
+  retryAfterMilliseconds = other238.retryAfterMilliseconds;
+  reason = std::move(other238.reason);
+  __isset = other238.__isset;
+}
+JobReply& JobReply::operator=(const JobReply& other239) {
+  callId = other239.callId;
+  kind = other239.kind;
+  phase = other239.phase;
+  waiting = other239.waiting;
+  retryAfterMilliseconds = other239.retryAfterMilliseconds;
+  reason = other239.reason;
+  __isset = other239.__isset;
   return *this;
 }
-JobReply& JobReply::operator=(JobReply&& other230) noexcept {
-  callId = other230.callId;
-  kind = other230.kind;
-  phase = other230.phase;
-  waiting = other230.waiting;
-  retryAfterMilliseconds = other230.retryAfterMilliseconds;
-  reason = std::move(other230.reason);
-  __isset = other230.__isset;
+JobReply& JobReply::operator=(JobReply&& other240) noexcept {
+  callId = other240.callId;
+  kind = other240.kind;
+  phase = other240.phase;
+  waiting = other240.waiting;
+  retryAfterMilliseconds = other240.retryAfterMilliseconds;
+  reason = std::move(other240.reason);
+  __isset = other240.__isset;
   return *this;
 }
 void JobReply::printTo(std::ostream& out) const {
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -225,6 +225,8 @@
 
 class OrderResult;
 
+class RunName;
+
 class HostReport;
 
 class StartOrder;
@@ -2628,8 +2630,59 @@
 
 std::ostream& operator<<(std::ostream& out, const OrderResult& obj);
 
+typedef struct _RunName__isset {
+  _RunName__isset() : task(false), run(false) {}
+  bool task :1;
+  bool run :1;
+} _RunName__isset;
+
+class RunName : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunName(const RunName&);
+  RunName(RunName&&) noexcept;
+  RunName& operator=(const RunName&);
+  RunName& operator=(RunName&&) noexcept;
+  RunName() noexcept
+          : run(0) {
+  }
+
+  virtual ~RunName() noexcept;
+  TaskName task;
+  int32_t run;
+
+  _RunName__isset __isset;
+
+  void __set_task(const TaskName& val);
+
+  void __set_run(const int32_t val);
+
+  bool operator == (const RunName & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    return true;
+  }
+  bool operator != (const RunName &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunName & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunName &a, RunName &b);
+
+std::ostream& operator<<(std::ostream& out, const RunName& obj);
+
 typedef struct _HostReport__isset {
-  _HostReport__isset() : hostId(false), incarnation(false), serviceName(false), zone(false), rack(false), labels(false), capacity(false), state(false), remainingMilliseconds(false), listed(false), clockMilliseconds(false), running(false), ended(false), results(false), highestTerm(false), listFence(false), endsOmitted(false), refusesConnections(false) {}
+  _HostReport__isset() : hostId(false), incarnation(false), serviceName(false), zone(false), rack(false), labels(false), capacity(false), state(false), remainingMilliseconds(false), listed(false), clockMilliseconds(false), running(false), ended(false), results(false), highestTerm(false), listFence(false), endsOmitted(false), refusesConnections(false), changesOnly(false), removed(false) {}
   bool hostId :1;
   bool incarnation :1;
   bool serviceName :1;
@@ -2648,6 +2701,8 @@
   bool listFence :1;
   bool endsOmitted :1;
   bool refusesConnections :1;
+  bool changesOnly :1;
+  bool removed :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -2670,7 +2725,8 @@
                highestTerm(0),
                listFence(0),
                endsOmitted(0),
-               refusesConnections(0) {
+               refusesConnections(0),
+               changesOnly(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -2696,6 +2752,8 @@
   int64_t listFence;
   bool endsOmitted;
   bool refusesConnections;
+  bool changesOnly;
+  std::vector<RunName>  removed;
 
   _HostReport__isset __isset;
 
@@ -2735,6 +2793,10 @@
 
   void __set_refusesConnections(const bool val);
 
+  void __set_changesOnly(const bool val);
+
+  void __set_removed(const std::vector<RunName> & val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(hostId == rhs.hostId))
@@ -2773,6 +2835,10 @@
       return false;
     if (!(refusesConnections == rhs.refusesConnections))
       return false;
+    if (!(changesOnly == rhs.changesOnly))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -2980,7 +3046,7 @@
 std::ostream& operator<<(std::ostream& out, const PaceOrder& obj);
 
 typedef struct _HostOrders__isset {
-  _HostOrders__isset() : term(false), hostId(false), incarnation(false), leaseUntilMilliseconds(false), acknowledgedNumber(false), starts(false), halts(false), paces(false), fence(false) {}
+  _HostOrders__isset() : term(false), hostId(false), incarnation(false), leaseUntilMilliseconds(false), acknowledgedNumber(false), starts(false), halts(false), paces(false), fence(false), acceptsChanges(false) {}
   bool term :1;
   bool hostId :1;
   bool incarnation :1;
@@ -2990,6 +3056,7 @@
   bool halts :1;
   bool paces :1;
   bool fence :1;
+  bool acceptsChanges :1;
 } _HostOrders__isset;
 
 class HostOrders : public virtual ::apache::thrift::TBase {
@@ -3005,7 +3072,8 @@
                incarnation(0),
                leaseUntilMilliseconds(0),
                acknowledgedNumber(0),
-               fence(0) {
+               fence(0),
+               acceptsChanges(0) {
   }
 
   virtual ~HostOrders() noexcept;
@@ -3018,6 +3086,7 @@
   std::vector<HaltOrder>  halts;
   std::vector<PaceOrder>  paces;
   int64_t fence;
+  bool acceptsChanges;
 
   _HostOrders__isset __isset;
 
@@ -3039,6 +3108,8 @@
 
   void __set_fence(const int64_t val);
 
+  void __set_acceptsChanges(const bool val);
+
   bool operator == (const HostOrders & rhs) const
   {
     if (!(term == rhs.term))
@@ -3059,6 +3130,8 @@
       return false;
     if (!(fence == rhs.fence))
       return false;
+    if (!(acceptsChanges == rhs.acceptsChanges))
+      return false;
     return true;
   }
   bool operator != (const HostOrders &rhs) const {
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -317,6 +317,11 @@
 
 enum HostState { Ready = 1, Draining = 2, Gone = 3 }
 
+struct RunName {
+  1: TaskName task
+  2: i32 run
+}
+
 // Side to owner: the state of the host beside the side, with a new list of runs if listed is true. Gone means that this
 // incarnation of the host has shut down and has no runs.
 struct HostReport {
@@ -341,6 +346,11 @@
   17: bool endsOmitted
   // The host accepts no new connections. Its runs may continue.
   18: bool refusesConnections
+  // The report has the changes since the previous list over this connection and under this fence: new and changed runs
+  // in running, missing ones in removed, and new ends. The description of the host, from serviceName to capacity, is
+  // empty.
+  19: bool changesOnly
+  20: list<RunName> removed
 }
 
 struct StartOrder {
@@ -377,6 +387,8 @@
   7: list<HaltOrder> halts
   8: list<PaceOrder> paces
   9: i64 fence
+  // The owner accepts reports with changesOnly set.
+  10: bool acceptsChanges
 }
 
 // First message on a link to the owner, and its answer.
