Process: Report rising figures at once, others every 200 ms

Change: a usage figure that rises by 15% is reported with the next list, all other changes every 200 ms.

--- a/Source/Decision/Process/ReportedRuns.cpp
+++ b/Source/Decision/Process/ReportedRuns.cpp
@@ -8,9 +8,11 @@
 namespace {
 
     /// Interval of reports while nothing but usage and progress changes. Usage figures cover half a second.
-    constexpr Duration figuresInterval = milliseconds(430);
+    constexpr Duration figuresInterval = milliseconds(200);
     /// Relative change of a usage figure that is reported. The figures are rough.
     constexpr double usageChangeShare = 0.05;
+    /// Relative rise of a usage figure that is reported at once: a tail latency that rises may call for slower fillers.
+    constexpr double usageRiseShare = 0.15;
     constexpr int progressChangePercent = 10;
     constexpr int wholeProgressPercent = 100;
     /// A newer checkpoint matters only if the host is lost, so it may be reported this much later.
@@ -36,6 +38,11 @@
     return row.checkpoint != reported.row.checkpoint && now - reported.reportedAt >= checkpointInterval;
 }
 
+bool ReportedRuns::hasRisen(const ReportedRow& reported, const Wire::RunningTask& row)
+{
+    return static_cast<double>(row.usage) > (1 + usageRiseShare) * static_cast<double>(reported.row.usage);
+}
+
 void ReportedRuns::reportCompletely(Instant now, const Wire::HostReport& report)
 {
     reset();
@@ -63,7 +70,8 @@
         const bool isNew = it == m_rows.end();
         if (!isNew)
             it->second.listNumber = m_listNumber;
-        if (!isNew && !(figuresDue && hasChanged(now, it->second, row)))
+        const bool isNeeded = isNew || hasRisen(it->second, row) || (figuresDue && hasChanged(now, it->second, row));
+        if (!isNeeded)
             continue;
         m_rows.insert_or_assign(key, ReportedRow { row, now, m_listNumber });
         changed.push_back(std::move(row));
--- a/Source/Decision/Process/ReportedRuns.h
+++ b/Source/Decision/Process/ReportedRuns.h
@@ -25,8 +25,10 @@
     };
 
     void reportCompletely(Instant now, const Wire::HostReport& report);
-    /// Whether the figures of a run have changed so much that the owner needs them.
+    /// Whether the figures of a run have changed so much that the owner needs them with the next report of figures.
     static bool hasChanged(Instant now, const ReportedRow& reported, const Wire::RunningTask& row);
+    /// Whether the figures of a run have to be reported at once.
+    static bool hasRisen(const ReportedRow& reported, const Wire::RunningTask& row);
 
     bool m_hasBase = false;
     Instant m_lastFiguresAt;
--- a/Tests/Unit/ReportedRunsTest.cpp
+++ b/Tests/Unit/ReportedRunsTest.cpp
@@ -69,10 +69,13 @@
         ReportedRuns reported;
         Wire::HostReport report = list(3);
         reported.reduce(at(0), report);
-        report = list(3, {}, 200);
+        report = list(3, {}, 80);
         CPPUNIT_ASSERT_MESSAGE("too soon", !reported.reduce(at(100), report));
+        report = list(3, {}, 80);
+        CPPUNIT_ASSERT(reported.reduce(at(300), report));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), report.running.size());
         report = list(3, {}, 200);
-        CPPUNIT_ASSERT(reported.reduce(at(450), report));
+        CPPUNIT_ASSERT_MESSAGE("a rising tail is reported at once", reported.reduce(at(310), report));
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), report.running.size());
         report = list(3, {}, 201);
         CPPUNIT_ASSERT_MESSAGE("a report shows that the host is alive", reported.reduce(at(900), report));
@@ -97,7 +100,7 @@
         for (int n = 0; n < 2; ++n) {
             Wire::HostReport report = list(3);
             report.endsOmitted = true;
-            CPPUNIT_ASSERT(reported.reduce(at(40 * n), report));
+            CPPUNIT_ASSERT(reported.reduce(at(0) + n * milliseconds(40), report));
             CPPUNIT_ASSERT(!report.changesOnly);
             CPPUNIT_ASSERT_EQUAL(std::size_t(3), report.running.size());
         }
