Job: Fix scores of slow hosts, stale probes and the 65th image

It is multiplied now (avoidsASlowHostForServingTasks). - Without fillers, a probe and the time over the target stayed with the host; the next filler met a task exempted without a probe (aFillerInheritsNoProbe). - Fillers beyond the 64th image were charged to the first image (furtherImagesAreNotChargedToTheFirst). They keep the prior pressure.

--- a/Source/Decision/Job/InterferenceModel.cpp
+++ b/Source/Decision/Job/InterferenceModel.cpp
@@ -46,8 +46,9 @@
     std::map<std::string, std::size_t>::iterator it = m_fillerIndexes.find(filler);
     if (it != m_fillerIndexes.end())
         return it->second;
+    // Further images have no index and keep the prior pressure.
     if (m_fillerIndexes.size() >= maximumFillerImages)
-        return 0;
+        return maximumFillerImages;
     const std::size_t n = m_fillerIndexes.size();
     m_fillerIndexes[filler] = n;
     return n;
@@ -115,8 +116,11 @@
 {
     std::vector<double> shares(m_fillerIndexes.size(), 0.0);
     for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
-        if (entry.second.filler)
-            shares[fillerIndex(entry.second.image)] += static_cast<double>(entry.second.usage) / capacityOf(host);
+        if (!entry.second.filler)
+            continue;
+        const std::size_t index = fillerIndex(entry.second.image);
+        if (index < shares.size())
+            shares[index] += static_cast<double>(entry.second.usage) / capacityOf(host);
     }
     return shares;
 }
--- a/Source/Decision/Job/PaceController.cpp
+++ b/Source/Decision/Job/PaceController.cpp
@@ -135,8 +135,13 @@
             fillers.push_back(
                 PacedFiller { maximumPressure(groups, run.image) >= m_rules.highPressureThreshold, &run });
     }
-    if (fillers.empty())
+    if (fillers.empty()) {
+        // The next filler must not inherit a probe, or the time over target, from before it started.
+        host.probeUntil = Instant();
+        for (std::pair<const RunKey, HostRun>& entry : host.runs)
+            entry.second.overTargetSince = Instant();
         return 0;
+    }
     // Low-pressure fillers first, then those that began first: a job is complete only when its last task is.
     std::sort(fillers.begin(), fillers.end(), [](const PacedFiller& one, const PacedFiller& other) {
         return std::tie(one.highPressure, one.run->placedAt) < std::tie(other.highPressure, other.run->placedAt);
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -30,11 +30,23 @@
     return host.capacity.milliProcessors - static_cast<std::int64_t>(serving) - use.batch - use.fillers;
 }
 
+std::int64_t Placement::reservedMegabytes(const Host& host) const
+{
+    return static_cast<std::int64_t>(m_rules.memoryReserve * static_cast<double>(host.capacity.memoryMegabytes));
+}
+
+bool Placement::isOpenTo(
+    const Host& host, const Wire::JobDefinition& job, const Wire::StepDefinition& step, Instant now)
+{
+    return host.listed && !host.draining && host.link != noLink && !host.refusesConnections
+        && host.service == job.serviceName && hasLabel(host, step.requiredLabel) && now >= host.health.quarantinedUntil
+        && !host.health.onProbation;
+}
+
 HostEligibility Placement::evaluateFiller(const Host& host, const PlacementRequest& request) const
 {
     const Wire::StepDefinition& step = request.definition;
-    const double reserve = m_rules.memoryReserve * static_cast<double>(host.capacity.memoryMegabytes);
-    if (static_cast<double>(host.freeMegabytes() - step.demand.memoryMegabytes) < reserve)
+    if (host.freeMegabytes() - step.demand.memoryMegabytes < reservedMegabytes(host))
         return HostEligibility::NoMemory;
     if (idleMilliCores(host) < step.demand.milliProcessors)
         return HostEligibility::NoIdleProcessors;
@@ -118,7 +130,8 @@
         value -= 2;
     if (step.filler)
         value += 2 * (m_paceController.tolerablePace(host, step.image, step.demand.milliProcessors) / 100.0 - 1);
-    return value / host.health.slowness;
+    // A slow host is worth less, whether the score is above or below zero.
+    return value >= 0 ? value / host.health.slowness : value * host.health.slowness;
 }
 
 Host* Placement::chooseHost(
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -52,6 +52,11 @@
         const HostRegistry& hosts, const std::string& service, const Wire::StepDefinition& step);
     /// Estimated processors of the host that no run uses.
     std::int64_t idleMilliCores(const Host& host) const;
+    /// Memory of the host that fillers must leave free.
+    std::int64_t reservedMegabytes(const Host& host) const;
+    /// Whether a task of the step could start on the host if the host's runs left enough room.
+    static bool isOpenTo(
+        const Host& host, const Wire::JobDefinition& job, const Wire::StepDefinition& step, Instant now);
 
 private:
     HostEligibility evaluate(const Host& host, const PlacementRequest& request, Instant now) const;
--- a/Tests/Unit/PaceControllerTest.cpp
+++ b/Tests/Unit/PaceControllerTest.cpp
@@ -18,7 +18,10 @@
     CPPUNIT_TEST(doesNotSlowFillersThatServingTasksTolerate);
     CPPUNIT_TEST(keepsItsPressureEstimateWhenTailsAreCensored);
     CPPUNIT_TEST(raisesPacesSlowly);
+    CPPUNIT_TEST(aFillerInheritsNoProbe);
+    CPPUNIT_TEST(furtherImagesAreNotChargedToTheFirst);
     CPPUNIT_TEST(packsServingTasksByImage);
+    CPPUNIT_TEST(avoidsASlowHostForServingTasks);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr double actualPressure = 8;
@@ -263,6 +266,71 @@
         CPPUNIT_ASSERT_EQUAL(PaceRules {}.maximumRaisePercent, host.orders.paces.at(0).percent);
     }
 
+    // Guards against a serving task that is exempted without a probe, or probed at once, because it was over its target
+    // while no filler ran beside it.
+    void aFillerInheritsNoProbe()
+    {
+        Simulation simulation;
+        for (int now = 3000; now < 8000; now += 500)
+            simulation.listHosts(now);
+        Host& host = simulation.hosts.hosts()["host-1"];
+        const int probeDelay = static_cast<int>(toMilliseconds(PaceRules {}.probeDelay));
+        adjustWithTail(simulation, host, 8000, 300);
+        adjustWithTail(simulation, host, 8000 + probeDelay, 300);
+        CPPUNIT_ASSERT_MESSAGE("a probe has begun", host.probeUntil != Instant());
+        HostRegistry::removeRun(host, runKey(makeTask("0000000000000004", 0, 0), 1));
+        adjustWithTail(simulation, host, 8000 + probeDelay + 100, 300);
+        CPPUNIT_ASSERT(host.probeUntil == Instant());
+        HostRegistry::addRun(host, makeFillerRun("0000000000000004", 1, "quiet"));
+        adjustWithTail(simulation, host, 30'000, 300);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("neither probe nor exemption", 100, paceOf(host));
+        for (const std::pair<const RunKey, HostRun>& run : host.runs)
+            CPPUNIT_ASSERT(run.second.slowdownExemptUntil == Instant());
+    }
+
+    // Guards against slowing the fillers of one image for the interference of images that the model has no room for.
+    void furtherImagesAreNotChargedToTheFirst()
+    {
+        constexpr int trackedImages = 64;
+        Simulation simulation;
+        simulation.listHosts(3000);
+        for (int n = 0; n < trackedImages; ++n)
+            HostRegistry::addRun(
+                simulation.hosts.hosts()["host-2"], makeFillerRun("0000000000000005", n, "image-" + std::to_string(n)));
+        simulation.listHosts(3500);
+        HostRegistry::addRun(
+            simulation.hosts.hosts()["host-1"], makeFillerRun("0000000000000006", 0, "image-" + std::to_string(63)));
+        const double before = simulation.model.pressure("desk", "loud");
+        Host& host = simulation.hosts.hosts()["host-1"];
+        for (int n = 0; n < 4; ++n)
+            HostRegistry::addRun(host, makeFillerRun("0000000000000007", n, "image-" + std::to_string(63)));
+        for (int now = 4000; now < 12'000; now += 500)
+            simulation.listHosts(now);
+        CPPUNIT_ASSERT(simulation.model.pressure("desk", "loud") >= before);
+    }
+
+    // Guards against long-running tasks that are placed on slow hosts: scores of serving tasks can be negative.
+    void avoidsASlowHostForServingTasks()
+    {
+        HostRegistry hosts;
+        const InterferenceModel model;
+        const PaceController controller(PaceRules {}, model);
+        const Placement placement(PlacementRules {}, controller);
+        addHost(hosts, "host-1").health.slowness = 4;
+        addHost(hosts, "host-2");
+        for (std::pair<const std::string, Host>& entry : hosts.hosts())
+            entry.second.lastContactAt = at(100);
+        Wire::StepDefinition step = makeStep(1, 2000, 100);
+        step.longRunning = true;
+        step.targetMilliseconds = 150;
+        step.image = "desk";
+        const Wire::JobDefinition job = makeJob("0000000000000005", { step });
+        const std::vector<RunPlace> noPlaces;
+        const Host* host = placement.chooseHost(hosts, PlacementRequest { job, step, 0, 0, noPlaces, {} }, at(100));
+        CPPUNIT_ASSERT(host);
+        CPPUNIT_ASSERT_EQUAL(std::string("host-2"), host->hostId);
+    }
+
     void packsServingTasksByImage()
     {
         HostRegistry hosts;
