Job: Stop no work in vain, step down without fences, log a lost host record

The owner steps down, and the next term has new fences (anOwnerWithoutFurtherFencesStepsDown). - An unreadable record of a host was taken for incarnation 0 without a log line (logsAnUnreadableRecordOfAHost).

--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -71,7 +71,10 @@
             const std::optional<Wire::HostRecord> stored = Wire::decode<Wire::HostRecord>(record.value);
             Host host;
             host.hostId = id;
+            // A host without a readable record may hold leases too, so it is kept as one that has not reported.
             host.incarnation = stored ? stored->incarnation : 0;
+            if (!stored)
+                m_loadErrors.emplace_back(record.key, errorOf(unreadable).message);
             host.orders.hostId = id;
             m_state.hosts.hosts().insert_or_assign(id, std::move(host));
         }
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -36,8 +36,9 @@
     /// Returns the next append to the store, if one is due.
     std::optional<AppendToStore> nextAppend(Instant now) { return m_state.storeWriter.nextAppend(now); }
     void tick(Instant now, std::int64_t unixMilliseconds, Actions& actions);
-    /// Another entry owns the jobs or may own them. This owner must not send further orders.
-    bool isFenced() const { return m_fenced || m_runTracker.isFenced(); }
+    /// Another entry owns the jobs or may own them, or this term has no further fences. This owner must not send
+    /// further orders.
+    bool isFenced() const { return m_fenced || m_runTracker.isFenced() || m_state.fencesUsedUp; }
     /// No record, progress or reply is waiting to be persisted.
     bool hasNoPendingWrites() const
     {
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -82,6 +82,8 @@
     Instant ownedSince;
     /// Highest fence that has been assigned to any host.
     std::int64_t highestFence;
+    /// A fence could not be raised within the term, so only the owner of a later term can void earlier orders.
+    bool fencesUsedUp = false;
     /// Wall-clock time of the last tick.
     std::int64_t unixMilliseconds = 0;
     std::shared_ptr<const PolicySnapshot> policy;
@@ -122,7 +124,10 @@
     /// run is started on the host until that list is received.
     void raiseFence(Host& host)
     {
-        highestFence = std::min(highestFence + fencesPerOwnerFence, (term + 1) * fencesPerTerm - fencesPerOwnerFence);
+        if (highestFence + fencesPerOwnerFence < (term + 1) * fencesPerTerm)
+            highestFence += fencesPerOwnerFence;
+        else
+            fencesUsedUp = true;
         host.fence = highestFence;
         host.listed = false;
         host.acknowledgementDue = true;
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -64,7 +64,7 @@
         else
             placeStep(now, job, step, earlierRunsKnown, actions);
         if (step.waitingTasks > 0 && stepsWithPreemption < maximumStepsWithPreemption
-            && preemptRuns(job, step, actions))
+            && preemptRuns(now, job, step, actions))
             ++stepsWithPreemption;
     }
 }
@@ -261,7 +261,7 @@
     return waitReason;
 }
 
-bool TaskScheduler::preemptRuns(JobState& job, StepState& step, Actions& actions)
+bool TaskScheduler::preemptRuns(Instant now, JobState& job, StepState& step, Actions& actions)
 {
     const Wire::StepDefinition& definition = job.stepDefinition(step);
     const int priority = job.definition().priority;
@@ -269,11 +269,10 @@
     std::vector<HostRun*> bestRuns;
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
-        if (!host.listed || host.draining || host.link == noLink || host.refusesConnections
-            || host.service != job.definition().serviceName)
+        if (!Placement::isOpenTo(host, job.definition(), definition, now))
             continue;
         std::int64_t processors = host.freeMilliCores();
-        std::int64_t memory = host.freeMegabytes();
+        std::int64_t memory = host.freeMegabytes() - (definition.filler ? m_placement.reservedMegabytes(host) : 0);
         std::vector<HostRun*> victims;
         bool halting = false;
         for (std::pair<const RunKey, HostRun>& run : host.runs) {
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -41,7 +41,7 @@
     std::optional<WaitReason> tryStartGang(
         Instant now, JobState& job, StepState& step, HostEligibilityCounts& hostCounts, Actions& actions);
     /// Stops less urgent runs on one host so that a task of the step fits there. False when no run was stopped.
-    bool preemptRuns(JobState& job, StepState& step, Actions& actions);
+    bool preemptRuns(Instant now, JobState& job, StepState& step, Actions& actions);
     void startRun(
         Instant now, JobState& job, StepState& step, std::size_t index, int run, Host& host, Actions& actions);
     /// Stops fillers that run at a low pace where another host allows them a high one; they are placed again later.
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -107,7 +107,7 @@
         actions.push_back(std::move(*append));
     }
     if (m_owner->isFenced())
-        stepDown(now, "fenced", actions);
+        stepDown(now, m_owner->state().fencesUsedUp ? "fences_used_up" : "fenced", actions);
 }
 
 void Ownership::sendPulse(Instant now, bool resigning, Actions& actions)
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -30,6 +30,9 @@
     CPPUNIT_TEST(aGangStartsWholeOrNotAtAll);
     CPPUNIT_TEST(anOccurrenceStartsWhenItIsDue);
     CPPUNIT_TEST(urgentTasksPreemptFillers);
+    CPPUNIT_TEST(preemptsNothingWhereTheUrgentTaskCannotStart);
+    CPPUNIT_TEST(anOwnerWithoutFurtherFencesStepsDown);
+    CPPUNIT_TEST(logsAnUnreadableRecordOfAHost);
     CPPUNIT_TEST(aReportOverAnEarlierConnectionIsOutdated);
     CPPUNIT_TEST(aListUnderAnEarlierFenceDoesNotCount);
     CPPUNIT_TEST(anOrderToAnEarlierIncarnationCountsUntilTheNextIsListed);
@@ -441,6 +444,60 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.haltOrders.size());
     }
 
+    // Guards against work that is thrown away: the urgent task requires a label that the host does not have.
+    void preemptsNothingWhereTheUrgentTaskCannotStart()
+    {
+        Wire::StepDefinition filler = makeStep(2, 1000, 5000);
+        filler.filler = true;
+        filler.demand.memoryMegabytes = 4500;
+        Wire::JobDefinition fillerJob = makeJob("00000000000000aa", { filler });
+        fillerJob.priority = 2;
+        OwnerHarness harness;
+        acceptJobWithOneHost(harness, fillerJob);
+        harness.announceAndReport(200,
+            listing(300,
+                { makeRunningTask(makeTask(fillerJob.jobId, 0, 0), 1),
+                    makeRunningTask(makeTask(fillerJob.jobId, 0, 1), 1) }));
+        Wire::HostReport labelled = makeReport("host-2", 1, 100);
+        labelled.labels = { "large" };
+        labelled.capacity.milliProcessors = 1000;
+        harness.announceAndReport(200, labelled, testLink + 1);
+        Wire::StepDefinition urgent = makeStep(2, 1000, 60'000);
+        urgent.demand.memoryMegabytes = 3000;
+        urgent.requiredLabel = "large";
+        harness.submit(210, makeJob("00000000000000ab", { urgent }));
+        harness.settle(220);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("one task fits the labelled host", std::size_t(3), harness.startOrders.size());
+        CPPUNIT_ASSERT(harness.haltOrders.empty());
+    }
+
+    // Guards against orders of an earlier connection that are carried out late: once a term has no further fence, hosts
+    // cannot tell them from new ones.
+    void anOwnerWithoutFurtherFencesStepsDown()
+    {
+        constexpr LinkId fences = fencesPerTerm / fencesPerOwnerFence;
+        OwnerHarness harness;
+        Wire::HostReport announcement = makeReport("host-1", 1, 100);
+        announcement.listed = false;
+        for (LinkId n = 0; n < fences - 1; ++n)
+            harness.deliverReport(0, announcement, testLink + n);
+        CPPUNIT_ASSERT(!harness.owner.isFenced());
+        harness.deliverReport(0, announcement, testLink + fences);
+        CPPUNIT_ASSERT(harness.owner.isFenced());
+    }
+
+    void logsAnUnreadableRecordOfAHost()
+    {
+        JobOwner owner("entry-1", 2, OwnerRules {}, at(0));
+        owner.loadRecords({ StoreRecord { StoreKey::host("host-1"), "?" } });
+        Actions actions;
+        owner.finishLoad(at(0), 0, at(9000), actions);
+        const std::vector<WriteLog> lines = actionsOf<WriteLog>(actions);
+        CPPUNIT_ASSERT(std::any_of(lines.begin(), lines.end(),
+            [](const WriteLog& line) { return line.line.starts_with("event=record_unreadable key=h/host-1 "); }));
+        CPPUNIT_ASSERT_MESSAGE("the host may hold a lease", !owner.state().areAllHostsAccountedFor(at(100)));
+    }
+
     // Guards against a long-running task that is never placed again: a report delayed on an earlier connection lists a
     // run that has ended since.
     void aReportOverAnEarlierConnectionIsOutdated()
