Tests: One copy of the history seeds and of the test policy

The new history repeated the reading of the seeds, and its policy stood in JobEntryCoreTest. Both have one copy now (HistorySeeds, TestPolicy). Shown by RunHistoryTest, OrderHistoryTest, CallHistoryTest and JobEntryCoreTest, which pass as before with the same default seeds.

--- a/Tests/Support/CallSimulation.cpp
+++ b/Tests/Support/CallSimulation.cpp
@@ -1,6 +1,7 @@
 #include "Support/CallSimulation.h"
 
 #include "Support/JobFixture.h"
+#include "Support/TestPolicy.h"
 
 #include <iostream>
 
@@ -16,19 +17,6 @@
     /// Longer than any fault, a take-over and the attempts of a client.
     constexpr int faultFreeMilliseconds = 30'000;
 
-    Result<PolicySnapshot> decodePolicy(const std::string&)
-    {
-        PolicySnapshot policy;
-        policy.version = 1;
-        QueuePolicy queue;
-        queue.name = "checks";
-        queue.hostName = "desk.example";
-        queue.pathPrefix = "/checks/";
-        queue.service = "desk";
-        policy.queues.push_back(queue);
-        return policy;
-    }
-
     std::string jobIdOf(std::size_t number)
     {
         std::string id = std::to_string(number);
@@ -87,7 +75,7 @@
     entry.backlog.clear();
     entry.core = std::make_unique<JobEntryCore>(
         NodeIdentity { "entry-" + std::to_string(n), entry.process, "127.0.0.1", static_cast<int>(n) + 1 },
-        OwnerRules {}, JobEntryTiming {}, decodePolicy);
+        OwnerRules {}, JobEntryTiming {}, decodeTestPolicy);
 }
 
 void CallSimulation::deliver(std::size_t n, int delay, std::function<void(JobEntryCore&, Actions&)> handle)
--- a/Tests/Support/OrderSimulation.cpp
+++ b/Tests/Support/OrderSimulation.cpp
@@ -1,5 +1,6 @@
 #include "Support/OrderSimulation.h"
 
+#include "Support/HistorySeeds.h"
 #include "Wire/Codec.h"
 
 #include <iostream>
@@ -654,22 +655,17 @@
 {
     constexpr int milliseconds = 20'000;
     constexpr std::size_t minimumStartsPerHistory = 100;
-    const char* historiesSetting = std::getenv("PLANTAINPIER_HISTORIES");
-    const char* seedSetting = std::getenv("PLANTAINPIER_SEED");
-    const unsigned first = seedSetting ? static_cast<unsigned>(std::stoul(seedSetting)) : 1;
-    const unsigned last = seedSetting ? first
-        : historiesSetting            ? static_cast<unsigned>(std::stoul(historiesSetting))
-                                      : defaultHistories;
+    const HistorySeeds seeds = historySeeds(defaultHistories);
     std::string violations;
     std::size_t startedRunCount = 0;
-    for (unsigned seed = first; seed <= last; ++seed) {
+    for (unsigned seed = seeds.first; seed <= seeds.last; ++seed) {
         OrderSimulation simulation(seed, restartMode);
         simulation.run(milliseconds);
         startedRunCount += simulation.startedRunCount();
         for (const std::string& violation : simulation.violations())
             violations += "seed " + std::to_string(seed) + ": " + violation + "\n";
     }
-    if (startedRunCount < minimumStartsPerHistory * (last - first + 1))
+    if (startedRunCount < minimumStartsPerHistory * seeds.count())
         violations += "only " + std::to_string(startedRunCount) + " runs were started in all histories\n";
     return violations;
 }
--- a/Tests/Unit/CallHistoryTest.cpp
+++ b/Tests/Unit/CallHistoryTest.cpp
@@ -2,6 +2,7 @@
 /// lose the store, freeze and restart, and clients repeat their calls at other entries. PLANTAINPIER_HISTORIES sets the
 /// number of histories, PLANTAINPIER_SEED selects one, and PLANTAINPIER_TRACE prints the entries' log.
 #include "Support/CallSimulation.h"
+#include "Support/HistorySeeds.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -16,17 +17,11 @@
     void refusalsAndAcceptancesAreTrue()
     {
         constexpr int milliseconds = 20'000;
-        constexpr unsigned defaultHistories = 40;
-        const char* historiesSetting = std::getenv("PLANTAINPIER_HISTORIES");
-        const char* seedSetting = std::getenv("PLANTAINPIER_SEED");
-        const unsigned first = seedSetting ? static_cast<unsigned>(std::stoul(seedSetting)) : 1;
-        const unsigned last = seedSetting ? first
-            : historiesSetting            ? static_cast<unsigned>(std::stoul(historiesSetting))
-                                          : defaultHistories;
+        const HistorySeeds seeds = historySeeds(40);
         std::string violations;
         std::size_t acceptedCount = 0;
         std::size_t takeOverCount = 0;
-        for (unsigned seed = first; seed <= last; ++seed) {
+        for (unsigned seed = seeds.first; seed <= seeds.last; ++seed) {
             CallSimulation simulation(seed);
             simulation.run(milliseconds);
             acceptedCount += simulation.acceptedCount();
@@ -35,9 +30,8 @@
                 violations += "seed " + std::to_string(seed) + ": " + violation + "\n";
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), violations);
-        const std::size_t histories = last - first + 1;
-        CPPUNIT_ASSERT_MESSAGE("the histories accept jobs", acceptedCount >= 100 * histories);
-        CPPUNIT_ASSERT_MESSAGE("the histories change the owner", takeOverCount >= 3 * histories);
+        CPPUNIT_ASSERT_MESSAGE("the histories accept jobs", acceptedCount >= 100 * seeds.count());
+        CPPUNIT_ASSERT_MESSAGE("the histories change the owner", takeOverCount >= 3 * seeds.count());
     }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(CallHistoryTest);
--- a/Tests/Unit/JobEntryCoreTest.cpp
+++ b/Tests/Unit/JobEntryCoreTest.cpp
@@ -2,6 +2,7 @@
 /// answers them when no owner is available.
 #include "Decision/Process/JobEntryCore.h"
 #include "Support/JobFixture.h"
+#include "Support/TestPolicy.h"
 #include "Support/VirtualStore.h"
 #include "Wire/Codec.h"
 
@@ -33,7 +34,7 @@
     /// One entry with a store that responds at once; a read that finds no records waits for one.
     struct Entry {
         Entry()
-            : core(NodeIdentity { "entry-1", 101, "127.0.0.1", 1 }, OwnerRules {}, JobEntryTiming {}, decode)
+            : core(NodeIdentity { "entry-1", 101, "127.0.0.1", 1 }, OwnerRules {}, JobEntryTiming {}, decodeTestPolicy)
         {
             AppendToStore append;
             append.topic = StoreTopic::Policy;
@@ -41,19 +42,6 @@
             store.append(append);
         }
 
-        static Result<PolicySnapshot> decode(const std::string&)
-        {
-            PolicySnapshot policy;
-            policy.version = 1;
-            QueuePolicy queue;
-            queue.name = "checks";
-            queue.hostName = "desk.example";
-            queue.pathPrefix = "/checks/";
-            queue.service = "desk";
-            policy.queues.push_back(queue);
-            return policy;
-        }
-
         void run(int until)
         {
             for (; now < until; now += stepMilliseconds) {
--- a/Tests/Unit/RunHistoryTest.cpp
+++ b/Tests/Unit/RunHistoryTest.cpp
@@ -1,6 +1,7 @@
 /// Tests the real JobOwner in random histories: tasks fail, owners are replaced while former owners continue, hosts
 /// crash or become unreachable, and the store becomes unavailable. The checks use the runs that the hosts
 /// carried out and the final state of the jobs.
+#include "Support/HistorySeeds.h"
 #include "Support/JobFixture.h"
 #include "Support/VirtualHost.h"
 #include "Support/VirtualStore.h"
@@ -371,15 +372,10 @@
     // starts after or beside a completed run, and jobs that stay open or have a wrong outcome.
     void attemptsAreCountedAcrossOwnerChanges()
     {
-        const char* historiesSetting = std::getenv("PLANTAINPIER_HISTORIES");
-        const char* seedSetting = std::getenv("PLANTAINPIER_SEED");
-        const unsigned first = seedSetting ? static_cast<unsigned>(std::stoul(seedSetting)) : 1;
-        const unsigned last = seedSetting ? first
-            : historiesSetting            ? static_cast<unsigned>(std::stoul(historiesSetting))
-                                          : 300;
+        const HistorySeeds seeds = historySeeds(300);
         constexpr int milliseconds = 20'000;
         std::string violations;
-        for (unsigned seed = first; seed <= last; ++seed) {
+        for (unsigned seed = seeds.first; seed <= seeds.last; ++seed) {
             RunHistory history(seed);
             history.run(milliseconds);
             CPPUNIT_ASSERT_MESSAGE("the history starts more than 40 runs", history.starts() > 40);
