--- a/Tests/Support/HistorySeeds.h
+++ b/Tests/Support/HistorySeeds.h
@@ -1,6 +1,7 @@
 /// The seeds of random histories. Used by RunHistoryTest, CallHistoryTest and OrderSimulation.
 #pragma once
 
+#include <cstddef>
 #include <cstdlib>
 #include <string>
 
@@ -10,7 +11,7 @@
     unsigned first = 1;
     unsigned last = 1;
 
-    unsigned count() const { return last - first + 1; }
+    std::size_t count() const { return last - first + 1; }
 };
 
 /// Returns the seeds from 1 to defaultHistories. The environment variable PLANTAINPIER_HISTORIES changes the number of
