Tests: One set-up for preempted fillers and for placed serving tasks

Each set-up is one function now; the assertions are the same, and the new preemption case now asserts that both fillers run, too.

--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -424,19 +424,25 @@
         CPPUNIT_ASSERT_EQUAL(1, harness.startOrders[1].task.occurrence);
     }
 
-    void urgentTasksPreemptFillers()
+    /// Runs two less urgent fillers on host-1, which together leave little memory.
+    static void runTwoFillers(OwnerHarness& harness)
     {
         Wire::StepDefinition filler = makeStep(2, 1000, 5000);
         filler.filler = true;
         filler.demand.memoryMegabytes = 4500;
         Wire::JobDefinition fillerJob = makeJob("00000000000000aa", { filler });
         fillerJob.priority = 2;
-        OwnerHarness harness;
         acceptJobWithOneHost(harness, fillerJob);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.startOrders.size());
         const std::vector<Wire::RunningTask> running { makeRunningTask(makeTask(fillerJob.jobId, 0, 0), 1),
             makeRunningTask(makeTask(fillerJob.jobId, 0, 1), 1) };
         harness.announceAndReport(200, listing(300, running));
+    }
+
+    void urgentTasksPreemptFillers()
+    {
+        OwnerHarness harness;
+        runTwoFillers(harness);
         Wire::StepDefinition large = makeStep(1, 1000, 300);
         large.demand.memoryMegabytes = 3000;
         harness.submit(210, makeJob("00000000000000ab", { large }));
@@ -447,17 +453,8 @@
     // Guards against work that is thrown away: the urgent task requires a label that the host does not have.
     void preemptsNothingWhereTheUrgentTaskCannotStart()
     {
-        Wire::StepDefinition filler = makeStep(2, 1000, 5000);
-        filler.filler = true;
-        filler.demand.memoryMegabytes = 4500;
-        Wire::JobDefinition fillerJob = makeJob("00000000000000aa", { filler });
-        fillerJob.priority = 2;
         OwnerHarness harness;
-        acceptJobWithOneHost(harness, fillerJob);
-        harness.announceAndReport(200,
-            listing(300,
-                { makeRunningTask(makeTask(fillerJob.jobId, 0, 0), 1),
-                    makeRunningTask(makeTask(fillerJob.jobId, 0, 1), 1) }));
+        runTwoFillers(harness);
         Wire::HostReport labelled = makeReport("host-2", 1, 100);
         labelled.labels = { "large" };
         labelled.capacity.milliProcessors = 1000;
--- a/Tests/Unit/PaceControllerTest.cpp
+++ b/Tests/Unit/PaceControllerTest.cpp
@@ -309,17 +309,12 @@
         CPPUNIT_ASSERT(simulation.model.pressure("desk", "loud") >= before);
     }
 
-    // Guards against long-running tasks that are placed on slow hosts: scores of serving tasks can be negative.
-    void avoidsASlowHostForServingTasks()
+    /// The host that a serving task of the image "desk" is placed on.
+    static std::string hostOfServingTask(HostRegistry& hosts)
     {
-        HostRegistry hosts;
         const InterferenceModel model;
         const PaceController controller(PaceRules {}, model);
         const Placement placement(PlacementRules {}, controller);
-        addHost(hosts, "host-1").health.slowness = 4;
-        addHost(hosts, "host-2");
-        for (std::pair<const std::string, Host>& entry : hosts.hosts())
-            entry.second.lastContactAt = at(100);
         Wire::StepDefinition step = makeStep(1, 2000, 100);
         step.longRunning = true;
         step.targetMilliseconds = 150;
@@ -328,15 +323,23 @@
         const std::vector<RunPlace> noPlaces;
         const Host* host = placement.chooseHost(hosts, PlacementRequest { job, step, 0, 0, noPlaces, {} }, at(100));
         CPPUNIT_ASSERT(host);
-        CPPUNIT_ASSERT_EQUAL(std::string("host-2"), host->hostId);
+        return host->hostId;
+    }
+
+    // Guards against long-running tasks that are placed on slow hosts: scores of serving tasks can be negative.
+    void avoidsASlowHostForServingTasks()
+    {
+        HostRegistry hosts;
+        addHost(hosts, "host-1").health.slowness = 4;
+        addHost(hosts, "host-2");
+        for (std::pair<const std::string, Host>& entry : hosts.hosts())
+            entry.second.lastContactAt = at(100);
+        CPPUNIT_ASSERT_EQUAL(std::string("host-2"), hostOfServingTask(hosts));
     }
 
     void packsServingTasksByImage()
     {
         HostRegistry hosts;
-        const InterferenceModel model;
-        const PaceController controller(PaceRules {}, model);
-        const Placement placement(PlacementRules {}, controller);
         HostRegistry::addRun(addHost(hosts, "host-1"), makeServingRun("0000000000000001", 0, "board"));
         HostRegistry::addRun(addHost(hosts, "host-2"), makeServingRun("0000000000000002", 0, "desk"));
         addHost(hosts, "host-3");
@@ -344,15 +347,7 @@
             entry.second.lastContactAt = at(100);
             entry.second.clockReadAt = at(100);
         }
-        Wire::StepDefinition step = makeStep(1, 2000, 100);
-        step.longRunning = true;
-        step.targetMilliseconds = 150;
-        step.image = "desk";
-        const Wire::JobDefinition job = makeJob("0000000000000005", { step });
-        const std::vector<RunPlace> noPlaces;
-        const Host* host = placement.chooseHost(hosts, PlacementRequest { job, step, 0, 0, noPlaces, {} }, at(100));
-        CPPUNIT_ASSERT(host);
-        CPPUNIT_ASSERT_EQUAL(std::string("host-2"), host->hostId);
+        CPPUNIT_ASSERT_EQUAL(std::string("host-2"), hostOfServingTask(hosts));
     }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PaceControllerTest);
