Job: Remove a run from its task by host and number

Cause, first part: RunTracker::removeRunFromTask compared run numbers only. The late end of a run on one host removed the run with the same number on another host; the task then counted as waiting and was started beside the run that went on.

Change: a run of a task is identified by its host and its number. RunPlace::incarnation is removed: nothing read it, and a run with an unconfirmed start is kept when its host starts again.

Ruled out: RunEndEffect::SupersededRun, which is about ends of runs that the owner does not track; a failed end counts as an attempt also then, by design (BUDGET), and it is the removal after it that was wrong. Other users of run numbers look up Host::runs, which is kept by host.

Evidence: JobOwnerTest.aLateEndOnOneHostKeepsTheRunWithItsNumberOnAnother failed before (2 starts, 1 expected), passes now.

--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -14,12 +14,13 @@
 /// Number of run numbers reserved for each term of a task. A later owner has no record of which numbers were used.
 constexpr int runNumbersPerTerm = 64;
 
-/// One run of a task on one incarnation of a host.
+/// One run of a task. The host and the number together identify it: a number that an owner assigns may still be listed
+/// on a host that an earlier owner used.
 struct RunPlace {
     std::string hostId;
-    std::int64_t incarnation = 0;
     int run = 0;
     Instant placedAt;
+    /// Without the incarnation, since a run whose start is unconfirmed may start on a later one.
 };
 
 /// One task. A task is waiting while it is not completed and has no run.
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -240,7 +240,7 @@
     actions.push_back(WriteLog { line.text() });
     const std::string checkpoint = it->second.checkpoint;
     HostRegistry::removeRun(host, key);
-    removeRunFromTask(now, result.task, result.run, checkpoint);
+    removeRunFromTask(now, host, result.task, result.run, checkpoint);
     TaskState* task = nullptr;
     if (JobState* job = m_state.findJob(result.task.jobId))
         task = job->findTask(result.task);
@@ -327,12 +327,13 @@
     }
     if (task->runs.empty())
         --step->waitingTasks;
-    task->runs.push_back(RunPlace { host.hostId, host.incarnation, listedRun.run, now });
+    task->runs.push_back(RunPlace { host.hostId, listedRun.run, now });
     task->lastRun = std::max(task->lastRun, listedRun.run);
     job->markStarted();
 }
 
-void RunTracker::removeRunFromTask(Instant now, const Wire::TaskName& name, int run, const std::string& checkpoint)
+void RunTracker::removeRunFromTask(
+    Instant now, const Host& host, const Wire::TaskName& name, int run, const std::string& checkpoint)
 {
     JobState* job = m_state.findJob(name.jobId);
     StepState* step = job ? job->findStep(name.occurrence, name.step) : nullptr;
@@ -341,7 +342,8 @@
         return;
     const std::size_t before = task->runs.size();
     task->runs.erase(
-        std::remove_if(task->runs.begin(), task->runs.end(), [run](const RunPlace& place) { return place.run == run; }),
+        std::remove_if(task->runs.begin(), task->runs.end(),
+            [&host, run](const RunPlace& place) { return place.hostId == host.hostId && place.run == run; }),
         task->runs.end());
     if (task->runs.size() == before || task->completed)
         return;
@@ -446,11 +448,11 @@
         return;
     case RunEndEffect::JobAlreadyFinished:
     case RunEndEffect::TaskAlreadyCompleted:
-        removeRunFromTask(now, listedRun.task, listedRun.run, {});
+        removeRunFromTask(now, host, listedRun.task, listedRun.run, {});
         return;
     case RunEndEffect::Completion:
         task->lastRun = std::max(task->lastRun, listedRun.run);
-        onTaskCompleted(now, *job, *task, listedRun, actions);
+        onTaskCompleted(now, host, *job, *task, listedRun, actions);
         return;
     case RunEndEffect::Interruption:
     case RunEndEffect::Failure:
@@ -460,7 +462,7 @@
     task->lastRun = std::max(task->lastRun, listedRun.run);
     if (listedRun.how == Wire::RunEnd::Lapsed)
         ++m_state.counters.lapsedRuns;
-    removeRunFromTask(now, listedRun.task, listedRun.run, listedRun.checkpoint);
+    removeRunFromTask(now, host, listedRun.task, listedRun.run, listedRun.checkpoint);
     if (!listedRun.checkpoint.empty())
         m_state.markDirty(now, listedRun.task.jobId, false);
     if (effect == RunEndEffect::Failure)
@@ -469,12 +471,12 @@
 }
 
 void RunTracker::onTaskCompleted(
-    Instant now, JobState& job, TaskState& task, const Wire::EndedTask& listedRun, Actions& actions)
+    Instant now, const Host& host, JobState& job, TaskState& task, const Wire::EndedTask& listedRun, Actions& actions)
 {
     ++m_state.counters.completedTasks;
     job.completeTask(now, *job.findStep(listedRun.task.occurrence, listedRun.task.step),
         static_cast<std::size_t>(listedRun.task.index));
-    removeRunFromTask(now, listedRun.task, listedRun.run, {});
+    removeRunFromTask(now, host, listedRun.task, listedRun.run, {});
     m_state.markDirty(now, listedRun.task.jobId, false);
     for (const RunPlace& duplicate : std::vector<RunPlace>(task.runs)) {
         Host* other = m_state.hosts.find(duplicate.hostId);
@@ -573,7 +575,7 @@
     const std::optional<HostRun> run = HostRegistry::removeRun(host, key);
     if (!run)
         return;
-    removeRunFromTask(now, run->task, run->run, run->checkpoint);
+    removeRunFromTask(now, host, run->task, run->run, run->checkpoint);
     JobState* job = m_state.findJob(run->task.jobId);
     if (TaskState* task = job ? job->findTask(run->task) : nullptr)
         task->lastEndUnknown = leaseExpired;
--- a/Source/Decision/Job/RunTracker.h
+++ b/Source/Decision/Job/RunTracker.h
@@ -59,8 +59,8 @@
     void onEndedTask(Instant now, Host& host, const Wire::EndedTask& listedRun, Actions& actions);
     /// Determines the effect of a run end without applying it. wasTracked: the run was recorded on its host.
     RunEndEffect effectOfEnd(const Wire::EndedTask& listedRun, bool wasTracked);
-    void onTaskCompleted(
-        Instant now, JobState& job, TaskState& task, const Wire::EndedTask& listedRun, Actions& actions);
+    void onTaskCompleted(Instant now, const Host& host, JobState& job, TaskState& task,
+        const Wire::EndedTask& listedRun, Actions& actions);
     void onTaskFailed(Instant now, JobState& job, const StepState& step, TaskState& task, int run, const Host& host,
         Actions& actions);
     void updateHostHealth(Instant now, Host& host, const HostRun& run, Wire::RunEnd::type runEnd, Actions& actions);
@@ -79,8 +79,9 @@
     void abandonRun(Instant now, Host& host, const RunKey& key, bool leaseExpired);
     /// Halts the runs that would not complete before the host shuts down.
     void haltRunsForDrain(Instant now, Host& host, Actions& actions);
-    /// Removes the run from its task. The task returns to waiting if it has no other run.
-    void removeRunFromTask(Instant now, const Wire::TaskName& name, int run, const std::string& checkpoint);
+    /// Removes the host's run from its task. The task returns to waiting if it has no other run.
+    void removeRunFromTask(
+        Instant now, const Host& host, const Wire::TaskName& name, int run, const std::string& checkpoint);
 
     OwnerState& m_state;
     bool m_fenced = false;
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -318,7 +318,7 @@
         --step.waitingTasks;
     task.lastRun = run;
     task.lastEndUnknown = false;
-    task.runs.push_back(RunPlace { host.hostId, host.incarnation, run, now });
+    task.runs.push_back(RunPlace { host.hostId, run, now });
     HostRun hostRun;
     hostRun.task = taskName(job, step, index);
     hostRun.run = run;
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(aLaterOwnerAdoptsRunningTasks);
     CPPUNIT_TEST(countsAFailedRunOnceAcrossOwners);
     CPPUNIT_TEST(acceptsTheEndOfACopyThatAnEarlierOwnerStarted);
+    CPPUNIT_TEST(aLateEndOnOneHostKeepsTheRunWithItsNumberOnAnother);
     CPPUNIT_TEST(haltsRunsOfUnknownJobs);
     CPPUNIT_TEST(restartsTheTasksOfARestartedHost);
     CPPUNIT_TEST(aGangStartsWholeOrNotAtAll);
@@ -371,6 +372,25 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("the other copy is halted", std::size_t(1), next.haltOrders.size());
     }
 
+    // Guards against two concurrent runs of a task: the late end of a run on one host removes the run with the same
+    // number on another.
+    void aLateEndOnOneHostKeepsTheRunWithItsNumberOnAnother()
+    {
+        OwnerHarness harness;
+        Wire::JobDefinition job = makeJob("00000000000000aa", { makeStep(1, 1000, 300) });
+        job.maximumAttempts = 4;
+        acceptJobWithOneHost(harness, job);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.startOrders.size());
+        const Wire::StartOrder start = harness.startOrders[0];
+        harness.announceAndReport(100, makeReport("host-2", 1, 100), testLink + 1);
+        Wire::HostReport late = makeReport("host-2", 1, 200);
+        late.ended.push_back(makeEndedTask(1, start.task, start.run, Wire::RunEnd::Failed));
+        harness.announceAndReport(200, late, testLink + 1);
+        harness.announceAndReport(210, listing(300, { makeRunningTask(start.task, start.run) }));
+        harness.settle(300);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the run on host-1 continues", std::size_t(1), harness.startOrders.size());
+    }
+
     void haltsRunsOfUnknownJobs()
     {
         OwnerHarness harness;
--- a/Tests/Unit/WaitLoggerTest.cpp
+++ b/Tests/Unit/WaitLoggerTest.cpp
@@ -182,7 +182,7 @@
         addHost(hosts).capacity.accelerators = 0;
         addRun(addHost(hosts), jobId, 100, 10);
         const Host& hostRunningTheTask = addHost(hosts);
-        const std::vector<RunPlace> places { RunPlace { hostRunningTheTask.hostId, 0, 1, at(0) } };
+        const std::vector<RunPlace> places { RunPlace { hostRunningTheTask.hostId, 1, at(0) } };
         PlacementRequest request { job, job.steps[0], 0, 0, places, "rack-1" };
         const InterferenceModel model;
         const PaceController paces(PaceRules {}, model);
