Job: Give every run of a task a number of its own, however many starts are refused

Cause, second part: each term has 64 run numbers of a task, and a later owner begins behind them, because it doesn't know which were used. A start that a host refuses uses up a number, each 50 ms, and nothing stopped a term at its 64th: after 3.2 s it gave numbers that the next owner gives again. A start refused as "old" added 64 to the number, which left the range of the term at once.

Change: a term has 65,536 numbers, and assigns none beyond them. When a task has used them up, the owner steps down ("run_numbers_used_up"), as it does without fences; the next term has numbers of its own. The wait is logged as "no_run_number". The limit that the decoder applied (2^30) is now that of the scheduler too: 16,383 terms of one job. "old" no longer skips numbers.

Ruled out: reusing the numbers of refused starts. A start order that was not answered may be carried out seconds later, so a number may be free only once the host has confirmed that, and the owner that follows would still not know.

Evidence: JobOwnerTest.refusedStartsUseUpNoRunNumberOfALaterTerm failed before (number 65 after 201 refused starts), and anOwnerWithoutFurtherRunNumbersStepsDown (number 65 in the first term); both pass.

--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -38,7 +38,10 @@
     void tick(Instant now, std::int64_t unixMilliseconds, Actions& actions);
     /// Another entry owns the jobs or may own them, or this term has no further fences. This owner must not send
     /// further orders.
-    bool isFenced() const { return m_fenced || m_runTracker.isFenced() || m_state.fencesUsedUp; }
+    bool isFenced() const
+    {
+        return m_fenced || m_runTracker.isFenced() || m_state.fencesUsedUp || m_state.runNumbersUsedUp;
+    }
     /// No record, progress or reply is waiting to be persisted.
     bool hasNoPendingWrites() const
     {
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -11,16 +11,19 @@
 
 namespace Plantainpier {
 
-/// Number of run numbers reserved for each term of a task. A later owner has no record of which numbers were used.
-constexpr int runNumbersPerTerm = 64;
+/// Number of run numbers reserved for each term of a task. A later owner has no record of which numbers were used, so
+/// no term assigns a number beyond its own.
+constexpr int runNumbersPerTerm = 1 << 16;
+/// Highest run number, which leaves room for 16,383 terms after the one in which a job was accepted.
+constexpr int maximumRunNumber = 1 << 30;
 
 /// One run of a task. The host and the number together identify it: a number that an owner assigns may still be listed
 /// on a host that an earlier owner used.
 struct RunPlace {
+    /// Without the incarnation, since a run whose start is unconfirmed may start on a later one.
     std::string hostId;
     int run = 0;
     Instant placedAt;
-    /// Without the incarnation, since a run whose start is unconfirmed may start on a later one.
 };
 
 /// One task. A task is waiting while it is not completed and has no run.
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -84,6 +84,8 @@
     std::int64_t highestFence;
     /// A fence could not be raised within the term, so only the owner of a later term can void earlier orders.
     bool fencesUsedUp = false;
+    /// A task has no further run number within the term, so only the owner of a later term can start it.
+    bool runNumbersUsedUp = false;
     /// Wall-clock time of the last tick.
     std::int64_t unixMilliseconds = 0;
     std::shared_ptr<const PolicySnapshot> policy;
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -244,8 +244,6 @@
     TaskState* task = nullptr;
     if (JobState* job = m_state.findJob(result.task.jobId))
         task = job->findTask(result.task);
-    if (task && result.reason == "old")
-        task->lastRun += runNumbersPerTerm;
     if (task && result.outcome == Wire::OrderOutcome::Refused)
         task->notBefore = now + m_state.rules.retryDelayAfterFailure;
 }
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -112,11 +112,18 @@
     return true;
 }
 
-int TaskScheduler::nextRunNumber(const JobState& job, const TaskState& task) const
+std::optional<int> TaskScheduler::nextRunNumber(const JobState& job, const TaskState& task)
 {
-    const std::int64_t terms = m_state.term - job.definition().acceptedTerm;
-    const int first = 1 + static_cast<int>(terms) * runNumbersPerTerm;
-    return std::max(task.lastRun + 1, first);
+    const std::int64_t first = 1 + (m_state.term - job.definition().acceptedTerm) * runNumbersPerTerm;
+    const std::int64_t next = std::max<std::int64_t>(task.lastRun + 1, first);
+    // A later term would have no numbers for this task either.
+    if (next > maximumRunNumber)
+        return std::nullopt;
+    if (next >= first + runNumbersPerTerm) {
+        m_state.runNumbersUsedUp = true;
+        return std::nullopt;
+    }
+    return static_cast<int>(next);
 }
 
 bool TaskScheduler::mayContinueUnderSuccessor(Instant now, const TaskState& task) const
@@ -174,12 +181,17 @@
             recordWait(task, WaitReason::EndNotReported);
             continue;
         }
+        const std::optional<int> run = nextRunNumber(job, task);
+        if (!run) {
+            recordWait(task, WaitReason::NoRunNumber);
+            continue;
+        }
         Host* host = findHost(now, makePlacementRequest(job, step, task), hostCounts);
         if (!host || m_state.storeWriter.storedSequenceNumber() < host->recordSequenceNumber) {
             recordWait(task, host ? WaitReason::HostNotPersisted : WaitReason::NoHost);
             break;
         }
-        startRun(now, job, step, n, nextRunNumber(job, task), *host, actions);
+        startRun(now, job, step, n, *run, *host, actions);
     }
     if (longestWaiting)
         m_waitLogger.logIfDue(now, WaitingTask { job, step, *longestWaiting, waitReason, hostCounts }, actions);
@@ -214,7 +226,10 @@
             return WaitReason::Paused;
         if (mayContinueUnderSuccessor(now, task))
             return WaitReason::EndNotReported;
-        run = std::max(run, nextRunNumber(job, task));
+        const std::optional<int> next = nextRunNumber(job, task);
+        if (!next)
+            return WaitReason::NoRunNumber;
+        run = std::max(run, *next);
     }
     WaitReason waitReason = WaitReason::NoHost;
     // An empty name stands for any rack. With sameRack, each rack is tried first and a mix of racks last.
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -47,7 +47,8 @@
     /// Stops fillers that run at a low pace where another host allows them a high one; they are placed again later.
     void moveSlowFillers(Instant now, Actions& actions);
     bool moveIfSlow(Instant now, Host& host, HostRun& run, Actions& actions);
-    int nextRunNumber(const JobState& job, const TaskState& task) const;
+    /// Returns nothing if the task has no further run number within the term.
+    std::optional<int> nextRunNumber(const JobState& job, const TaskState& task);
     /// Whether the task's last run may still be executing under a new owner: the run was abandoned here, but a
     /// successor that this owner has not yet observed may have reached the host and adopted the run.
     bool mayContinueUnderSuccessor(Instant now, const TaskState& task) const;
--- a/Source/Decision/Job/WaitLogger.cpp
+++ b/Source/Decision/Job/WaitLogger.cpp
@@ -23,6 +23,7 @@
         NamedValue { WaitReason::NoHost, "no_host" },
         NamedValue { WaitReason::HostNotPersisted, "host_not_stored" },
         NamedValue { WaitReason::GangIncomplete, "gang_not_whole" },
+        NamedValue { WaitReason::NoRunNumber, "no_run_number" },
     };
 
     std::string formatCounts(const HostEligibilityCounts& hostCounts)
--- a/Source/Decision/Job/WaitLogger.h
+++ b/Source/Decision/Job/WaitLogger.h
@@ -25,6 +25,8 @@
     HostNotPersisted,
     /// Other members of the task's gang still run.
     GangIncomplete,
+    /// The task has no further run number within the term.
+    NoRunNumber,
 };
 
 /// A task that a scheduling pass did not start.
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -15,6 +15,13 @@
     constexpr Duration responseValidity = milliseconds(700);
     constexpr const char* noPulseReason = "no_sign_of_life";
 
+    const char* reasonToStepDown(const OwnerState& state)
+    {
+        if (state.fencesUsedUp)
+            return "fences_used_up";
+        return state.runNumbersUsedUp ? "run_numbers_used_up" : "fenced";
+    }
+
 } // namespace
 
 Ownership::Ownership(NodeIdentity identity, const OwnerRules& rules, const OwnershipTiming& timing)
@@ -107,7 +114,7 @@
         actions.push_back(std::move(*append));
     }
     if (m_owner->isFenced())
-        stepDown(now, m_owner->state().fencesUsedUp ? "fences_used_up" : "fenced", actions);
+        stepDown(now, reasonToStepDown(m_owner->state()), actions);
 }
 
 void Ownership::sendPulse(Instant now, bool resigning, Actions& actions)
--- a/Tests/Support/OrderSimulation.cpp
+++ b/Tests/Support/OrderSimulation.cpp
@@ -61,6 +61,7 @@
     for (Side& side : m_sides) {
         side.unreachableUntil = m_now;
         side.refusesConnectionsUntil = m_now;
+        side.refusesStartsUntil = m_now;
     }
     for (const int until = m_now + faultFreeMilliseconds; m_now < until;)
         step();
@@ -86,6 +87,8 @@
     if (chance(0.001))
         m_sides[static_cast<std::size_t>(randomBelow(hostCount))].refusesConnectionsUntil
             = m_now + randomBelow(chance(0.5) ? 500 : 4000);
+    if (chance(0.001))
+        m_sides[static_cast<std::size_t>(randomBelow(hostCount))].refusesStartsUntil = m_now + randomBelow(8000);
 }
 
 void OrderSimulation::submit()
@@ -537,9 +540,14 @@
             const std::int64_t milliCores = isLongRunning ? 500 : 1000;
             callHost(
                 n,
-                [this, order = *order, how, durationMilliseconds, isLongRunning, milliCores](VirtualHost& host) {
+                [this, n, order = *order, how, durationMilliseconds, isLongRunning, milliCores](VirtualHost& host) {
                     HostResponse response;
                     response.clockMilliseconds = host.clock(m_now);
+                    if (m_now < m_sides[n].refusesStartsUntil) {
+                        response.answer = HostAnswer::Refused;
+                        response.reason = "unhealthy";
+                        return response;
+                    }
                     response.reason = host.start(m_now, order.fence, order.order, order.leaseUntilMilliseconds,
                         durationMilliseconds, isLongRunning ? Wire::RunEnd::Failed : how, milliCores);
                     response.answer = response.reason.empty() ? HostAnswer::Done : HostAnswer::Refused;
--- a/Tests/Support/OrderSimulation.h
+++ b/Tests/Support/OrderSimulation.h
@@ -72,6 +72,8 @@
         int unreachableUntil = 0;
         /// The host refuses most new connections until then, while its runs continue.
         int refusesConnectionsUntil = 0;
+        /// The host refuses all starts until then, as an unhealthy host does.
+        int refusesStartsUntil = 0;
     };
 
     bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(countsAFailedRunOnceAcrossOwners);
     CPPUNIT_TEST(acceptsTheEndOfACopyThatAnEarlierOwnerStarted);
     CPPUNIT_TEST(aLateEndOnOneHostKeepsTheRunWithItsNumberOnAnother);
+    CPPUNIT_TEST(refusedStartsUseUpNoRunNumberOfALaterTerm);
+    CPPUNIT_TEST(anOwnerWithoutFurtherRunNumbersStepsDown);
     CPPUNIT_TEST(haltsRunsOfUnknownJobs);
     CPPUNIT_TEST(restartsTheTasksOfARestartedHost);
     CPPUNIT_TEST(aGangStartsWholeOrNotAtAll);
@@ -391,6 +393,57 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("the run on host-1 continues", std::size_t(1), harness.startOrders.size());
     }
 
+    // Guards against two concurrent runs of a task: refused starts use up the run numbers of a term, so that the next
+    // owner assigns some of them again.
+    void refusedStartsUseUpNoRunNumberOfALaterTerm()
+    {
+        constexpr std::size_t refusedStarts = 200;
+        OwnerHarness first;
+        acceptJobWithOneHost(first, makeJob("00000000000000aa", { makeStep(1, 1000, 300) }));
+        for (int now = 200; first.startOrders.size() <= refusedStarts; now += 100) {
+            Wire::HostReport refusing = listing(now, {});
+            Wire::OrderResult result;
+            result.task = first.startOrders.back().task;
+            result.run = first.startOrders.back().run;
+            result.outcome = Wire::OrderOutcome::Refused;
+            result.reason = "unhealthy";
+            refusing.results.push_back(result);
+            first.announceAndReport(now, refusing);
+            first.settle(now + 50);
+        }
+        OwnerHarness next(2);
+        next.owner.loadRecords(first.storedRecords);
+        Actions actions;
+        next.owner.finishLoad(at(60'000), 60'000, at(60'000), actions);
+        next.announceAndReport(60'010, listing(60'000, {}));
+        next.settle(60'100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), next.startOrders.size());
+        CPPUNIT_ASSERT_GREATER(first.startOrders.back().run, next.startOrders[0].run);
+    }
+
+    // Guards against run numbers that two terms assign: without a further number, only a later term can start the task.
+    void anOwnerWithoutFurtherRunNumbersStepsDown()
+    {
+        OwnerHarness harness;
+        Wire::StepDefinition step = makeStep(1, 1000, 300);
+        step.longRunning = true;
+        const Wire::JobDefinition job = makeJob("00000000000000aa", { step });
+        acceptJobWithOneHost(harness, job);
+        const Wire::TaskName task = makeTask(job.jobId, 0, 0);
+        harness.announceAndReport(200, listing(300, {}, { makeEndedTask(1, task, 1, Wire::RunEnd::Failed) }));
+        harness.announceAndReport(201, listing(301, { makeRunningTask(task, runNumbersPerTerm - 1) }));
+        harness.announceAndReport(
+            210, listing(310, {}, { makeEndedTask(2, task, runNumbersPerTerm - 1, Wire::RunEnd::Failed) }));
+        harness.settle(300);
+        CPPUNIT_ASSERT_EQUAL(runNumbersPerTerm, harness.startOrders.back().run);
+        CPPUNIT_ASSERT(!harness.owner.isFenced());
+        harness.announceAndReport(
+            400, listing(500, {}, { makeEndedTask(3, task, runNumbersPerTerm, Wire::RunEnd::Failed) }));
+        harness.settle(500);
+        CPPUNIT_ASSERT_EQUAL(runNumbersPerTerm, harness.startOrders.back().run);
+        CPPUNIT_ASSERT(harness.owner.isFenced());
+    }
+
     void haltsRunsOfUnknownJobs()
     {
         OwnerHarness harness;
