Job: Give a host on probation a trial also beside a long-running task

Cause: after a quarantine a host got a task only while it had no run at all, and probation ends when a task completes there or a long-running one that was placed after the quarantine goes on. A host with a long-running task from before the quarantine could fulfil neither. Class: a rule waits for a state that another rule keeps away.

Change: only runs that were placed since the quarantine are trials, one at a time as before. The same class nearby: a trial that is a filler may be paused for the tasks beside it and then never completes, so a trial that takes more than twice its estimate (at least 1 s) no longer holds back the next one; members of a gang are placed before any of them is a run, so tentative runs now count as trials too, and a gang does not put all its members on one host on probation.

Ruled out: ending the probation by the time that the earlier long-running task goes on. It is no evidence that the host starts new tasks (JobOwnerTest.aRunFromBeforeTheQuarantineDoesNotEndProbation, unchanged).

WaitLoggerTest.countsHostsByReasonOfIneligibility placed the run on its host on probation at the epoch; it is now placed at the time of the search, like any trial. The check is the same.

Evidence: JobOwnerTest.probationWithALongRunningTaskFromBeforeAllowsATrial and aTrialThatOutlastsItsEstimateAllowsTheNext failed before (no start after the quarantine), pass now. aHostOnProbationGetsOneTaskOfAGang passed before and after.

--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -100,7 +100,7 @@
     std::set<std::string> failedJobs;
     /// No task is started on the host before this time; the host is on probation afterwards.
     Instant quarantinedUntil;
-    /// Only one task may run until a task has shown that the host works.
+    /// Until a task has shown that the host works, one task at a time is started there.
     bool onProbation = false;
     /// Smoothed ratio of run time to estimate; 1 is as expected.
     double slowness = 1;
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+    /// Minimum time for which a trial run holds back the next one.
+    constexpr Duration minimumTrialDuration = seconds(1);
+    /// A trial run that takes longer than this multiple of its estimate may be paused for the tasks beside it. It then
+    /// shows neither that the host works nor that it fails.
+    constexpr int trialEstimates = 2;
+
     bool hasLabel(const Host& host, const std::string& label)
     {
         return label.empty() || std::find(host.labels.begin(), host.labels.end(), label) != host.labels.end();
@@ -43,6 +49,16 @@
         && !host.health.onProbation;
 }
 
+bool Placement::isTrialUnderWay(const Host& host, Instant now)
+{
+    return std::any_of(host.runs.begin(), host.runs.end(), [&host, now](const std::pair<const RunKey, HostRun>& entry) {
+        const HostRun& run = entry.second;
+        const Duration heldBack
+            = std::max<Duration>(minimumTrialDuration, trialEstimates * milliseconds(run.estimateMilliseconds));
+        return run.placedAt >= host.health.quarantinedUntil && now - run.placedAt < heldBack;
+    });
+}
+
 HostEligibility Placement::evaluateFiller(const Host& host, const PlacementRequest& request) const
 {
     const Wire::StepDefinition& step = request.definition;
@@ -72,7 +88,7 @@
         return HostEligibility::Silent;
     if (now < host.health.quarantinedUntil)
         return HostEligibility::Quarantined;
-    if (host.health.onProbation && !host.runs.empty())
+    if (host.health.onProbation && isTrialUnderWay(host, now))
         return HostEligibility::OnProbation;
     if (!request.rack.empty() && host.rack != request.rack)
         return HostEligibility::OtherRack;
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -60,6 +60,9 @@
 
 private:
     HostEligibility evaluate(const Host& host, const PlacementRequest& request, Instant now) const;
+    /// Whether a run that was placed since the quarantine of the host has yet to show that the host works. Runs from
+    /// before the quarantine do not count: a long-running one never ends.
+    static bool isTrialUnderWay(const Host& host, Instant now);
     HostEligibility evaluateFiller(const Host& host, const PlacementRequest& request) const;
     /// Preference among eligible hosts; higher is better.
     double score(const Host& host, const PlacementRequest& request) const;
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -254,6 +254,7 @@
             HostRun tentativeRun;
             tentativeRun.task = taskName(job, step, n);
             tentativeRun.run = run;
+            tentativeRun.placedAt = now;
             tentativeRun.demand = job.stepDefinition(step).demand;
             tentativeRun.filler = job.stepDefinition(step).filler;
             HostRegistry::addRun(*host, tentativeRun);
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -42,6 +42,9 @@
     CPPUNIT_TEST(aRunThatIsNoLongerListedIsPlacedAgain);
     CPPUNIT_TEST(probationEndsWhenALongRunningTaskKeepsRunning);
     CPPUNIT_TEST(aRunFromBeforeTheQuarantineDoesNotEndProbation);
+    CPPUNIT_TEST(probationWithALongRunningTaskFromBeforeAllowsATrial);
+    CPPUNIT_TEST(aHostOnProbationGetsOneTaskOfAGang);
+    CPPUNIT_TEST(aTrialThatOutlastsItsEstimateAllowsTheNext);
     CPPUNIT_TEST(waitsForTheLongestLeaseOfANewIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
@@ -703,6 +706,97 @@
         CPPUNIT_ASSERT(harness.owner.state().hosts.hosts().at("host-1").health.onProbation);
     }
 
+    /// Starts a long-running task on host-1, lets tasks of three other jobs fail there, and returns at the end of the
+    /// quarantine. The list of host-1 that shows the long-running task is left in `listed`.
+    static int quarantineWithALongRunningTask(OwnerHarness& harness, Wire::HostReport& listed)
+    {
+        Wire::StepDefinition lasting = makeStep(1, 500, 1000);
+        lasting.longRunning = true;
+        acceptJobWithOneHost(harness, makeJob("lasting", { lasting }));
+        for (int n = 0; n < 3; ++n)
+            harness.submit(120 + n, makeJob("a" + std::to_string(n), { makeStep(1, 500, 300) }));
+        harness.settle(130);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), harness.startOrders.size());
+        for (int n = 0; n < 3; ++n)
+            harness.sendCall(200, Wire::JobCallKind::Cancel, makeJob("a" + std::to_string(n), {}));
+        listed = listing(300, { makeRunningTask(harness.startOrders[0].task, 1) });
+        Wire::HostReport failed = listed;
+        for (std::size_t n = 1; n < 4; ++n)
+            failed.ended.push_back(
+                makeEndedTask(static_cast<std::int64_t>(n), harness.startOrders[n].task, 1, Wire::RunEnd::Failed));
+        harness.announceAndReport(300, failed);
+        CPPUNIT_ASSERT(harness.owner.state().hosts.hosts().at("host-1").health.onProbation);
+        int now = 400;
+        for (; now < 2400; now += 100) {
+            listed.clockMilliseconds = now;
+            harness.announceAndReport(now, listed);
+            harness.settle(now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), harness.startOrders.size());
+        return now;
+    }
+
+    // Guards against jobs that never start: a long-running task from before the quarantine keeps its host on probation,
+    // and a host with a run gets no task to end the probation with.
+    void probationWithALongRunningTaskFromBeforeAllowsATrial()
+    {
+        OwnerHarness harness;
+        Wire::HostReport listed;
+        const int now = quarantineWithALongRunningTask(harness, listed);
+        for (int n = 0; n < 3; ++n)
+            harness.submit(now + n, makeJob("b" + std::to_string(n), { makeStep(1, 500, 300) }));
+        harness.settle(now + 10);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("one trial at a time", std::size_t(5), harness.startOrders.size());
+        listed.clockMilliseconds = now + 300;
+        listed.ended.push_back(makeEndedTask(4, harness.startOrders[4].task, 1, Wire::RunEnd::Completed));
+        harness.announceAndReport(now + 300, listed);
+        harness.settle(now + 310);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the trial has ended the probation", std::size_t(7), harness.startOrders.size());
+    }
+
+    // Guards against attempts that are used up on a host that fails every task: the members of a gang are placed in one
+    // pass, before any of them is a run of the host.
+    void aHostOnProbationGetsOneTaskOfAGang()
+    {
+        OwnerHarness harness;
+        Wire::HostReport listed;
+        const int now = quarantineWithALongRunningTask(harness, listed);
+        Wire::StepDefinition gang = makeStep(2, 500, 300);
+        gang.gang = true;
+        harness.submit(now, makeJob("b0", { gang }));
+        harness.settle(now + 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), harness.startOrders.size());
+        harness.announceAndReport(now + 100, makeReport("host-2", 1, 100), testLink + 1);
+        harness.settle(now + 110);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), harness.startOrders.size());
+    }
+
+    // Guards against jobs that never start: the trial on a host is a filler that is paused for the tasks beside it, so
+    // it does not complete.
+    void aTrialThatOutlastsItsEstimateAllowsTheNext()
+    {
+        OwnerHarness harness;
+        Wire::HostReport listed;
+        const int now = quarantineWithALongRunningTask(harness, listed);
+        for (int n = 0; n < 2; ++n)
+            harness.submit(now + n, makeJob("b" + std::to_string(n), { makeStep(1, 500, 1000) }));
+        harness.settle(now + 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), harness.startOrders.size());
+        listed.running.push_back(makeRunningTask(harness.startOrders[4].task, 1));
+        for (int later = now + 100; later <= now + 1900; later += 100) {
+            listed.clockMilliseconds = later;
+            harness.announceAndReport(later, listed);
+            harness.settle(later);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), harness.startOrders.size());
+        for (int later = now + 2000; later <= now + 2200; later += 100) {
+            listed.clockMilliseconds = later;
+            harness.announceAndReport(later, listed);
+            harness.settle(later);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), harness.startOrders.size());
+    }
+
     // Guards against two concurrent runs of a task: a lease extension that was sent to an earlier incarnation reaches
     // the current one.
     void waitsForTheLongestLeaseOfANewIncarnation()
--- a/Tests/Unit/WaitLoggerTest.cpp
+++ b/Tests/Unit/WaitLoggerTest.cpp
@@ -151,6 +151,7 @@
         HostRun run;
         run.task = makeTask(runJobId, 0, 0);
         run.run = 1;
+        run.placedAt = at(0);
         run.demand.milliProcessors = milliCores;
         run.demand.memoryMegabytes = megabytes;
         HostRegistry::addRun(host, run);
