Job: Halt what runs on a draining host before it shuts down

Cause: a run that is past its estimate went on until the host shut down, so that it could end in the last milliseconds, too late for its end to be read. Class: a state is known only while its source is there, and nothing ends it before.

Change: the owner halts each run of a draining host that is not expected to have ended by the earliest shutdown less the longest halt (setting halt_ms, the platform's stop_ms) less 300 ms for the list. A side reports the time left rather than the time that was announced, so that a new owner does not take it for more. Halts are checked on each tick, not with each report.

Evidence: JobOwnerTest.haltsTheRunsOfADrainingHostBeforeItShutsDown, haltsRunsThatWouldCompleteTooShortlyBeforeTheShutdown and HostAgentTest.reportsTheTimeLeftUntilTheHostShutsDown failed before, pass now.

--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -121,8 +121,8 @@
     std::vector<std::string> labels;
     Wire::Resources capacity;
     bool draining = false;
-    /// Time until the host shuts down, as reported.
-    Duration remaining {};
+    /// Earliest time at which the draining host shuts down.
+    Instant shutdownAt;
     /// The host accepted no new connection when its side last tried. Its runs may continue, so they are kept, but
     /// nothing is placed on the host.
     bool refusesConnections = false;
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -24,6 +24,8 @@
     Duration ownershipHold = seconds(9);
     /// Longest uninterrupted time for which co-located tasks may push a serving task over its target.
     Duration interferenceBound = seconds(4);
+    /// Longest time that a host takes to stop a run.
+    Duration longestHalt = milliseconds(900);
     /// Finished jobs are kept for this time, so that clients can query their outcome.
     Duration finishedJobRetention = seconds(120);
     /// Submissions are refused once an append has been unanswered for this time: a client is then served sooner by
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -18,6 +18,9 @@
     constexpr Duration longRunningProbation = seconds(1);
     /// A disconnected host without runs is removed after this time, which exceeds every time limit of the platform.
     constexpr Duration hostRetention = seconds(30);
+    /// Time from the end of a run until its owner has read it: the pause of the side between two lists, the list, and
+    /// the way to the owner.
+    constexpr Duration timeToListAnEnd = milliseconds(300);
     /// Weight of the newest run in the smoothed slowness of a host.
     constexpr double slownessWeight = 0.15;
     constexpr double slownessFloor = 0.7;
@@ -113,7 +116,7 @@
         host.labels = report.labels;
         host.capacity = report.capacity;
     }
-    host.remaining = milliseconds(report.remainingMilliseconds);
+    host.shutdownAt = now + milliseconds(report.remainingMilliseconds);
     host.refusesConnections = report.refusesConnections;
     host.lastContactAt = now;
     return host;
@@ -163,8 +166,6 @@
                                          .add("remaining_ms", report.remainingMilliseconds)
                                          .text() });
     host.draining = draining;
-    if (draining)
-        haltRunsForDrain(now, host, actions);
     m_state.scheduleDue = true;
 }
 
@@ -618,12 +619,14 @@
 
 void RunTracker::haltRunsForDrain(Instant now, Host& host, Actions& actions)
 {
+    // The end of a run counts once it has been listed. A list whose answer the shutdown cuts off is lost.
+    const Instant lastEndAt = host.shutdownAt - m_state.rules.longestHalt - timeToListAnEnd;
     for (std::pair<const RunKey, HostRun>& entry : host.runs) {
         HostRun& run = entry.second;
         if (run.phase != RunPhase::Running)
             continue;
-        const Duration remainingEstimate = run.placedAt + milliseconds(run.estimateMilliseconds) - now;
-        if (run.longRunning || remainingEstimate > host.remaining)
+        const Instant expectedEndAt = run.placedAt + milliseconds(run.estimateMilliseconds);
+        if (run.longRunning || std::max(now, expectedEndAt) > lastEndAt)
             haltRun(host, run, "host_draining", actions);
     }
 }
@@ -651,6 +654,8 @@
         Host& host = it->second;
         if (!host.runs.empty() && now >= host.leaseExpiresAt)
             abandonRunsAfterLeaseExpiry(now, host, actions);
+        if (host.draining && host.link != noLink)
+            haltRunsForDrain(now, host, actions);
         const bool disconnectedTooLong
             = host.link == noLink && now >= host.leaseExpiresAt && now - host.lastContactAt > hostRetention;
         if (host.runs.empty() && (host.departed || disconnectedTooLong)) {
--- a/Source/Decision/Job/RunTracker.h
+++ b/Source/Decision/Job/RunTracker.h
@@ -77,7 +77,7 @@
     void abandonConfirmedRuns(Instant now, Host& host, const char* reason, Actions& actions);
     void logLostRuns(Instant now, const Host& host, std::size_t runs, const char* reason, Actions& actions) const;
     void abandonRun(Instant now, Host& host, const RunKey& key, bool leaseExpired);
-    /// Halts the runs that would not complete before the host shuts down.
+    /// Halts the runs that are not expected to end in time before the host shuts down.
     void haltRunsForDrain(Instant now, Host& host, Actions& actions);
     /// Removes the host's run from its task. The task returns to waiting if it has no other run.
     void removeRunFromTask(
--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -31,7 +31,7 @@
 {
 }
 
-Wire::HostReport HostAgent::makeReport() const
+Wire::HostReport HostAgent::makeReport(Instant now) const
 {
     Wire::HostReport report;
     report.hostId = m_host->hostId;
@@ -42,7 +42,7 @@
     report.labels = m_host->labels;
     report.capacity = m_host->capacity;
     report.state = m_host->draining ? Wire::HostState::Draining : Wire::HostState::Ready;
-    report.remainingMilliseconds = m_host->remainingMilliseconds;
+    report.remainingMilliseconds = std::max<std::int64_t>(0, toMilliseconds(m_shutdownAt - now));
     report.highestTerm = m_term;
     report.refusesConnections = m_refusesConnections;
     return report;
@@ -62,12 +62,12 @@
         sendReport(std::move(report), actions);
 }
 
-void HostAgent::sendResult(
-    const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome, const std::string& reason, Actions& actions)
+void HostAgent::sendResult(Instant now, const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome,
+    const std::string& reason, Actions& actions)
 {
     if (!m_host)
         return;
-    Wire::HostReport report = makeReport();
+    Wire::HostReport report = makeReport(now);
     report.results.push_back(makeResult(task, run, outcome, reason));
     sendReport(std::move(report), actions);
 }
@@ -79,7 +79,7 @@
                                      .add("incarnation", m_host->incarnation)
                                      .add("why", reason)
                                      .text() });
-    Wire::HostReport report = makeReport();
+    Wire::HostReport report = makeReport(now);
     report.state = Wire::HostState::Gone;
     sendReport(std::move(report), actions);
     m_host.reset();
@@ -125,6 +125,7 @@
     if (isSameIncarnation && !host.draining)
         m_departureNoticeReceived = false;
     m_host = host;
+    m_shutdownAt = now + milliseconds(host.remainingMilliseconds);
     if (!isSameIncarnation) {
         // An immediate list carries the raised fence to the host, which from then on refuses orders meant for an
         // earlier incarnation.
@@ -141,7 +142,7 @@
                                      .add("draining", host.draining)
                                      .add("remaining_ms", host.remainingMilliseconds)
                                      .text() });
-    sendReport(makeReport(), actions);
+    sendReport(makeReport(now), actions);
 }
 
 void HostAgent::onDepartureNotice(Instant now, const std::string& hostId, Actions& actions)
@@ -172,7 +173,7 @@
     m_reportedRuns.reset();
     m_ownerAcceptsChanges = false;
     if (m_host)
-        sendReport(makeReport(), actions);
+        sendReport(makeReport(now), actions);
 }
 
 void HostAgent::onLinkDown(Instant now, LinkId link, Actions& actions)
@@ -195,7 +196,7 @@
     // The greeting means that the owner has just taken over. Reports sent before that are lost.
     if (std::holds_alternative<Wire::NodeHello>(message) && m_host) {
         m_reportedRuns.reset();
-        sendReport(makeReport(), actions);
+        sendReport(makeReport(now), actions);
     }
 }
 
@@ -234,7 +235,7 @@
     m_listWanted = true;
     for (const Wire::StartOrder& start : orders.starts) {
         if (m_host->draining) {
-            sendResult(start.task, start.run, Wire::OrderOutcome::Refused, "draining", actions);
+            sendResult(now, start.task, start.run, Wire::OrderOutcome::Refused, "draining", actions);
             continue;
         }
         actions.push_back(StartOnHost {
@@ -281,7 +282,7 @@
     }
     switch (response.answer) {
     case HostAnswer::Done:
-        sendResult(start.task, start.run, Wire::OrderOutcome::Started, {}, actions);
+        sendResult(now, start.task, start.run, Wire::OrderOutcome::Started, {}, actions);
         addStartPace(now, start, actions);
         return;
     case HostAnswer::Refused:
@@ -291,12 +292,12 @@
             addHalt(now, start.task, start.run, response.reason);
             return;
         }
-        sendResult(start.task, start.run, Wire::OrderOutcome::Refused,
+        sendResult(now, start.task, start.run, Wire::OrderOutcome::Refused,
             response.reason == "fence" && order.fence < fence() ? "overtaken" : response.reason, actions);
         return;
     case HostAnswer::NotListening:
         m_refusesConnections = true;
-        sendResult(start.task, start.run, Wire::OrderOutcome::Refused, "not_listening", actions);
+        sendResult(now, start.task, start.run, Wire::OrderOutcome::Refused, "not_listening", actions);
         m_nextListAt = now;
         return;
     case HostAnswer::OtherIncarnation:
@@ -411,7 +412,7 @@
         if (m_refusesConnections)
             m_reportedRuns.reset();
         m_refusesConnections = false;
-        Wire::HostReport report = makeReport();
+        Wire::HostReport report = makeReport(now);
         report.listed = true;
         report.listFence = order.fence;
         report.endsOmitted = response.endsOmitted;
@@ -467,7 +468,7 @@
     if (m_refusesConnections)
         return;
     m_refusesConnections = true;
-    sendReport(makeReport(), actions);
+    sendReport(makeReport(now), actions);
 }
 
 bool HostAgent::isOtherIncarnation(const HostResponse& response, std::int64_t previousClock) const
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -108,12 +108,12 @@
     ListHost makeList(Instant now);
     void resolveHalts(const HostResponse& response, Wire::HostReport& report);
     void endIncarnation(Instant now, const char* reason, Actions& actions);
-    Wire::HostReport makeReport() const;
+    Wire::HostReport makeReport(Instant now) const;
     void sendReport(Wire::HostReport report, Actions& actions);
     /// Sends the report of a new list, reduced to its changes if the owner accepts that.
     void sendListReport(Instant now, Wire::HostReport report, Actions& actions);
-    void sendResult(const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome, const std::string& reason,
-        Actions& actions);
+    void sendResult(Instant now, const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome,
+        const std::string& reason, Actions& actions);
 
     NodeIdentity m_identity;
     HostAgentTiming m_timing;
@@ -130,6 +130,8 @@
     /// incarnation refuses orders sent before that.
     std::int64_t m_localFenceRaises = 0;
     std::optional<HostDescription> m_host;
+    /// Earliest time at which a draining host shuts down, by its newest announcement.
+    Instant m_shutdownAt;
     /// The host has announced its departure. The notice names no incarnation, so it counts only while the host is
     /// draining, as every host is before it shuts down.
     bool m_departureNoticeReceived = false;
--- a/Source/Shell/Process/NodeSettings.cpp
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -83,6 +83,7 @@
     };
     settings.longestLease = readMilliseconds("longest_lease_ms", settings.longestLease);
     settings.interferenceBound = readMilliseconds("harm_ms", settings.interferenceBound);
+    settings.longestHalt = readMilliseconds("halt_ms", settings.longestHalt);
     settings.finishedJobRetention = readSeconds("status_memory_s", settings.finishedJobRetention);
     settings.shutdownTimeout = readSeconds("shutdown_s", settings.shutdownTimeout);
     if (!reader.errors().empty()) {
@@ -110,7 +111,7 @@
 {
     static const std::vector<std::string> keys { "id", "zone", "address", "peer_port", "store_address",
         "client_address", "health_address", "announce_address", "host_address", "advice_address", "machines_address",
-        "service", "processor_share", "longest_lease_ms", "harm_ms", "status_memory_s", "shutdown_s" };
+        "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "status_memory_s", "shutdown_s" };
     return keys;
 }
 
--- a/Source/Shell/Process/NodeSettings.h
+++ b/Source/Shell/Process/NodeSettings.h
@@ -38,6 +38,7 @@
     double processorShare = 1;
     Duration longestLease = seconds(10);
     Duration interferenceBound = seconds(4);
+    Duration longestHalt = milliseconds(900);
     Duration finishedJobRetention = seconds(120);
     /// Time between the request to shut down and the forced end of the process.
     Duration shutdownTimeout = seconds(6);
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(anUnansweredStartIsHaltedBeforeItIsReportedAbsent);
     CPPUNIT_TEST(aListThatOmitsEndsDoesNotMakeARunAbsent);
     CPPUNIT_TEST(startsNothingOnADrainingHost);
+    CPPUNIT_TEST(reportsTheTimeLeftUntilTheHostShutsDown);
     CPPUNIT_TEST(ignoresOrdersOfAnEarlierTerm);
     CPPUNIT_TEST(ignoresALateAnnouncement);
     CPPUNIT_TEST(refusedConnectionsDoNotEndTheHost);
@@ -164,6 +165,24 @@
             Wire::OrderOutcome::Refused, messagesOf<Wire::HostReport>(after).at(0).results.at(0).outcome);
     }
 
+    // Guards against an owner that takes over while a host drains and takes the announced time for the time left.
+    void reportsTheTimeLeftUntilTheHostShutsDown()
+    {
+        Harness harness;
+        HostDescription draining = describeHost(1, 2);
+        draining.draining = true;
+        draining.remainingMilliseconds = 4500;
+        Actions announced;
+        harness.agent.onAnnouncement(at(100), draining, announced);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(4500), messagesOf<Wire::HostReport>(announced).at(0).remainingMilliseconds);
+        Actions greeted;
+        harness.agent.onMessage(at(1100), harness.link, Wire::NodeHello(), greeted);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(3500), messagesOf<Wire::HostReport>(greeted).at(0).remainingMilliseconds);
+        Actions late;
+        harness.agent.onMessage(at(9000), harness.link, Wire::NodeHello(), late);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), messagesOf<Wire::HostReport>(late).at(0).remainingMilliseconds);
+    }
+
     void ignoresOrdersOfAnEarlierTerm()
     {
         Harness harness;
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -30,6 +30,8 @@
     CPPUNIT_TEST(anOwnerWithoutFurtherRunNumbersStepsDown);
     CPPUNIT_TEST(haltsRunsOfUnknownJobs);
     CPPUNIT_TEST(restartsTheTasksOfARestartedHost);
+    CPPUNIT_TEST(haltsTheRunsOfADrainingHostBeforeItShutsDown);
+    CPPUNIT_TEST(haltsRunsThatWouldCompleteTooShortlyBeforeTheShutdown);
     CPPUNIT_TEST(aGangStartsWholeOrNotAtAll);
     CPPUNIT_TEST(anOccurrenceStartsWhenItIsDue);
     CPPUNIT_TEST(urgentTasksPreemptFillers);
@@ -466,6 +468,38 @@
         CPPUNIT_ASSERT_EQUAL(2, harness.startOrders[1].run);
     }
 
+    // Guards against a second run of a completed task: a run that takes longer than estimated ends just before its host
+    // shuts down, and the list with the end is lost with the connection.
+    void haltsTheRunsOfADrainingHostBeforeItShutsDown()
+    {
+        OwnerHarness harness;
+        acceptJobWithOneHost(harness, makeJob("00000000000000aa", { makeStep(1, 1000, 300) }));
+        Wire::HostReport draining = listing(1000, { makeRunningTask(harness.startOrders.at(0).task, 1) });
+        draining.state = Wire::HostState::Draining;
+        draining.remainingMilliseconds = 4500;
+        harness.announceAndReport(1000, draining);
+        harness.settle(4000);
+        CPPUNIT_ASSERT_MESSAGE("the run may complete in time", harness.haltOrders.empty());
+        harness.settle(4400);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.haltOrders.size());
+    }
+
+    void haltsRunsThatWouldCompleteTooShortlyBeforeTheShutdown()
+    {
+        OwnerHarness harness;
+        acceptJobWithOneHost(
+            harness, makeJob("00000000000000aa", { makeStep(1, 1000, 3000), makeStep(1, 1000, 4500) }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.startOrders.size());
+        Wire::HostReport draining = listing(
+            1000, { makeRunningTask(harness.startOrders[0].task, 1), makeRunningTask(harness.startOrders[1].task, 1) });
+        draining.state = Wire::HostState::Draining;
+        draining.remainingMilliseconds = 4500;
+        harness.announceAndReport(1000, draining);
+        harness.settle(1010);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.haltOrders.size());
+        CPPUNIT_ASSERT_EQUAL(1, harness.haltOrders[0].task.step);
+    }
+
     void aGangStartsWholeOrNotAtAll()
     {
         Wire::StepDefinition gang = makeStep(5, 1000, 300);
