--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -36,8 +36,8 @@
     /// Returns the next append to the store, if one is due.
     std::optional<AppendToStore> nextAppend(Instant now) { return m_state.storeWriter.nextAppend(now); }
     void tick(Instant now, std::int64_t unixMilliseconds, Actions& actions);
-    /// Another entry owns the jobs or may own them, or this term has no further fences. This owner must not send
-    /// further orders.
+    /// Another entry owns the jobs or may own them, or this term has no further fences or no further run numbers of a
+    /// task. This owner must not send further orders.
     bool isFenced() const
     {
         return m_fenced || m_runTracker.isFenced() || m_state.fencesUsedUp || m_state.runNumbersUsedUp;
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -740,6 +740,16 @@
         CPPUNIT_ASSERT(harness.owner.state().hosts.hosts().at("host-1").health.onProbation);
     }
 
+    /// Lists host-1 unchanged every 100 ms, from the first time to the last.
+    static void listRepeatedly(OwnerHarness& harness, Wire::HostReport& listed, int first, int last)
+    {
+        for (int now = first; now <= last; now += 100) {
+            listed.clockMilliseconds = now;
+            harness.announceAndReport(now, listed);
+            harness.settle(now);
+        }
+    }
+
     /// Starts a long-running task on host-1, lets tasks of three other jobs fail there, and returns at the end of the
     /// quarantine. The list of host-1 that shows the long-running task is left in `listed`.
     static int quarantineWithALongRunningTask(OwnerHarness& harness, Wire::HostReport& listed)
@@ -760,14 +770,9 @@
                 makeEndedTask(static_cast<std::int64_t>(n), harness.startOrders[n].task, 1, Wire::RunEnd::Failed));
         harness.announceAndReport(300, failed);
         CPPUNIT_ASSERT(harness.owner.state().hosts.hosts().at("host-1").health.onProbation);
-        int now = 400;
-        for (; now < 2400; now += 100) {
-            listed.clockMilliseconds = now;
-            harness.announceAndReport(now, listed);
-            harness.settle(now);
-        }
+        listRepeatedly(harness, listed, 400, 2300);
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), harness.startOrders.size());
-        return now;
+        return 2400;
     }
 
     // Guards against jobs that never start: a long-running task from before the quarantine keeps its host on probation,
@@ -817,17 +822,9 @@
         harness.settle(now + 10);
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), harness.startOrders.size());
         listed.running.push_back(makeRunningTask(harness.startOrders[4].task, 1));
-        for (int later = now + 100; later <= now + 1900; later += 100) {
-            listed.clockMilliseconds = later;
-            harness.announceAndReport(later, listed);
-            harness.settle(later);
-        }
+        listRepeatedly(harness, listed, now + 100, now + 1900);
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), harness.startOrders.size());
-        for (int later = now + 2000; later <= now + 2200; later += 100) {
-            listed.clockMilliseconds = later;
-            harness.announceAndReport(later, listed);
-            harness.settle(later);
-        }
+        listRepeatedly(harness, listed, now + 2000, now + 2200);
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), harness.startOrders.size());
     }
 
