Job, Process: Log why a run no longer counts when its task starts again

Change: place has after_run, after_host and after_why (one table of names, which runs_lost, run_vanished and order_void use too); host_ended has the announced host and incarnation, or the call with the answered incarnation and both clock readings, and the age of the newest list; sides count ended incarnations. No decision changes.

--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Base/Time.h"
+#include "Decision/Job/RunFate.h"
 #include "Wire/Generated/plantainpier_types.h"
 
 #include <algorithm>
@@ -26,6 +27,13 @@
     Instant placedAt;
 };
 
+/// The run that a task had last, once it no longer counts.
+struct FormerRun {
+    std::string hostId;
+    int run = 0;
+    RunFate fate = RunFate::None;
+};
+
 /// One task. A task is waiting while it is not completed and has no run.
 struct TaskState {
     bool completed = false;
@@ -35,6 +43,7 @@
     int lastRun = 0;
     std::string checkpoint;
     std::vector<RunPlace> runs;
+    FormerRun formerRun;
     Instant waitingSince;
     /// The last run was abandoned when its host's lease expired, and its end has not been reported.
     bool lastEndUnknown = false;
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -74,7 +74,7 @@
     host.hasEarlierIncarnation = earlier || m_state.departedHosts.contains(report.hostId);
     host.orders.hostId = report.hostId;
     if (earlier) {
-        abandonConfirmedRuns(now, *earlier, "host_restarted", actions);
+        abandonConfirmedRuns(now, *earlier, RunFate::HostRestarted, actions);
         host.runs = std::move(earlier->runs);
         host.committed = earlier->committed;
         host.processorUse = earlier->processorUse;
@@ -124,7 +124,7 @@
 
 void RunTracker::onHostDeparted(Instant now, Host& host, Actions& actions)
 {
-    abandonConfirmedRuns(now, host, "host_gone", actions);
+    abandonConfirmedRuns(now, host, RunFate::HostGone, actions);
     m_state.departedHosts[host.hostId] = now;
     m_state.scheduleDue = true;
     if (!host.runs.empty()) {
@@ -241,7 +241,8 @@
     actions.push_back(WriteLog { line.text() });
     const std::string checkpoint = it->second.checkpoint;
     HostRegistry::removeRun(host, key);
-    removeRunFromTask(now, host, result.task, result.run, checkpoint);
+    const RunFate fate = result.outcome == Wire::OrderOutcome::Absent ? RunFate::Absent : RunFate::StartRefused;
+    removeRunFromTask(now, host, result.task, result.run, fate, checkpoint);
     TaskState* task = nullptr;
     if (JobState* job = m_state.findJob(result.task.jobId))
         task = job->findTask(result.task);
@@ -332,7 +333,7 @@
 }
 
 void RunTracker::removeRunFromTask(
-    Instant now, const Host& host, const Wire::TaskName& name, int run, const std::string& checkpoint)
+    Instant now, const Host& host, const Wire::TaskName& name, int run, RunFate fate, const std::string& checkpoint)
 {
     JobState* job = m_state.findJob(name.jobId);
     StepState* step = job ? job->findStep(name.occurrence, name.step) : nullptr;
@@ -346,6 +347,7 @@
         task->runs.end());
     if (task->runs.size() == before || task->completed)
         return;
+    task->formerRun = FormerRun { host.hostId, run, fate };
     if (!checkpoint.empty())
         task->checkpoint = checkpoint;
     job->markWaiting(now, *step, *task);
@@ -447,7 +449,7 @@
         return;
     case RunEndEffect::JobAlreadyFinished:
     case RunEndEffect::TaskAlreadyCompleted:
-        removeRunFromTask(now, host, listedRun.task, listedRun.run, {});
+        removeRunFromTask(now, host, listedRun.task, listedRun.run, RunFate::EndListed, {});
         return;
     case RunEndEffect::Completion:
         task->lastRun = std::max(task->lastRun, listedRun.run);
@@ -461,7 +463,7 @@
     task->lastRun = std::max(task->lastRun, listedRun.run);
     if (listedRun.how == Wire::RunEnd::Lapsed)
         ++m_state.counters.lapsedRuns;
-    removeRunFromTask(now, host, listedRun.task, listedRun.run, listedRun.checkpoint);
+    removeRunFromTask(now, host, listedRun.task, listedRun.run, RunFate::EndListed, listedRun.checkpoint);
     if (!listedRun.checkpoint.empty())
         m_state.markDirty(now, listedRun.task.jobId, false);
     if (effect == RunEndEffect::Failure)
@@ -475,7 +477,7 @@
     ++m_state.counters.completedTasks;
     job.completeTask(now, *job.findStep(listedRun.task.occurrence, listedRun.task.step),
         static_cast<std::size_t>(listedRun.task.index));
-    removeRunFromTask(now, host, listedRun.task, listedRun.run, {});
+    removeRunFromTask(now, host, listedRun.task, listedRun.run, RunFate::EndListed, {});
     m_state.markDirty(now, listedRun.task.jobId, false);
     for (const RunPlace& duplicate : std::vector<RunPlace>(task.runs)) {
         Host* other = m_state.hosts.find(duplicate.hostId);
@@ -515,11 +517,12 @@
 void RunTracker::abandonMissingRun(Instant now, Host& host, const RunKey& key, Actions& actions)
 {
     const HostRun& run = host.runs.at(key);
-    ++(run.isStartUnconfirmed() ? m_state.counters.voidOrders : m_state.counters.vanishedRuns);
-    LogLine line(run.isStartUnconfirmed() ? "order_void" : "run_vanished");
+    const RunFate fate = run.isStartUnconfirmed() ? RunFate::OrderVoid : RunFate::Vanished;
+    ++(fate == RunFate::OrderVoid ? m_state.counters.voidOrders : m_state.counters.vanishedRuns);
+    LogLine line(nameIn(runFateNames, fate));
     addTaskFields(line, run.task).add("run", run.run).add("host", host.hostId).add("ordered_under", run.fence);
     actions.push_back(WriteLog { line.add("listed_under", host.fence).text() });
-    abandonRun(now, host, key, false);
+    abandonRun(now, host, key, fate);
 }
 
 void RunTracker::haltRun(Host& host, HostRun& run, const char* reason, Actions& actions)
@@ -569,19 +572,18 @@
                                      .text() });
 }
 
-void RunTracker::abandonRun(Instant now, Host& host, const RunKey& key, bool leaseExpired)
+void RunTracker::abandonRun(Instant now, Host& host, const RunKey& key, RunFate fate)
 {
     const std::optional<HostRun> run = HostRegistry::removeRun(host, key);
     if (!run)
         return;
-    removeRunFromTask(now, host, run->task, run->run, run->checkpoint);
+    removeRunFromTask(now, host, run->task, run->run, fate, run->checkpoint);
     JobState* job = m_state.findJob(run->task.jobId);
     if (TaskState* task = job ? job->findTask(run->task) : nullptr)
-        task->lastEndUnknown = leaseExpired;
+        task->lastEndUnknown = fate == RunFate::LeaseOver;
 }
 
-void RunTracker::logLostRuns(
-    Instant now, const Host& host, std::size_t runs, const char* reason, Actions& actions) const
+void RunTracker::logLostRuns(Instant now, const Host& host, std::size_t runs, RunFate fate, Actions& actions) const
 {
     if (runs == 0)
         return;
@@ -589,32 +591,32 @@
                                      .add("host", host.hostId)
                                      .add("incarnation", host.incarnation)
                                      .add("runs", runs)
-                                     .add("why", reason)
+                                     .add("why", nameIn(runFateNames, fate))
                                      .add("silent_ms", toMilliseconds(now - host.lastContactAt))
                                      .text() });
 }
 
 void RunTracker::abandonRunsAfterLeaseExpiry(Instant now, Host& host, Actions& actions)
 {
-    logLostRuns(now, host, host.runs.size(), "lease_over", actions);
+    logLostRuns(now, host, host.runs.size(), RunFate::LeaseOver, actions);
     m_state.counters.lostRuns += static_cast<std::int64_t>(host.runs.size());
     while (!host.runs.empty())
-        abandonRun(now, host, RunKey(host.runs.begin()->first), true);
+        abandonRun(now, host, RunKey(host.runs.begin()->first), RunFate::LeaseOver);
     // An earlier order must not be carried out alongside the run that replaces it.
     m_state.raiseFence(host);
 }
 
-void RunTracker::abandonConfirmedRuns(Instant now, Host& host, const char* reason, Actions& actions)
+void RunTracker::abandonConfirmedRuns(Instant now, Host& host, RunFate fate, Actions& actions)
 {
     std::vector<RunKey> confirmedRuns;
     for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
         if (!entry.second.isStartUnconfirmed())
             confirmedRuns.push_back(entry.first);
     }
-    logLostRuns(now, host, confirmedRuns.size(), reason, actions);
+    logLostRuns(now, host, confirmedRuns.size(), fate, actions);
     m_state.counters.lostRuns += static_cast<std::int64_t>(confirmedRuns.size());
     for (const RunKey& key : confirmedRuns)
-        abandonRun(now, host, key, false);
+        abandonRun(now, host, key, fate);
 }
 
 void RunTracker::haltRunsForDrain(Instant now, Host& host, Actions& actions)
--- a/Source/Decision/Job/RunTracker.h
+++ b/Source/Decision/Job/RunTracker.h
@@ -74,14 +74,14 @@
     void abandonRunsAfterLeaseExpiry(Instant now, Host& host, Actions& actions);
     /// Abandons the runs that ended with an incarnation of the host. Runs with an unconfirmed start are kept, because a
     /// later incarnation may still start them.
-    void abandonConfirmedRuns(Instant now, Host& host, const char* reason, Actions& actions);
-    void logLostRuns(Instant now, const Host& host, std::size_t runs, const char* reason, Actions& actions) const;
-    void abandonRun(Instant now, Host& host, const RunKey& key, bool leaseExpired);
+    void abandonConfirmedRuns(Instant now, Host& host, RunFate fate, Actions& actions);
+    void logLostRuns(Instant now, const Host& host, std::size_t runs, RunFate fate, Actions& actions) const;
+    void abandonRun(Instant now, Host& host, const RunKey& key, RunFate fate);
     /// Halts the runs that are not expected to end in time before the host shuts down.
     void haltRunsForDrain(Instant now, Host& host, Actions& actions);
     /// Removes the host's run from its task. The task returns to waiting if it has no other run.
-    void removeRunFromTask(
-        Instant now, const Host& host, const Wire::TaskName& name, int run, const std::string& checkpoint);
+    void removeRunFromTask(Instant now, const Host& host, const Wire::TaskName& name, int run, RunFate fate,
+        const std::string& checkpoint);
 
     OwnerState& m_state;
     bool m_fenced = false;
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -356,21 +356,25 @@
     HostRegistry::addRun(host, std::move(hostRun));
     job.markStarted();
     ++m_state.counters.started;
-    actions.push_back(WriteLog { LogLine("place")
-                                     .add("job", job.definition().jobId)
-                                     .add("occurrence", step.occurrence)
-                                     .add("step", step.step)
-                                     .add("task", index)
-                                     .add("run", run)
-                                     .add("host", host.hostId)
-                                     .add("waited_ms", toMilliseconds(now - task.waitingSince))
-                                     .add("host_age_ms", toMilliseconds(now - host.clockReadAt))
-                                     .add("failures_before", task.failedRuns.size())
-                                     .add("hosts_unheard", m_unlistedHosts)
-                                     .add("fence", host.fence)
-                                     .add("free_milli", host.freeMilliCores())
-                                     .add("free_mb", host.freeMegabytes())
-                                     .text() });
+    LogLine line("place");
+    line.add("job", job.definition().jobId)
+        .add("occurrence", step.occurrence)
+        .add("step", step.step)
+        .add("task", index)
+        .add("run", run)
+        .add("host", host.hostId);
+    line.add("waited_ms", toMilliseconds(now - task.waitingSince))
+        .add("host_age_ms", toMilliseconds(now - host.clockReadAt))
+        .add("failures_before", task.failedRuns.size())
+        .add("hosts_unheard", m_unlistedHosts)
+        .add("fence", host.fence)
+        .add("free_milli", host.freeMilliCores())
+        .add("free_mb", host.freeMegabytes());
+    if (task.formerRun.fate != RunFate::None)
+        line.add("after_run", task.formerRun.run)
+            .add("after_host", task.formerRun.hostId)
+            .add("after_why", nameIn(runFateNames, task.formerRun.fate));
+    actions.push_back(WriteLog { line.text() });
     host.orders.starts.push_back(std::move(order));
 }
 
--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -72,13 +72,28 @@
     sendReport(std::move(report), actions);
 }
 
-void HostAgent::endIncarnation(Instant now, const char* reason, Actions& actions)
+LogLine HostAgent::hostEndedLine(Instant now, const char* reason) const
 {
-    actions.push_back(WriteLog { LogLine("host_ended")
-                                     .add("host", m_host->hostId)
-                                     .add("incarnation", m_host->incarnation)
-                                     .add("why", reason)
-                                     .text() });
+    LogLine line("host_ended");
+    line.add("host", m_host->hostId).add("incarnation", m_host->incarnation).add("why", reason);
+    if (m_lastListAnswerAt != Instant())
+        line.add("list_age_ms", toMilliseconds(now - m_lastListAnswerAt));
+    return line;
+}
+
+void HostAgent::endAfterResponse(
+    Instant now, const char* reason, const char* call, const HostResponse& response, Actions& actions)
+{
+    LogLine line = hostEndedLine(now, reason);
+    line.add("call", call).add("answered_incarnation", response.incarnation);
+    line.add("clock_ms", response.clockMilliseconds).add("known_clock_ms", m_clockMilliseconds);
+    endIncarnation(now, line, actions);
+}
+
+void HostAgent::endIncarnation(Instant now, const LogLine& line, Actions& actions)
+{
+    ++m_endedIncarnations;
+    actions.push_back(WriteLog { line.text() });
     Wire::HostReport report = makeReport(now);
     report.state = Wire::HostState::Gone;
     sendReport(std::move(report), actions);
@@ -119,7 +134,11 @@
         return;
     }
     if (m_host && !isSameIncarnation)
-        endIncarnation(now, "announced_anew", actions);
+        endIncarnation(now,
+            hostEndedLine(now, "announced_anew")
+                .add("announced_host", host.hostId)
+                .add("announced_incarnation", host.incarnation),
+            actions);
     const bool isChanged = !isSameIncarnation || m_host->draining != host.draining;
     // The host continues to announce itself, so the departure notice came from an earlier incarnation.
     if (isSameIncarnation && !host.draining)
@@ -277,7 +296,7 @@
         return;
     const Wire::StartOrder& start = order.order;
     if (response.answer == HostAnswer::Done && isOtherIncarnation(response, order.clockMilliseconds)) {
-        endIncarnation(now, "other_life_answered", actions);
+        endAfterResponse(now, "other_life_answered", "start", response, actions);
         return;
     }
     switch (response.answer) {
@@ -301,7 +320,7 @@
         m_nextListAt = now;
         return;
     case HostAnswer::OtherIncarnation:
-        endIncarnation(now, "other_incarnation_answered", actions);
+        endAfterResponse(now, "other_incarnation_answered", "start", response, actions);
         return;
     case HostAnswer::Uncertain:
         // The run may have started or may still start. A halt order stops it and prevents a later start.
@@ -403,7 +422,7 @@
     switch (response.answer) {
     case HostAnswer::Done: {
         if (isOtherIncarnation(response, m_clockMilliseconds)) {
-            endIncarnation(now, "other_incarnation_listed", actions);
+            endAfterResponse(now, "other_incarnation_listed", "list", response, actions);
             return;
         }
         m_clockMilliseconds = response.clockMilliseconds;
@@ -436,7 +455,7 @@
         onConnectionRefused(now, actions);
         return;
     case HostAnswer::OtherIncarnation:
-        endIncarnation(now, "other_incarnation_answered", actions);
+        endAfterResponse(now, "other_incarnation_answered", "list", response, actions);
         return;
     case HostAnswer::Refused: {
         m_nextListAt = now + m_timing.failureRetryDelay;
@@ -458,11 +477,11 @@
     // A refused connection alone does not show that the process has ended: a host at its limit of connections refuses
     // new ones while its runs continue.
     if (m_departureNoticeReceived && m_host->draining) {
-        endIncarnation(now, "departed", actions);
+        endIncarnation(now, hostEndedLine(now, "departed"), actions);
         return;
     }
     if (m_leaseBound->isOver(now)) {
-        endIncarnation(now, "unreachable_beyond_its_leases", actions);
+        endIncarnation(now, hostEndedLine(now, "unreachable_beyond_its_leases"), actions);
         return;
     }
     if (m_refusesConnections)
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -3,6 +3,7 @@
 /// clock.
 #pragma once
 
+#include "Base/LogLine.h"
 #include "Decision/Job/HostRegistry.h"
 #include "Decision/Process/LeaseBound.h"
 #include "Decision/Process/Ownership.h"
@@ -67,6 +68,8 @@
 
     bool isConnectedToOwner() const { return m_ownerLink.isUp(); }
     std::int64_t term() const { return m_term; }
+    /// Number of incarnations that this process has reported as ended.
+    std::int64_t endedIncarnations() const { return m_endedIncarnations; }
     /// The fence that calls to the host carry.
     std::int64_t fence() const { return m_ownerFence + m_localFenceRaises; }
 
@@ -107,7 +110,11 @@
     bool isOtherIncarnation(const HostResponse& response, std::int64_t previousClock) const;
     ListHost makeList(Instant now);
     void resolveHalts(const HostResponse& response, Wire::HostReport& report);
-    void endIncarnation(Instant now, const char* reason, Actions& actions);
+    /// The log line of an incarnation's end, to which the caller adds what the end was concluded from.
+    LogLine hostEndedLine(Instant now, const char* reason) const;
+    void endAfterResponse(
+        Instant now, const char* reason, const char* call, const HostResponse& response, Actions& actions);
+    void endIncarnation(Instant now, const LogLine& line, Actions& actions);
     Wire::HostReport makeReport(Instant now) const;
     void sendReport(Wire::HostReport report, Actions& actions);
     /// Sends the report of a new list, reduced to its changes if the owner accepts that.
@@ -129,6 +136,7 @@
     /// Added to the owner's fence. Raised when contact with the host is lost or its incarnation ends, so that a later
     /// incarnation refuses orders sent before that.
     std::int64_t m_localFenceRaises = 0;
+    std::int64_t m_endedIncarnations = 0;
     std::optional<HostDescription> m_host;
     /// Earliest time at which a draining host shuts down, by its newest announcement.
     Instant m_shutdownAt;
