Process: Ask the announced host before the known one is reported as gone

Cause: a side took any complete announcement of another host of its service for the next incarnation of its own: it reported its host as gone without asking it, and the announced host as its own. An announcement proves no end: it may come from another writer, or, when a side does not answer a heartbeat within a second, from the host of another side.

Change: an announced host is a candidate until the host at this side's address answers a list under its id (or refuses it for its fence, which only the named host compares); then it replaces the known one. Until that is settled no start is passed on, and lists carry neither a lease nor acknowledgements. A list that the known host answers after the announcement settles it, too. The rule for other services is no longer needed. A draining candidate is not acknowledged: its own side has to be told.

Six new cases in HostAgentTest. anAnnouncementOfAnotherServiceReplacesNoHost ended with the fault itself (an announcement of the same service ends the host at once); it is replaced by anAnnouncementOfAnotherHostEndsNoLivingHost, for both services, and aCandidateThatAnswersReplacesTheHost. ignoresALateAnnouncement lets the successor answer first and also checks that no list goes to the earlier incarnation.

--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -106,7 +106,6 @@
     m_leaseBound.reset();
     m_clockMilliseconds = 0;
     raiseLocalFence();
-    m_announcedIdConfirmed = false;
     m_halts.clear();
     m_paces.clear();
     m_leaseUntilMilliseconds = 0;
@@ -116,50 +115,117 @@
     m_nextListAt = now;
 }
 
-void HostAgent::onAnnouncement(Instant now, const HostDescription& host, Actions& actions)
+bool HostAgent::onAnnouncement(Instant now, const HostDescription& host, Actions& actions)
 {
     if (m_host && host.incarnation < m_host->incarnation)
-        return;
+        return true;
     const bool isSameIncarnation = m_host && m_host->hostId == host.hostId && m_host->incarnation == host.incarnation;
-    if (isSameIncarnation && host.sequence < m_host->sequence)
-        return;
-    // The next incarnation of a host belongs to the same service. A host of another service is not this side's host.
-    if (m_host && m_announcedIdConfirmed && m_host->service != host.service) {
-        actions.push_back(WriteLog { LogLine("announcement_passed_over")
-                                         .add("host", host.hostId)
-                                         .add("incarnation", host.incarnation)
-                                         .add("service", host.service)
-                                         .add("known_service", m_host->service)
-                                         .text() });
-        return;
-    }
-    if (m_host && !isSameIncarnation)
-        endIncarnation(now,
-            hostEndedLine(now, "announced_anew")
-                .add("announced_host", host.hostId)
-                .add("announced_incarnation", host.incarnation),
-            actions);
-    const bool isChanged = !isSameIncarnation || m_host->draining != host.draining;
+    if (!isSameIncarnation)
+        return onCandidateAnnounced(now, host, actions);
+    if (host.sequence < m_host->sequence)
+        return true;
     // The host continues to announce itself, so the departure notice came from an earlier incarnation.
-    if (isSameIncarnation && !host.draining)
+    if (!host.draining)
         m_departureNoticeReceived = false;
+    const bool isChanged = m_host->draining != host.draining;
     m_host = host;
     m_shutdownAt = now + milliseconds(host.remainingMilliseconds);
-    if (!isSameIncarnation) {
-        // An immediate list carries the raised fence to the host, which from then on refuses orders meant for an
-        // earlier incarnation.
-        m_listWanted = true;
-        m_incarnationUnconfirmed = true;
-        m_nextListAt = now;
-        m_leaseBound.emplace(now, m_timing.longestLease);
+    if (isChanged)
+        reportAnnouncement(now, actions);
+    return true;
+}
+
+bool HostAgent::onCandidateAnnounced(Instant now, const HostDescription& host, Actions& actions)
+{
+    const bool isKnown
+        = m_candidate && m_candidate->hostId == host.hostId && m_candidate->incarnation == host.incarnation;
+    if (!isKnown || host.sequence >= m_candidate->sequence)
+        m_candidate = host;
+    m_candidateAnnouncedAt = now;
+    m_nextInquiryAt = now;
+    // Until the host has answered, it may be the announced incarnation, which would take a lease or an acknowledgement
+    // for its own.
+    m_incarnationUnconfirmed = true;
+    if (!isKnown) {
+        m_inquiryInFlight = false;
+        LogLine line("candidate_announced");
+        line.add("host", host.hostId).add("incarnation", host.incarnation).add("service", host.service);
+        if (m_host)
+            line.add("known_host", m_host->hostId).add("known_incarnation", m_host->incarnation);
+        actions.push_back(WriteLog { line.text() });
     }
-    if (!isChanged)
+    return !host.draining;
+}
+
+ListHost HostAgent::makeInquiry(Instant now)
+{
+    ListHost list;
+    list.listNumber = m_inquiryNumber = ++m_lastListNumber;
+    list.hostId = m_candidate->hostId;
+    list.incarnation = m_candidate->incarnation;
+    list.fence = fence();
+    m_inquiryInFlight = true;
+    m_nextInquiryAt = now + m_timing.failureRetryDelay;
+    return list;
+}
+
+void HostAgent::onInquiryResponse(Instant now, const HostResponse& response, Actions& actions)
+{
+    m_inquiryInFlight = false;
+    if (!m_candidate)
         return;
+    // Only the host that the call names compares fences. Two incarnations under one id are told apart by a list alone.
+    const bool isOtherId = !m_host || m_host->hostId != m_candidate->hostId;
+    const bool isFenced = response.answer == HostAnswer::Refused && response.reason == "fence" && isOtherId;
+    const bool isListed = response.answer == HostAnswer::Done
+        && (response.incarnation == m_candidate->incarnation || (response.incarnation == 0 && isOtherId));
+    if (isFenced || isListed) {
+        adoptCandidate(now, actions);
+        return;
+    }
+    if (response.answer == HostAnswer::Done || response.answer == HostAnswer::OtherIncarnation)
+        passOverCandidate(response.incarnation, actions);
+    else
+        m_nextInquiryAt = now + m_timing.failureRetryDelay;
+}
+
+void HostAgent::adoptCandidate(Instant now, Actions& actions)
+{
+    if (m_host) {
+        LogLine line = hostEndedLine(now, "successor_answered");
+        line.add("successor", m_candidate->hostId).add("successor_incarnation", m_candidate->incarnation);
+        endIncarnation(now, line, actions);
+    }
+    m_host = std::move(m_candidate);
+    m_candidate.reset();
+    m_shutdownAt = now + milliseconds(m_host->remainingMilliseconds);
+    // An immediate list carries the raised fence to the host, which from then on refuses orders meant for an earlier
+    // incarnation.
+    m_listWanted = true;
+    m_incarnationUnconfirmed = true;
+    m_nextListAt = now;
+    m_leaseBound.emplace(now, m_timing.longestLease);
+    reportAnnouncement(now, actions);
+}
+
+void HostAgent::passOverCandidate(std::int64_t answeredIncarnation, Actions& actions)
+{
+    LogLine line("announcement_passed_over");
+    line.add("host", m_candidate->hostId).add("incarnation", m_candidate->incarnation);
+    line.add("service", m_candidate->service).add("answered_incarnation", answeredIncarnation);
+    if (m_host)
+        line.add("known_host", m_host->hostId).add("known_incarnation", m_host->incarnation);
+    actions.push_back(WriteLog { line.text() });
+    m_candidate.reset();
+}
+
+void HostAgent::reportAnnouncement(Instant now, Actions& actions)
+{
     actions.push_back(WriteLog { LogLine("host_announced")
-                                     .add("host", host.hostId)
-                                     .add("incarnation", host.incarnation)
-                                     .add("draining", host.draining)
-                                     .add("remaining_ms", host.remainingMilliseconds)
+                                     .add("host", m_host->hostId)
+                                     .add("incarnation", m_host->incarnation)
+                                     .add("draining", m_host->draining)
+                                     .add("remaining_ms", m_host->remainingMilliseconds)
                                      .text() });
     sendReport(makeReport(now), actions);
 }
@@ -253,8 +319,9 @@
     m_acknowledgedNumber = std::max(m_acknowledgedNumber, orders.acknowledgedNumber);
     m_listWanted = true;
     for (const Wire::StartOrder& start : orders.starts) {
-        if (m_host->draining) {
-            sendResult(now, start.task, start.run, Wire::OrderOutcome::Refused, "draining", actions);
+        if (m_host->draining || m_candidate) {
+            const char* reason = m_host->draining ? "draining" : "candidate_announced";
+            sendResult(now, start.task, start.run, Wire::OrderOutcome::Refused, reason, actions);
             continue;
         }
         actions.push_back(StartOnHost {
@@ -414,6 +481,10 @@
 
 void HostAgent::onListResponse(Instant now, const ListHost& order, const HostResponse& response, Actions& actions)
 {
+    if (m_inquiryInFlight && order.listNumber == m_inquiryNumber) {
+        onInquiryResponse(now, response, actions);
+        return;
+    }
     if (order.listNumber != m_listNumber || !m_listInFlight)
         return;
     m_listInFlight = false;
@@ -425,9 +496,11 @@
             endAfterResponse(now, "other_incarnation_listed", "list", response, actions);
             return;
         }
+        // The host still lived after the announcement, so nothing else can have taken its place by then.
+        if (m_candidate && m_listSentAt >= m_candidateAnnouncedAt)
+            passOverCandidate(response.incarnation, actions);
         m_clockMilliseconds = response.clockMilliseconds;
         m_leaseBound->onClockReading(now, response.clockMilliseconds);
-        m_announcedIdConfirmed = true;
         if (m_refusesConnections)
             m_reportedRuns.reset();
         m_refusesConnections = false;
@@ -554,6 +627,8 @@
         }
     }
     m_ownerLink.tick(now, false, actions);
+    if (m_candidate && !m_inquiryInFlight && now >= m_nextInquiryAt)
+        actions.push_back(makeInquiry(now));
     if (!m_host)
         return;
     for (std::pair<const RunKey, Halt>& entry : m_halts) {
@@ -575,7 +650,7 @@
 {
     m_incarnationUnconfirmed = m_incarnationUnconfirmed || now - m_lastListAnswerAt > contactValidity;
     ListHost list;
-    list.listNumber = ++m_listNumber;
+    list.listNumber = m_listNumber = ++m_lastListNumber;
     list.hostId = m_host->hostId;
     list.incarnation = m_host->incarnation;
     list.fence = fence();
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -52,8 +52,9 @@
 public:
     HostAgent(NodeIdentity identity, const HostAgentTiming& timing);
 
-    /// Handle the host's announcement and its departure notice.
-    void onAnnouncement(Instant now, const HostDescription& host, Actions& actions);
+    /// Handles an announcement of this side's host, or of another one. Returns whether it may be acknowledged: a host
+    /// that may belong to another side and that drains must not take this side's answer for its own side's.
+    bool onAnnouncement(Instant now, const HostDescription& host, Actions& actions);
     void onDepartureNotice(Instant now, const std::string& hostId, Actions& actions);
     void onLinkUp(Instant now, LinkId link, Actions& actions);
     void onLinkDown(Instant now, LinkId link, Actions& actions);
@@ -91,6 +92,16 @@
         Instant nextSendAt;
     };
 
+    /// A host other than the known one was announced.
+    bool onCandidateAnnounced(Instant now, const HostDescription& host, Actions& actions);
+    /// A list that only the announced candidate answers.
+    ListHost makeInquiry(Instant now);
+    void onInquiryResponse(Instant now, const HostResponse& response, Actions& actions);
+    /// Makes the candidate this side's host and ends the known one.
+    void adoptCandidate(Instant now, Actions& actions);
+    /// Forgets the candidate. answeredIncarnation: the incarnation that answered in its place, or 0.
+    void passOverCandidate(std::int64_t answeredIncarnation, Actions& actions);
+    void reportAnnouncement(Instant now, Actions& actions);
     void applyClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
     void onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions);
     void addStartPace(Instant now, const Wire::StartOrder& start, Actions& actions);
@@ -153,8 +164,13 @@
     bool m_contactLost = false;
     /// The newest reading of the host's clock.
     std::int64_t m_clockMilliseconds = 0;
-    /// The host has answered a list under the id that it announced.
-    bool m_announcedIdConfirmed = false;
+    /// Announced, but not known to be beside this side: an announcement may be late, or come from another writer or
+    /// from the host of another side. It counts once the host at this side's address has answered under its id.
+    std::optional<HostDescription> m_candidate;
+    Instant m_candidateAnnouncedAt;
+    bool m_inquiryInFlight = false;
+    std::uint64_t m_inquiryNumber = 0;
+    Instant m_nextInquiryAt;
     std::int64_t m_leaseUntilMilliseconds = 0;
     std::optional<LeaseBound> m_leaseBound;
     std::int64_t m_acknowledgedNumber = 0;
@@ -162,6 +178,7 @@
     bool m_listWanted = false;
     /// No list has been sent under the current fence.
     bool m_fenceIsNew = false;
+    std::uint64_t m_lastListNumber = 0;
     std::uint64_t m_listNumber = 0;
     ReportedRuns m_reportedRuns;
     /// The connected owner accepts reports of changes.
--- a/Tests/Support/OrderSimulation.cpp
+++ b/Tests/Support/OrderSimulation.cpp
@@ -33,6 +33,7 @@
 
 OrderSimulation::OrderSimulation(unsigned seed, HostRestarts restartMode)
     : m_random(seed)
+    , m_foreignRandom(seed + 1)
     , m_restartMode(restartMode)
     , m_trace(std::getenv("PLANTAINPIER_TRACE") != nullptr)
     , m_sides(hostCount)
@@ -89,6 +90,32 @@
             = m_now + randomBelow(chance(0.5) ? 500 : 4000);
     if (chance(0.001))
         m_sides[static_cast<std::size_t>(randomBelow(hostCount))].refusesStartsUntil = m_now + randomBelow(8000);
+    if (std::uniform_real_distribution<double>(0, 1)(m_foreignRandom) < 0.001)
+        announceForeignHost(m_foreignRandom() % m_sides.size());
+}
+
+void OrderSimulation::announceForeignHost(std::size_t n)
+{
+    HostDescription description = describeHost(*m_sides[(n + 1) % m_sides.size()].host);
+    if (m_foreignRandom() % 2 == 0)
+        description.hostId = "foreign-" + std::to_string(m_now);
+    description.incarnation += static_cast<std::int64_t>(m_foreignRandom() % 3);
+    description.sequence = 1;
+    Actions actions;
+    m_sides[n].agent->onAnnouncement(at(m_now), description, actions);
+    performSide(n, std::move(actions));
+}
+
+HostDescription OrderSimulation::describeHost(const VirtualHost& host)
+{
+    HostDescription description;
+    description.hostId = host.hostId();
+    description.incarnation = host.incarnation();
+    description.service = "desk";
+    description.rack = "rack-1";
+    description.capacity.milliProcessors = milliCoresPerHost;
+    description.capacity.memoryMegabytes = 10'000;
+    return description;
 }
 
 void OrderSimulation::submit()
@@ -192,13 +219,7 @@
     if (m_now < side.announceAt)
         return;
     side.announceAt = m_now + announceIntervalMilliseconds;
-    HostDescription description;
-    description.hostId = side.host->hostId();
-    description.incarnation = side.host->incarnation();
-    description.service = "desk";
-    description.rack = "rack-1";
-    description.capacity.milliProcessors = milliCoresPerHost;
-    description.capacity.memoryMegabytes = 10'000;
+    HostDescription description = describeHost(*side.host);
     description.sequence = ++side.announcements;
     // Some announcements are delayed, so that they may arrive after those of the next incarnation.
     schedule(!m_faultFree && chance(0.05) ? randomBelow(5000) : 1, [this, n, description] {
@@ -419,9 +440,15 @@
     });
 }
 
-void OrderSimulation::callHost(std::size_t n, const std::function<HostResponse(VirtualHost&)>& execute,
+void OrderSimulation::callHost(std::size_t n, const std::string& hostId,
+    const std::function<HostResponse(VirtualHost&)>& executeOrder,
     const std::function<void(HostAgent&, const HostResponse&, Actions&)>& answer)
 {
+    const auto execute = [hostId, executeOrder](VirtualHost& host) {
+        HostResponse response;
+        response.answer = HostAnswer::OtherIncarnation;
+        return host.hostId() == hostId ? executeOrder(host) : response;
+    };
     const int process = m_sides[n].process;
     HostResponse response;
     if (m_now < m_ordersLateUntil && chance(0.4)) {
@@ -454,6 +481,10 @@
 HostResponse OrderSimulation::executeList(VirtualHost& host, const ListHost& order) const
 {
     HostResponse response;
+    if (host.hostId() != order.hostId) {
+        response.answer = HostAnswer::OtherIncarnation;
+        return response;
+    }
     response.incarnation = host.incarnation();
     response.clockMilliseconds = host.clock(m_now);
     if (!host.renewLease(m_now, order.fence, order.leaseUntilMilliseconds, order.acknowledgedNumber)) {
@@ -539,7 +570,7 @@
                 : 20 + randomBelow(600);
             const std::int64_t milliCores = isLongRunning ? 500 : 1000;
             callHost(
-                n,
+                n, order->hostId,
                 [this, n, order = *order, how, durationMilliseconds, isLongRunning, milliCores](VirtualHost& host) {
                     HostResponse response;
                     response.clockMilliseconds = host.clock(m_now);
@@ -558,7 +589,7 @@
                 });
         } else if (const HaltOnHost* order = std::get_if<HaltOnHost>(&action)) {
             callHost(
-                n,
+                n, order->hostId,
                 [this, order = *order](VirtualHost& host) {
                     HostResponse response;
                     response.incarnation = host.incarnation();
--- a/Tests/Support/OrderSimulation.h
+++ b/Tests/Support/OrderSimulation.h
@@ -86,6 +86,9 @@
     void changeOwner();
     void restartSide(std::size_t n);
     void crashHost(std::size_t n);
+    /// Sends a side a complete announcement of a host that does not exist, or of the host of another side.
+    void announceForeignHost(std::size_t n);
+    static HostDescription describeHost(const VirtualHost& host);
     void stepHost(std::size_t n);
     void stepOwner(OwnerModel& model);
     OwnerModel* findOwner(std::int64_t term);
@@ -102,7 +105,8 @@
     void readClaims(std::size_t n, std::uint64_t callId, std::int64_t from, bool newest, int until);
 
     /// Executes an order on a host, at once, late or never, and delivers the response to the side.
-    void callHost(std::size_t n, const std::function<HostResponse(VirtualHost&)>& execute,
+    void callHost(std::size_t n, const std::string& hostId,
+        const std::function<HostResponse(VirtualHost&)>& executeOrder,
         const std::function<void(HostAgent&, const HostResponse&, Actions&)>& answer);
     void listHost(std::size_t n, const ListHost& order);
     /// Whether a call to the host finds no listener: the host is down, or it refuses this connection.
@@ -119,6 +123,8 @@
     void checkOutcome(const Wire::JobDefinition& job, std::vector<std::string>& violations) const;
 
     std::mt19937 m_random;
+    /// Draws foreign announcements, so that they leave the other faults of a seed as they are.
+    std::mt19937 m_foreignRandom;
     const HostRestarts m_restartMode;
     /// Prints the log lines of owners and sides.
     const bool m_trace;
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -27,7 +27,13 @@
     CPPUNIT_TEST(aStartRefusedAsOldIsHalted);
     CPPUNIT_TEST(anAnnouncementRevokesADepartureNotice);
     CPPUNIT_TEST(aDepartureNoticeEndsADrainingHostOnceThePortIsClosed);
-    CPPUNIT_TEST(anAnnouncementOfAnotherServiceReplacesNoHost);
+    CPPUNIT_TEST(anAnnouncementOfAnotherHostEndsNoLivingHost);
+    CPPUNIT_TEST(aCandidateThatAnswersReplacesTheHost);
+    CPPUNIT_TEST(aCandidateThatDoesNotAnswerIsAskedAgain);
+    CPPUNIT_TEST(aListOfTheHostSettlesAnAnnouncement);
+    CPPUNIT_TEST(aHostIsReportedOnceItHasAnswered);
+    CPPUNIT_TEST(aDrainingHostIsAcknowledgedBySidesThatKnowItOnly);
+    CPPUNIT_TEST(startsAndAcknowledgesNothingUntilACandidateIsSettled);
     CPPUNIT_TEST_SUITE_END();
 
     static HostDescription describeHost(std::int64_t incarnation, std::int64_t sequence)
@@ -40,6 +46,13 @@
         return description;
     }
 
+    static HostResponse makeResponse(HostAnswer answer)
+    {
+        HostResponse response;
+        response.answer = answer;
+        return response;
+    }
+
     /// An agent with a host and a connection to the owner of term 4.
     struct Harness {
         Harness()
@@ -59,6 +72,9 @@
             link = actionsOf<OpenLink>(actions).at(0).link;
             agent.onLinkUp(at(3), link, actions);
             agent.onAnnouncement(at(4), describeHost(1, 1), actions);
+            HostResponse listed = makeResponse(HostAnswer::Done);
+            listed.incarnation = 1;
+            agent.onListResponse(at(5), actionsOf<ListHost>(tick(4)).at(0), listed, actions);
         }
 
         Actions sendOrders(int now, const Wire::HostOrders& orders)
@@ -95,13 +111,6 @@
         LinkId link = noLink;
     };
 
-    static HostResponse makeResponse(HostAnswer answer)
-    {
-        HostResponse response;
-        response.answer = answer;
-        return response;
-    }
-
     static bool reportsAbsent(const Actions& actions)
     {
         for (const Wire::HostReport& report : messagesOf<Wire::HostReport>(actions)) {
@@ -195,10 +204,14 @@
         Harness harness;
         Actions actions;
         harness.agent.onAnnouncement(at(10), describeHost(2, 1), actions);
+        harness.agent.onListResponse(at(12), inquiryOf(harness.tick(11), "host-1", 2), makeList(2), actions);
         CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, messagesOf<Wire::HostReport>(actions).at(0).state);
         Actions late;
         harness.agent.onAnnouncement(at(20), describeHost(1, 9), late);
+        harness.agent.tick(at(21), late);
         CPPUNIT_ASSERT(messagesOf<Wire::HostReport>(late).empty());
+        for (const ListHost& list : actionsOf<ListHost>(late))
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(2), list.incarnation);
     }
 
     /// Answers the list that is due at this time with a refused connection.
@@ -402,32 +415,173 @@
         return false;
     }
 
-    // Guards against abandoning a running host and its runs because of an announcement by another writer.
-    void anAnnouncementOfAnotherServiceReplacesNoHost()
+    static HostResponse makeList(std::int64_t incarnation)
+    {
+        HostResponse listed = makeResponse(HostAnswer::Done);
+        listed.incarnation = incarnation;
+        listed.clockMilliseconds = 1000;
+        return listed;
+    }
+
+    /// A harness whose host has answered a list.
+    struct ListedHarness : Harness {
+        ListedHarness()
+        {
+            sendOrders(10, makeStartOrders(4));
+            Actions actions;
+            agent.onListResponse(at(12), actionsOf<ListHost>(tick(11)).at(0), makeList(1), actions);
+        }
+    };
+
+    static HostDescription describeOtherHost(const std::string& service)
     {
-        Harness harness;
         HostDescription other = describeHost(2, 1);
         other.hostId = "host-2";
-        other.service = "elsewhere";
-        Actions first;
-        harness.agent.onAnnouncement(at(5), other, first);
-        harness.agent.onAnnouncement(at(6), describeHost(3, 1), first);
-        CPPUNIT_ASSERT_MESSAGE("no host has answered under the announced id yet", logs(first, "host_ended"));
+        other.service = service;
+        return other;
+    }
+
+    /// The list that asks whether the announced host is there. The list of the known host may be among the actions too.
+    static ListHost inquiryOf(const Actions& actions, const std::string& hostId, std::int64_t incarnation)
+    {
+        for (const ListHost& list : actionsOf<ListHost>(actions)) {
+            if (list.hostId == hostId && list.incarnation == incarnation)
+                return list;
+        }
+        CPPUNIT_FAIL("no list for " + hostId);
+        return {};
+    }
+
+    static bool reportsGone(const Actions& actions)
+    {
+        const std::vector<Wire::HostReport> reports = messagesOf<Wire::HostReport>(actions);
+        return std::any_of(reports.begin(), reports.end(),
+            [](const Wire::HostReport& report) { return report.state == Wire::HostState::Gone; });
+    }
+
+    // Guards against a second run of all tasks of a living host: an announcement of another host, by another writer or
+    // late, was taken for the end of the host.
+    void anAnnouncementOfAnotherHostEndsNoLivingHost()
+    {
+        for (const char* service : { "desk", "elsewhere" }) {
+            ListedHarness harness;
+            Actions announced;
+            harness.agent.onAnnouncement(at(13), describeOtherHost(service), announced);
+            CPPUNIT_ASSERT(!logs(announced, "host_ended") && !reportsGone(announced));
+            const ListHost inquiry = inquiryOf(harness.tick(14), "host-2", 2);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(0), inquiry.leaseUntilMilliseconds + inquiry.acknowledgedNumber);
+            Actions answered;
+            harness.agent.onListResponse(at(15), inquiry, makeResponse(HostAnswer::OtherIncarnation), answered);
+            CPPUNIT_ASSERT(logs(answered, "announcement_passed_over") && !reportsGone(answered));
+            CPPUNIT_ASSERT_EQUAL(
+                std::size_t(1), actionsOf<StartOnHost>(harness.sendOrders(16, Harness::makeStartOrders(4))).size());
+        }
+    }
+
+    // Guards against a host that restarts and stays unknown: the next incarnation, of any service, replaces the one
+    // that ended once it answers. Its first list carries a higher fence than any order before.
+    void aCandidateThatAnswersReplacesTheHost()
+    {
+        HostDescription other = describeOtherHost("elsewhere");
+        for (const HostDescription& successor : { describeHost(2, 1), other }) {
+            ListedHarness harness;
+            Actions announced;
+            harness.agent.onAnnouncement(at(13), successor, announced);
+            const ListHost inquiry = inquiryOf(harness.tick(14), successor.hostId, 2);
+            Actions answered;
+            harness.agent.onListResponse(at(15), inquiry, makeList(2), answered);
+            const std::vector<Wire::HostReport> reports = messagesOf<Wire::HostReport>(answered);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), reports.size());
+            CPPUNIT_ASSERT_EQUAL(Wire::HostState::Gone, reports.at(0).state);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(1), static_cast<std::int64_t>(reports.at(0).incarnation));
+            CPPUNIT_ASSERT_EQUAL(Wire::HostState::Ready, reports.at(1).state);
+            CPPUNIT_ASSERT_EQUAL(successor.hostId, reports.at(1).hostId);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(2), static_cast<std::int64_t>(reports.at(1).incarnation));
+            const ListHost list = inquiryOf(harness.tick(16), successor.hostId, 2);
+            CPPUNIT_ASSERT(list.fence > inquiry.fence);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(0), list.leaseUntilMilliseconds + list.acknowledgedNumber);
+        }
+    }
+
+    // Guards against a host that restarts and stays unknown: its port may open only after its announcement.
+    void aCandidateThatDoesNotAnswerIsAskedAgain()
+    {
+        for (const HostAnswer answer : { HostAnswer::NotListening, HostAnswer::Uncertain, HostAnswer::Refused }) {
+            ListedHarness harness;
+            Actions actions;
+            harness.agent.onAnnouncement(at(13), describeHost(2, 1), actions);
+            const ListHost first = inquiryOf(harness.tick(14), "host-1", 2);
+            harness.agent.onListResponse(at(15), first, makeResponse(answer), actions);
+            CPPUNIT_ASSERT(!reportsGone(actions));
+            const ListHost second = inquiryOf(harness.tick(300), "host-1", 2);
+            harness.agent.onListResponse(at(301), second, makeList(2), actions);
+            CPPUNIT_ASSERT(reportsGone(actions));
+        }
+    }
+
+    // Guards against a second run of all tasks of a living host: its own list, sent after the announcement of another
+    // incarnation, shows that it lives.
+    void aListOfTheHostSettlesAnAnnouncement()
+    {
+        ListedHarness harness;
+        Actions actions;
+        harness.agent.onAnnouncement(at(13), describeOtherHost("desk"), actions);
+        const ListHost list = inquiryOf(harness.tick(14), "host-1", 1);
+        Actions answered;
+        harness.agent.onListResponse(at(15), list, makeList(1), answered);
+        CPPUNIT_ASSERT(logs(answered, "announcement_passed_over") && !reportsGone(answered));
+    }
+
+    // Guards against a second run of all tasks of another side's host: its announcement reached this side, which
+    // reported it as its own and, when the call was answered by another host, as gone.
+    void aHostIsReportedOnceItHasAnswered()
+    {
+        HostResponse fenced = makeResponse(HostAnswer::Refused);
+        fenced.reason = "fence";
+        const std::vector<std::pair<HostResponse, bool>> cases { { makeResponse(HostAnswer::OtherIncarnation), false },
+            { makeList(3), false }, { makeList(2), true }, { makeList(0), true }, { fenced, true } };
+        for (const std::pair<HostResponse, bool>& answer : cases) {
+            HostAgent agent(NodeIdentity { "side-1", 1, "127.0.0.1", 1 }, HostAgentTiming {});
+            Actions actions;
+            agent.onAnnouncement(at(1), describeOtherHost("desk"), actions);
+            CPPUNIT_ASSERT(!logs(actions, "host_announced"));
+            agent.tick(at(2), actions);
+            agent.onListResponse(at(3), inquiryOf(actions, "host-2", 2), answer.first, actions);
+            CPPUNIT_ASSERT_EQUAL(answer.second, logs(actions, "host_announced"));
+            CPPUNIT_ASSERT(!logs(actions, "host_ended"));
+        }
+    }
+
+    // Guards against a host that leaves and is taken for one that was announced to its own side: that side would go on
+    // starting tasks there.
+    void aDrainingHostIsAcknowledgedBySidesThatKnowItOnly()
+    {
+        ListedHarness harness;
+        Actions actions;
+        HostDescription other = describeOtherHost("desk");
+        CPPUNIT_ASSERT(harness.agent.onAnnouncement(at(13), other, actions));
+        other.draining = true;
+        CPPUNIT_ASSERT(!harness.agent.onAnnouncement(at(14), other, actions));
+        HostDescription own = describeHost(1, 2);
+        own.draining = true;
+        CPPUNIT_ASSERT(harness.agent.onAnnouncement(at(15), own, actions));
+    }
+
+    // Guards against orders and acknowledgements that the next incarnation takes for its own.
+    void startsAndAcknowledgesNothingUntilACandidateIsSettled()
+    {
+        ListedHarness harness;
+        Actions actions;
+        harness.agent.onAnnouncement(at(13), describeHost(2, 1), actions);
         Wire::HostOrders orders = Harness::makeStartOrders(4);
-        orders.incarnation = 3;
-        harness.sendOrders(10, orders);
-        HostResponse listed = makeResponse(HostAnswer::Done);
-        listed.incarnation = 3;
-        harness.agent.onListResponse(at(12), actionsOf<ListHost>(harness.tick(11)).at(0), listed, first);
-        other.incarnation = 4;
-        Actions later;
-        harness.agent.onAnnouncement(at(13), other, later);
-        CPPUNIT_ASSERT(!logs(later, "host_ended"));
-        CPPUNIT_ASSERT(logs(later, "announcement_passed_over"));
-        Actions last;
-        other.service = "desk";
-        harness.agent.onAnnouncement(at(14), other, last);
-        CPPUNIT_ASSERT_MESSAGE("the next incarnation of the host", logs(last, "host_ended"));
+        orders.acknowledgedNumber = 3;
+        const Actions ordered = harness.sendOrders(14, orders);
+        CPPUNIT_ASSERT(actionsOf<StartOnHost>(ordered).empty());
+        const Wire::OrderResult result = messagesOf<Wire::HostReport>(ordered).at(0).results.at(0);
+        CPPUNIT_ASSERT_EQUAL(Wire::OrderOutcome::Refused, result.outcome);
+        CPPUNIT_ASSERT_EQUAL(std::string("candidate_announced"), result.reason);
+        const ListHost list = inquiryOf(harness.tick(15), "host-1", 1);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), list.leaseUntilMilliseconds + list.acknowledgedNumber);
     }
 
     void repeatsAnUnansweredPaceOrder()
