platform: Take no absence of a run from an incomplete list

A list whose `running` is absent, or which has a row that cannot be read, was taken for a complete one: runs without a row were reported as vanished and started again while they ran, or after an end whose row could not be read (TWICE). Ends that are not listed in the order of their numbers were passed over: the owner and ReportedRuns skip numbers below the last one, and the run then vanished.

HostResponse::endsOmitted is now isIncomplete.

--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -466,7 +466,7 @@
         const bool ended = std::any_of(response.ended.begin(), response.ended.end(),
             [&it](const Wire::EndedTask& row) { return runKey(row.task, row.run) == it->first; });
         // Only a complete list that was sent after the host accepted the halt shows that the run is absent.
-        const bool isComplete = ended || !response.endsOmitted;
+        const bool isComplete = ended || !response.isIncomplete;
         const bool isConclusive = it->second.answered && it->second.answeredAt <= m_listSentAt && isComplete;
         if (!isConclusive || running) {
             ++it;
@@ -507,7 +507,7 @@
         Wire::HostReport report = makeReport(now);
         report.listed = true;
         report.listFence = order.fence;
-        report.endsOmitted = response.endsOmitted;
+        report.endsOmitted = response.isIncomplete;
         report.clockMilliseconds = response.clockMilliseconds;
         report.running = response.running;
         report.ended = response.ended;
--- a/Source/Decision/Process/Message.h
+++ b/Source/Decision/Process/Message.h
@@ -244,9 +244,10 @@
     std::int64_t incarnation = 0;
     std::int64_t clockMilliseconds = 0;
     std::vector<Wire::RunningTask> running;
+    /// In the order of their numbers.
     std::vector<Wire::EndedTask> ended;
-    /// The list does not hold all ended runs; others may follow once these are acknowledged.
-    bool endsOmitted = false;
+    /// The list does not show all runs or all ends, so a run that is missing from it may be active or have ended.
+    bool isIncomplete = false;
     /// Describes the first part of the response that was skipped as undecodable, for the log; empty if there is none.
     std::string decodeError;
 };
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -152,7 +152,7 @@
         harness.agent.onHaltResponse(at(705), halt, makeResponse(HostAnswer::Done), actions);
         harness.agent.onListResponse(at(706), before, makeResponse(HostAnswer::Done), actions);
         HostResponse partialList = makeResponse(HostAnswer::Done);
-        partialList.endsOmitted = true;
+        partialList.isIncomplete = true;
         const ListHost first = actionsOf<ListHost>(harness.tick(800)).at(0);
         harness.agent.onListResponse(at(805), first, partialList, actions);
         CPPUNIT_ASSERT_MESSAGE("the end may come with the next list", !reportsAbsent(actions));
--- a/Tests/Unit/PlatformProtocolTest.cpp
+++ b/Tests/Unit/PlatformProtocolTest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(refusesInvalidAnnouncements);
     CPPUNIT_TEST(readsListsAndSkipsInvalidRows);
     CPPUNIT_TEST(distinguishesACompleteListFromAFullOne);
+    CPPUNIT_TEST(aListThatIsMissingOrUnreadableShowsNoAbsence);
+    CPPUNIT_TEST(endsAreReadInTheOrderOfTheirNumbers);
     CPPUNIT_TEST(distinguishesHostAnswers);
     CPPUNIT_TEST(encodesAndDecodesRecords);
     CPPUNIT_TEST(readsThePagesOfNewestRecords);
@@ -82,14 +84,44 @@
         std::string rows;
         for (int n = 1; n <= 500; ++n) {
             CPPUNIT_ASSERT(
-                !HostProtocol::decodeResponse(response(200, R"({"clock_ms":77,"ended":[)" + rows + "]}")).endsOmitted);
+                !HostProtocol::decodeResponse(response(200, R"({"clock_ms":77,"running":[],"ended":[)" + rows + "]}"))
+                     .isIncomplete);
             rows += (n > 1 ? "," : "") + std::string("[") + std::to_string(n)
                 + R"(,"00000000000000aa.0.1.9",1,"done",""])";
         }
         const HostResponse full
-            = HostProtocol::decodeResponse(response(200, R"({"clock_ms":77,"ended":[)" + rows + "]}"));
+            = HostProtocol::decodeResponse(response(200, R"({"clock_ms":77,"running":[],"ended":[)" + rows + "]}"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(500), full.ended.size());
-        CPPUNIT_ASSERT(full.endsOmitted);
+        CPPUNIT_ASSERT(full.isIncomplete);
+    }
+
+    // Guards against a second run of an active task: its row was missing because the list was, or could not be read.
+    void aListThatIsMissingOrUnreadableShowsNoAbsence()
+    {
+        const std::string row = R"(["00000000000000aa.0.1.9",1,"",41,0])";
+        const std::string end = R"([1,"00000000000000aa.0.1.9",1,"done",""])";
+        const std::vector<std::pair<std::string, bool>> cases {
+            { R"({"clock_ms":7,"running":[)" + row + R"(],"ended":[)" + end + "]}", false },
+            { R"({"clock_ms":7,"running":[],"ended":[]})", false },
+            { R"({"clock_ms":7,"ended":[]})", true },
+            { R"({"clock_ms":7,"running":7,"ended":[]})", true },
+            { R"({"clock_ms":7,"running":[]})", true },
+            { R"({"clock_ms":7,"running":[)" + row + R"(,["odd",1,"",0,0]],"ended":[]})", true },
+            { R"({"clock_ms":7,"running":[],"ended":[)" + end + R"(,[2,"00000000000000aa.0.1.8",1,"melted",""]]})",
+                true },
+        };
+        for (const std::pair<std::string, bool>& list : cases)
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                list.first, list.second, HostProtocol::decodeResponse(response(200, list.first)).isIncomplete);
+    }
+
+    // Guards against ends that are passed over because a list names a later one first.
+    void endsAreReadInTheOrderOfTheirNumbers()
+    {
+        const HostResponse list = HostProtocol::decodeResponse(response(200, R"({"clock_ms":77,"running":[],"ended":[
+            [59,"00000000000000aa.0.1.8",1,"done",""],[58,"00000000000000aa.0.1.9",1,"done",""]]})"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), list.ended.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(58), static_cast<std::int64_t>(list.ended[0].number));
     }
 
     void distinguishesHostAnswers()
