Job: Place nothing that must run once on a host that may forget its end

Cause: a late list call to the earlier incarnation reaches the next one before the side's first list has raised the fence there. From then on the host drops its ends up to the acknowledged number unlisted; the owner logs run_vanished, takes the task for not run, and starts it again. Class: one message acts on a later life of its receiver.

Ruled out: preventing it at the sender. The call names the same id, and a host without a fence refuses none. The owner cannot read the number either.

Change: numbers of ends rise, so one listed end shows that all later ones are listed. Until then (mayForgetEnds) an incarnation that follows another under its id gets long-running tasks only, which start again however they end, and trials: a waiting task that is halted as soon as its start is confirmed. Its end is listed, which proves the host, or forgotten, which loses nothing. Runs that are found there are halted too. Records of earlier versions count as hosts that may forget ends.

--- a/Source/Decision/Job/FailedPlacements.cpp
+++ b/Source/Decision/Job/FailedPlacements.cpp
@@ -12,8 +12,8 @@
     if (isSpecificToStep)
         return;
     const Wire::StepDefinition& step = request.definition;
-    m_failures.push_back(Failure { request.job.serviceName, step.requiredLabel, step.image, step.filler, step.demand,
-        request.minimumPacePercent, hostCounts });
+    m_failures.push_back(Failure { request.job.serviceName, step.requiredLabel, step.image, step.filler,
+        step.longRunning, step.demand, request.minimumPacePercent, hostCounts });
 }
 
 const HostEligibilityCounts* FailedPlacements::find(const PlacementRequest& request) const
@@ -22,7 +22,8 @@
     const auto rulesOut = [&request, &step](const Failure& failure) {
         const Wire::Resources& demand = failure.demand;
         const bool isSameKind = failure.service == request.job.serviceName && failure.label == step.requiredLabel
-            && failure.filler == step.filler && (!step.filler || failure.image == step.image);
+            && failure.filler == step.filler && (!step.filler || failure.image == step.image)
+            && (failure.longRunning || !step.longRunning);
         const bool needsAsMuch = step.demand.milliProcessors >= demand.milliProcessors
             && step.demand.memoryMegabytes >= demand.memoryMegabytes && step.demand.accelerators >= demand.accelerators
             && request.minimumPacePercent >= failure.minimumPacePercent;
--- a/Source/Decision/Job/FailedPlacements.h
+++ b/Source/Decision/Job/FailedPlacements.h
@@ -24,6 +24,7 @@
         std::string label;
         std::string image;
         bool filler = false;
+        bool longRunning = false;
         Wire::Resources demand;
         int minimumPacePercent = 0;
         HostEligibilityCounts hostCounts;
--- a/Source/Decision/Job/HostEligibility.h
+++ b/Source/Decision/Job/HostEligibility.h
@@ -24,6 +24,8 @@
     Quarantined,
     /// The host is on probation after a quarantine: it gets one task at a time until one completes.
     OnProbation,
+    /// The host may forget the end of the run, which must not start again.
+    MayForgetEnds,
     OtherRack,
     NoLabel,
     NoProcessors,
@@ -49,6 +51,7 @@
     NamedValue { HostEligibility::Silent, "silent" },
     NamedValue { HostEligibility::Quarantined, "quarantined" },
     NamedValue { HostEligibility::OnProbation, "on_trial" },
+    NamedValue { HostEligibility::MayForgetEnds, "may_forget_ends" },
     NamedValue { HostEligibility::OtherRack, "other_rack" },
     NamedValue { HostEligibility::NoLabel, "no_label" },
     NamedValue { HostEligibility::NoProcessors, "no_processors" },
--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -132,6 +132,10 @@
     std::uint64_t listNumber = 0;
     /// Orders to an earlier incarnation may have reached this one; false once a list has been processed.
     bool hasEarlierIncarnation = false;
+    /// An acknowledgement to an earlier incarnation may have reached this one, which then forgets as many of its first
+    /// ends unlisted. False once an end of this incarnation has been listed: numbers of ends rise, so all later ends
+    /// are listed. Until then only runs that may start again are placed; see TaskScheduler::startEndTrials().
+    bool mayForgetEnds = false;
     /// The incarnation has shut down. Only runs that a later incarnation may still start are kept.
     bool departed = false;
     /// Sequence number of the write of the host's record; no run is ordered before that write is persisted.
@@ -184,6 +188,8 @@
     static std::optional<HostRun> removeRun(Host& host, const RunKey& key);
     /// Records the ordered pace of a run of the host.
     static void setOrderedPace(Host& host, HostRun& run, int percent);
+    /// Whether the end of the run may stay unknown. Only long-running tasks start again however they end.
+    static bool mayLoseEndOf(const Host& host, const HostRun& run) { return host.mayForgetEnds && !run.longRunning; }
     /// Number of runs of a step on the host.
     static int countRunsOfStep(const Host& host, const std::string& jobId, int occurrence, int step);
 
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -69,10 +69,17 @@
             m_loadedCancellations.insert(id);
         } else if (isKeyOfKind(record.key, 'h')) {
             const std::optional<Wire::HostRecord> stored = Wire::decode<Wire::HostRecord>(record.value);
+            if (stored && stored->departed) {
+                m_state.hosts.hosts().erase(id);
+                m_loadedDepartures.push_back(id);
+                continue;
+            }
             Host host;
             host.hostId = id;
             // A host without a readable record may hold leases too, so it is kept as one that has not reported.
             host.incarnation = stored ? stored->incarnation : 0;
+            // Records of earlier versions do not tell either.
+            host.mayForgetEnds = !stored || !stored->listsAllEnds;
             if (!stored)
                 m_loadErrors.emplace_back(record.key, errorOf(unreadable).message);
             host.orders.hostId = id;
@@ -123,6 +130,9 @@
                                      .text() });
     m_loadedProgress.clear();
     m_loadedCancellations.clear();
+    for (const std::string& hostId : m_loadedDepartures)
+        m_state.departedHosts[hostId] = now;
+    m_loadedDepartures.clear();
 }
 
 bool JobOwner::isStoreUnavailable(Instant now) const
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -97,6 +97,8 @@
     std::deque<PendingReply> m_pendingReplies;
     std::map<std::string, Wire::JobProgress> m_loadedProgress;
     std::set<std::string> m_loadedCancellations;
+    /// Ids of hosts that had departed recently.
+    std::vector<std::string> m_loadedDepartures;
     /// Keys of records that could not be loaded, with the error.
     std::vector<std::pair<std::string, std::string>> m_loadErrors;
     std::map<std::string, Instant> m_finishedAt;
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -32,6 +32,8 @@
     std::string rack;
     /// A filler needs a host that tolerates it at this pace or above.
     int minimumPacePercent = 30;
+    /// The run will be halted once it has started, so its end may be forgotten.
+    bool isEndTrial = false;
 };
 
 /// Chooses hosts without changing them. Used by TaskScheduler, and by JobOwner to refuse jobs that fit no host.
@@ -47,6 +49,10 @@
     /// receives the number of hosts by eligibility.
     Host* chooseHost(HostRegistry& hosts, const PlacementRequest& request, Instant now,
         HostEligibilityCounts* counts = nullptr) const;
+    bool isEligible(const Host& host, const PlacementRequest& request, Instant now) const
+    {
+        return evaluate(host, request, now) == HostEligibility::Eligible;
+    }
     /// Whether a registered host of the service could hold a task of the step if the host were empty.
     static bool fitsAnyEmptyHost(
         const HostRegistry& hosts, const std::string& service, const Wire::StepDefinition& step);
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -64,6 +64,16 @@
 
 } // namespace
 
+std::uint64_t RunTracker::storeHostRecord(Instant now, const Host& host, Urgency urgency)
+{
+    Wire::HostRecord record;
+    record.incarnation = host.incarnation;
+    record.term = m_state.term;
+    record.listsAllEnds = !host.mayForgetEnds;
+    record.departed = host.departed;
+    return m_state.storeWriter.enqueue(now, StoreRecord { StoreKey::host(host.hostId), Wire::encode(record) }, urgency);
+}
+
 Host& RunTracker::addIncarnation(Instant now, const Wire::HostReport& report, Actions& actions)
 {
     Host* earlier = m_state.hosts.find(report.hostId);
@@ -72,6 +82,7 @@
     host.incarnation = report.incarnation;
     host.leaseExpiresAt = now;
     host.hasEarlierIncarnation = earlier || m_state.departedHosts.contains(report.hostId);
+    host.mayForgetEnds = host.hasEarlierIncarnation;
     host.orders.hostId = report.hostId;
     if (earlier) {
         abandonConfirmedRuns(now, *earlier, RunFate::HostRestarted, actions);
@@ -81,11 +92,7 @@
         host.newestLink = earlier->newestLink;
         host.leaseExpiresAt = std::max(now, earlier->leaseExpiresAt);
     }
-    Wire::HostRecord record;
-    record.incarnation = report.incarnation;
-    record.term = m_state.term;
-    host.recordSequenceNumber = m_state.storeWriter.enqueue(
-        now, StoreRecord { StoreKey::host(report.hostId), Wire::encode(record) }, Urgency::Immediate);
+    host.recordSequenceNumber = storeHostRecord(now, host, Urgency::Immediate);
     actions.push_back(WriteLog { LogLine("host_seen")
                                      .add("host", report.hostId)
                                      .add("incarnation", report.incarnation)
@@ -93,6 +100,7 @@
                                      .add("cores_milli", report.capacity.milliProcessors)
                                      .add("memory_mb", report.capacity.memoryMegabytes)
                                      .add("unresolved", host.runs.size())
+                                     .add("may_forget_ends", host.mayForgetEnds)
                                      .text() });
     return m_state.hosts.hosts().insert_or_assign(report.hostId, std::move(host)).first->second;
 }
@@ -125,15 +133,21 @@
 void RunTracker::onHostDeparted(Instant now, Host& host, Actions& actions)
 {
     abandonConfirmedRuns(now, host, RunFate::HostGone, actions);
-    m_state.departedHosts[host.hostId] = now;
     m_state.scheduleDue = true;
-    if (!host.runs.empty()) {
-        host.departed = true;
-        host.listed = true;
-        host.link = noLink;
-        return;
-    }
-    m_state.storeWriter.enqueue(now, StoreRecord { StoreKey::host(host.hostId), {} }, Urgency::Lazy);
+    host.departed = true;
+    host.listed = true;
+    host.link = noLink;
+    if (host.runs.empty())
+        removeHost(now, host);
+    else
+        m_state.departedHosts[host.hostId] = now;
+}
+
+void RunTracker::removeHost(Instant now, Host& host)
+{
+    host.departed = true;
+    m_state.departedHosts[host.hostId] = now;
+    storeHostRecord(now, host, Urgency::Lazy);
     m_state.hosts.hosts().erase(std::string(host.hostId));
 }
 
@@ -233,6 +247,7 @@
         if (it->second.phase == RunPhase::Ordered) {
             it->second.phase = RunPhase::Running;
             it->second.startConfirmedAt = now;
+            haltIfEndMayBeLost(host, it->second, actions);
         }
         return;
     }
@@ -265,6 +280,7 @@
     // The halt order may have been lost with an earlier connection, so it is sent again.
     if (run.phase == RunPhase::Halting && run.fence < host.fence)
         haltRun(host, run, "unresolved_order", actions);
+    haltIfEndMayBeLost(host, run, actions);
     run.fence = host.fence;
     run.listed = true;
     run.listNumber = host.listNumber;
@@ -330,6 +346,13 @@
     task->runs.push_back(RunPlace { host.hostId, listedRun.run, now });
     task->lastRun = std::max(task->lastRun, listedRun.run);
     job->markStarted();
+    haltIfEndMayBeLost(host, added, actions);
+}
+
+void RunTracker::haltIfEndMayBeLost(Host& host, HostRun& run, Actions& actions)
+{
+    if (run.phase == RunPhase::Running && HostRegistry::mayLoseEndOf(host, run))
+        haltRun(host, run, "end_may_be_forgotten", actions);
 }
 
 void RunTracker::removeRunFromTask(
@@ -423,6 +446,12 @@
     if (listedRun.number <= host.lastEndNumber)
         return;
     host.lastEndNumber = listedRun.number;
+    if (host.mayForgetEnds) {
+        host.mayForgetEnds = false;
+        storeHostRecord(now, host, Urgency::Lazy);
+        actions.push_back(
+            WriteLog { LogLine("host_lists_ends").add("host", host.hostId).add("number", listedRun.number).text() });
+    }
     // The end is acknowledged only once its effect is persisted.
     host.unpersistedEnds.emplace_back(listedRun.number, 0);
     const std::optional<HostRun> run = HostRegistry::removeRun(host, runKey(listedRun.task, listedRun.run));
@@ -649,9 +678,14 @@
 
 void RunTracker::tick(Instant now, Actions& actions)
 {
-    std::erase_if(m_state.departedHosts,
-        [now](const std::pair<const std::string, Instant>& entry) { return now - entry.second > hostRetention; });
     std::map<std::string, Host>& hosts = m_state.hosts.hosts();
+    std::erase_if(m_state.departedHosts, [this, now, &hosts](const std::pair<const std::string, Instant>& entry) {
+        if (now - entry.second <= hostRetention)
+            return false;
+        if (!hosts.contains(entry.first))
+            m_state.storeWriter.enqueue(now, StoreRecord { StoreKey::host(entry.first), {} }, Urgency::Lazy);
+        return true;
+    });
     for (std::map<std::string, Host>::iterator it = hosts.begin(); it != hosts.end();) {
         Host& host = it->second;
         if (!host.runs.empty() && now >= host.leaseExpiresAt)
@@ -660,12 +694,9 @@
             haltRunsForDrain(now, host, actions);
         const bool disconnectedTooLong
             = host.link == noLink && now >= host.leaseExpiresAt && now - host.lastContactAt > hostRetention;
-        if (host.runs.empty() && (host.departed || disconnectedTooLong)) {
-            m_state.storeWriter.enqueue(now, StoreRecord { StoreKey::host(host.hostId), {} }, Urgency::Lazy);
-            it = hosts.erase(it);
-            continue;
-        }
         ++it;
+        if (host.runs.empty() && (host.departed || disconnectedTooLong))
+            removeHost(now, host);
     }
 }
 
--- a/Source/Decision/Job/RunTracker.h
+++ b/Source/Decision/Job/RunTracker.h
@@ -49,6 +49,11 @@
     /// Adds a host that is unknown or that has a new incarnation.
     Host& addIncarnation(Instant now, const Wire::HostReport& report, Actions& actions);
     void onHostDeparted(Instant now, Host& host, Actions& actions);
+    /// Removes a host without runs. Its record stays for a while, since its id may be used again.
+    void removeHost(Instant now, Host& host);
+    /// Returns the sequence number of the write.
+    std::uint64_t storeHostRecord(Instant now, const Host& host, Urgency urgency);
+    void haltIfEndMayBeLost(Host& host, HostRun& run, Actions& actions);
     void processRunList(Instant now, Host& host, const Wire::HostReport& report, Actions& actions);
     /// Adds the occurrences of the listed runs. An earlier owner may have seen an occurrence due before this owner
     /// does.
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -17,6 +17,9 @@
     constexpr Duration minimumRunTime = milliseconds(1200);
     constexpr Duration moveInterval = milliseconds(300);
     constexpr int maximumMovesPerPass = 3;
+    /// A run with this estimate or more is halted before it completes: a halt order follows the confirmation of the
+    /// start within some 20 ms.
+    constexpr std::int64_t minimumTrialEstimateMilliseconds = 200;
 
     Wire::TaskName taskName(const JobState& job, const StepState& step, std::size_t index)
     {
@@ -54,7 +57,8 @@
     const bool earlierRunsKnown = m_unlistedHosts == 0;
     moveSlowFillers(now, actions);
     int stepsWithPreemption = 0;
-    for (const Candidate& candidate : collectCandidates(now)) {
+    const std::vector<Candidate> candidates = collectCandidates(now);
+    for (const Candidate& candidate : candidates) {
         JobState& job = *candidate.job;
         if (!job.isOpen())
             continue;
@@ -67,6 +71,49 @@
             && preemptRuns(now, job, step, actions))
             ++stepsWithPreemption;
     }
+    startEndTrials(now, candidates, actions);
+}
+
+void TaskScheduler::startEndTrials(Instant now, const std::vector<Candidate>& candidates, Actions& actions)
+{
+    if (m_unlistedHosts > 0)
+        return;
+    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
+        Host& host = entry.second;
+        const bool isTrialUnderWay
+            = std::any_of(host.runs.begin(), host.runs.end(), [&host](const std::pair<const RunKey, HostRun>& run) {
+                  return HostRegistry::mayLoseEndOf(host, run.second);
+              });
+        if (host.mayForgetEnds && !isTrialUnderWay
+            && m_state.storeWriter.storedSequenceNumber() >= host.recordSequenceNumber)
+            tryStartEndTrial(now, candidates, host, actions);
+    }
+}
+
+bool TaskScheduler::tryStartEndTrial(
+    Instant now, const std::vector<Candidate>& candidates, Host& host, Actions& actions)
+{
+    for (const Candidate& candidate : candidates) {
+        JobState& job = *candidate.job;
+        StepState& step = job.steps()[candidate.step];
+        const Wire::StepDefinition& definition = job.stepDefinition(step);
+        if (!job.isOpen() || definition.gang || definition.filler
+            || definition.estimateMilliseconds < minimumTrialEstimateMilliseconds)
+            continue;
+        for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+            const TaskState& task = step.tasks[n];
+            if (!task.isWaiting() || now < task.notBefore || mayContinueUnderSuccessor(now, task))
+                continue;
+            PlacementRequest request = makePlacementRequest(job, step, task);
+            request.isEndTrial = true;
+            const std::optional<int> run = nextRunNumber(job, task);
+            if (!run || !m_placement.isEligible(host, request, now))
+                break;
+            startRun(now, job, step, n, *run, host, actions);
+            return true;
+        }
+    }
+    return false;
 }
 
 void TaskScheduler::moveSlowFillers(Instant now, Actions& actions)
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -40,6 +40,11 @@
     /// Starts all tasks of the gang, or returns the reason why the gang waits.
     std::optional<WaitReason> tryStartGang(
         Instant now, JobState& job, StepState& step, HostEligibilityCounts& hostCounts, Actions& actions);
+    /// Starts a waiting task on each host that may forget ends, one at a time. RunTracker halts the run once its start
+    /// is confirmed; the end is listed unless the host forgets it. Either way the task has not completed and starts
+    /// again.
+    void startEndTrials(Instant now, const std::vector<Candidate>& candidates, Actions& actions);
+    bool tryStartEndTrial(Instant now, const std::vector<Candidate>& candidates, Host& host, Actions& actions);
     /// Stops less urgent runs on one host so that a task of the step fits there. False when no run was stopped.
     bool preemptRuns(Instant now, JobState& job, StepState& step, Actions& actions);
     void startRun(
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -5675,6 +5675,14 @@
 void HostRecord::__set_term(const int64_t val) {
   this->term = val;
 }
+
+void HostRecord::__set_listsAllEnds(const bool val) {
+  this->listsAllEnds = val;
+}
+
+void HostRecord::__set_departed(const bool val) {
+  this->departed = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostRecord& obj)
 {
   obj.printTo(out);
@@ -5719,6 +5727,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->listsAllEnds);
+          this->__isset.listsAllEnds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->departed);
+          this->__isset.departed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5744,6 +5768,14 @@
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("listsAllEnds", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->listsAllEnds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->departed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5753,28 +5785,38 @@
   using ::std::swap;
   swap(a.incarnation, b.incarnation);
   swap(a.term, b.term);
+  swap(a.listsAllEnds, b.listsAllEnds);
+  swap(a.departed, b.departed);
   swap(a.__isset, b.__isset);
 }
 
 HostRecord::HostRecord(const HostRecord& other127) noexcept {
   incarnation = other127.incarnation;
   term = other127.term;
+  listsAllEnds = other127.listsAllEnds;
+  departed = other127.departed;
   __isset = other127.__isset;
 }
 HostRecord::HostRecord(HostRecord&& other128) noexcept {
   incarnation = other128.incarnation;
   term = other128.term;
+  listsAllEnds = other128.listsAllEnds;
+  departed = other128.departed;
   __isset = other128.__isset;
 }
 HostRecord& HostRecord::operator=(const HostRecord& other129) noexcept {
   incarnation = other129.incarnation;
   term = other129.term;
+  listsAllEnds = other129.listsAllEnds;
+  departed = other129.departed;
   __isset = other129.__isset;
   return *this;
 }
 HostRecord& HostRecord::operator=(HostRecord&& other130) noexcept {
   incarnation = other130.incarnation;
   term = other130.term;
+  listsAllEnds = other130.listsAllEnds;
+  departed = other130.departed;
   __isset = other130.__isset;
   return *this;
 }
@@ -5783,6 +5825,8 @@
   out << "HostRecord(";
   out << "incarnation=" << to_string(incarnation);
   out << ", " << "term=" << to_string(term);
+  out << ", " << "listsAllEnds=" << to_string(listsAllEnds);
+  out << ", " << "departed=" << to_string(departed);
   out << ")";
 }
 
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -2237,9 +2237,11 @@
 std::ostream& operator<<(std::ostream& out, const JobProgress& obj);
 
 typedef struct _HostRecord__isset {
-  _HostRecord__isset() : incarnation(false), term(false) {}
+  _HostRecord__isset() : incarnation(false), term(false), listsAllEnds(false), departed(false) {}
   bool incarnation :1;
   bool term :1;
+  bool listsAllEnds :1;
+  bool departed :1;
 } _HostRecord__isset;
 
 class HostRecord : public virtual ::apache::thrift::TBase {
@@ -2251,12 +2253,16 @@
   HostRecord& operator=(HostRecord&&) noexcept;
   HostRecord() noexcept
              : incarnation(0),
-               term(0) {
+               term(0),
+               listsAllEnds(0),
+               departed(0) {
   }
 
   virtual ~HostRecord() noexcept;
   int64_t incarnation;
   int64_t term;
+  bool listsAllEnds;
+  bool departed;
 
   _HostRecord__isset __isset;
 
@@ -2264,12 +2270,20 @@
 
   void __set_term(const int64_t val);
 
+  void __set_listsAllEnds(const bool val);
+
+  void __set_departed(const bool val);
+
   bool operator == (const HostRecord & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
       return false;
     if (!(term == rhs.term))
       return false;
+    if (!(listsAllEnds == rhs.listsAllEnds))
+      return false;
+    if (!(departed == rhs.departed))
+      return false;
     return true;
   }
   bool operator != (const HostRecord &rhs) const {
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -263,6 +263,10 @@
 struct HostRecord {
   1: i64 incarnation
   2: i64 term
+  // Every end of the incarnation is listed until it is acknowledged.
+  3: bool listsAllEnds
+  // The incarnation has ended. Kept for a while, because the next one may have the same id.
+  4: bool departed
 }
 
 // Identifies the owner of the jobs. The term of the owner is the offset of this record plus one.
@@ -340,8 +344,8 @@
   13: list<EndedTask> ended
   14: list<OrderResult> results
   15: i64 highestTerm
-  // Valid if listed is true: the fence under which the list was requested, and whether there may be further ends that
-  // the list does not contain.
+  // Valid if listed is true: the fence under which the list was requested, and whether there may be further runs or ends
+  // that the list does not contain.
   16: i64 listFence
   17: bool endsOmitted
   // The host accepts no new connections. Its runs may continue.
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -667,7 +667,13 @@
         harness.settle(310);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(
             "the next incarnation has carried out the start order", std::size_t(1), harness.startOrders.size());
-        CPPUNIT_ASSERT(harness.haltOrders.empty());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            "its end may be forgotten, see ForgottenEndsTest", std::size_t(1), harness.haltOrders.size());
+        Wire::HostReport ended = makeReport("host-1", 2, 400);
+        ended.ended.push_back(makeEndedTask(1, harness.startOrders[0].task, 1, Wire::RunEnd::Stopped));
+        harness.announceAndReport(400, ended);
+        harness.settle(410);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("it starts again once it has ended", std::size_t(2), harness.startOrders.size());
     }
 
     // Guards against a task that is never placed again: the host no longer lists its run and never listed its end.
