Soak: Bear the size of a site, and announce hosts to sides of others

Now 64 threads submit from a bounded queue, what is skipped is counted, and a failure to start a thread or process is reported. Processes end with the test that started them.

New fault, drawn from a generator of its own so that the other faults of a seed stay: a side gets the announcement of a host that does not exist, or of another side's host.

--- a/Tests/Process/ChildProcess.cpp
+++ b/Tests/Process/ChildProcess.cpp
@@ -2,7 +2,9 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
+#include <system_error>
 #include <thread>
 #include <unistd.h>
 #include <utility>
@@ -23,9 +25,16 @@
     for (const std::string& argument : command)
         arguments.push_back(const_cast<char*>(argument.c_str()));
     arguments.push_back(nullptr);
+    const pid_t parent = getpid();
     m_pid = fork();
+    if (m_pid < 0)
+        throw std::system_error(errno, std::generic_category(), "cannot start " + command.front());
     if (m_pid != 0)
         return;
+    // The process must not outlive a test that ends without its destructors.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent)
+        _exit(exitCannotExecute);
     sigset_t noSignals;
     sigemptyset(&noSignals);
     sigprocmask(SIG_SETMASK, &noSignals, nullptr);
--- a/Tests/Soak/HostStandIn.cpp
+++ b/Tests/Soak/HostStandIn.cpp
@@ -330,15 +330,24 @@
     if (now - m_announcedAt < announceInterval)
         return;
     m_announcedAt = now;
-    announce(m_id, m_born, now);
+    announce(m_sidePort, m_id, m_born, now);
 }
 
-void HostStandIn::announce(const std::string& id, std::int64_t born, SteadyTime now)
+void HostStandIn::announceToOtherSide(int sidePort, bool exists)
+{
+    const Guard guard(m_mutex);
+    if (m_incarnation.empty())
+        return;
+    const std::string id = exists ? m_id : "host-unknown-" + std::to_string(unixMillisecondsNow());
+    announce(sidePort, id, exists ? m_born : unixMillisecondsNow(), SteadyClock::now());
+}
+
+void HostStandIn::announce(int sidePort, const std::string& id, std::int64_t born, SteadyTime now)
 {
     HttpRequest request;
     request.method = "PUT";
     request.address = "127.0.0.1";
-    request.port = m_sidePort;
+    request.port = sidePort;
     request.path = pathPrefix + "instances/" + id;
     request.timeout = seconds(1);
     request.mayResend = true;
@@ -420,7 +429,7 @@
         }
         if (m_staleAnnouncementAt && now >= *m_staleAnnouncementAt) {
             m_staleAnnouncementAt.reset();
-            announce(m_staleId, m_staleBorn, now);
+            announce(m_sidePort, m_staleId, m_staleBorn, now);
         }
         announce(now);
         processDue(now);
--- a/Tests/Soak/HostStandIn.h
+++ b/Tests/Soak/HostStandIn.h
@@ -36,6 +36,8 @@
     /// Ends all tasks of the current incarnation; the next incarnation starts after the pause.
     void crash(std::chrono::milliseconds pause, bool reusesId);
     void setOrderFaults(const OrderFaults& faults);
+    /// Announces the host, or a host that does not exist, to the side of another host.
+    void announceToOtherSide(int sidePort, bool exists);
 
 private:
     using SteadyTime = std::chrono::steady_clock::time_point;
@@ -77,7 +79,7 @@
     void startIncarnation(SteadyTime now);
     void endIncarnation(SteadyTime now, std::chrono::milliseconds pause, bool reusesId);
     void announce(SteadyTime now);
-    void announce(const std::string& id, std::int64_t born, SteadyTime now);
+    void announce(int sidePort, const std::string& id, std::int64_t born, SteadyTime now);
     void onCall(const std::shared_ptr<HttpCall>& call);
     void injectOrderFault(const std::string& path, const Json& body, bool resets);
     Answer execute(const std::string& path, const Json& body, const std::string& origin);
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sys/wait.h>
+#include <system_error>
 
 namespace Plantainpier {
 
@@ -23,6 +24,8 @@
     constexpr unsigned storeFaultKinds = 4;
     constexpr unsigned hostFaultKinds = 8;
     constexpr unsigned unansweredOrdersFault = 3;
+    /// Every such number of faults, on average, is accompanied by a foreign announcement.
+    constexpr unsigned foreignAnnouncementPeriod = 4;
     /// Orders that got no answer may still be executed this long after the last fault: 12 s is the longest delay of a
     /// host stand-in.
     constexpr std::chrono::seconds minimumSettleTime(13);
@@ -35,6 +38,9 @@
     constexpr int failingPeriod = 16;
     constexpr int failingRemainder = 6;
     constexpr int maximumCallAttempts = 5;
+    /// A submission takes up to 20 s while entries are down.
+    constexpr std::size_t submittingThreads = 64;
+    constexpr std::size_t maximumQueuedJobs = 64;
     /// Time within which a process must have ended after SIGTERM; its setting shutdown_s is 6 s.
     constexpr std::chrono::seconds stopLimit(8);
     const std::string loopbackAddress = "127.0.0.1";
@@ -80,6 +86,7 @@
 Soak::Soak(SoakOptions options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_foreignRandom(m_options.seed + 1)
     , m_hostFaultWeight(3 + draw(12))
 {
 }
@@ -244,6 +251,18 @@
     }
 }
 
+void Soak::injectForeignAnnouncement()
+{
+    const unsigned hostCount = static_cast<unsigned>(m_hosts.size());
+    const unsigned host = m_foreignRandom() % hostCount;
+    const unsigned side = (host + 1 + m_foreignRandom() % std::max(1U, hostCount - 1)) % hostCount;
+    const bool exists = m_foreignRandom() % 2 == 0;
+    m_faults.push_back(
+        (exists ? "announced-elsewhere:host-" : "unknown-host:side-") + std::to_string(exists ? host : side));
+    m_audit.note("fault " + m_faults.back());
+    m_hosts[host]->announceToOtherSide(portOf(announcePortOffset, static_cast<int>(side)), exists);
+}
+
 void Soak::injectStoreFault(unsigned kind)
 {
     static const char* const names[storeFaultKinds] = { "silent", "busy", "loses-answers", "compacted" };
@@ -462,25 +481,48 @@
 void Soak::clientLoop(unsigned seed)
 {
     std::mt19937 random(seed);
-    std::vector<std::thread> sending;
+    std::vector<std::thread> submitters;
+    try {
+        while (submitters.size() < submittingThreads)
+            submitters.emplace_back([this] { submitLoop(); });
+    } catch (const std::system_error& error) {
+        m_audit.reportViolation(std::string("FAULT: cannot start a client thread: ") + error.what());
+    }
     int number = 0;
     while (!m_stopping) {
         if (m_submitting) {
-            const unsigned jobSeed = random();
-            sending.emplace_back([this, jobSeed, number] {
-                std::mt19937 jobRandom(jobSeed);
-                submitJob(jobRandom, number);
-            });
-            ++number;
+            const std::pair<unsigned, int> job(random(), number++);
+            const std::lock_guard<std::mutex> guard(m_jobQueueMutex);
+            if (m_jobQueue.size() < maximumQueuedJobs)
+                m_jobQueue.push_back(job);
+            else
+                ++m_skippedJobs;
+            m_jobQueued.notify_one();
         } else {
             pollJobStatus(random);
         }
         pause(1000U / static_cast<unsigned>(m_options.jobsPerSecond));
     }
-    for (std::thread& thread : sending)
+    m_jobQueued.notify_all();
+    for (std::thread& thread : submitters)
         thread.join();
 }
 
+void Soak::submitLoop()
+{
+    while (!m_stopping) {
+        std::unique_lock<std::mutex> lock(m_jobQueueMutex);
+        m_jobQueued.wait_for(lock, std::chrono::milliseconds(100), [this] { return !m_jobQueue.empty(); });
+        if (m_jobQueue.empty())
+            continue;
+        const std::pair<unsigned, int> job = m_jobQueue.front();
+        m_jobQueue.pop_front();
+        lock.unlock();
+        std::mt19937 jobRandom(job.first);
+        submitJob(jobRandom, job.second);
+    }
+}
+
 std::vector<std::string> Soak::run()
 {
     if (!start())
@@ -488,10 +530,16 @@
     pause(2500);
     std::thread client([this, seed = draw(~0U)] { clientLoop(seed); });
     const SteadyTime faultsEnd = SteadyClock::now() + m_options.faultDuration;
-    while (SteadyClock::now() < faultsEnd) {
-        runRecoveries(false);
-        injectFault();
-        pause(50 + draw(600));
+    try {
+        while (SteadyClock::now() < faultsEnd) {
+            runRecoveries(false);
+            injectFault();
+            if (m_foreignRandom() % foreignAnnouncementPeriod == 0)
+                injectForeignAnnouncement();
+            pause(50 + draw(600));
+        }
+    } catch (const std::system_error& error) {
+        m_audit.reportViolation(std::string("FAULT: ") + error.what());
     }
     runRecoveries(true);
     m_submitting = false;
@@ -519,6 +567,8 @@
         + " jobs accepted, " + std::to_string(m_audit.startCount()) + " starts, faults:";
     for (const std::string& fault : m_faults)
         text += " " + fault;
+    if (m_skippedJobs > 0)
+        text += "; " + std::to_string(m_skippedJobs) + " submissions skipped";
     return text;
 }
 
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -7,6 +7,8 @@
 #include "Soak/HostStandIn.h"
 #include "Soak/StoreStandIn.h"
 
+#include <condition_variable>
+
 namespace Plantainpier {
 
 /// Parameters of a run.
@@ -70,6 +72,8 @@
     void injectFault();
     void injectNodeFault(Node& node, unsigned kind);
     void killAllNodes();
+    /// Sends a side the announcement of a host that is not its own.
+    void injectForeignAnnouncement();
     void injectStoreFault(unsigned kind);
     void injectHostFault(std::size_t number, unsigned kind);
     void scheduleRecovery(unsigned minimumMilliseconds, unsigned maximumMilliseconds, std::function<void()> action);
@@ -77,6 +81,8 @@
     unsigned draw(unsigned below) { return m_random() % below; }
 
     void clientLoop(unsigned seed);
+    /// Submits queued jobs until the run stops.
+    void submitLoop();
     void submitJob(std::mt19937& random, int number);
     void cancelJob(std::mt19937& random, const std::string& jobId);
     void pollJobStatus(std::mt19937& random);
@@ -86,6 +92,8 @@
 
     SoakOptions m_options;
     std::mt19937 m_random;
+    /// Draws foreign announcements, so that they leave the other faults of a seed as they are.
+    std::mt19937 m_foreignRandom;
     RunAudit m_audit;
     std::shared_ptr<HttpClient> m_http;
     std::unique_ptr<StoreStandIn> m_store;
@@ -98,6 +106,12 @@
     SteadyTime m_ownerFaultsUntil;
     /// Weight of host faults in this run, against a weight of 8 for all other faults.
     unsigned m_hostFaultWeight;
+    /// Jobs to submit: the seed of each job's random numbers and its number.
+    std::deque<std::pair<unsigned, int>> m_jobQueue;
+    std::mutex m_jobQueueMutex;
+    std::condition_variable m_jobQueued;
+    /// Jobs that were not submitted because too many submissions waited for answers.
+    std::size_t m_skippedJobs = 0;
     std::atomic<bool> m_submitting { true };
     std::atomic<bool> m_stopping { false };
 };
