Tests: Release connections of a relay when they end

A relay kept the descriptors and the two unjoined threads of each connection until its own end. Beyond the limit accept() fails, and each failed accept() started two more threads. A shortage of threads or memory of the machine was ruled out: 1,182 threads, 16 GB free.

The thread that accepts now joins the threads of a connection once both have returned, and closes its descriptors. RequestFaultTest::silentConnections and oneWayCuts pass.

--- a/Tests/Process/Relay.cpp
+++ b/Tests/Process/Relay.cpp
@@ -55,16 +55,33 @@
         ::close(m_listener);
     for (const std::shared_ptr<Connection>& connection : m_connections) {
         connection->closed = true;
-        connection->forward.join();
-        connection->backward.join();
-        ::close(connection->caller);
-        ::close(connection->target);
+        release(*connection);
     }
 }
 
+void Relay::release(Connection& connection)
+{
+    connection.forward.join();
+    connection.backward.join();
+    ::close(connection.caller);
+    ::close(connection.target);
+}
+
+void Relay::releaseEnded()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::erase_if(m_connections, [](const std::shared_ptr<Connection>& connection) {
+        if (connection->activeThreads > 0)
+            return false;
+        release(*connection);
+        return true;
+    });
+}
+
 void Relay::accept()
 {
     while (!m_stopping) {
+        releaseEnded();
         if (!m_listening && m_listener >= 0) {
             ::close(m_listener);
             m_listener = -1;
@@ -96,6 +113,12 @@
 }
 
 void Relay::forwardData(Connection& connection, int from, int to, const std::atomic<bool>& silent) const
+{
+    forwardUntilClosed(connection, from, to, silent);
+    --connection.activeThreads;
+}
+
+void Relay::forwardUntilClosed(Connection& connection, int from, int to, const std::atomic<bool>& silent) const
 {
     char buf[65536];
     while (!connection.closed) {
--- a/Tests/Process/Relay.h
+++ b/Tests/Process/Relay.h
@@ -37,13 +37,20 @@
         std::atomic<bool> silentTowardsTarget { false };
         std::atomic<bool> silentTowardsCaller { false };
         std::atomic<bool> closed { false };
+        /// Threads that have not returned yet.
+        std::atomic<int> activeThreads { 2 };
         std::thread forward;
         std::thread backward;
     };
 
     bool listen();
     void accept();
+    /// Joins the threads of connections that have ended and closes their descriptors, which would run out in a long
+    /// test.
+    void releaseEnded();
+    static void release(Connection& connection);
     void forwardData(Connection& connection, int from, int to, const std::atomic<bool>& silent) const;
+    void forwardUntilClosed(Connection& connection, int from, int to, const std::atomic<bool>& silent) const;
 
     int m_listener = -1;
     int m_listenPort;
