Soak: Inject faults that hit a host and its side together

The soak stopped sides, and broke connections, each on its own.

- breaks the connections of a host in the moment in which its side gets SIGTERM, and starts the side's successor on other ports at once, while its predecessor is still stopping,
- lets a host refuse further connections while one to three are open and runs go on; at other times a host's limit is 64 connections,
- delays the answers on one connection of a host by 200 to 900 ms, so that those of other connections overtake them.

--- a/Tests/Process/Relay.cpp
+++ b/Tests/Process/Relay.cpp
@@ -96,6 +96,12 @@
         const sockaddr_in address = loopback(m_targetPort);
         const int on = 1;
         connection->caller = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (openConnections().size() >= m_connectionLimit) {
+            const linger resetOnClose { 1, 0 };
+            ::setsockopt(connection->caller, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
+            ::close(connection->caller);
+            continue;
+        }
         connection->target = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         ::setsockopt(connection->caller, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         ::setsockopt(connection->target, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -127,8 +133,9 @@
         const ssize_t n = ::recv(from, buf, sizeof buf, 0);
         if (n <= 0)
             break;
-        if (m_delayMilliseconds > 0)
-            std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMilliseconds));
+        const long ownDelay = from == connection.target ? connection.delayTowardsCallerMilliseconds.load() : 0;
+        if (m_delayMilliseconds + ownDelay > 0)
+            std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMilliseconds + ownDelay));
         while (m_paused && !connection.closed && !m_stopping)
             std::this_thread::sleep_for(waitInterval);
         for (ssize_t sent = 0; sent < n && !silent;) {
@@ -145,6 +152,24 @@
     }
 }
 
+std::vector<std::shared_ptr<Relay::Connection>> Relay::openConnections()
+{
+    std::vector<std::shared_ptr<Connection>> open;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const std::shared_ptr<Connection>& connection : m_connections) {
+        if (!connection->closed)
+            open.push_back(connection);
+    }
+    return open;
+}
+
+void Relay::delayOneConnection(unsigned choice, std::chrono::milliseconds delay)
+{
+    const std::vector<std::shared_ptr<Connection>> open = openConnections();
+    if (!open.empty())
+        open[choice % open.size()]->delayTowardsCallerMilliseconds = delay.count();
+}
+
 void Relay::resetExisting()
 {
     std::lock_guard<std::mutex> lock(m_mutex);
--- a/Tests/Process/Relay.h
+++ b/Tests/Process/Relay.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -27,6 +28,10 @@
     void setDelay(std::chrono::milliseconds delay) { m_delayMilliseconds = delay.count(); }
     /// While paused, no connection forwards data; data that was sent meanwhile is forwarded afterwards.
     void setPaused(bool paused) { m_paused = paused; }
+    /// Resets new connections while this many are open; open connections go on.
+    void setConnectionLimit(std::size_t limit) { m_connectionLimit = limit; }
+    /// Delays the data that one open connection forwards to its caller; other connections are not delayed.
+    void delayOneConnection(unsigned choice, std::chrono::milliseconds delay);
     /// While the relay is not listening, new connections are refused.
     void setListening(bool listening) { m_listening = listening; }
 
@@ -37,6 +42,7 @@
         std::atomic<bool> silentTowardsTarget { false };
         std::atomic<bool> silentTowardsCaller { false };
         std::atomic<bool> closed { false };
+        std::atomic<long> delayTowardsCallerMilliseconds { 0 };
         /// Threads that have not returned yet.
         std::atomic<int> activeThreads { 2 };
         std::thread forward;
@@ -49,6 +55,7 @@
     /// test.
     void releaseEnded();
     static void release(Connection& connection);
+    std::vector<std::shared_ptr<Connection>> openConnections();
     void forwardData(Connection& connection, int from, int to, const std::atomic<bool>& silent) const;
     void forwardUntilClosed(Connection& connection, int from, int to, const std::atomic<bool>& silent) const;
 
@@ -59,6 +66,7 @@
     std::atomic<long> m_delayMilliseconds { 0 };
     std::atomic<bool> m_paused { false };
     std::atomic<bool> m_listening { true };
+    std::atomic<std::size_t> m_connectionLimit { std::numeric_limits<std::size_t>::max() };
     std::mutex m_mutex;
     std::vector<std::shared_ptr<Connection>> m_connections;
     std::thread m_acceptor;
--- a/Tests/Soak/HostStandIn.cpp
+++ b/Tests/Soak/HostStandIn.cpp
@@ -126,6 +126,13 @@
     m_relay.resetExisting();
 }
 
+void HostStandIn::setSidePort(int sidePort)
+{
+    const Guard guard(m_mutex);
+    m_sidePort = sidePort;
+    m_announcedAt = SteadyTime();
+}
+
 void HostStandIn::setOrderFaults(const OrderFaults& faults)
 {
     const Guard guard(m_mutex);
--- a/Tests/Soak/HostStandIn.h
+++ b/Tests/Soak/HostStandIn.h
@@ -35,6 +35,8 @@
 
     /// Ends all tasks of the current incarnation; the next incarnation starts after the pause.
     void crash(std::chrono::milliseconds pause, bool reusesId);
+    /// Sends further announcements to another port of the host's side.
+    void setSidePort(int sidePort);
     void setOrderFaults(const OrderFaults& faults);
     /// Announces the host, or a host that does not exist, to the side of another host.
     void announceToOtherSide(int sidePort, bool exists);
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -20,12 +20,19 @@
     constexpr int hostPortOffset = 500;
     constexpr int hostRelayPortOffset = 600;
     constexpr int peerPortOffset = 700;
+    /// The second set of announce and peer ports begins this far behind the first one.
+    constexpr int otherPortsOffset = 50;
     constexpr unsigned nodeFaultKinds = 9;
     constexpr unsigned storeFaultKinds = 4;
     constexpr unsigned hostFaultKinds = 8;
+    constexpr unsigned machineFaultKinds = 3;
+    /// A host of the platform accepts this many connections at a time.
+    constexpr std::size_t hostConnectionLimit = 64;
     constexpr unsigned unansweredOrdersFault = 3;
     /// Every such number of faults, on average, is accompanied by a foreign announcement.
     constexpr unsigned foreignAnnouncementPeriod = 4;
+    /// Every such number of faults, on average, is accompanied by a machine fault.
+    constexpr unsigned machineFaultPeriod = 3;
     /// Orders that got no answer may still be executed this long after the last fault: 12 s is the longest delay of a
     /// host stand-in.
     constexpr std::chrono::seconds minimumSettleTime(13);
@@ -87,14 +94,17 @@
     : m_options(std::move(options))
     , m_random(m_options.seed)
     , m_foreignRandom(m_options.seed + 1)
+    , m_machineRandom(m_options.seed + 2)
     , m_hostFaultWeight(3 + draw(12))
 {
 }
 
 Soak::~Soak()
 {
-    for (Node& node : m_nodes)
+    for (Node& node : m_nodes) {
+        node.predecessor.reset();
         node.process.reset();
+    }
 }
 
 int Soak::portOf(int portOffset, int number) const { return m_options.firstPort + portOffset + number; }
@@ -103,15 +113,17 @@
 {
     const int number = node.number;
     const int nodeIndex = static_cast<int>(&node - m_nodes.data());
+    const int ports = node.usesOtherPorts ? otherPortsOffset : 0;
     Json settings { { "id", node.name }, { "zone", "zone-a" }, { "address", loopbackAddress },
-        { "peer_port", portOf(peerPortOffset, nodeIndex) },
+        { "peer_port", portOf(peerPortOffset, nodeIndex + ports) },
         { "store_address", loopbackAddress + ":" + std::to_string(portOf(storeRelayPortOffset, nodeIndex)) },
         { "service", "desk" }, { "processor_share", 0.5 }, { "shutdown_s", 6 } };
     if (node.role == Role::Entry) {
         settings["client_address"] = loopbackAddress + ":" + std::to_string(portOf(clientPortOffset, number));
         settings["health_address"] = loopbackAddress + ":" + std::to_string(portOf(healthPortOffset, number));
     } else {
-        settings["announce_address"] = loopbackAddress + ":" + std::to_string(portOf(announcePortOffset, number));
+        settings["announce_address"]
+            = loopbackAddress + ":" + std::to_string(portOf(announcePortOffset, number + ports));
         settings["host_address"] = loopbackAddress + ":" + std::to_string(portOf(hostRelayPortOffset, number));
     }
     std::ofstream(m_options.folder + "/" + node.name + ".json") << settings.dump(2) << "\n";
@@ -149,6 +161,8 @@
     }
     for (int n = 0; n < m_options.hosts; ++n) {
         m_hostRelays.push_back(std::make_unique<Relay>(portOf(hostRelayPortOffset, n), portOf(hostPortOffset, n)));
+        if (m_options.machineFaults)
+            m_hostRelays.back()->setConnectionLimit(hostConnectionLimit);
         Result<std::unique_ptr<HostStandIn>> host = HostStandIn::create(n, portOf(hostPortOffset, n),
             *m_hostRelays.back(), portOf(announcePortOffset, n), m_audit, m_http, draw(~0U));
         if (!isOk(host)) {
@@ -166,7 +180,12 @@
 
 void Soak::scheduleRecovery(unsigned minimumMilliseconds, unsigned maximumMilliseconds, std::function<void()> action)
 {
-    const std::chrono::milliseconds after(minimumMilliseconds + draw(maximumMilliseconds - minimumMilliseconds));
+    scheduleRecovery(std::chrono::milliseconds(minimumMilliseconds + draw(maximumMilliseconds - minimumMilliseconds)),
+        std::move(action));
+}
+
+void Soak::scheduleRecovery(std::chrono::milliseconds after, std::function<void()> action)
+{
     m_recoveries.push_back(Recovery { SteadyClock::now() + after, std::move(action) });
 }
 
@@ -260,7 +279,59 @@
     m_faults.push_back(
         (exists ? "announced-elsewhere:host-" : "unknown-host:side-") + std::to_string(exists ? host : side));
     m_audit.note("fault " + m_faults.back());
-    m_hosts[host]->announceToOtherSide(portOf(announcePortOffset, static_cast<int>(side)), exists);
+    const Node& node = m_nodes[static_cast<std::size_t>(m_options.entries) + side];
+    m_hosts[host]->announceToOtherSide(
+        portOf(announcePortOffset, static_cast<int>(side) + (node.usesOtherPorts ? otherPortsOffset : 0)), exists);
+}
+
+void Soak::noteFault(const std::string& fault)
+{
+    m_faults.push_back(fault);
+    m_audit.note("fault " + fault);
+}
+
+void Soak::injectMachineFault()
+{
+    const std::size_t host = m_machineRandom() % m_hosts.size();
+    const unsigned kind = m_machineRandom() % machineFaultKinds;
+    const std::chrono::milliseconds duration(500 + m_machineRandom() % 3500);
+    Relay& relay = *m_hostRelays[host];
+    switch (kind) {
+    case 0:
+        stopMachine(host);
+        return;
+    case 1:
+        noteFault("few-connections:host-" + std::to_string(host));
+        relay.setConnectionLimit(1 + m_machineRandom() % 3);
+        scheduleRecovery(duration, [&relay] { relay.setConnectionLimit(hostConnectionLimit); });
+        return;
+    default:
+        noteFault("one-slow-connection:host-" + std::to_string(host));
+        // A connection stays slow until it closes, so that its answers are late to those of its successors.
+        relay.delayOneConnection(m_machineRandom(), std::chrono::milliseconds(200 + m_machineRandom() % 700));
+        return;
+    }
+}
+
+void Soak::stopMachine(std::size_t host)
+{
+    Node& node = m_nodes[static_cast<std::size_t>(m_options.entries) + host];
+    const bool portsInUse = node.predecessor && !hasEnded(node.predecessor->pid())
+        && SteadyClock::now() < node.stopRequestedAt + stopLimit;
+    if (node.unavailable || portsInUse || !handlesTerminationSignal(node.process->pid()))
+        return;
+    noteFault("machine-stop:host-" + std::to_string(host));
+    if (node.predecessor && node.predecessor->stop(std::chrono::seconds(1)) != 0)
+        m_audit.reportViolation("FAULT: the predecessor of " + node.name + " did not exit with code 0 after SIGTERM");
+    m_hostRelays[host]->resetExisting();
+    node.process->requestStop();
+    node.stopRequestedAt = SteadyClock::now();
+    node.predecessor = std::move(node.process);
+    node.usesOtherPorts = !node.usesOtherPorts;
+    writeSettings(node);
+    launch(node);
+    m_hosts[host]->setSidePort(
+        portOf(announcePortOffset, static_cast<int>(host) + (node.usesOtherPorts ? otherPortsOffset : 0)));
 }
 
 void Soak::injectStoreFault(unsigned kind)
@@ -536,6 +607,8 @@
             injectFault();
             if (m_foreignRandom() % foreignAnnouncementPeriod == 0)
                 injectForeignAnnouncement();
+            if (m_options.machineFaults && m_machineRandom() % machineFaultPeriod == 0)
+                injectMachineFault();
             pause(50 + draw(600));
         }
     } catch (const std::system_error& error) {
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -20,6 +20,8 @@
     /// Time after the last fault within which every accepted job must finish.
     std::chrono::seconds settleLimit { 30 };
     int jobsPerSecond = 4;
+    /// Whether faults that hit a host and its side together, or only some connections of a host, are injected too.
+    bool machineFaults = false;
     int firstPort = 21'000;
     /// Folder for settings and logs; created if it does not exist.
     std::string folder;
@@ -50,6 +52,10 @@
         std::string name;
         std::unique_ptr<Relay> storeRelay;
         std::unique_ptr<ChildProcess> process;
+        /// A process that is stopping while its successor runs on other ports.
+        std::unique_ptr<ChildProcess> predecessor;
+        /// Whether the process uses the second set of ports.
+        bool usesOtherPorts = false;
         /// Killed, stopping or frozen, and not running again yet.
         bool unavailable = false;
         /// When the process was sent SIGTERM.
@@ -74,8 +80,13 @@
     void killAllNodes();
     /// Sends a side the announcement of a host that is not its own.
     void injectForeignAnnouncement();
+    void noteFault(const std::string& fault);
+    void injectMachineFault();
+    /// Breaks the connections of the host and stops its side at once; the side's successor starts while it stops.
+    void stopMachine(std::size_t host);
     void injectStoreFault(unsigned kind);
     void injectHostFault(std::size_t number, unsigned kind);
+    void scheduleRecovery(std::chrono::milliseconds after, std::function<void()> action);
     void scheduleRecovery(unsigned minimumMilliseconds, unsigned maximumMilliseconds, std::function<void()> action);
     void runRecoveries(bool all);
     unsigned draw(unsigned below) { return m_random() % below; }
@@ -94,6 +105,8 @@
     std::mt19937 m_random;
     /// Draws foreign announcements, so that they leave the other faults of a seed as they are.
     std::mt19937 m_foreignRandom;
+    /// Draws machine faults, for the same reason.
+    std::mt19937 m_machineRandom;
     RunAudit m_audit;
     std::shared_ptr<HttpClient> m_http;
     std::unique_ptr<StoreStandIn> m_store;
