Soak: Recognise processes that wait for signals

The soak sent SIGHUP only to processes that block SIGTERM, and checked the exit code after SIGTERM only for these. It read the signal mask of the main thread. That thread waits in sigwait(), and Linux shows the signals that a thread waits for as not blocked meanwhile: SigBlk was 0 for a running side, 4003 for its 8 other threads.

The mask of any thread decides now.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -74,14 +74,20 @@
     }
 
     /// Whether the process blocks SIGTERM to handle it itself. A process does so before it opens a port; until then a
-    /// signal ends it with the default action.
+    /// signal ends it with the default action. The thread that waits for signals does not count them as blocked
+    /// meanwhile, so one of the others decides.
     bool handlesTerminationSignal(pid_t pid)
     {
-        std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+        std::error_code error;
         const std::string field = "SigBlk:";
-        for (std::string line; std::getline(status, line);) {
-            if (line.starts_with(field))
-                return (std::stoull(line.substr(field.size()), nullptr, 16) >> (SIGTERM - 1) & 1U) != 0;
+        for (const std::filesystem::directory_entry& thread :
+            std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/task", error)) {
+            std::ifstream status(thread.path() / "status");
+            for (std::string line; std::getline(status, line);) {
+                if (line.starts_with(field)
+                    && (std::stoull(line.substr(field.size()), nullptr, 16) >> (SIGTERM - 1) & 1U) != 0)
+                    return true;
+            }
         }
         return false;
     }
