HostAgent: Connect anew when the host keeps refusing the newest fence

A host got no task until the owner changed, and jobs stayed open, when a former process of its side woke up and connected to the owner after its successor. The owner took the host over the newest connection and raised its fence. Once the former process ended, the host had no connection; the lists of the current process were refused for their fence, so it reported nothing, and its reports would have been outdated by the owner's newestLink.

A side whose newest fence the host has refused for a second now connects anew, so that the owner sees its connection as the newest and fences again.

The new test failed before ("the connection stays").

--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -101,6 +101,7 @@
     m_departureNoticeReceived = false;
     m_incarnationUnconfirmed = false;
     m_contactLost = false;
+    m_fencedSince.reset();
     m_refusesConnections = false;
     m_reportedRuns.reset();
     m_leaseBound.reset();
@@ -338,6 +339,7 @@
 {
     m_ownerFence = fence;
     m_localFenceRaises = 0;
+    m_fencedSince.reset();
     // A list sent under a lower fence does not show which orders may still be carried out. The list is abandoned, so
     // whether the host has restarted meanwhile is unconfirmed.
     m_incarnationUnconfirmed = m_incarnationUnconfirmed || m_listInFlight;
@@ -520,6 +522,7 @@
         m_listWanted = m_listWanted || m_incarnationUnconfirmed;
         m_incarnationUnconfirmed = false;
         m_contactLost = false;
+        m_fencedSince.reset();
         m_lastListAnswerAt = now;
         return;
     }
@@ -537,6 +540,8 @@
                                          .add("fence", order.fence)
                                          .add("reason", response.reason)
                                          .text() });
+        if (response.reason == "fence")
+            onListFenced(now, order, actions);
         return;
     }
     case HostAnswer::Uncertain:
@@ -572,6 +577,20 @@
 
 void HostAgent::raiseLocalFence() { m_localFenceRaises = std::min(m_localFenceRaises + 1, fencesPerOwnerFence - 1); }
 
+void HostAgent::onListFenced(Instant now, const ListHost& order, Actions& actions)
+{
+    if (!m_fencedSince)
+        m_fencedSince = now;
+    if (now - *m_fencedSince < m_timing.fenceRefusalTolerance || !m_ownerLink.isUp())
+        return;
+    // A former process of this side has connected to the owner after this one. The owner sends orders and fences over
+    // the newest connection only, and passes over reports of earlier ones.
+    actions.push_back(
+        WriteLog { LogLine("owner_link_superseded").add("host", order.hostId).add("fence", order.fence).text() });
+    m_fencedSince.reset();
+    m_ownerLink.redial(now, actions);
+}
+
 void HostAgent::onListFailed(Instant now, const char* reason, Actions& actions)
 {
     if (!m_contactLost) {
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -38,6 +38,8 @@
     Duration shortListDelay = milliseconds(40);
     /// Delay after a list that failed or was refused.
     Duration failureRetryDelay = milliseconds(100);
+    /// A host that refuses the newest fence for this long was taken by another process of the side.
+    Duration fenceRefusalTolerance = seconds(1);
     /// Delay before a halt or pace order is sent again.
     Duration orderRetryDelay = milliseconds(150);
     /// Longest wait of a read of the owner claims while this side is not connected to an owner. Bounds how late a new
@@ -113,6 +115,7 @@
     }
     void adoptOwnerFence(Instant now, std::int64_t fence);
     void addHalt(Instant now, const Wire::TaskName& task, int run, const std::string& reason);
+    void onListFenced(Instant now, const ListHost& order, Actions& actions);
     void onListFailed(Instant now, const char* reason, Actions& actions);
     void onConnectionRefused(Instant now, Actions& actions);
     void raiseLocalFence();
@@ -160,6 +163,8 @@
     /// The host has not answered recently, so its next answer may come from a later incarnation. Until that is ruled
     /// out, lists carry neither the lease nor the acknowledgements, which are meant for this incarnation only.
     bool m_incarnationUnconfirmed = false;
+    /// Since when the host has refused every list for its fence.
+    std::optional<Instant> m_fencedSince;
     /// The newest list failed, and the local fence was raised for it.
     bool m_contactLost = false;
     /// The newest reading of the host's clock.
--- a/Source/Decision/Process/PeerLink.cpp
+++ b/Source/Decision/Process/PeerLink.cpp
@@ -54,6 +54,17 @@
     m_term = 0;
 }
 
+void PeerLink::redial(Instant now, Actions& actions)
+{
+    if (m_link == noLink)
+        return;
+    actions.push_back(CloseLink { m_link });
+    m_link = noLink;
+    m_up = false;
+    m_monitor.reset();
+    m_nextDialAt = now;
+}
+
 bool PeerLink::onUp(Instant now, LinkId link, const Wire::NodeHello& hello, Actions& actions)
 {
     if (link != m_link)
--- a/Source/Decision/Process/PeerLink.h
+++ b/Source/Decision/Process/PeerLink.h
@@ -19,6 +19,8 @@
     void setOwner(Instant now, std::int64_t term, const std::string& address, int port, Actions& actions);
     /// Closes the connection and makes no new one until an owner is set.
     void disconnect(Actions& actions);
+    /// Closes the connection and makes a new one to the same owner.
+    void redial(Instant now, Actions& actions);
     /// Returns true if the link is this connection.
     bool onUp(Instant now, LinkId link, const Wire::NodeHello& hello, Actions& actions);
     bool onDown(Instant now, LinkId link);
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(aHostIsReportedOnceItHasAnswered);
     CPPUNIT_TEST(aDrainingHostIsAcknowledgedBySidesThatKnowItOnly);
     CPPUNIT_TEST(startsAndAcknowledgesNothingUntilACandidateIsSettled);
+    CPPUNIT_TEST(connectsAnewWhenTheHostKeepsRefusingItsFence);
     CPPUNIT_TEST_SUITE_END();
 
     static HostDescription describeHost(std::int64_t incarnation, std::int64_t sequence)
@@ -599,5 +600,30 @@
         harness.agent.onPaceResponse(at(700), first, makeResponse(HostAnswer::Uncertain), actions);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), actionsOf<SetPaceOnHost>(harness.tick(900)).size());
     }
+
+    // Guards against a host that gets no task until the owner changes: a former process of the side connected to the
+    // owner last and took the host under a higher fence, and the owner takes reports over the newest connection only.
+    void connectsAnewWhenTheHostKeepsRefusingItsFence()
+    {
+        Harness harness;
+        harness.sendOrders(10, Harness::makeStartOrders(4));
+        HostResponse fenced = makeResponse(HostAnswer::Refused);
+        fenced.reason = "fence";
+        int reconnectedAt = 0;
+        for (int now = 11; now < 3000 && reconnectedAt == 0; now += 10) {
+            const Actions actions = harness.tick(now);
+            for (const ListHost& list : actionsOf<ListHost>(actions)) {
+                Actions more;
+                harness.agent.onListResponse(at(now + 1), list, fenced, more);
+                for (const CloseLink& close : actionsOf<CloseLink>(more))
+                    reconnectedAt = close.link == harness.link ? now + 1 : reconnectedAt;
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE("the connection stays", reconnectedAt > 0);
+        CPPUNIT_ASSERT_MESSAGE("a fence that is on its way gets no time to arrive", reconnectedAt > 500);
+        const std::vector<OpenLink> opened = actionsOf<OpenLink>(harness.tick(reconnectedAt + 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), opened.size());
+        CPPUNIT_ASSERT(opened.at(0).link != harness.link);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HostAgentTest);
