Connection: Report the end of a link after its last message

A link's writer reported the end of the link (onDown) as soon as a send failed, while the reader still passed on messages that had arrived before. An owner then took a report for one of a live connection: RunTracker::updateHost bound the host to the link that had just ended, raised its fence, and sent orders into a link that LinkHub no longer knows, where they are dropped without a trace. If the side did not return, no second onDown ever cleared the binding.

Cause: two threads ended the link, and the order between the writer's onDown and the reader's onMessage was open. Change: the writer's failure closes the socket and is kept as the reason; the reader alone reports, so onUp, onMessage and onDown of a link come from one thread in this order.

Ruled out by reading: messages of an older connection after those of a newer one of the same side (RunTracker::onReport compares link numbers), and ids of accepted and dialed links that collide (dialed ones start at 2^32).

--- a/Source/Shell/Connection/Link.cpp
+++ b/Source/Shell/Connection/Link.cpp
@@ -131,16 +131,14 @@
         ::shutdown(m_socket->getSocketFD(), SHUT_RDWR);
 }
 
-void Link::finish(const std::string& reason)
+void Link::fail(const std::string& reason)
 {
-    close();
     {
         std::lock_guard<std::mutex> lock(m_mutex);
-        if (m_ended)
-            return;
-        m_ended = true;
+        if (m_failure.empty())
+            m_failure = reason;
     }
-    m_hooks.onDown(m_id, reason);
+    close();
 }
 
 void Link::runReader()
@@ -171,7 +169,13 @@
     } catch (const std::exception& exception) {
         reason = exception.what();
     }
-    finish(reason);
+    close();
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        if (!m_failure.empty())
+            reason = m_failure;
+    }
+    m_hooks.onDown(m_id, reason);
 }
 
 void Link::runWriter()
@@ -189,7 +193,8 @@
                 return;
         }
     } catch (const std::exception& exception) {
-        finish(exception.what());
+        // Ends the reader, which reports the end of the link after its last message.
+        fail(exception.what());
     }
 }
 
--- a/Source/Shell/Connection/Link.h
+++ b/Source/Shell/Connection/Link.h
@@ -10,10 +10,11 @@
 
 namespace Plantainpier {
 
-/// Callbacks of a link. Called on the link's own threads.
+/// Callbacks of a link. Called on the link's reader thread: onUp first, then onMessage, and onDown last.
 struct LinkHooks {
     std::function<void(LinkId link)> onUp;
-    /// Called exactly once for each link, with the reason for its end.
+    /// Called exactly once for each link, with the reason for its end. A message after it would bind its sender to a
+    /// link that no longer exists.
     std::function<void(LinkId link, const std::string& reason)> onDown;
     std::function<void(LinkId link, PeerMessage&& message)> onMessage;
 };
@@ -39,7 +40,7 @@
     Link(LinkId id, Socket socket, LinkHooks hooks);
     void runReader();
     void runWriter();
-    void finish(const std::string& reason);
+    void fail(const std::string& reason);
 
     LinkId m_id;
     Socket m_socket;
@@ -48,7 +49,8 @@
     std::mutex m_mutex;
     bool m_connected = false;
     bool m_closing = false;
-    bool m_ended = false;
+    /// The first failure of the writer. Empty if the writer has not failed.
+    std::string m_failure;
 };
 
 } // namespace Plantainpier
