Process: Keep answers and the order of reports when the queue of events is full

DecisionLoop::post refuses an event while 65,536 wait. Most callers passed this on (503 to clients and hosts), but answers to own calls, the beginning and end of links, and messages of peers were dropped without a log line. What was lost for good, by reading: after an answer to a list, HostAgent sends no other list until the owner's fence rises; after an append or a claim read, the store call stays open; after a report of changes, the owner takes the next one for complete, and ends in the lost one are not reported again over this link.

Change: postAwaited() queues outcomes of own calls and link events beyond the capacity; their number is limited by the calls and links of the process. A message of a peer may still be refused, but then its link ends at once without passing on any later message (link_down names the reason), and the new link begins with a complete report.

Left: a metrics or readiness call in a full queue still gets no answer.

--- a/Source/Base/BoundedRing.h
+++ b/Source/Base/BoundedRing.h
@@ -32,6 +32,20 @@
         return true;
     }
 
+    /// Adds an item beyond the capacity if necessary. Only for items whose number is limited by other means. Returns
+    /// false if the ring is closed.
+    bool pushBeyondCapacity(T&& item)
+    {
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            if (m_closed)
+                return false;
+            m_items.push_back(std::move(item));
+        }
+        m_itemAvailable.notify_one();
+        return true;
+    }
+
     /// Removes and returns the oldest item. Returns nothing if no item arrived within the timeout, or if the ring is
     /// closed and empty.
     std::optional<T> pop(Duration timeout)
--- a/Source/Shell/Connection/Link.cpp
+++ b/Source/Shell/Connection/Link.cpp
@@ -155,8 +155,12 @@
         }
         std::thread([self = shared_from_this()] { self->runWriter(); }).detach();
         m_hooks.onUp(m_id);
-        const std::shared_ptr<MessageReceiver> receiver = std::make_shared<MessageReceiver>(
-            [this](PeerMessage&& message) { m_hooks.onMessage(m_id, std::move(message)); });
+        // The processor swallows exceptions of the receiver, so a refusal is kept in a flag.
+        bool isRefused = false;
+        const std::shared_ptr<MessageReceiver> receiver
+            = std::make_shared<MessageReceiver>([this, &isRefused](PeerMessage&& message) {
+                  isRefused = isRefused || !m_hooks.onMessage(m_id, std::move(message));
+              });
         Wire::PeerProcessor processor(receiver);
         const std::shared_ptr<TFramedTransport> framed
             = std::make_shared<TFramedTransport>(m_socket, makeConfiguration());
@@ -164,8 +168,10 @@
         // One-way calls have no reply. The reply of the processor to an unknown call is discarded.
         const std::shared_ptr<TMemoryBuffer> unused = std::make_shared<TMemoryBuffer>();
         const std::shared_ptr<TCompactProtocol> output = std::make_shared<TCompactProtocol>(unused);
-        while (processor.process(input, output, nullptr))
+        while (!isRefused && processor.process(input, output, nullptr))
             unused->resetBuffer();
+        if (isRefused)
+            reason = "message refused: the queue of events is full";
     } catch (const std::exception& exception) {
         reason = exception.what();
     }
--- a/Source/Shell/Connection/Link.h
+++ b/Source/Shell/Connection/Link.h
@@ -16,7 +16,9 @@
     /// Called exactly once for each link, with the reason for its end. A message after it would bind its sender to a
     /// link that no longer exists.
     std::function<void(LinkId link, const std::string& reason)> onDown;
-    std::function<void(LinkId link, PeerMessage&& message)> onMessage;
+    /// Returns false if the message cannot be taken. The link then ends without passing on any later message, because a
+    /// message may say only what has changed since the one before.
+    std::function<bool(LinkId link, PeerMessage&& message)> onMessage;
 };
 
 /// A TCP connection with a reader thread and a writer thread. The threads keep the link alive until both have ended.
--- a/Source/Shell/Process/DecisionLoop.cpp
+++ b/Source/Shell/Process/DecisionLoop.cpp
@@ -22,6 +22,8 @@
 
 bool DecisionLoop::post(Event event) { return m_ring.push(std::move(event)); }
 
+bool DecisionLoop::postAwaited(Event event) { return m_ring.pushBeyondCapacity(std::move(event)); }
+
 void DecisionLoop::process(const Event& event)
 {
     Actions actions;
--- a/Source/Shell/Process/DecisionLoop.h
+++ b/Source/Shell/Process/DecisionLoop.h
@@ -25,6 +25,10 @@
 
     /// Queues an event. Returns false if the queue is full; the caller must then report the overload.
     bool post(Event event);
+    /// Queues an event that the decision core waits for or cannot learn in another way: the outcome of its own call, or
+    /// the beginning or end of a link. Such events are queued even if the queue is full, since their number is limited
+    /// by the calls and links of the process. Returns false after stop().
+    bool postAwaited(Event event);
     /// Runs until stop().
     void run();
     void stop();
--- a/Source/Shell/Process/DecisionProcess.cpp
+++ b/Source/Shell/Process/DecisionProcess.cpp
@@ -19,17 +19,17 @@
     m_http = takeValue(std::move(http));
     LinkHooks hooks;
     hooks.onUp = [this](LinkId link) {
-        m_loop.post([this, link](Instant now, Actions& actions) { onLinkUp(now, link, actions); });
+        m_loop.postAwaited([this, link](Instant now, Actions& actions) { onLinkUp(now, link, actions); });
     };
     hooks.onDown = [this](LinkId link, const std::string& reason) {
-        m_loop.post([this, link, reason](Instant now, Actions& actions) {
+        m_loop.postAwaited([this, link, reason](Instant now, Actions& actions) {
             actions.push_back(WriteLog { LogLine("link_down").add("link", link).add("why", reason).text() });
             onLinkDown(now, link, actions);
         });
     };
     hooks.onMessage = [this](LinkId link, PeerMessage&& message) {
-        m_loop.post([this, link, message = std::move(message)](
-                        Instant now, Actions& actions) { onMessage(now, link, message, actions); });
+        return m_loop.post([this, link, message = std::move(message)](
+                               Instant now, Actions& actions) { onMessage(now, link, message, actions); });
     };
     Result<std::unique_ptr<LinkHub>> links = LinkHub::create(address, port, std::move(hooks));
     if (!isOk(links))
--- a/Source/Shell/Process/EntryDaemon.cpp
+++ b/Source/Shell/Process/EntryDaemon.cpp
@@ -84,7 +84,8 @@
         return;
     m_isAwaitingLog = true;
     m_log->append(batch->texts, [this](AppendResult result) {
-        loop().post([this, result](Instant now, Actions& actions) { m_core.onAppendResult(now, result, actions); });
+        loop().postAwaited(
+            [this, result](Instant now, Actions& actions) { m_core.onAppendResult(now, result, actions); });
     });
 }
 
--- a/Source/Shell/Process/SideDaemon.cpp
+++ b/Source/Shell/Process/SideDaemon.cpp
@@ -126,8 +126,9 @@
     request.useNewConnection = !call.idempotent;
     http()->submit(std::move(request), [this, dispatchId = call.dispatchId](HttpResponse&& response) {
         const TargetResult result = resultOf(std::move(response));
-        loop().post([this, dispatchId, result](
-                        Instant now, Actions& actions) { m_core.onTargetResult(now, dispatchId, result, actions); });
+        loop().postAwaited([this, dispatchId, result](Instant now, Actions& actions) {
+            m_core.onTargetResult(now, dispatchId, result, actions);
+        });
     });
 }
 
@@ -140,7 +141,7 @@
                    [this](const StopTask& task) { m_worker->stop(task); },
                    [this](const ListTasks&) {
                        m_worker->list([this](WorkerListing&& listing) {
-                           loop().post([this, listing = std::move(listing)](Instant now, Actions& actions) {
+                           loop().postAwaited([this, listing = std::move(listing)](Instant now, Actions& actions) {
                                m_core.onWorkerListing(now, listing, actions);
                            });
                        });
--- a/Tests/Process/LinkTest.cpp
+++ b/Tests/Process/LinkTest.cpp
@@ -37,6 +37,7 @@
 class LinkTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(LinkTest);
     CPPUNIT_TEST(theEndOfALinkIsReportedAfterItsMessages);
+    CPPUNIT_TEST(aRefusedMessageEndsItsLink);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int sentMessages = 20;
@@ -54,8 +55,22 @@
         return m_changed.wait_for(lock, timeout, [this] { return m_ends > 0; });
     }
 
-    /// Opens the port of the hub. A message of a peer is processed slowly at first, while answers to it fail.
-    int openHub()
+    /// Processes the first message slowly, while answers to it fail.
+    bool takeSlowly(LinkId link)
+    {
+        bool isFirst = false;
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            isFirst = ++m_messages == 1;
+            m_messagesAfterEnd += m_ends > 0 ? 1 : 0;
+        }
+        for (int n = 0; isFirst && n < 20 && !hasEnded(milliseconds(20)); ++n)
+            m_hub->send(link, Wire::Pong());
+        return true;
+    }
+
+    /// Opens the port of a hub and returns its number.
+    int openHub(std::function<bool(LinkId link)> takeMessage)
     {
         LinkHooks hooks;
         hooks.onUp = [](LinkId) {};
@@ -64,16 +79,8 @@
             ++m_ends;
             m_changed.notify_all();
         };
-        hooks.onMessage = [this](LinkId link, PeerMessage&&) {
-            bool isFirst = false;
-            {
-                std::lock_guard<std::mutex> lock(m_mutex);
-                isFirst = ++m_messages == 1;
-                m_messagesAfterEnd += m_ends > 0 ? 1 : 0;
-            }
-            for (int n = 0; isFirst && n < 20 && !hasEnded(milliseconds(20)); ++n)
-                m_hub->send(link, Wire::Pong());
-        };
+        hooks.onMessage
+            = [takeMessage = std::move(takeMessage)](LinkId link, PeerMessage&&) { return takeMessage(link); };
         const int port = findFreePort();
         Result<std::unique_ptr<LinkHub>> hub = LinkHub::create("127.0.0.1", port, std::move(hooks));
         CPPUNIT_ASSERT(isOk(hub));
@@ -96,11 +103,26 @@
     void tearDown() override { m_hub.reset(); }
 
 private:
+    // Guards against an owner that misses one report of changes while its queue is full and takes the next one for
+    // complete: an end that was in the lost report is not reported again over the same link.
+    void aRefusedMessageEndsItsLink()
+    {
+        constexpr int refusedMessage = 3;
+        sendMessages(openHub([this](LinkId) {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            return ++m_messages != refusedMessage;
+        }));
+        CPPUNIT_ASSERT(hasEnded(seconds(5)));
+        m_hub->stop();
+        CPPUNIT_ASSERT_EQUAL(1, m_ends);
+        CPPUNIT_ASSERT_EQUAL(refusedMessage, m_messages);
+    }
+
     // Guards against an owner that takes a report for one of a live connection after the connection has ended: it
     // would send orders over a link that no longer exists, and nothing would tell it.
     void theEndOfALinkIsReportedAfterItsMessages()
     {
-        sendMessages(openHub());
+        sendMessages(openHub([this](LinkId link) { return takeSlowly(link); }));
         CPPUNIT_ASSERT(hasEnded(seconds(5)));
         m_hub->stop();
         CPPUNIT_ASSERT_EQUAL(1, m_ends);
