Tests: Let an order time out and answer it late

No test covered it. The client closes the connection of a request that times out, so the late answer reaches nobody: the test passes with the code as it is, and this is ruled out for the paths that use HttpClient.

--- a/Tests/Process/HttpClientTest.cpp
+++ b/Tests/Process/HttpClientTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(aConnectionThatWasClosedBeforeIsReplaced);
     CPPUNIT_TEST(nothingIsSentToAClosedPort);
     CPPUNIT_TEST(ordersKeepTheirConnection);
+    CPPUNIT_TEST(aLateAnswerIsNotTakenForTheNextOne);
     CPPUNIT_TEST_SUITE_END();
 
     std::shared_ptr<HttpClient> m_http;
@@ -154,6 +155,26 @@
         CPPUNIT_ASSERT_EQUAL(0, standIn.countReceived("\"run\":2"));
     }
 
+    // Guards against a late answer to a list that timed out being taken for the answer to the next list: the runs that
+    // were started meanwhile would be missing from it.
+    void aLateAnswerIsNotTakenForTheNextOne()
+    {
+        constexpr int conflict = 409;
+        HttpStandIn standIn({ .lateRequest = 2 });
+        checkKind("first", HttpResponse::Kind::Answered, startRequest(standIn, 1));
+        HttpRequest late = startRequest(standIn, 2);
+        late.timeout = milliseconds(HttpStandIn::lateAnswerMilliseconds / 4);
+        checkKind("late", HttpResponse::Kind::Broken, std::move(late));
+        for (int run = 3; run <= 5; ++run) {
+            const HttpResponse response = m_http->fetch(startRequest(standIn, run));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                response.text, kindName(HttpResponse::Kind::Answered), kindName(response.kind));
+            CPPUNIT_ASSERT(response.status != conflict);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, standIn.countReceived("\"run\":2"));
+        CPPUNIT_ASSERT_EQUAL(2, standIn.acceptedCount());
+    }
+
     // Guards against opening a new connection for each order.
     void ordersKeepTheirConnection()
     {
--- a/Tests/Process/HttpStandIn.cpp
+++ b/Tests/Process/HttpStandIn.cpp
@@ -114,7 +114,12 @@
         }
         return false;
     }
-    const bool sent = ::send(connection.descriptor, cannedResponse.data(), cannedResponse.size(), MSG_NOSIGNAL) > 0;
+    std::string response(cannedResponse);
+    if (number == m_behaviour.lateRequest) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(lateAnswerMilliseconds));
+        response.replace(response.find(" 200 "), 5, " 409 ");
+    }
+    const bool sent = ::send(connection.descriptor, response.data(), response.size(), MSG_NOSIGNAL) > 0;
     return sent && number != m_behaviour.lastBeforeClose;
 }
 
--- a/Tests/Process/HttpStandIn.h
+++ b/Tests/Process/HttpStandIn.h
@@ -14,6 +14,7 @@
 class HttpStandIn {
 public:
     static constexpr int noRequest = 0;
+    static constexpr int lateAnswerMilliseconds = 400;
 
     /// The requests that break connections, counted from 1 over all connections.
     struct Behaviour {
@@ -21,6 +22,8 @@
         int unansweredRequest = noRequest;
         /// Whether the port is closed before that connection.
         bool closesPort = false;
+        /// This request is answered only after lateAnswerMilliseconds.
+        int lateRequest = noRequest;
         /// This request is answered; its connection is closed afterwards.
         int lastBeforeClose = noRequest;
     };
