Process: Take an incarnation for listed only by its list

A refusal shows the id only: until a list was answered a later incarnation replaces the known one, without a report of its end and without its lease and acknowledgements. - The answer to a list from before an announcement settled nothing, but ended the hold on leases and acknowledgements (acknowledged 3 where 0 was due). - An announcement under the host's id and incarnation but of another service replaced the service of the host. - A draining announcement with a lower sequence number was acknowledged and passed over, so starts went on. A host that drains does not become ready again. - A draining host with a lower incarnation was acknowledged by a side that ignores it.

--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -97,6 +97,11 @@
     Wire::HostReport report = makeReport(now);
     report.state = Wire::HostState::Gone;
     sendReport(std::move(report), actions);
+    forgetIncarnation(now);
+}
+
+void HostAgent::forgetIncarnation(Instant now)
+{
     m_host.reset();
     m_departureNoticeReceived = false;
     m_incarnationUnconfirmed = false;
@@ -119,12 +124,31 @@
 bool HostAgent::onAnnouncement(Instant now, const HostDescription& host, Actions& actions)
 {
     if (m_host && host.incarnation < m_host->incarnation)
+        return !host.draining;
+    const bool isSameId = m_host && m_host->hostId == host.hostId;
+    if (!isSameId || m_host->incarnation != host.incarnation) {
+        if (!isSameId || m_isIncarnationListed)
+            return onCandidateAnnounced(now, host, actions);
+        // The known incarnation has never listed anything, so it may be one that has ended before.
+        forgetIncarnation(now);
+        m_candidate = host;
+        adoptCandidate(now, actions);
+        return !host.draining;
+    }
+    if (host.service != m_host->service) {
+        logPassedOver(host, host.incarnation, actions);
         return true;
-    const bool isSameIncarnation = m_host && m_host->hostId == host.hostId && m_host->incarnation == host.incarnation;
-    if (!isSameIncarnation)
-        return onCandidateAnnounced(now, host, actions);
-    if (host.sequence < m_host->sequence)
+    }
+    if (host.sequence < m_host->sequence) {
+        // A host that drains does not become ready again.
+        if (host.draining && !m_host->draining) {
+            m_host->draining = true;
+            m_host->remainingMilliseconds = host.remainingMilliseconds;
+            m_shutdownAt = now + milliseconds(host.remainingMilliseconds);
+            reportAnnouncement(now, actions);
+        }
         return true;
+    }
     // The host continues to announce itself, so the departure notice came from an earlier incarnation.
     if (!host.draining)
         m_departureNoticeReceived = false;
@@ -182,6 +206,7 @@
         && (response.incarnation == m_candidate->incarnation || (response.incarnation == 0 && isOtherId));
     if (isFenced || isListed) {
         adoptCandidate(now, actions);
+        m_isIncarnationListed = isListed;
         return;
     }
     if (response.answer == HostAnswer::Done || response.answer == HostAnswer::OtherIncarnation)
@@ -205,19 +230,27 @@
     m_listWanted = true;
     m_incarnationUnconfirmed = true;
     m_nextListAt = now;
+    m_isIncarnationListed = false;
     m_leaseBound.emplace(now, m_timing.longestLease);
     reportAnnouncement(now, actions);
 }
 
 void HostAgent::passOverCandidate(std::int64_t answeredIncarnation, Actions& actions)
+{
+    logPassedOver(*m_candidate, answeredIncarnation, actions);
+    m_candidate.reset();
+}
+
+void HostAgent::logPassedOver(const HostDescription& host, std::int64_t answeredIncarnation, Actions& actions) const
 {
     LogLine line("announcement_passed_over");
-    line.add("host", m_candidate->hostId).add("incarnation", m_candidate->incarnation);
-    line.add("service", m_candidate->service).add("answered_incarnation", answeredIncarnation);
+    line.add("host", host.hostId).add("incarnation", host.incarnation);
+    line.add("service", host.service).add("answered_incarnation", answeredIncarnation);
     if (m_host)
-        line.add("known_host", m_host->hostId).add("known_incarnation", m_host->incarnation);
+        line.add("known_host", m_host->hostId)
+            .add("known_incarnation", m_host->incarnation)
+            .add("known_service", m_host->service);
     actions.push_back(WriteLog { line.text() });
-    m_candidate.reset();
 }
 
 void HostAgent::reportAnnouncement(Instant now, Actions& actions)
@@ -520,7 +553,8 @@
         m_nextListAt = unacknowledged ? now + m_timing.shortListDelay : now;
         // If the incarnation was unconfirmed, this list carried no lease and no acknowledgements: another must follow.
         m_listWanted = m_listWanted || m_incarnationUnconfirmed;
-        m_incarnationUnconfirmed = false;
+        m_incarnationUnconfirmed = m_candidate.has_value();
+        m_isIncarnationListed = true;
         m_contactLost = false;
         m_fencedSince.reset();
         m_lastListAnswerAt = now;
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -103,6 +103,7 @@
     void adoptCandidate(Instant now, Actions& actions);
     /// Forgets the candidate. answeredIncarnation: the incarnation that answered in its place, or 0.
     void passOverCandidate(std::int64_t answeredIncarnation, Actions& actions);
+    void logPassedOver(const HostDescription& host, std::int64_t answeredIncarnation, Actions& actions) const;
     void reportAnnouncement(Instant now, Actions& actions);
     void applyClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
     void onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions);
@@ -129,6 +130,8 @@
     void endAfterResponse(
         Instant now, const char* reason, const char* call, const HostResponse& response, Actions& actions);
     void endIncarnation(Instant now, const LogLine& line, Actions& actions);
+    /// Resets all state of the incarnation, and raises the local fence against orders that were meant for it.
+    void forgetIncarnation(Instant now);
     Wire::HostReport makeReport(Instant now) const;
     void sendReport(Wire::HostReport report, Actions& actions);
     /// Sends the report of a new list, reduced to its changes if the owner accepts that.
@@ -169,6 +172,8 @@
     bool m_contactLost = false;
     /// The newest reading of the host's clock.
     std::int64_t m_clockMilliseconds = 0;
+    /// The host has answered a list as this incarnation. A refusal shows its id only.
+    bool m_isIncarnationListed = false;
     /// Announced, but not known to be beside this side: an announcement may be late, or come from another writer or
     /// from the host of another side. It counts once the host at this side's address has answered under its id.
     std::optional<HostDescription> m_candidate;
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -34,6 +34,13 @@
     CPPUNIT_TEST(aHostIsReportedOnceItHasAnswered);
     CPPUNIT_TEST(aDrainingHostIsAcknowledgedBySidesThatKnowItOnly);
     CPPUNIT_TEST(startsAndAcknowledgesNothingUntilACandidateIsSettled);
+    CPPUNIT_TEST(aLateListOfTheHostLeavesACandidateUnsettled);
+    CPPUNIT_TEST(aHostIsFoundAfterALateAnnouncementOfItsEarlierIncarnation);
+    CPPUNIT_TEST(anUnlistedIncarnationLeavesNoLeaseAndAcknowledgement);
+    CPPUNIT_TEST(anAnnouncementUnderTheHostsIdKeepsItsService);
+    CPPUNIT_TEST(aDrainingHostOfAnEarlierTimeIsNotAcknowledged);
+    CPPUNIT_TEST(aDrainingAnnouncementBelowTheNewestSequenceCounts);
+    CPPUNIT_TEST(aPassedOverAnnouncementLetsTheHostKeepItsLease);
     CPPUNIT_TEST(connectsAnewWhenTheHostKeepsRefusingItsFence);
     CPPUNIT_TEST_SUITE_END();
 
@@ -56,7 +63,7 @@
 
     /// An agent with a host and a connection to the owner of term 4.
     struct Harness {
-        Harness()
+        explicit Harness(bool isHostListed = true)
             : agent(NodeIdentity { "side-1", 1, "127.0.0.1", 1 }, HostAgentTiming {})
         {
             Actions actions;
@@ -72,6 +79,8 @@
             agent.tick(at(2), actions);
             link = actionsOf<OpenLink>(actions).at(0).link;
             agent.onLinkUp(at(3), link, actions);
+            if (!isHostListed)
+                return;
             agent.onAnnouncement(at(4), describeHost(1, 1), actions);
             HostResponse listed = makeResponse(HostAnswer::Done);
             listed.incarnation = 1;
@@ -585,6 +594,139 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), list.leaseUntilMilliseconds + list.acknowledgedNumber);
     }
 
+    // Guards against a lease and an acknowledgement that the next incarnation takes for its own: the answer to a list
+    // from before its announcement arrives late and says nothing about the candidate.
+    void aLateListOfTheHostLeavesACandidateUnsettled()
+    {
+        ListedHarness harness;
+        Wire::HostOrders orders = Harness::makeStartOrders(4);
+        orders.starts.clear();
+        orders.acknowledgedNumber = 3;
+        harness.sendOrders(13, orders);
+        const ListHost before = inquiryOf(harness.tick(14), "host-1", 1);
+        Actions actions;
+        harness.agent.onAnnouncement(at(400), describeHost(2, 1), actions);
+        harness.agent.onListResponse(at(401), before, makeList(1), actions);
+        for (int now = 402; now < 500; now += 10) {
+            const Actions ticked = harness.tick(now);
+            for (const ListHost& list : actionsOf<ListHost>(ticked)) {
+                CPPUNIT_ASSERT_EQUAL(std::int64_t(0), list.acknowledgedNumber);
+                CPPUNIT_ASSERT_EQUAL(std::int64_t(0), list.leaseUntilMilliseconds);
+            }
+        }
+    }
+
+    // Guards against a host that is never reported after a restart of its side: it refuses the lists of a side without
+    // an owner by their fence, whichever incarnation they ask for.
+    void aHostIsFoundAfterALateAnnouncementOfItsEarlierIncarnation()
+    {
+        HostAgent agent(NodeIdentity { "side-1", 1, "127.0.0.1", 1 }, HostAgentTiming {});
+        HostResponse fenced = makeResponse(HostAnswer::Refused);
+        fenced.reason = "fence";
+        Actions actions;
+        agent.onAnnouncement(at(1), describeHost(1, 90), actions);
+        int sequence = 0;
+        for (int now = 2; now < 20'000; now += 10) {
+            if (now > 500 && now % 500 == 2)
+                agent.onAnnouncement(at(now), describeHost(2, ++sequence), actions);
+            Actions ticked;
+            agent.tick(at(now), ticked);
+            for (const ListHost& list : actionsOf<ListHost>(ticked))
+                agent.onListResponse(at(now), list, fenced, actions);
+        }
+        const std::vector<WriteLog> lines = actionsOf<WriteLog>(actions);
+        CPPUNIT_ASSERT(std::any_of(lines.begin(), lines.end(), [](const WriteLog& line) {
+            return line.line.starts_with("event=host_announced ")
+                && line.line.find(" incarnation=2 ") != std::string::npos;
+        }));
+    }
+
+    // Guards against a lease and an acknowledgement that the next incarnation takes for its own: the earlier one was
+    // known by its announcement alone when the owner sent them.
+    void anUnlistedIncarnationLeavesNoLeaseAndAcknowledgement()
+    {
+        Harness harness(false);
+        Actions actions;
+        harness.agent.onAnnouncement(at(4), describeHost(1, 1), actions);
+        HostResponse fenced = makeResponse(HostAnswer::Refused);
+        fenced.reason = "fence";
+        harness.agent.onListResponse(at(6), inquiryOf(harness.tick(5), "host-1", 1), fenced, actions);
+        Wire::HostOrders orders = Harness::makeStartOrders(4);
+        orders.starts.clear();
+        orders.acknowledgedNumber = 52;
+        harness.sendOrders(10, orders);
+        harness.agent.onAnnouncement(at(11), describeHost(2, 1), actions);
+        harness.agent.onListResponse(at(13), inquiryOf(harness.tick(12), "host-1", 2), makeList(2), actions);
+        const ListHost list = inquiryOf(harness.tick(14), "host-1", 2);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), list.leaseUntilMilliseconds + list.acknowledgedNumber);
+    }
+
+    // Guards against a host that is taken for one of another service: another writer announces under the host's id and
+    // incarnation.
+    void anAnnouncementUnderTheHostsIdKeepsItsService()
+    {
+        ListedHarness harness;
+        HostDescription foreign = describeHost(1, 9);
+        foreign.service = "elsewhere";
+        Actions actions;
+        harness.agent.onAnnouncement(at(13), foreign, actions);
+        const ListHost list = inquiryOf(harness.tick(14), "host-1", 1);
+        Actions listed;
+        harness.agent.onListResponse(at(15), list, makeList(1), listed);
+        CPPUNIT_ASSERT_EQUAL(std::string("desk"), std::string(messagesOf<Wire::HostReport>(listed).at(0).serviceName));
+    }
+
+    // Guards against a host that leaves and is acknowledged by a side that takes no note of it, since its incarnation
+    // is lower than that of the side's host.
+    void aDrainingHostOfAnEarlierTimeIsNotAcknowledged()
+    {
+        ListedHarness harness;
+        HostDescription other = describeOtherHost("desk");
+        other.incarnation = 0;
+        other.draining = true;
+        Actions actions;
+        CPPUNIT_ASSERT(!harness.agent.onAnnouncement(at(13), other, actions));
+    }
+
+    // Guards against starts on a host after the acknowledgement that it leaves: another writer announced it under a
+    // higher sequence number.
+    void aDrainingAnnouncementBelowTheNewestSequenceCounts()
+    {
+        ListedHarness harness;
+        Actions actions;
+        harness.agent.onAnnouncement(at(13), describeHost(1, 900), actions);
+        HostDescription own = describeHost(1, 5);
+        own.draining = true;
+        const bool isAcknowledged = harness.agent.onAnnouncement(at(14), own, actions);
+        const Actions ordered = harness.sendOrders(15, Harness::makeStartOrders(4));
+        CPPUNIT_ASSERT(!isAcknowledged || actionsOf<StartOnHost>(ordered).empty());
+    }
+
+    // Guards against runs of a living host that lapse: another writer announces other hosts more often than the host's
+    // lease lasts, and the host answers each list.
+    void aPassedOverAnnouncementLetsTheHostKeepItsLease()
+    {
+        ListedHarness harness;
+        int withLease = 0;
+        for (int now = 20; now < 4000; now += 10) {
+            Actions actions;
+            if (now % 100 == 0) {
+                HostDescription other = describeOtherHost("desk");
+                other.hostId = "foreign-" + std::to_string(now);
+                harness.agent.onAnnouncement(at(now), other, actions);
+            }
+            harness.sendOrders(now, Harness::makeStartOrders(4));
+            for (const ListHost& list : actionsOf<ListHost>(harness.tick(now))) {
+                withLease += list.leaseUntilMilliseconds > 0 ? 1 : 0;
+                HostResponse answer = makeList(1);
+                if (list.hostId != "host-1")
+                    answer = makeResponse(HostAnswer::OtherIncarnation);
+                harness.agent.onListResponse(at(now + 5), list, answer, actions);
+            }
+        }
+        CPPUNIT_ASSERT(withLease > 4);
+    }
+
     void repeatsAnUnansweredPaceOrder()
     {
         Harness harness;
