Job: Halt trials before they can complete, and keep runs until the next list

Trials now use tasks with an estimate of 1 s or more, and shorter ones only after they have waited for 2 s: a host that is shut for ever would lose them. The number of trials at once doubles with each forgotten one, up to 16. - Steps that allow duplicates were kept out; they are as safe as long-running ones. - The owner abandoned all confirmed runs at the first report of a later incarnation, before any list. They are kept until that incarnation's first list, its own end does not end them, and leases bound them as before. - Records without the field counted as hosts that may forget ends, so that an upgrade would have halted everything; now the field says when it is so.

Tests: five cases in ForgottenEndsTest, of which aHostThatMayForgetEndsGetsShortTasks- InTheEnd, aHostThatMayForgetEndsGetsTasksThatMayRunTwice, forgottenTrialsAreFollowed- ByMoreAtOnce and anIncarnationCountsOnceItHasListed guard faults of before; the first, second and fourth were seen failing. The estimates of makeLongJob and of JobOwnerTest.restartsTheTasksOfARestartedHost are 2 s now, since a restarted host gets shorter tasks later; what they check is unchanged.

--- a/Source/Decision/Job/FailedPlacements.cpp
+++ b/Source/Decision/Job/FailedPlacements.cpp
@@ -13,7 +13,7 @@
         return;
     const Wire::StepDefinition& step = request.definition;
     m_failures.push_back(Failure { request.job.serviceName, step.requiredLabel, step.image, step.filler,
-        step.longRunning, step.demand, request.minimumPacePercent, hostCounts });
+        HostRegistry::mayRunTwice(step), step.demand, request.minimumPacePercent, hostCounts });
 }
 
 const HostEligibilityCounts* FailedPlacements::find(const PlacementRequest& request) const
@@ -23,7 +23,7 @@
         const Wire::Resources& demand = failure.demand;
         const bool isSameKind = failure.service == request.job.serviceName && failure.label == step.requiredLabel
             && failure.filler == step.filler && (!step.filler || failure.image == step.image)
-            && (failure.longRunning || !step.longRunning);
+            && (failure.mayRunTwice || !HostRegistry::mayRunTwice(step));
         const bool needsAsMuch = step.demand.milliProcessors >= demand.milliProcessors
             && step.demand.memoryMegabytes >= demand.memoryMegabytes && step.demand.accelerators >= demand.accelerators
             && request.minimumPacePercent >= failure.minimumPacePercent;
--- a/Source/Decision/Job/FailedPlacements.h
+++ b/Source/Decision/Job/FailedPlacements.h
@@ -24,7 +24,7 @@
         std::string label;
         std::string image;
         bool filler = false;
-        bool longRunning = false;
+        bool mayRunTwice = false;
         Wire::Resources demand;
         int minimumPacePercent = 0;
         HostEligibilityCounts hostCounts;
--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -44,6 +44,10 @@
     /// A best-effort task that uses idle processors. Its processor demand is not committed on the host.
     bool filler = false;
     bool longRunning = false;
+    /// Nothing is wrong if the task starts again after an end that nobody has read.
+    bool mayRunTwice = false;
+    /// The run was ordered on an earlier incarnation, and this one has not listed it.
+    bool ofEarlierIncarnation = false;
     int priority = 0;
     std::string image;
     std::int64_t targetMilliseconds = 0;
@@ -136,6 +140,8 @@
     /// ends unlisted. False once an end of this incarnation has been listed: numbers of ends rise, so all later ends
     /// are listed. Until then only runs that may start again are placed; see TaskScheduler::startEndTrials().
     bool mayForgetEnds = false;
+    /// Number of trials at the same time. Doubles when the end of one is forgotten, since many may be.
+    std::size_t endTrials = 1;
     /// The incarnation has shut down. Only runs that a later incarnation may still start are kept.
     bool departed = false;
     /// Sequence number of the write of the host's record; no run is ordered before that write is persisted.
@@ -188,8 +194,10 @@
     static std::optional<HostRun> removeRun(Host& host, const RunKey& key);
     /// Records the ordered pace of a run of the host.
     static void setOrderedPace(Host& host, HostRun& run, int percent);
-    /// Whether the end of the run may stay unknown. Only long-running tasks start again however they end.
-    static bool mayLoseEndOf(const Host& host, const HostRun& run) { return host.mayForgetEnds && !run.longRunning; }
+    /// Whether the end of the run may stay unknown although the task must not run twice.
+    static bool mayLoseEndOf(const Host& host, const HostRun& run) { return host.mayForgetEnds && !run.mayRunTwice; }
+    /// Long-running tasks start again however they end.
+    static bool mayRunTwice(const Wire::StepDefinition& step) { return step.longRunning || step.allowDuplicates; }
     /// Number of runs of a step on the host.
     static int countRunsOfStep(const Host& host, const std::string& jobId, int occurrence, int step);
 
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -78,8 +78,7 @@
             host.hostId = id;
             // A host without a readable record may hold leases too, so it is kept as one that has not reported.
             host.incarnation = stored ? stored->incarnation : 0;
-            // Records of earlier versions do not tell either.
-            host.mayForgetEnds = !stored || !stored->listsAllEnds;
+            host.mayForgetEnds = !stored || stored->mayForgetEnds;
             if (!stored)
                 m_loadErrors.emplace_back(record.key, errorOf(unreadable).message);
             host.orders.hostId = id;
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -46,7 +46,7 @@
 {
     return host.listed && !host.draining && host.link != noLink && !host.refusesConnections
         && host.service == job.serviceName && hasLabel(host, step.requiredLabel) && now >= host.health.quarantinedUntil
-        && !host.health.onProbation && (!host.mayForgetEnds || step.longRunning);
+        && !host.health.onProbation && (!host.mayForgetEnds || HostRegistry::mayRunTwice(step));
 }
 
 bool Placement::isTrialUnderWay(const Host& host, Instant now)
@@ -90,7 +90,7 @@
         return HostEligibility::Quarantined;
     if (host.health.onProbation && isTrialUnderWay(host, now))
         return HostEligibility::OnProbation;
-    if (host.mayForgetEnds && !step.longRunning && !request.isEndTrial)
+    if (host.mayForgetEnds && !HostRegistry::mayRunTwice(step) && !request.isEndTrial)
         return HostEligibility::MayForgetEnds;
     if (!request.rack.empty() && host.rack != request.rack)
         return HostEligibility::OtherRack;
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -25,6 +25,7 @@
     constexpr double slownessWeight = 0.15;
     constexpr double slownessFloor = 0.7;
     constexpr double slownessCeiling = 8;
+    constexpr std::size_t maximumEndTrials = 16;
 
     constexpr std::array runEndNames {
         NamedValue { Wire::RunEnd::Completed, "completed" },
@@ -69,7 +70,7 @@
     Wire::HostRecord record;
     record.incarnation = host.incarnation;
     record.term = m_state.term;
-    record.listsAllEnds = !host.mayForgetEnds;
+    record.mayForgetEnds = host.mayForgetEnds;
     record.departed = host.departed;
     return m_state.storeWriter.enqueue(now, StoreRecord { StoreKey::host(host.hostId), Wire::encode(record) }, urgency);
 }
@@ -85,8 +86,13 @@
     host.mayForgetEnds = host.hasEarlierIncarnation;
     host.orders.hostId = report.hostId;
     if (earlier) {
-        abandonConfirmedRuns(now, *earlier, RunFate::HostRestarted, actions);
+        // The report alone does not show that the earlier incarnation has ended: its runs are kept until the first
+        // list.
         host.runs = std::move(earlier->runs);
+        for (std::pair<const RunKey, HostRun>& entry : host.runs) {
+            entry.second.ofEarlierIncarnation = true;
+            entry.second.listNumber = 0;
+        }
         host.committed = earlier->committed;
         host.processorUse = earlier->processorUse;
         host.newestLink = earlier->newestLink;
@@ -255,6 +261,8 @@
     addTaskFields(line, result.task).add("run", result.run).add("host", host.hostId).add("reason", result.reason);
     actions.push_back(WriteLog { line.text() });
     const std::string checkpoint = it->second.checkpoint;
+    if (result.outcome == Wire::OrderOutcome::Absent)
+        noteForgottenEnd(host, it->second);
     HostRegistry::removeRun(host, key);
     const RunFate fate = result.outcome == Wire::OrderOutcome::Absent ? RunFate::Absent : RunFate::StartRefused;
     removeRunFromTask(now, host, result.task, result.run, fate, checkpoint);
@@ -283,6 +291,7 @@
     haltIfEndMayBeLost(host, run, actions);
     run.fence = host.fence;
     run.listed = true;
+    run.ofEarlierIncarnation = false;
     run.listNumber = host.listNumber;
     run.usage = listedRun.usage;
     run.progressPercent = listedRun.progressPercent;
@@ -301,6 +310,7 @@
     run.demand = definition.demand;
     run.filler = definition.filler;
     run.longRunning = definition.longRunning;
+    run.mayRunTwice = HostRegistry::mayRunTwice(definition);
     run.image = definition.image;
     run.targetMilliseconds = definition.targetMilliseconds;
     run.estimateMilliseconds = definition.estimateMilliseconds;
@@ -349,6 +359,12 @@
     haltIfEndMayBeLost(host, added, actions);
 }
 
+void RunTracker::noteForgottenEnd(Host& host, const HostRun& run)
+{
+    if (!run.isStartUnconfirmed() && !run.ofEarlierIncarnation && HostRegistry::mayLoseEndOf(host, run))
+        host.endTrials = std::min(2 * host.endTrials, maximumEndTrials);
+}
+
 void RunTracker::haltIfEndMayBeLost(Host& host, HostRun& run, Actions& actions)
 {
     if (run.phase == RunPhase::Running && HostRegistry::mayLoseEndOf(host, run))
@@ -546,11 +562,15 @@
 void RunTracker::abandonMissingRun(Instant now, Host& host, const RunKey& key, Actions& actions)
 {
     const HostRun& run = host.runs.at(key);
-    const RunFate fate = run.isStartUnconfirmed() ? RunFate::OrderVoid : RunFate::Vanished;
+    const RunFate fate = run.isStartUnconfirmed() ? RunFate::OrderVoid
+        : run.ofEarlierIncarnation                ? RunFate::HostRestarted
+                                                  : RunFate::Vanished;
     ++(fate == RunFate::OrderVoid ? m_state.counters.voidOrders : m_state.counters.vanishedRuns);
-    LogLine line(nameIn(runFateNames, fate));
+    LogLine line(fate == RunFate::OrderVoid ? "order_void" : "run_vanished");
     addTaskFields(line, run.task).add("run", run.run).add("host", host.hostId).add("ordered_under", run.fence);
-    actions.push_back(WriteLog { line.add("listed_under", host.fence).text() });
+    line.add("listed_under", host.fence).add("of_earlier_incarnation", run.ofEarlierIncarnation);
+    actions.push_back(WriteLog { line.text() });
+    noteForgottenEnd(host, run);
     abandonRun(now, host, key, fate);
 }
 
@@ -639,7 +659,7 @@
 {
     std::vector<RunKey> confirmedRuns;
     for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
-        if (!entry.second.isStartUnconfirmed())
+        if (!entry.second.isStartUnconfirmed() && !entry.second.ofEarlierIncarnation)
             confirmedRuns.push_back(entry.first);
     }
     logLostRuns(now, host, confirmedRuns.size(), fate, actions);
--- a/Source/Decision/Job/RunTracker.h
+++ b/Source/Decision/Job/RunTracker.h
@@ -54,6 +54,8 @@
     /// Returns the sequence number of the write.
     std::uint64_t storeHostRecord(Instant now, const Host& host, Urgency urgency);
     void haltIfEndMayBeLost(Host& host, HostRun& run, Actions& actions);
+    /// Allows more trials at once after the run of a trial has ended without a listed end.
+    static void noteForgottenEnd(Host& host, const HostRun& run);
     void processRunList(Instant now, Host& host, const Wire::HostReport& report, Actions& actions);
     /// Adds the occurrences of the listed runs. An earlier owner may have seen an occurrence due before this owner
     /// does.
@@ -78,7 +80,7 @@
     /// Abandons all runs of a host whose lease has expired. Their ends have not been reported.
     void abandonRunsAfterLeaseExpiry(Instant now, Host& host, Actions& actions);
     /// Abandons the runs that ended with an incarnation of the host. Runs with an unconfirmed start are kept, because a
-    /// later incarnation may still start them.
+    /// later incarnation may still start them, and runs of an earlier incarnation, if this one never listed anything.
     void abandonConfirmedRuns(Instant now, Host& host, RunFate fate, Actions& actions);
     void logLostRuns(Instant now, const Host& host, std::size_t runs, RunFate fate, Actions& actions) const;
     void abandonRun(Instant now, Host& host, const RunKey& key, RunFate fate);
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -17,9 +17,11 @@
     constexpr Duration minimumRunTime = milliseconds(1200);
     constexpr Duration moveInterval = milliseconds(300);
     constexpr int maximumMovesPerPass = 3;
-    /// A run with this estimate or more is halted before it completes: a halt order follows the confirmation of the
-    /// start within some 20 ms.
-    constexpr std::int64_t minimumTrialEstimateMilliseconds = 200;
+    /// A run with this estimate is halted before it completes, unless the owner loses contact: the host's answer to a
+    /// start is awaited for 0.7 s, and a halt order follows within some 20 ms.
+    constexpr std::int64_t minimumTrialEstimateMilliseconds = 1000;
+    /// After this wait a task of any estimate is used for a trial.
+    constexpr Duration maximumWaitForTrial = seconds(2);
 
     Wire::TaskName taskName(const JobState& job, const StepState& step, std::size_t index)
     {
@@ -80,13 +82,14 @@
         return;
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
-        const bool isTrialUnderWay
-            = std::any_of(host.runs.begin(), host.runs.end(), [&host](const std::pair<const RunKey, HostRun>& run) {
-                  return HostRegistry::mayLoseEndOf(host, run.second);
-              });
-        if (host.mayForgetEnds && !isTrialUnderWay
-            && m_state.storeWriter.storedSequenceNumber() >= host.recordSequenceNumber)
-            tryStartEndTrial(now, candidates, host, actions);
+        if (!host.mayForgetEnds || m_state.storeWriter.storedSequenceNumber() < host.recordSequenceNumber)
+            continue;
+        std::size_t trials = static_cast<std::size_t>(
+            std::count_if(host.runs.begin(), host.runs.end(), [&host](const std::pair<const RunKey, HostRun>& run) {
+                return HostRegistry::mayLoseEndOf(host, run.second);
+            }));
+        while (trials < host.endTrials && tryStartEndTrial(now, candidates, host, actions))
+            ++trials;
     }
 }
 
@@ -97,12 +100,13 @@
         JobState& job = *candidate.job;
         StepState& step = job.steps()[candidate.step];
         const Wire::StepDefinition& definition = job.stepDefinition(step);
-        if (!job.isOpen() || definition.gang || definition.filler
-            || definition.estimateMilliseconds < minimumTrialEstimateMilliseconds)
+        if (!job.isOpen() || definition.gang || HostRegistry::mayRunTwice(definition))
             continue;
         for (std::size_t n = 0; n < step.tasks.size(); ++n) {
             const TaskState& task = step.tasks[n];
-            if (!task.isWaiting() || now < task.notBefore || mayContinueUnderSuccessor(now, task))
+            const bool isSuitable = definition.estimateMilliseconds >= minimumTrialEstimateMilliseconds
+                || now - task.waitingSince >= maximumWaitForTrial;
+            if (!task.isWaiting() || !isSuitable || now < task.notBefore || mayContinueUnderSuccessor(now, task))
                 continue;
             PlacementRequest request = makePlacementRequest(job, step, task);
             request.isEndTrial = true;
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -5676,8 +5676,8 @@
   this->term = val;
 }
 
-void HostRecord::__set_listsAllEnds(const bool val) {
-  this->listsAllEnds = val;
+void HostRecord::__set_mayForgetEnds(const bool val) {
+  this->mayForgetEnds = val;
 }
 
 void HostRecord::__set_departed(const bool val) {
@@ -5729,8 +5729,8 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->listsAllEnds);
-          this->__isset.listsAllEnds = true;
+          xfer += iprot->readBool(this->mayForgetEnds);
+          this->__isset.mayForgetEnds = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5768,8 +5768,8 @@
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("listsAllEnds", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->listsAllEnds);
+  xfer += oprot->writeFieldBegin("mayForgetEnds", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->mayForgetEnds);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_BOOL, 4);
@@ -5785,7 +5785,7 @@
   using ::std::swap;
   swap(a.incarnation, b.incarnation);
   swap(a.term, b.term);
-  swap(a.listsAllEnds, b.listsAllEnds);
+  swap(a.mayForgetEnds, b.mayForgetEnds);
   swap(a.departed, b.departed);
   swap(a.__isset, b.__isset);
 }
@@ -5793,21 +5793,21 @@
 HostRecord::HostRecord(const HostRecord& other127) noexcept {
   incarnation = other127.incarnation;
   term = other127.term;
-  listsAllEnds = other127.listsAllEnds;
+  mayForgetEnds = other127.mayForgetEnds;
   departed = other127.departed;
   __isset = other127.__isset;
 }
 HostRecord::HostRecord(HostRecord&& other128) noexcept {
   incarnation = other128.incarnation;
   term = other128.term;
-  listsAllEnds = other128.listsAllEnds;
+  mayForgetEnds = other128.mayForgetEnds;
   departed = other128.departed;
   __isset = other128.__isset;
 }
 HostRecord& HostRecord::operator=(const HostRecord& other129) noexcept {
   incarnation = other129.incarnation;
   term = other129.term;
-  listsAllEnds = other129.listsAllEnds;
+  mayForgetEnds = other129.mayForgetEnds;
   departed = other129.departed;
   __isset = other129.__isset;
   return *this;
@@ -5815,7 +5815,7 @@
 HostRecord& HostRecord::operator=(HostRecord&& other130) noexcept {
   incarnation = other130.incarnation;
   term = other130.term;
-  listsAllEnds = other130.listsAllEnds;
+  mayForgetEnds = other130.mayForgetEnds;
   departed = other130.departed;
   __isset = other130.__isset;
   return *this;
@@ -5825,7 +5825,7 @@
   out << "HostRecord(";
   out << "incarnation=" << to_string(incarnation);
   out << ", " << "term=" << to_string(term);
-  out << ", " << "listsAllEnds=" << to_string(listsAllEnds);
+  out << ", " << "mayForgetEnds=" << to_string(mayForgetEnds);
   out << ", " << "departed=" << to_string(departed);
   out << ")";
 }
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -263,8 +263,8 @@
 struct HostRecord {
   1: i64 incarnation
   2: i64 term
-  // Every end of the incarnation is listed until it is acknowledged.
-  3: bool listsAllEnds
+  // An acknowledgement to an earlier incarnation may make the host forget some of its first ends.
+  3: bool mayForgetEnds
   // The incarnation has ended. Kept for a while, because the next one may have the same id.
   4: bool departed
 }
--- a/Tests/Unit/ForgottenEndsTest.cpp
+++ b/Tests/Unit/ForgottenEndsTest.cpp
@@ -14,6 +14,11 @@
     CPPUNIT_TEST(aRunThatIsFoundOnAHostThatMayForgetEndsIsHalted);
     CPPUNIT_TEST(aLaterOwnerKnowsWhichHostsMayForgetEnds);
     CPPUNIT_TEST(aLaterOwnerKnowsTheIdsOfHostsThatDeparted);
+    CPPUNIT_TEST(shortTasksAreNotUsedForTrialsAtOnce);
+    CPPUNIT_TEST(forgottenTrialsAreFollowedByMoreAtOnce);
+    CPPUNIT_TEST(aHostThatMayForgetEndsGetsShortTasksInTheEnd);
+    CPPUNIT_TEST(aHostThatMayForgetEndsGetsTasksThatMayRunTwice);
+    CPPUNIT_TEST(anIncarnationCountsOnceItHasListed);
     CPPUNIT_TEST_SUITE_END();
 
     /// A host-1 whose first incarnation was replaced by the second, which has listed no end.
@@ -25,7 +30,7 @@
         harness.settle(70);
     }
 
-    static Wire::JobDefinition makeLongJob() { return makeJob("aa", { makeStep(1, 1000, 1000) }); }
+    static Wire::JobDefinition makeLongJob() { return makeJob("aa", { makeStep(1, 1000, 2000) }); }
 
     static void reportStarted(int now, OwnerHarness& harness, int run)
     {
@@ -169,5 +174,94 @@
         next.settle(1090);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), next.startOrders.size());
     }
+
+    // Guards against a second run of a task that has ended: a trial of a task that may complete before it is halted.
+    void shortTasksAreNotUsedForTrialsAtOnce()
+    {
+        OwnerHarness harness;
+        restartHost(harness);
+        harness.submit(120, makeJob("aa", { makeStep(1, 1000, 200) }));
+        harness.settle(130);
+        CPPUNIT_ASSERT(harness.startOrders.empty());
+    }
+
+    // Guards against a host that is shut for minutes because it forgets hundreds of ends.
+    void forgottenTrialsAreFollowedByMoreAtOnce()
+    {
+        OwnerHarness harness;
+        restartHost(harness);
+        harness.submit(120, makeJob("aa", { makeStep(40, 10, 2000) }));
+        harness.settle(130);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.startOrders.size());
+        Wire::HostReport report = makeReport("host-1", 2, 300);
+        report.running.push_back(makeRunningTask(makeTask("aa", 0, 0), 1));
+        harness.announceAndReport(300, report);
+        harness.settle(310);
+        Wire::HostReport forgotten = makeReport("host-1", 2, 400);
+        Wire::OrderResult absent;
+        absent.task = makeTask("aa", 0, 0);
+        absent.run = 1;
+        absent.outcome = Wire::OrderOutcome::Absent;
+        forgotten.results.push_back(absent);
+        harness.announceAndReport(400, forgotten);
+        harness.settle(410);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), harness.startOrders.size());
+    }
+
+    // Guards against tasks that wait for ever: all tasks are too short for a trial, and all hosts have restarted.
+    void aHostThatMayForgetEndsGetsShortTasksInTheEnd()
+    {
+        OwnerHarness harness;
+        restartHost(harness);
+        harness.submit(120, makeJob("aa", { makeStep(1, 1000, 100) }));
+        for (int now = 200; now < 60'000; now += 200) {
+            harness.announceAndReport(now, makeReport("host-1", 2, now));
+            harness.tick(now);
+        }
+        CPPUNIT_ASSERT(!harness.startOrders.empty());
+    }
+
+    // Guards against tasks that wait while a host has room for them: a run that may be repeated needs no known end.
+    void aHostThatMayForgetEndsGetsTasksThatMayRunTwice()
+    {
+        OwnerHarness harness;
+        restartHost(harness);
+        Wire::StepDefinition step = makeStep(1, 1000, 100);
+        step.allowDuplicates = true;
+        harness.submit(120, makeJob("aa", { step }));
+        harness.settle(130);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.startOrders.size());
+        reportStarted(190, harness, 1);
+        harness.settle(190);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.haltOrders.size());
+    }
+
+    // Guards against a second run of all tasks of a living host: a side that has just started reports an incarnation
+    // that it has from an announcement alone, and the host's list shows that the earlier one lives.
+    void anIncarnationCountsOnceItHasListed()
+    {
+        OwnerHarness harness;
+        harness.announceAndReport(0, makeReport("host-1", 1, 100));
+        harness.announceAndReport(0, makeReport("host-2", 1, 100), testLink + 1);
+        harness.settle(10);
+        harness.submit(60, makeLongJob());
+        harness.settle(70);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.startOrders.size());
+        const bool isOnFirst = !harness.owner.state().hosts.hosts().at("host-1").runs.empty();
+        const std::string id = isOnFirst ? "host-1" : "host-2";
+        Wire::HostReport running = makeReport(id, 1, 200);
+        running.running.push_back(makeRunningTask(makeTask("aa", 0, 0), 1));
+        harness.announceAndReport(200, running, isOnFirst ? testLink : testLink + 1);
+        harness.settle(210);
+        Wire::HostReport announced = makeReport(id, 9, 0);
+        announced.listed = false;
+        harness.deliverReport(300, announced, testLink + 2);
+        harness.settle(310);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.startOrders.size());
+        announced.state = Wire::HostState::Gone;
+        harness.deliverReport(400, announced, testLink + 2);
+        harness.settle(410);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("it never listed anything", std::size_t(1), harness.startOrders.size());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ForgottenEndsTest);
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -461,7 +461,7 @@
     void restartsTheTasksOfARestartedHost()
     {
         OwnerHarness harness;
-        acceptJobWithOneHost(harness, makeJob("00000000000000aa", { makeStep(1, 1000, 300) }));
+        acceptJobWithOneHost(harness, makeJob("00000000000000aa", { makeStep(1, 1000, 2000) }));
         harness.announceAndReport(200, makeReport("host-1", 2, 5));
         harness.settle(260);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.startOrders.size());
