Tests: Tie processes to the starting thread in the soak alone

PR_SET_PDEATHSIG follows the thread that forked. The soak starts its processes from its main thread and asks for the signal.

--- a/Tests/Process/ChildProcess.cpp
+++ b/Tests/Process/ChildProcess.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& outputFile)
+ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& outputFile, bool endsWithThread)
 {
     std::vector<char*> arguments;
     arguments.reserve(command.size() + 1);
@@ -31,9 +31,9 @@
         throw std::system_error(errno, std::generic_category(), "cannot start " + command.front());
     if (m_pid != 0)
         return;
-    // The process must not outlive a test that ends without its destructors.
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    if (getppid() != parent)
+    if (endsWithThread)
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (endsWithThread && getppid() != parent)
         _exit(exitCannotExecute);
     sigset_t noSignals;
     sigemptyset(&noSignals);
--- a/Tests/Process/ChildProcess.h
+++ b/Tests/Process/ChildProcess.h
@@ -11,8 +11,9 @@
 /// One child process; the destructor kills it.
 class ChildProcess {
 public:
-    /// Appends the standard output and standard error of the process to the file.
-    ChildProcess(const std::vector<std::string>& command, const std::string& outputFile);
+    /// Appends the standard output and standard error of the process to the file. endsWithThread: the process is killed
+    /// when the calling thread ends, also without the destructor.
+    ChildProcess(const std::vector<std::string>& command, const std::string& outputFile, bool endsWithThread = false);
     ChildProcess(ChildProcess&& other) noexcept;
     ChildProcess& operator=(ChildProcess&& other) noexcept;
     ChildProcess(const ChildProcess&) = delete;
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -139,7 +139,7 @@
 {
     const std::vector<std::string> command { m_options.nodeProgram, node.role == Role::Entry ? "entry" : "side",
         "--settings", m_options.folder + "/" + node.name + ".json" };
-    node.process = std::make_unique<ChildProcess>(command, m_options.folder + "/" + node.name + ".log");
+    node.process = std::make_unique<ChildProcess>(command, m_options.folder + "/" + node.name + ".log", true);
     node.unavailable = false;
 }
 
