Tests: Fill the log of a side with announcements of different hosts

The test drained and readied one host whose port is closed. Now each announcement names another host and must get 200 as before. Its line has about 95 bytes; 2,500 of them still exceed the pipe and the 1,024 lines that the process keeps.

--- a/Tests/Process/NodeLogTest.cpp
+++ b/Tests/Process/NodeLogTest.cpp
@@ -23,7 +23,7 @@
     static constexpr int peerPort = 20'412;
     /// No process listens on this port.
     static constexpr int closedPort = 20'413;
-    /// Enough to fill the log: each announcement writes a line of about 150 bytes, a pipe holds 64 KB and the process
+    /// Enough to fill the log: each announcement writes a line of about 95 bytes, a pipe holds 64 KB and the process
     /// keeps 1,024 lines.
     static constexpr int announcements = 2500;
     static constexpr std::chrono::seconds stopLimit { 10 };
@@ -71,13 +71,13 @@
             request.method = "PUT";
             request.address = "127.0.0.1";
             request.port = announcePort;
-            request.path = "/plantainpier/instances/host-1";
+            // Each announcement names another host, so that each one writes a log line.
+            request.path = "/plantainpier/instances/host-" + std::to_string(sequence);
             request.timeout = seconds(1);
             request.mayResend = true;
-            // Each announcement changes the state, so that each one writes a log line.
             request.body = Json {
-                { "service", "desk" }, { "state", sequence % 2 == 0 ? "ready" : "draining" }, { "seq", sequence },
-                { "born", 1 }, { "capacity", { { "cpu", 1000 }, { "mem_mb", 1000 } } }
+                { "service", "desk" }, { "state", "ready" }, { "seq", sequence }, { "born", 1 },
+                { "capacity", { { "cpu", 1000 }, { "mem_mb", 1000 } } }
             }.dump();
             return http->fetch(std::move(request)).status;
         }
