Job: Log what takes the room of a waiting task

No decision changes.

Tests: WaitLoggerTest.logsWhatTakesTheRoomOfAWaitingTask is new; the lines that WaitLoggerTest and CapacityLoggerTest compare hold the new fields.

--- a/Source/Decision/Job/CapacityLogger.cpp
+++ b/Source/Decision/Job/CapacityLogger.cpp
@@ -18,8 +18,11 @@
             totals.tasksOverTarget += tailShare > 1 ? 1 : 0;
             totals.tasksNearTarget += tailShare <= 1 && tailShare > nearTargetShare ? 1 : 0;
         }
-        if (!run.filler)
+        if (!run.filler) {
+            totals.halting += run.phase == RunPhase::Halting ? run.demand.milliProcessors : 0;
+            totals.unlisted += run.listed ? 0 : run.demand.milliProcessors;
             return;
+        }
         ++totals.fillers;
         totals.fillerDemand += run.demand.milliProcessors;
         totals.fillerUsage += run.usage;
@@ -29,7 +32,17 @@
 
     void addStep(CapacityTotals& totals, const JobState& job, const StepState& step, Instant now)
     {
-        if (!step.open || step.waitingTasks == 0 || !job.stepDefinition(step).filler)
+        if (!step.open || step.waitingTasks == 0)
+            return;
+        const Wire::StepDefinition& definition = job.stepDefinition(step);
+        if (definition.longRunning) {
+            totals.waitingLongRunning += step.waitingTasks;
+            for (const TaskState& task : step.tasks) {
+                if (task.isWaiting())
+                    totals.longestLongRunningWait = std::max(totals.longestLongRunningWait, now - task.waitingSince);
+            }
+        }
+        if (!definition.filler)
             return;
         const bool inTime = workPriority(job, step, now).timeliness == Timeliness::OnTime;
         (inTime ? totals.waitingInTime : totals.waitingLate) += step.waitingTasks;
@@ -64,17 +77,20 @@
         return;
     m_loggedAt = now;
     const CapacityTotals totals = CapacityLogger::totals(now, m_state);
-    if (totals.fillers + totals.waitingInTime + totals.waitingLate == 0)
+    if (totals.fillers + totals.waitingInTime + totals.waitingLate + totals.waitingLongRunning == 0)
         return;
     LogLine line("capacity");
     line.add("hosts", totals.hosts).add("milli", totals.capacity);
     line.add("serving_milli", totals.longRunning).add("batch_milli", totals.batch);
+    line.add("halting_milli", totals.halting).add("unlisted_milli", totals.unlisted);
     line.add("fillers", totals.fillers).add("filler_milli", totals.fillerDemand);
     line.add("paced_milli", totals.fillerPaced).add("used_milli", totals.fillerUsage);
     line.add("stopped", totals.stoppedFillers).add("slowed", totals.slowedFillers);
     line.add("probing_hosts", totals.probingHosts).add("over_target", totals.tasksOverTarget);
     line.add("near_target", totals.tasksNearTarget);
     line.add("waiting_in_time", totals.waitingInTime).add("waiting_late", totals.waitingLate);
+    line.add("waiting_lasting", totals.waitingLongRunning)
+        .add("lasting_wait_ms", toMilliseconds(totals.longestLongRunningWait));
     actions.push_back(WriteLog { line.text() });
 }
 
--- a/Source/Decision/Job/CapacityLogger.h
+++ b/Source/Decision/Job/CapacityLogger.h
@@ -1,6 +1,6 @@
-/// Logs what the processors of all hosts are requested and used for, and how many fillers wait, once per second while
-/// there are fillers. Shows whether plans are late because processors are busy, because fillers are slowed down, or
-/// because idle processors are not offered to them.
+/// Logs what the processors of all hosts are requested and used for, and how many fillers and long-running tasks wait,
+/// once per second while there are fillers or long-running tasks wait. Shows whether tasks wait because processors are
+/// busy, because fillers are slowed down, or because idle processors are not offered to them.
 #pragma once
 
 #include "Decision/Job/OwnerState.h"
@@ -13,6 +13,9 @@
     std::int64_t capacity = 0;
     std::int64_t longRunning = 0;
     std::int64_t batch = 0;
+    /// Of the two sums above: requested by runs that are being stopped, and by runs that no list has shown yet.
+    std::int64_t halting = 0;
+    std::int64_t unlisted = 0;
     int fillers = 0;
     /// Requested by fillers at full pace, at the ordered paces, and used according to the newest lists.
     std::int64_t fillerDemand = 0;
@@ -26,6 +29,9 @@
     /// Waiting tasks of fillers, by whether the step can still end in time.
     int waitingInTime = 0;
     int waitingLate = 0;
+    /// Long-running tasks that should run and have no run, and the longest wait of one.
+    int waitingLongRunning = 0;
+    Duration longestLongRunningWait {};
 };
 
 /// Writes the `capacity` log lines of one term. Used by TaskScheduler; has no influence on scheduling.
--- a/Source/Decision/Job/WaitLogger.cpp
+++ b/Source/Decision/Job/WaitLogger.cpp
@@ -1,6 +1,9 @@
 #include "Decision/Job/WaitLogger.h"
 
+#include "Decision/Job/HostRoom.h"
+
 #include <algorithm>
+#include <functional>
 
 namespace Plantainpier {
 
@@ -26,11 +29,13 @@
         NamedValue { WaitReason::NoRunNumber, "no_run_number" },
     };
 
-    std::string formatCounts(const HostEligibilityCounts& hostCounts)
+    /// Returns the values with a count above 0, each with its name and count.
+    template <typename Enum, std::size_t size>
+    std::string formatCounts(const std::array<NamedValue<Enum>, size>& names, const std::function<int(Enum)>& countOf)
     {
         std::string text;
-        for (const NamedValue<HostEligibility>& row : hostEligibilityNames) {
-            const int count = hostCounts.count(row.value);
+        for (const NamedValue<Enum>& row : names) {
+            const int count = countOf(row.value);
             if (count == 0)
                 continue;
             text += text.empty() ? "" : ",";
@@ -39,6 +44,31 @@
         return text.empty() ? "none" : text;
     }
 
+    /// Counts the hosts of the job's service by what takes the room of a task of the step.
+    std::string formatRoom(const OwnerState& state, const JobState& job, const Wire::StepDefinition& step)
+    {
+        std::array<int, roomTakenByNames.size()> counts {};
+        for (const std::pair<const std::string, Host>& entry : state.hosts.hosts()) {
+            const Host& host = entry.second;
+            if (host.service != job.definition().serviceName)
+                continue;
+            const RoomTakenBy takenBy = roomTakenBy(host, step.demand, step.filler, job.definition().priority);
+            ++counts[static_cast<std::size_t>(takenBy)];
+        }
+        return formatCounts<RoomTakenBy>(
+            roomTakenByNames, [&counts](RoomTakenBy takenBy) { return counts[static_cast<std::size_t>(takenBy)]; });
+    }
+
+    /// Number of tasks of the job that have a run.
+    std::size_t countTasksWithRun(const JobState& job)
+    {
+        std::size_t count = 0;
+        for (const StepState& step : job.steps())
+            count += static_cast<std::size_t>(std::count_if(
+                step.tasks.begin(), step.tasks.end(), [](const TaskState& task) { return !task.runs.empty(); }));
+        return count;
+    }
+
 } // namespace
 
 bool WaitLogger::mayLog(Instant now)
@@ -78,8 +108,16 @@
     line.add("job", jobId).add("occurrence", wait.step.occurrence).add("step", wait.step.step);
     line.add("waiting", wait.step.waitingTasks).add("waited_ms", toMilliseconds(waited));
     line.add("why", nameIn(waitReasonNames, wait.reason)).add("hosts_unheard", m_state.countUnlistedHosts(now));
-    if (wait.reason == WaitReason::NoHost)
-        line.add("hosts", formatCounts(wait.hostCounts));
+    line.add("job_runs", countTasksWithRun(wait.job));
+    if (wait.reason == WaitReason::NoHost) {
+        const Wire::StepDefinition& definition = wait.job.stepDefinition(wait.step);
+        line.add("hosts", formatCounts<HostEligibility>(hostEligibilityNames, [&wait](HostEligibility eligibility) {
+            return wait.hostCounts.count(eligibility);
+        }));
+        line.add("lasting", definition.longRunning).add("demand_milli", definition.demand.milliProcessors);
+        line.add("demand_mb", definition.demand.memoryMegabytes);
+        line.add("room", formatRoom(m_state, wait.job, definition));
+    }
     actions.push_back(WriteLog { line.text() });
 }
 
--- a/Tests/Unit/CapacityLoggerTest.cpp
+++ b/Tests/Unit/CapacityLoggerTest.cpp
@@ -53,9 +53,11 @@
         // Four fillers fit beside the serving task, which is assumed to use 0.6 of its processors; the fifth waits. By
         // its estimate it could end in time for the first second.
         CPPUNIT_ASSERT_EQUAL(
-            std::string("event=capacity hosts=1 milli=4000 serving_milli=1000 batch_milli=0 fillers=4 "
-                        "filler_milli=2800 paced_milli=2800 used_milli=80 stopped=0 slowed=0 "
-                        "probing_hosts=0 over_target=0 near_target=0 waiting_in_time=0 waiting_late=1"),
+            std::string(
+                "event=capacity hosts=1 milli=4000 serving_milli=1000 batch_milli=0 halting_milli=0 "
+                "unlisted_milli=0 fillers=4 filler_milli=2800 paced_milli=2800 used_milli=80 stopped=0 slowed=0 "
+                "probing_hosts=0 over_target=0 near_target=0 waiting_in_time=0 waiting_late=1 "
+                "waiting_lasting=0 lasting_wait_ms=0"),
             lines[1]);
     }
 
--- a/Tests/Unit/WaitLoggerTest.cpp
+++ b/Tests/Unit/WaitLoggerTest.cpp
@@ -1,4 +1,5 @@
 /// Tests WaitLogger in virtual time: the log states why a task waits, in a limited number of lines.
+#include "Decision/Job/HostRoom.h"
 #include "Support/JobFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -11,6 +12,7 @@
     CPPUNIT_TEST(logsHostsOfAnEarlierOwnerThatHaveNotReported);
     CPPUNIT_TEST(logsThatAHostIsNotPersisted);
     CPPUNIT_TEST(logsWhyAGangWaits);
+    CPPUNIT_TEST(logsWhatTakesTheRoomOfAWaitingTask);
     CPPUNIT_TEST(countsHostsByReasonOfIneligibility);
     CPPUNIT_TEST(limitsLogLinesWhenManyTasksWait);
     CPPUNIT_TEST_SUITE_END();
@@ -58,7 +60,8 @@
         const std::vector<std::string> lines = harness.linesOf("task_waits");
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), lines.size());
         for (const char* field : { "job=00000000000000aa", "occurrence=0", "step=0", "waiting=2", "why=no_host",
-                 "hosts_unheard=0", "hosts=no_processors:1" })
+                 "hosts_unheard=0", "job_runs=4", "hosts=no_processors:1", "lasting=false", "demand_milli=1000",
+                 "demand_mb=100", "room=short_runs:1" })
             assertContains(lines[0], field);
         runWithReports(harness, 3000, 2100 + minimumLineIntervalMilliseconds);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.linesOf("task_waits").size());
@@ -149,6 +152,40 @@
         HostRegistry::addRun(host, run);
     }
 
+    // Guards against a log that does not tell tasks that wait for room from tasks that wait beside free room.
+    void logsWhatTakesTheRoomOfAWaitingTask()
+    {
+        constexpr int priority = 1;
+        Wire::Resources demand;
+        demand.milliProcessors = 2000;
+        HostRegistry hosts;
+        Host& host = addHost(hosts);
+        const auto takenBy = [&host, &demand] { return roomTakenBy(host, demand, false, priority); };
+        CPPUNIT_ASSERT_EQUAL(std::string("free"), std::string(nameIn(roomTakenByNames, takenBy())));
+        const auto add = [&host](const char* runJobId, std::int64_t milliCores) -> HostRun& {
+            addRun(host, runJobId, milliCores, 10);
+            HostRun& run = host.runs.at(runKey(makeTask(runJobId, 0, 0), 1));
+            run.listed = true;
+            run.phase = RunPhase::Running;
+            return run;
+        };
+        add("00000000000000b1", 2500).listed = false;
+        CPPUNIT_ASSERT_EQUAL(std::string("unlisted"), std::string(nameIn(roomTakenByNames, takenBy())));
+        HostRegistry::removeRun(host, runKey(makeTask("00000000000000b1", 0, 0), 1));
+        add("00000000000000b2", 2500).phase = RunPhase::Halting;
+        CPPUNIT_ASSERT_EQUAL(std::string("halting"), std::string(nameIn(roomTakenByNames, takenBy())));
+        HostRegistry::removeRun(host, runKey(makeTask("00000000000000b2", 0, 0), 1));
+        add("00000000000000b3", 2500).priority = priority + 1;
+        CPPUNIT_ASSERT_EQUAL(std::string("less_urgent"), std::string(nameIn(roomTakenByNames, takenBy())));
+        HostRegistry::removeRun(host, runKey(makeTask("00000000000000b3", 0, 0), 1));
+        add("00000000000000b4", 2500).priority = priority;
+        CPPUNIT_ASSERT_EQUAL(std::string("short_runs"), std::string(nameIn(roomTakenByNames, takenBy())));
+        HostRegistry::removeRun(host, runKey(makeTask("00000000000000b4", 0, 0), 1));
+        add("00000000000000b5", 2500).longRunning = true;
+        CPPUNIT_ASSERT_EQUAL(std::string("lasting"), std::string(nameIn(roomTakenByNames, takenBy())));
+        CPPUNIT_ASSERT(RoomTakenBy::Nothing == roomTakenBy(host, demand, true, priority));
+    }
+
     // Guards against a host that is ineligible for a reason that the counts do not show.
     void countsHostsByReasonOfIneligibility()
     {
