Job: Keep half of the lines about waiting steps for those not logged yet

A step that waits long is logged every 5 s and later every 40 s, in the order of the pass. While 100 steps wait, those at the head of the order are due again before those at the end have been logged once. At most two of the four lines of a pass repeat a step now.

--- a/Source/Decision/Job/WaitLogger.cpp
+++ b/Source/Decision/Job/WaitLogger.cpp
@@ -18,6 +18,8 @@
     /// steps wait.
     constexpr Duration loggingInterval = milliseconds(500);
     constexpr int maximumLinesPerPass = 4;
+    /// Of these, lines about steps that have been logged before, so that these do not keep out the others.
+    constexpr int maximumRepeatsPerPass = 2;
 
     constexpr std::array waitReasonNames {
         NamedValue { WaitReason::HostsNotReported, "hosts_unheard" },
@@ -76,6 +78,7 @@
     if (now - m_loggingPass >= loggingInterval) {
         m_loggingPass = now;
         m_linesInPass = 0;
+        m_repeatsInPass = 0;
         removeOldSteps(now);
     }
     return now == m_loggingPass && m_linesInPass < maximumLinesPerPass;
@@ -98,8 +101,9 @@
         StepKey { jobId, wait.step.occurrence, wait.step.step }, LoggedStep { now, firstInterval });
     LoggedStep& loggedStep = entry.first->second;
     if (!entry.second) {
-        if (now - loggedStep.loggedAt < loggedStep.interval)
+        if (now - loggedStep.loggedAt < loggedStep.interval || m_repeatsInPass >= maximumRepeatsPerPass)
             return;
+        ++m_repeatsInPass;
         loggedStep.loggedAt = now;
         loggedStep.interval = std::min(2 * loggedStep.interval, maximumInterval);
     }
--- a/Source/Decision/Job/WaitLogger.h
+++ b/Source/Decision/Job/WaitLogger.h
@@ -62,9 +62,11 @@
 
     const OwnerState& m_state;
     std::map<StepKey, LoggedStep> m_loggedSteps;
-    /// Time of the scheduling pass that may add lines, and the number of lines added in this pass.
+    /// Time of the scheduling pass that may add lines, and the number of lines added in this pass, in all and about
+    /// steps that had been logged before.
     Instant m_loggingPass;
     int m_linesInPass = 0;
+    int m_repeatsInPass = 0;
 };
 
 } // namespace Plantainpier
