--- a/Tests/Support/HistorySeeds.h
+++ b/Tests/Support/HistorySeeds.h
@@ -1,4 +1,4 @@
-/// The seeds of random histories. Used by RunHistoryTest, CallHistoryTest and OrderSimulation.
+/// The seeds of random histories. Used by the tests that play random histories.
 #pragma once
 
 #include <cstddef>
--- a/Tests/Support/VirtualHost.h
+++ b/Tests/Support/VirtualHost.h
@@ -1,10 +1,11 @@
 /// Simulates a host of the platform in virtual time, with starts, stops, leases and ends of runs, and records all runs
-/// for the checks. Used by RunHistoryTest and OrderSimulation.
+/// for the checks. Used by RunHistoryTest, OrderSimulation and StandingWorkHistory.
 #pragma once
 
 #include "Decision/Job/HostRegistry.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -60,7 +61,7 @@
         highestRun = order.run;
         m_records.push_back(RunRecord { order.task, order.run, now });
         m_running.emplace(runKey(order.task, order.run),
-            ActiveRun { m_records.size() - 1, now + durationMilliseconds, how, milliCores });
+            ActiveRun { m_records.size() - 1, now + durationMilliseconds, how, milliCores, durationMilliseconds, now });
         for (const std::pair<const RunKey, ActiveRun>& entry : m_running)
             m_records.back().milliCoresInUse += entry.second.milliCores;
         return {};
@@ -81,6 +82,28 @@
         return true;
     }
 
+    /// Runs the task at the given share of full speed, so that the rest of it takes longer.
+    void setPace(int now, const Wire::TaskName& task, int run, int percent)
+    {
+        const std::map<RunKey, ActiveRun>::iterator it = m_running.find(runKey(task, run));
+        if (it == m_running.end())
+            return;
+        ActiveRun& active = it->second;
+        active.workLeft = active.workLeftAt(now);
+        active.pacePercent = percent;
+        active.pacedAt = now;
+        active.endsAt = percent > 0 ? now + active.workLeft * fullPacePercent / percent : never;
+    }
+
+    /// The completed share of a run that was started with the given duration.
+    int progressPercent(int now, const Wire::TaskName& task, int run, int durationMilliseconds) const
+    {
+        const std::map<RunKey, ActiveRun>::const_iterator it = m_running.find(runKey(task, run));
+        if (it == m_running.end() || durationMilliseconds <= 0)
+            return 0;
+        return std::clamp(100 * (durationMilliseconds - it->second.workLeftAt(now)) / durationMilliseconds, 0, 99);
+    }
+
     /// Extends the lease and drops the ends up to the acknowledged number. Returns false if the fence is too low.
     bool renewLease(int now, std::int64_t fence, std::int64_t lease, std::int64_t acknowledged)
     {
@@ -152,12 +175,25 @@
     std::int64_t clock(int now) const { return now - m_clockStart; }
 
 private:
+    static constexpr int fullPacePercent = 100;
+    static constexpr int never = std::numeric_limits<int>::max();
+
     /// An active run: its index in the records, and when and how it will end unless it is stopped.
     struct ActiveRun {
         std::size_t record;
         int endsAt;
         Wire::RunEnd::type how;
         std::int64_t milliCores;
+        /// Work in milliseconds at full pace that was left when the pace was last changed.
+        int workLeft;
+        int pacedAt;
+        int pacePercent = fullPacePercent;
+
+        int workLeftAt(int now) const
+        {
+            const std::int64_t done = std::int64_t(now - pacedAt) * pacePercent / fullPacePercent;
+            return static_cast<int>(std::max<std::int64_t>(0, workLeft - done));
+        }
     };
 
     /// The longest lease that hosts of the platform accept.
