Job: Reserve hosts for tasks that small ones pass over

Cause: a task of 13 cores waits until one host has 13 cores free at once. Small tasks of the same priority take each gap as soon as a run ends, so on a host with short runs that moment need not come. Preemption reserves the host whose runs it stops. Gangs are not covered.

--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -1,5 +1,7 @@
 #include "Decision/Job/Placement.h"
 
+#include "Decision/Job/ResourceMath.h"
+
 #include <algorithm>
 
 namespace Plantainpier {
@@ -59,10 +61,22 @@
     });
 }
 
-HostEligibility Placement::evaluateFiller(const Host& host, const PlacementRequest& request) const
+Wire::Resources Placement::freeResources(const Host& host, const PlacementRequest& request)
+{
+    Wire::Resources free = minus(host.capacity, host.committed);
+    for (const RoomReservation& reservation : host.reservations) {
+        const bool isOwn = reservation.isOf(request.job, request.occurrence, request.step);
+        if (!isOwn && reservation.priority <= request.job.priority)
+            free = minus(free, reservation.demand);
+    }
+    return free;
+}
+
+HostEligibility Placement::evaluateFiller(
+    const Host& host, const PlacementRequest& request, std::int64_t freeMegabytes) const
 {
     const Wire::StepDefinition& step = request.definition;
-    if (host.freeMegabytes() - step.demand.memoryMegabytes < reservedMegabytes(host))
+    if (freeMegabytes - step.demand.memoryMegabytes < reservedMegabytes(host))
         return HostEligibility::NoMemory;
     if (idleMilliCores(host) < step.demand.milliProcessors)
         return HostEligibility::NoIdleProcessors;
@@ -71,7 +85,7 @@
     return HostEligibility::Eligible;
 }
 
-HostEligibility Placement::evaluate(const Host& host, const PlacementRequest& request, Instant now) const
+HostEligibility Placement::evaluateState(const Host& host, const PlacementRequest& request, Instant now) const
 {
     const Wire::StepDefinition& step = request.definition;
     if (host.service != request.job.serviceName)
@@ -94,27 +108,33 @@
         return HostEligibility::MayForgetEnds;
     if (!request.rack.empty() && host.rack != request.rack)
         return HostEligibility::OtherRack;
-    if (!hasLabel(host, step.requiredLabel))
-        return HostEligibility::NoLabel;
-    Wire::Resources free;
-    free.milliProcessors = host.freeMilliCores();
-    free.memoryMegabytes = host.freeMegabytes();
-    free.accelerators = host.freeAccelerators();
-    HostEligibility eligibility = evaluateResources(free, step);
-    if (eligibility == HostEligibility::Eligible && step.filler)
-        eligibility = evaluateFiller(host, request);
-    if (eligibility != HostEligibility::Eligible)
-        return eligibility;
+    return hasLabel(host, step.requiredLabel) ? HostEligibility::Eligible : HostEligibility::NoLabel;
+}
+
+HostEligibility Placement::evaluateStep(const Host& host, const PlacementRequest& request)
+{
     for (const RunPlace& place : request.currentRuns) {
         if (place.hostId == host.hostId)
             return HostEligibility::RunsTheTask;
     }
-    const bool full = step.maximumPerHost > 0
-        && HostRegistry::countRunsOfStep(host, request.job.jobId, request.occurrence, request.step)
-            >= step.maximumPerHost;
+    const int maximum = request.definition.maximumPerHost;
+    const bool full = maximum > 0
+        && HostRegistry::countRunsOfStep(host, request.job.jobId, request.occurrence, request.step) >= maximum;
     return full ? HostEligibility::StepAtMaximum : HostEligibility::Eligible;
 }
 
+HostEligibility Placement::evaluate(const Host& host, const PlacementRequest& request, Instant now) const
+{
+    HostEligibility eligibility = evaluateState(host, request, now);
+    if (eligibility != HostEligibility::Eligible)
+        return eligibility;
+    const Wire::Resources free = freeResources(host, request);
+    eligibility = evaluateResources(free, request.definition);
+    if (eligibility == HostEligibility::Eligible && request.definition.filler)
+        eligibility = evaluateFiller(host, request, free.memoryMegabytes);
+    return eligibility == HostEligibility::Eligible ? evaluateStep(host, request) : eligibility;
+}
+
 double Placement::imageAffinity(const Host& host, const std::string& image)
 {
     int same = 0;
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -46,12 +46,15 @@
 void TaskScheduler::schedule(Instant now, Actions& actions)
 {
     m_failedPlacements.clear();
+    m_startsInPass = 0;
+    m_reservations.removeOutdated(now, actions);
     m_unlistedHosts = m_state.countUnlistedHosts(now);
     const bool earlierRunsKnown = m_unlistedHosts == 0;
     // Until the earlier owner's runs are known, a halted task could not be placed again.
     if (earlierRunsKnown)
         m_fillerRelocator.relocate(now, actions);
     int stepsWithPreemption = 0;
+    std::vector<PassedOverStep> stepsWithoutRoom;
     const std::vector<Candidate> candidates = collectCandidates(now);
     for (const Candidate& candidate : candidates) {
         JobState& job = *candidate.job;
@@ -60,12 +63,16 @@
         StepState& step = job.steps()[candidate.step];
         if (job.stepDefinition(step).gang)
             placeGang(now, job, step, actions);
-        else
-            placeStep(now, job, step, earlierRunsKnown, actions);
+        else if (const TaskState* task = placeStep(now, job, step, earlierRunsKnown, actions))
+            stepsWithoutRoom.push_back(PassedOverStep { &job, &step, task, m_startsInPass });
         if (step.waitingTasks > 0 && stepsWithPreemption < maximumStepsWithPreemption
             && preemptRuns(now, job, step, actions))
             ++stepsWithPreemption;
     }
+    for (const PassedOverStep& passedOver : stepsWithoutRoom) {
+        if (m_startsInPass > passedOver.startsBefore)
+            m_reservations.reserve(now, *passedOver.job, *passedOver.step, *passedOver.task, actions);
+    }
     startEndTrials(now, candidates, actions);
     m_capacityLogger.logIfDue(now, actions);
 }
@@ -133,8 +140,15 @@
     return task.lastEndUnknown && !m_state.isOwnershipCertain(now);
 }
 
-Host* TaskScheduler::findHost(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts)
+Host* TaskScheduler::findHost(
+    Instant now, const JobState& job, const StepState& step, const TaskState& task, HostEligibilityCounts& hostCounts)
 {
+    const PlacementRequest request = makePlacementRequest(job, step, task);
+    // Room that is reserved for the step counted as taken for the others that failed.
+    if (m_reservations.hasReservation(job, step)) {
+        ++m_state.counters.hostSearches;
+        return m_placement.chooseHost(m_state.hosts, request, now, &hostCounts);
+    }
     if (const HostEligibilityCounts* known = m_failedPlacements.find(request)) {
         hostCounts = *known;
         return nullptr;
@@ -146,7 +160,8 @@
     return host;
 }
 
-void TaskScheduler::placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
+const TaskState* TaskScheduler::placeStep(
+    Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
     const bool duplicatesAllowed = job.stepDefinition(step).allowDuplicates;
@@ -182,7 +197,7 @@
             recordWait(task, WaitReason::NoRunNumber);
             continue;
         }
-        Host* host = findHost(now, makePlacementRequest(job, step, task), hostCounts);
+        Host* host = findHost(now, job, step, task, hostCounts);
         if (!host || m_state.storeWriter.storedSequenceNumber() < host->recordSequenceNumber) {
             recordWait(task, host ? WaitReason::HostNotPersisted : WaitReason::NoHost);
             break;
@@ -191,6 +206,7 @@
     }
     if (longestWaiting)
         m_waitLogger.logIfDue(now, WaitingTask { job, step, *longestWaiting, waitReason, hostCounts }, actions);
+    return waitReason == WaitReason::NoHost ? longestWaiting : nullptr;
 }
 
 void TaskScheduler::placeGang(Instant now, JobState& job, StepState& step, Actions& actions)
@@ -284,7 +300,11 @@
     std::vector<HostRun*> bestRuns;
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
-        if (!Placement::isOpenTo(host, job.definition(), definition, now))
+        const bool isReservedForOthers = std::any_of(
+            host.reservations.begin(), host.reservations.end(), [&job, &step](const RoomReservation& reservation) {
+                return !reservation.isOf(job.definition(), step.occurrence, step.step);
+            });
+        if (isReservedForOthers || !Placement::isOpenTo(host, job.definition(), definition, now))
             continue;
         std::int64_t processors = host.freeMilliCores();
         std::int64_t memory = host.freeMegabytes() - (definition.filler ? m_placement.reservedMegabytes(host) : 0);
@@ -321,7 +341,9 @@
         return false;
     for (HostRun* run : bestRuns)
         m_runTracker.haltRun(*bestHost, *run, "room_for_more_urgent_work", actions);
-    step.roomExpectedUntil.push_back(now + m_state.rules.longestHalt + RunTracker::timeToListAnEnd);
+    const Duration expectedWait = m_state.rules.longestHalt + RunTracker::timeToListAnEnd;
+    step.roomExpectedUntil.push_back(now + expectedWait);
+    m_reservations.reserveHost(now, job, step, *bestHost, expectedWait);
     return true;
 }
 
@@ -355,6 +377,8 @@
     order.percent = hostRun.orderedPacePercent;
     HostRegistry::addRun(host, std::move(hostRun));
     job.markStarted();
+    m_startsInPass += definition.filler ? 0 : 1;
+    m_reservations.onStarted(job, step, host);
     if (!step.roomExpectedUntil.empty())
         step.roomExpectedUntil.erase(step.roomExpectedUntil.begin());
     step.lastStartedAt = now;
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -7,6 +7,7 @@
 #include "Decision/Job/OwnerState.h"
 #include "Decision/Job/PaceController.h"
 #include "Decision/Job/Placement.h"
+#include "Decision/Job/RoomReservations.h"
 #include "Decision/Job/RunTracker.h"
 #include "Decision/Job/WaitLogger.h"
 #include "Decision/Job/WorkPriority.h"
@@ -23,6 +24,7 @@
         , m_paceController(paceController)
         , m_placement(rules, paceController)
         , m_fillerRelocator(state, runTracker, paceController, m_placement, RelocationRules {})
+        , m_reservations(state, m_placement, ReservationRules {})
         , m_waitLogger(state)
         , m_capacityLogger(state)
     {
@@ -38,8 +40,18 @@
         std::size_t step;
     };
 
+    /// A step with a task for which no host had room, and the number of tasks that had been started in the pass by
+    /// then.
+    struct PassedOverStep {
+        const JobState* job;
+        const StepState* step;
+        const TaskState* task;
+        int startsBefore;
+    };
+
     std::vector<Candidate> collectCandidates(Instant now);
-    void placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions);
+    /// Returns the task that has waited longest among those for which no host has room; null if there is none.
+    const TaskState* placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions);
     void placeGang(Instant now, JobState& job, StepState& step, Actions& actions);
     /// Starts all tasks of the gang, or returns the reason why the gang waits.
     std::optional<WaitReason> tryStartGang(
@@ -59,16 +71,20 @@
     /// Whether the task's last run may still be executing under a new owner: the run was abandoned here, but a
     /// successor that this owner has not yet observed may have reached the host and adopted the run.
     bool mayContinueUnderSuccessor(Instant now, const TaskState& task) const;
-    /// Returns the host for the request, or null. Requests that a failed one of the same pass rules out are not
-    /// searched for.
-    Host* findHost(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts);
+    /// Returns the host for the task, or null. Requests that a failed one of the same pass rules out are not searched
+    /// for.
+    Host* findHost(Instant now, const JobState& job, const StepState& step, const TaskState& task,
+        HostEligibilityCounts& hostCounts);
 
     OwnerState& m_state;
     RunTracker& m_runTracker;
     const PaceController& m_paceController;
     Placement m_placement;
     FillerRelocator m_fillerRelocator;
+    RoomReservations m_reservations;
     FailedPlacements m_failedPlacements;
+    /// Number of runs with reserved processors that the pass has started.
+    int m_startsInPass = 0;
     WaitLogger m_waitLogger;
     CapacityLogger m_capacityLogger;
     /// OwnerState::countUnlistedHosts() at the start of the pass.
