Job: Bound how long a job stands still

Cause: overdue work comes last whatever it has left, and nothing bounds how long; a filler also waits for as many idle processors as it asks for, which smaller fillers take first. Change: one task of a job that has had no run for 4 s comes before all others of its priority, and shares the processors of the other fillers if none are idle. Once the job has a run, its other tasks have no precedence, so an overload still delays a few jobs by much. Test: StandstillTest; without the change the job has no run at the end of the load.

--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -32,10 +32,15 @@
     for (const std::pair<const std::string, JobState*>& entry : m_state.openJobs) {
         JobState& job = *entry.second;
         job.addDueOccurrences(now, m_state.unixMilliseconds);
+        bool standsStill = job.idleTime(now) >= longestStandstill;
         for (std::size_t n = 0; n < job.steps().size(); ++n) {
             const StepState& step = job.steps()[n];
-            if (step.open && step.waitingTasks > 0)
-                candidates.push_back(Candidate { workPriority(job, step, now), &job, n });
+            if (!step.open || step.waitingTasks == 0)
+                continue;
+            if (standsStill && !job.stepDefinition(step).gang)
+                candidates.push_back(Candidate { workPriority(job, step, now, Standstill::Overlong), &job, n });
+            standsStill = false;
+            candidates.push_back(Candidate { workPriority(job, step, now), &job, n });
         }
     }
     std::sort(candidates.begin(), candidates.end(),
@@ -63,8 +68,12 @@
         StepState& step = job.steps()[candidate.step];
         if (job.stepDefinition(step).gang)
             placeGang(now, job, step, actions);
-        else if (const TaskState* task = placeStep(now, job, step, earlierRunsKnown, actions))
+        else if (const TaskState* task
+            = placeStep(now, job, step, earlierRunsKnown, candidate.sortKey.standstill, actions))
             stepsWithoutRoom.push_back(PassedOverStep { &job, &step, task, m_startsInPass });
+        // Once the job has a run again, its other tasks have no precedence.
+        if (candidate.sortKey.standstill == Standstill::Overlong && job.idleTime(now) == Duration::zero())
+            continue;
         if (step.waitingTasks > 0 && stepsWithPreemption < maximumStepsWithPreemption
             && preemptRuns(now, job, step, actions))
             ++stepsWithPreemption;
@@ -140,10 +149,14 @@
     return task.lastEndUnknown && !m_state.isOwnershipCertain(now);
 }
 
-Host* TaskScheduler::findHost(
-    Instant now, const JobState& job, const StepState& step, const TaskState& task, HostEligibilityCounts& hostCounts)
+Host* TaskScheduler::findHost(Instant now, const JobState& job, const StepState& step, const TaskState& task,
+    Standstill standstill, HostEligibilityCounts& hostCounts)
 {
-    const PlacementRequest request = makePlacementRequest(job, step, task);
+    PlacementRequest request = makePlacementRequest(job, step, task);
+    if (standstill == Standstill::Overlong) {
+        request.sharesProcessors = true;
+        request.minimumPacePercent = 1;
+    }
     // Room that is reserved for the step counted as taken for the others that failed.
     if (m_reservations.hasReservation(job, step)) {
         ++m_state.counters.hostSearches;
@@ -161,7 +174,7 @@
 }
 
 const TaskState* TaskScheduler::placeStep(
-    Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
+    Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Standstill standstill, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
     const bool duplicatesAllowed = job.stepDefinition(step).allowDuplicates;
@@ -197,12 +210,14 @@
             recordWait(task, WaitReason::NoRunNumber);
             continue;
         }
-        Host* host = findHost(now, job, step, task, hostCounts);
+        Host* host = findHost(now, job, step, task, standstill, hostCounts);
         if (!host || m_state.storeWriter.storedSequenceNumber() < host->recordSequenceNumber) {
             recordWait(task, host ? WaitReason::HostNotPersisted : WaitReason::NoHost);
             break;
         }
         startRun(now, job, step, n, *run, *host, actions);
+        if (standstill == Standstill::Overlong)
+            break;
     }
     if (longestWaiting)
         m_waitLogger.logIfDue(now, WaitingTask { job, step, *longestWaiting, waitReason, hostCounts }, actions);
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -34,6 +34,7 @@
     void schedule(Instant now, Actions& actions);
 
 private:
+    /// A waiting step, or one task of it if the job stands still.
     struct Candidate {
         WorkPriority sortKey;
         JobState* job;
@@ -51,7 +52,8 @@
 
     std::vector<Candidate> collectCandidates(Instant now);
     /// Returns the task that has waited longest among those for which no host has room; null if there is none.
-    const TaskState* placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions);
+    const TaskState* placeStep(
+        Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Standstill standstill, Actions& actions);
     void placeGang(Instant now, JobState& job, StepState& step, Actions& actions);
     /// Starts all tasks of the gang, or returns the reason why the gang waits.
     std::optional<WaitReason> tryStartGang(
@@ -74,7 +76,7 @@
     /// Returns the host for the task, or null. Requests that a failed one of the same pass rules out are not searched
     /// for.
     Host* findHost(Instant now, const JobState& job, const StepState& step, const TaskState& task,
-        HostEligibilityCounts& hostCounts);
+        Standstill standstill, HostEligibilityCounts& hostCounts);
 
     OwnerState& m_state;
     RunTracker& m_runTracker;
