Job: Pass over hosts whose record is not stored

Cause: a step took the best host and then waited for the store if the record of that host was not stored, instead of taking the next one. The emptiest host is the newest one. Change: such a host is not eligible (not_stored), for placement, gangs, moves of fillers and reservations alike. task_waits still says host_not_stored if it is the only reason left.

--- a/Source/Decision/Job/HostEligibility.h
+++ b/Source/Decision/Job/HostEligibility.h
@@ -39,6 +39,8 @@
     RunsTheTask,
     /// The host runs the maximum number of tasks of the step.
     StepAtMaximum,
+    /// The host could run the task, but the store has not persisted its record.
+    NotPersisted,
 };
 
 constexpr std::array hostEligibilityNames {
@@ -61,6 +63,7 @@
     NamedValue { HostEligibility::FillerNotTolerated, "filler_not_borne" },
     NamedValue { HostEligibility::RunsTheTask, "runs_the_task" },
     NamedValue { HostEligibility::StepAtMaximum, "step_at_maximum" },
+    NamedValue { HostEligibility::NotPersisted, "not_stored" },
 };
 
 /// Number of hosts by eligibility.
--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -163,6 +163,8 @@
     bool departed = false;
     /// Sequence number of the write of the host's record; no run is ordered before that write is persisted.
     std::uint64_t recordSequenceNumber = 0;
+    /// Whether that write was persisted at the start of the newest scheduling pass.
+    bool isRecordPersisted = true;
     /// Time of the last report, or of the loss of the connection after that.
     Instant lastContactAt;
     /// Newest reading of the host's clock, and when it was received.
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -132,7 +132,11 @@
     eligibility = evaluateResources(free, request.definition);
     if (eligibility == HostEligibility::Eligible && request.definition.filler)
         eligibility = evaluateFiller(host, request, free.memoryMegabytes);
-    return eligibility == HostEligibility::Eligible ? evaluateStep(host, request) : eligibility;
+    if (eligibility == HostEligibility::Eligible)
+        eligibility = evaluateStep(host, request);
+    if (eligibility == HostEligibility::Eligible && !host.isRecordPersisted)
+        eligibility = HostEligibility::NotPersisted;
+    return eligibility;
 }
 
 double Placement::imageAffinity(const Host& host, const std::string& image)
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -69,7 +69,7 @@
     /// Whether the host is eligible apart from the room that the task needs.
     bool isEligibleBesidesRoom(const Host& host, const PlacementRequest& request, Instant now) const
     {
-        return evaluateState(host, request, now) == HostEligibility::Eligible
+        return host.isRecordPersisted && evaluateState(host, request, now) == HostEligibility::Eligible
             && evaluateStep(host, request) == HostEligibility::Eligible;
     }
     /// Whether a registered host of the service could hold a task of the step if the host were empty.
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -24,6 +24,11 @@
         return name;
     }
 
+    WaitReason reasonWithoutHost(const HostEligibilityCounts& hostCounts)
+    {
+        return hostCounts.count(HostEligibility::NotPersisted) > 0 ? WaitReason::HostNotPersisted : WaitReason::NoHost;
+    }
+
 } // namespace
 
 std::vector<TaskScheduler::Candidate> TaskScheduler::collectCandidates(Instant now)
@@ -52,6 +57,9 @@
 {
     m_failedPlacements.clear();
     m_startsInPass = 0;
+    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts())
+        entry.second.isRecordPersisted
+            = m_state.storeWriter.storedSequenceNumber() >= entry.second.recordSequenceNumber;
     m_reservations.removeOutdated(now, actions);
     m_unlistedHosts = m_state.countUnlistedHosts(now);
     const bool earlierRunsKnown = m_unlistedHosts == 0;
@@ -92,7 +100,7 @@
         return;
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
-        if (!host.mayForgetEnds || m_state.storeWriter.storedSequenceNumber() < host.recordSequenceNumber)
+        if (!host.mayForgetEnds || !host.isRecordPersisted)
             continue;
         std::size_t trials = static_cast<std::size_t>(
             std::count_if(host.runs.begin(), host.runs.end(), [&host](const std::pair<const RunKey, HostRun>& run) {
@@ -211,8 +219,8 @@
             continue;
         }
         Host* host = findHost(now, job, step, task, standstill, hostCounts);
-        if (!host || m_state.storeWriter.storedSequenceNumber() < host->recordSequenceNumber) {
-            recordWait(task, host ? WaitReason::HostNotPersisted : WaitReason::NoHost);
+        if (!host) {
+            recordWait(task, reasonWithoutHost(hostCounts));
             break;
         }
         startRun(now, job, step, n, *run, *host, actions);
@@ -275,9 +283,10 @@
             PlacementRequest request = makePlacementRequest(job, step, step.tasks[n]);
             request.rack = rack;
             Host* host = m_placement.chooseHost(m_state.hosts, request, now, &hostCounts);
-            waitReason = host ? WaitReason::HostNotPersisted : WaitReason::NoHost;
-            if (!host || m_state.storeWriter.storedSequenceNumber() < host->recordSequenceNumber)
+            if (!host) {
+                waitReason = reasonWithoutHost(hostCounts);
                 break;
+            }
             HostRun tentativeRun;
             tentativeRun.task = taskName(job, step, n);
             tentativeRun.run = run;
