Process: Hand over while tasks end

An owner that was told to stop resigned only at a moment without any unwritten progress, queued record or pending reply. It has stopped scheduling by then and refuses every submission. While tasks end faster than one append takes, such a moment does not come, so the hand-over lasted until no task ended any more or the process ended without a resignation; a record that cannot be stored prevented it altogether.

Evidence: OwnershipTest::aResigningOwnerIsReplacedWhileTasksEnd, one end each 5 ms: the resignation took 4750 ms before, all the time that tasks ended, and stays within the bound of 200 ms now. aResigningOwnerIsReplacedWhileItsRecordsAreNotStored: not replaced within 1500 ms before.

Now the owner writes its progress when it is told to stop, and resigns once these writes are stored, or after a second. Later ends need no wait: none is acknowledged before it is stored, so hosts list it to the successor again. Calls whose answer is outstanding are repeated at the successor by the entries, as after any change of owner.

Ruled out: progress that is acknowledged and lost; the test compares the acknowledged ends with what the successor loads.

--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -472,6 +472,8 @@
         m_scheduler.schedule(now, actions);
     }
     writeProgress(now);
+    if (m_schedulingStopped && !m_lastWriteBeforeHandOver)
+        m_lastWriteBeforeHandOver = m_state.storeWriter.lastSequenceNumber();
     assignWritesToEnds();
     acknowledgePersistedEnds();
     grantLeases(now);
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -42,15 +42,20 @@
     {
         return m_fenced || m_runTracker.isFenced() || m_state.fencesUsedUp || m_state.runNumbersUsedUp;
     }
-    /// No record, progress or reply is waiting to be persisted.
-    bool hasNoPendingWrites() const
+    /// Everything that was recorded before scheduling stopped is persisted and answered. Later progress needs no wait:
+    /// an end of a run is not acknowledged before it is persisted, so its host lists it to the next owner again.
+    bool isReadyToHandOver() const
     {
-        return m_state.storeWriter.isIdle() && m_state.dirtyJobs.empty() && m_pendingReplies.empty();
+        return m_lastWriteBeforeHandOver && *m_lastWriteBeforeHandOver <= m_state.storeWriter.storedSequenceNumber();
     }
     /// An append has been unanswered for so long that clients are refused rather than kept waiting.
     bool isStoreUnavailable(Instant now) const;
-    /// Starts no more tasks and accepts no more jobs; first stage of a hand-over.
-    void stopScheduling() { m_schedulingStopped = true; }
+    /// Starts no more tasks, accepts no more jobs and writes the progress so far; first stage of a hand-over.
+    void stopScheduling()
+    {
+        m_schedulingStopped = true;
+        m_state.flushNow = true;
+    }
     /// Stops granting leases for good. The store may show the resignation of this owner from then on.
     void handOver();
 
@@ -106,6 +111,8 @@
     Instant m_lastJobCleanup;
     bool m_fenced = false;
     bool m_schedulingStopped = false;
+    /// Sequence number of the newest write when scheduling stopped; set by the next tick.
+    std::optional<std::uint64_t> m_lastWriteBeforeHandOver;
 };
 
 } // namespace Plantainpier
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -102,8 +102,8 @@
         && (m_resigning || now - m_pulseSentAt >= m_timing.pulseInterval)) {
         // The store answers a repeated number with the outcome of the first append. A resignation therefore needs a
         // number that no earlier pulse may have been stored under.
-        const bool resignsNow
-            = m_resignationSent || (m_resigning && !m_pulseUncertain && m_owner->hasNoPendingWrites());
+        const bool isReady = m_owner->isReadyToHandOver() || now >= m_resignBy;
+        const bool resignsNow = m_resignationSent || (m_resigning && !m_pulseUncertain && isReady);
         if (resignsNow || m_pulseUncertain || now - m_pulseSentAt >= m_timing.pulseInterval)
             sendPulse(now, resignsNow, actions);
     }
@@ -430,13 +430,13 @@
 void Ownership::resign(Instant now, Actions& actions)
 {
     m_resigning = true;
+    m_resignBy = now + m_timing.handOverTimeout;
     if (m_owner) {
         m_owner->stopScheduling();
         actions.push_back(WriteLog { LogLine("resigning").add("term", m_current.term).text() });
     } else {
         m_resigned = true;
     }
-    (void)now;
 }
 
 } // namespace Plantainpier
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -38,6 +38,9 @@
     /// Timeout of one append. The store answers within milliseconds; a slow answer takes hundreds of milliseconds.
     Duration appendTimeout = milliseconds(900);
     Duration retryDelay = milliseconds(100);
+    /// Longest time that an owner which shuts down waits for its writes before it resigns. Nothing is scheduled
+    /// meanwhile, and clients repeat calls without an answer at the next owner.
+    Duration handOverTimeout = milliseconds(1000);
     /// Delay of a claim for each halving of the processor share below half a core, so that entries with more processors
     /// claim first.
     Duration claimDelayPerHalving = milliseconds(40);
@@ -117,6 +120,8 @@
     std::int64_t m_unixMilliseconds = 0;
     bool m_linkBroken = false;
     bool m_resigning = false;
+    /// An owner that is to resign waits for its writes until then.
+    Instant m_resignBy;
     bool m_resigned = false;
     /// A resignation for the current term was sent and may be stored. It is never revoked.
     bool m_resignationSent = false;
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(oneOfThreeEntriesBecomesOwner);
     CPPUNIT_TEST(aFailedOwnerIsReplacedWithinTwoSeconds);
     CPPUNIT_TEST(aResigningOwnerIsReplacedAtOnce);
+    CPPUNIT_TEST(aResigningOwnerIsReplacedWhileTasksEnd);
+    CPPUNIT_TEST(aResigningOwnerIsReplacedWhileItsRecordsAreNotStored);
     CPPUNIT_TEST(anOwnerWithoutTheStoreIsReplacedAndFenced);
     CPPUNIT_TEST(noEntryClaimsWhileTheStoreIsUnavailable);
     CPPUNIT_TEST(aFrozenOwnerStepsDownWhenItResumes);
@@ -53,8 +55,12 @@
         bool losesReadResponses = false;
         /// Pulses, the heartbeat records of an owner, do not reach the store.
         bool losesPulses = false;
+        /// Records of jobs do not reach the store.
+        bool losesJobRecords = false;
         /// The longest lease that this node ordered, on the hosts' clock.
         std::int64_t longestLeaseOrdered = 0;
+        /// The newest end of a run that this node acknowledged to host i-1.
+        std::int64_t acknowledgedNumber = 0;
         /// Selects calls that the store carries out, but whose responses are held back until deliverLateResponses().
         std::function<bool(const Action&)> delaysResponseTo;
         std::vector<std::function<void(Actions&)>> lateResponses;
@@ -94,9 +100,11 @@
 
         void perform(std::size_t node, const Actions& actions)
         {
-            for (const Wire::HostOrders& orders : messagesOf<Wire::HostOrders>(actions))
+            for (const Wire::HostOrders& orders : messagesOf<Wire::HostOrders>(actions)) {
                 nodes[node]->longestLeaseOrdered
                     = std::max(nodes[node]->longestLeaseOrdered, orders.leaseUntilMilliseconds);
+                nodes[node]->acknowledgedNumber = std::max(nodes[node]->acknowledgedNumber, orders.acknowledgedNumber);
+            }
             for (const Action& action : actions) {
                 const ReadStore* read = std::get_if<ReadStore>(&action);
                 const bool toStore = read || std::holds_alternative<AppendToStore>(action)
@@ -118,8 +126,9 @@
             Actions actions;
             if (const AppendToStore* append = std::get_if<AppendToStore>(&call.action)) {
                 AppendResponse response;
-                const bool pulseIsLost = node.losesPulses && append->topic == StoreTopic::Pulses;
-                if (!node.storeUnreachable && !storeUnavailable && !pulseIsLost)
+                const bool isLost = (node.losesPulses && append->topic == StoreTopic::Pulses)
+                    || (node.losesJobRecords && append->topic == StoreTopic::Jobs);
+                if (!node.storeUnreachable && !storeUnavailable && !isLost)
                     response = store.append(*append);
                 if (node.delaysResponseTo && node.delaysResponseTo(call.action)) {
                     node.lateResponses.push_back([this, &node, id = append->callId, response](Actions& more) {
@@ -213,7 +222,8 @@
         }
 
         /// Delivers a report of host i-1 with the given runs to the owner.
-        void report(std::size_t owner, const std::vector<Wire::RunningTask>& running)
+        void report(std::size_t owner, const std::vector<Wire::RunningTask>& running,
+            const std::vector<Wire::EndedTask>& ended = {})
         {
             JobOwner& reader = *nodes[owner]->ownership.owner();
             Wire::HostReport report = makeReport("i-1", 1, now);
@@ -223,14 +233,15 @@
             report.listed = true;
             report.listFence = reader.state().hosts.hosts().at("i-1").fence;
             report.running = running;
+            report.ended = ended;
             reader.onReport(at(now), testLink, report, actions);
             perform(owner, actions);
         }
 
-        void submit(std::size_t owner, const std::string& jobId)
+        void submit(std::size_t owner, const std::string& jobId, int tasks = 1)
         {
             const Wire::JobCall call
-                = makeCall(Wire::JobCallKind::Submit, makeJob(jobId, { makeStep(1, 1000, 60'000) }));
+                = makeCall(Wire::JobCallKind::Submit, makeJob(jobId, { makeStep(tasks, 1000, 60'000) }));
             Actions actions;
             nodes[owner]->ownership.owner()->onCall(at(now), CallOrigin { noLink, 1 }, call, actions);
             perform(owner, actions);
@@ -334,6 +345,56 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation.owners().size());
     }
 
+    // Guards against a hand-over that lasts as long as tasks end: nothing is scheduled meanwhile.
+    void aResigningOwnerIsReplacedWhileTasksEnd()
+    {
+        Simulation simulation(2);
+        simulation.run(3000);
+        const std::size_t owner = simulation.owners().at(0);
+        Node& node = *simulation.nodes[owner];
+        constexpr int tasks = 1000;
+        simulation.submit(owner, "aa", tasks);
+        simulation.run(simulation.now + 100);
+        int ends = 0;
+        const auto endOneTask = [&] {
+            ++ends;
+            simulation.report(
+                owner, {}, { makeEndedTask(ends, makeTask("aa", 0, ends - 1), 1, Wire::RunEnd::Completed) });
+            simulation.run(simulation.now + stepMilliseconds);
+        };
+        while (ends < 50)
+            endOneTask();
+        Actions actions;
+        node.ownership.resign(at(simulation.now), actions);
+        const int resignedAt = simulation.now;
+        while (node.ownership.owner() && ends < tasks)
+            endOneTask();
+        CPPUNIT_ASSERT_MESSAGE("the resignation took " + std::to_string(simulation.now - resignedAt) + " ms",
+            simulation.now - resignedAt <= 200);
+        CPPUNIT_ASSERT(node.ownership.hasResigned());
+        CPPUNIT_ASSERT(simulation.millisecondsUntilReplaced(owner, 5000) <= 200);
+        const JobOwner& successor = *simulation.nodes[1 - owner]->ownership.owner();
+        const int loaded = successor.state().jobs.at("aa")->steps().at(0).completedTasks;
+        CPPUNIT_ASSERT(node.acknowledgedNumber >= 50);
+        CPPUNIT_ASSERT_MESSAGE("ends that were acknowledged are missing", loaded >= node.acknowledgedNumber);
+    }
+
+    // Guards against an owner that never resigns because one of its records cannot be stored.
+    void aResigningOwnerIsReplacedWhileItsRecordsAreNotStored()
+    {
+        Simulation simulation(2);
+        simulation.run(3000);
+        const std::size_t owner = simulation.owners().at(0);
+        Node& node = *simulation.nodes[owner];
+        node.losesJobRecords = true;
+        simulation.submit(owner, "aa");
+        simulation.run(simulation.now + 100);
+        Actions actions;
+        node.ownership.resign(at(simulation.now), actions);
+        CPPUNIT_ASSERT(simulation.millisecondsUntilReplaced(owner, 5000) <= 1500);
+        CPPUNIT_ASSERT(node.ownership.hasResigned());
+    }
+
     void anOwnerWithoutTheStoreIsReplacedAndFenced()
     {
         Simulation simulation(3);
