Process: Read an empty page of records again

A page of the newest records without a record that can be read, but with more to follow, ended the load of a new owner. The owner then answered 410 for every accepted job of the later pages and ran none of them. The store is not known to answer so; found by reading.

Evidence: OwnershipTest::aPageWithoutRecordsThatIsNotTheLastIsReadAgain; before, the node owned without the records. Now the page is read again, with a log line.

--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -336,12 +336,16 @@
     m_loadInFlight = false;
     if (m_stage != Stage::Loading || !m_owner)
         return true;
-    if (!response.answered) {
+    // The load can only continue after the key of a record.
+    const bool cannotContinue = response.more && response.records.empty();
+    if (cannotContinue)
+        actions.push_back(WriteLog { LogLine("load_page_empty").add("after", m_loadAfterKey).text() });
+    if (!response.answered || cannotContinue) {
         m_nextStoreCallAt = now + m_timing.retryDelay;
         return true;
     }
     m_owner->loadRecords(response.records);
-    if (response.more && !response.records.empty()) {
+    if (response.more) {
         m_loadAfterKey = response.records.back().key;
         return true;
     }
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(aResignationAfterAnUnansweredPulseIsRead);
     CPPUNIT_TEST(aResponseToAPulseOfAnEarlierTermDoesNotCount);
     CPPUNIT_TEST(aPageReadForAnEarlierTermIsNotLoaded);
+    CPPUNIT_TEST(aPageWithoutRecordsThatIsNotTheLastIsReadAgain);
     CPPUNIT_TEST(anOwnerWithoutPulsesIsNotCertainWhenItIsReplaced);
     CPPUNIT_TEST(pulseSilenceFromBeforeASuspensionCausesNoClaim);
     CPPUNIT_TEST(aPlannedClaimFromBeforeASuspensionIsDropped);
@@ -57,6 +58,8 @@
         bool losesPulses = false;
         /// Records of jobs do not reach the store.
         bool losesJobRecords = false;
+        /// The pages of job records that this node reads are empty and say that more follow.
+        bool readsEmptyPages = false;
         /// The longest lease that this node ordered, on the hosts' clock.
         std::int64_t longestLeaseOrdered = 0;
         /// The newest end of a run that this node acknowledged to host i-1.
@@ -141,8 +144,12 @@
                 if (!node.frozen)
                     node.ownership.onAppendResponse(at(now), append->callId, response, actions);
             } else if (const ReadNewest* newest = std::get_if<ReadNewest>(&call.action)) {
-                const NewestResponse response
+                NewestResponse response
                     = node.storeUnreachable || storeUnavailable ? NewestResponse() : store.newest(*newest);
+                if (node.readsEmptyPages && newest->topic == StoreTopic::Jobs) {
+                    response.records.clear();
+                    response.more = true;
+                }
                 if (node.delaysResponseTo && node.delaysResponseTo(call.action)) {
                     node.lateResponses.push_back([this, &node, id = newest->callId, response](Actions& more) {
                         node.ownership.onNewestResponse(at(now), id, response, more);
@@ -607,6 +614,27 @@
         CPPUNIT_ASSERT(node.ownership.owner()->state().jobs.contains("aa"));
     }
 
+    // Guards against an owner that misses accepted jobs: a page without readable records ends its load.
+    void aPageWithoutRecordsThatIsNotTheLastIsReadAgain()
+    {
+        Simulation simulation(1);
+        Node& node = *simulation.nodes[0];
+        simulation.appendAs(
+            1, StoreTopic::Jobs, StoreKey::job("aa"), Wire::encode(makeJob("aa", { makeStep(1, 1000, 100) })));
+        simulation.claimAs("entry-9");
+        Wire::OwnerPulse pulse;
+        pulse.term = 1;
+        simulation.appendAs(1, StoreTopic::Pulses, "pulse", Wire::encode(pulse));
+        node.readsEmptyPages = true;
+        simulation.run(5000);
+        CPPUNIT_ASSERT_MESSAGE("the node owns without the records", !node.ownership.owner());
+        CPPUNIT_ASSERT(node.ownership.isTakingOver());
+        node.readsEmptyPages = false;
+        simulation.run(simulation.now + 500);
+        CPPUNIT_ASSERT(node.ownership.owner());
+        CPPUNIT_ASSERT(node.ownership.owner()->state().jobs.contains("aa"));
+    }
+
     // Guards against a second start of a run that a successor has adopted: only pulses keep other entries from
     // claiming, so successful appends alone must not make an owner certain of its ownership.
     void anOwnerWithoutPulsesIsNotCertainWhenItIsReplaced()
