Process: Replace an owner that ended before its first pulse

Until an entry has read a first pulse, its reads of pulses wait for 500 ms, but only an answer after 700 ms counted as silence. If the first owner ended between its claim and its first pulse, no other entry ever claimed: nothing was accepted until a process of the same name started.

Evidence: OwnershipTest::anOwnerThatEndsBeforeItsFirstPulseIsReplaced; not replaced within 5 s before.

While the store has no pulse at all, nobody can have finished a take-over, so short reads count once no pulse has come for the usual time since the claim.

--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -307,10 +307,12 @@
         return false;
     const std::vector<StoreRecord> records = m_pulseWatcher.onReadResponse(now, response);
     applyPulses(now, records, actions);
-    // An answered read without records means that the store received no pulse during the whole wait.
+    // An answered read without records means that the store received no pulse during the whole wait. As long as the
+    // store has no pulse at all, reads wait for a shorter time, and nobody has finished a take-over.
     const Duration age = now - m_pulseReadSentAt;
-    const bool isWithoutPulse
-        = age >= m_timing.silenceTimeoutWhenDisconnected && response.answered && !response.truncated && records.empty();
+    const bool hasNoPulseYet = m_pulseWatcher.nextOffset() == 0 && now - m_lastPulseReadAt >= m_timing.silenceTimeout;
+    const bool isLongEnough = age >= m_timing.silenceTimeoutWhenDisconnected || hasNoPulseYet;
+    const bool isWithoutPulse = isLongEnough && response.answered && !response.truncated && records.empty();
     if (!isWithoutPulse || m_stage != Stage::Following)
         return true;
     if (age > m_pulseReadWait + responseValidity)
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(aResigningOwnerIsReplacedWhileItsRecordsAreNotStored);
     CPPUNIT_TEST(anOwnerWithoutTheStoreIsReplacedAndFenced);
     CPPUNIT_TEST(noEntryClaimsWhileTheStoreIsUnavailable);
+    CPPUNIT_TEST(anOwnerThatEndsBeforeItsFirstPulseIsReplaced);
     CPPUNIT_TEST(aFrozenOwnerStepsDownWhenItResumes);
     CPPUNIT_TEST(aClaimWhoseResponseWasLostIsFound);
     CPPUNIT_TEST(aRestartedOwnerWaitsForItsPredecessor);
@@ -429,6 +430,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation.owners().size());
     }
 
+    // Guards against a system without an owner for good: reads of pulses wait for a short time only until the first
+    // pulse is read, which is too short to show that pulses have stopped.
+    void anOwnerThatEndsBeforeItsFirstPulseIsReplaced()
+    {
+        Simulation simulation(1);
+        simulation.claimAs("entry-9");
+        simulation.run(5000);
+        CPPUNIT_ASSERT(simulation.nodes[0]->ownership.owner());
+    }
+
     void aFrozenOwnerStepsDownWhenItResumes()
     {
         Simulation simulation(3);
