Tests: Stop entries in turn and query jobs in the histories of calls

The random histories of calls had no planned stops, no queries, and a store that answers in one page and drops nothing. Now all entries are told to stop in turn and drain as the program does, the store drops old records and answers in pages of 20 keys, so that owners change while pages are read, and clients ask for the state of jobs that were accepted at least 3 s before. A denial, a false outcome and a call that a drained process leaves without an answer are reported.

--- a/Tests/Support/CallSimulation.cpp
+++ b/Tests/Support/CallSimulation.cpp
@@ -14,6 +14,16 @@
     constexpr int submissionIntervalMilliseconds = 40;
     constexpr int maximumAttempts = 5;
     constexpr int clientTimeoutMilliseconds = 3000;
+    constexpr int queryIntervalMilliseconds = 100;
+    /// The platform's bound after which every process must know an accepted job.
+    constexpr int visibleMilliseconds = 3000;
+    /// Times of a shutdown, as in NodeProgram and EntryProgram.
+    constexpr int minimumDrainMilliseconds = 2300;
+    constexpr int maximumDrainMilliseconds = 4800;
+    constexpr int drainedMilliseconds = 150;
+    constexpr int closingMilliseconds = 50;
+    constexpr int shutdownTimeoutMilliseconds = 6000;
+    constexpr std::size_t storePageSize = 20;
     /// Longer than any fault, a take-over and the attempts of a client.
     constexpr int faultFreeMilliseconds = 30'000;
 
@@ -34,6 +44,7 @@
     policy.topic = StoreTopic::Policy;
     policy.records.push_back(StoreRecord { "config", "1" });
     m_store.append(policy);
+    m_store.setPageSize(storePageSize);
     for (std::size_t n = 0; n < m_entries.size(); ++n)
         restart(n);
 }
@@ -60,6 +71,14 @@
         m_entries[randomEntry()].cutFromStoreUntil = m_now + randomBelow(2 * contactLossMilliseconds);
     if (chance(0.003))
         m_entries[randomEntry()].slowUntil = m_now + randomBelow(contactLossMilliseconds);
+    if (chance(0.001))
+        m_store.compact();
+    // All entries are told to stop in turn.
+    if (chance(0.0005)) {
+        const int gap = randomBelow(2000);
+        for (std::size_t n = 0; n < m_entries.size(); ++n)
+            m_entries[n].stopAt = m_now + static_cast<int>(n) * gap + 1;
+    }
 }
 
 void CallSimulation::restart(std::size_t n)
@@ -73,6 +92,8 @@
     }
     ++entry.process;
     entry.backlog.clear();
+    entry.drainingSince = entry.drainedSince = entry.endAt = 0;
+    entry.unanswered.clear();
     entry.core = std::make_unique<JobEntryCore>(
         NodeIdentity { "entry-" + std::to_string(n), entry.process, "127.0.0.1", static_cast<int>(n) + 1 },
         OwnerRules {}, JobEntryTiming {}, decodeTestPolicy);
@@ -122,6 +143,46 @@
     Actions actions;
     entry.core->tick(at(m_now), m_now, actions);
     perform(n, std::move(actions));
+    stepShutdown(n);
+}
+
+void CallSimulation::stepShutdown(std::size_t n)
+{
+    Entry& entry = m_entries[n];
+    if (entry.stopAt > 0 && m_now >= entry.stopAt && entry.drainingSince == 0) {
+        entry.stopAt = 0;
+        entry.drainingSince = entry.drainedSince = m_now;
+        Actions actions;
+        entry.core->beginShutdown(at(m_now), actions);
+        perform(n, std::move(actions));
+    }
+    if (entry.drainingSince == 0)
+        return;
+    // A process that was suspended for too long is killed.
+    if (m_now - entry.drainingSince >= shutdownTimeoutMilliseconds) {
+        restart(n);
+        return;
+    }
+    if (entry.endAt > 0) {
+        if (m_now < entry.endAt)
+            return;
+        for (const CallerToken token : entry.unanswered)
+            m_falseAnswers.push_back("call " + std::to_string(token) + " was read by a process that ended at "
+                + std::to_string(m_now) + " and was not answered");
+        ++m_gracefulEndCount;
+        restart(n);
+        return;
+    }
+    if (!entry.core->isDrained() || !entry.unanswered.empty())
+        entry.drainedSince = m_now;
+    const int drainedFor = m_now - entry.drainingSince;
+    const bool isDrained = m_now - entry.drainedSince >= drainedMilliseconds && drainedFor >= minimumDrainMilliseconds;
+    if (!isDrained && drainedFor < maximumDrainMilliseconds)
+        return;
+    entry.endAt = m_now + closingMilliseconds;
+    Actions actions;
+    entry.core->finishShutdown(at(m_now), actions);
+    perform(n, std::move(actions));
 }
 
 // Clients.
@@ -134,6 +195,8 @@
         submission.nextAttemptAt = m_now;
         m_submissions.push_back(std::move(submission));
     }
+    if (m_now % queryIntervalMilliseconds == 0)
+        sendQuery();
     for (Submission& submission : m_submissions) {
         if (submission.token != 0 && m_now >= submission.answerDueAt) {
             m_attempts.erase(submission.token);
@@ -150,21 +213,60 @@
 void CallSimulation::sendAttempt(Submission& submission)
 {
     ++submission.attempts;
-    submission.token = ++m_lastToken;
     submission.answerDueAt = m_now + clientTimeoutMilliseconds;
-    m_attempts[submission.token] = static_cast<std::size_t>(&submission - m_submissions.data());
     ClientCall call;
     call.kind = Wire::JobCallKind::Submit;
-    call.hostName = "desk.example";
     call.path = "/checks/" + submission.job.jobId;
     call.job = submission.job;
-    deliver(randomEntry(), 1 + randomBelow(5),
-        [this, token = submission.token, call](
-            JobEntryCore& core, Actions& actions) { core.onClientCall(at(m_now), token, call, actions); });
+    submission.token = sendCall(std::move(call));
+    m_attempts[submission.token] = static_cast<std::size_t>(&submission - m_submissions.data());
+}
+
+void CallSimulation::sendQuery()
+{
+    if (m_submissions.empty())
+        return;
+    const Submission& submission
+        = m_submissions[static_cast<std::size_t>(randomBelow(static_cast<int>(m_submissions.size())))];
+    if (!submission.isAccepted || m_now - submission.acceptedAt < visibleMilliseconds)
+        return;
+    ClientCall call;
+    call.kind = Wire::JobCallKind::Status;
+    call.path = "/checks/" + submission.job.jobId;
+    m_queries[sendCall(std::move(call))] = submission.job.jobId;
+}
+
+CallerToken CallSimulation::sendCall(ClientCall call)
+{
+    const CallerToken token = ++m_lastToken;
+    const std::size_t n = randomEntry();
+    call.hostName = "desk.example";
+    deliver(n, 1 + randomBelow(5), [this, n, token, call](JobEntryCore& core, Actions& actions) {
+        m_entries[n].unanswered.insert(token);
+        core.onClientCall(at(m_now), token, call, actions);
+    });
+    return token;
+}
+
+void CallSimulation::onQueryAnswer(std::size_t n, const std::string& jobId, const Wire::JobReply& reply)
+{
+    ++m_queryCount;
+    const bool isWrongPhase = reply.kind == Wire::JobReplyKind::State
+        && (reply.phase == Wire::JobPhase::Failed || reply.phase == Wire::JobPhase::Cancelled);
+    if (reply.kind == Wire::JobReplyKind::NoSuchJob || isWrongPhase)
+        m_falseAnswers.push_back(jobId + " was accepted and is not shown as open by entry-" + std::to_string(n) + " at "
+            + std::to_string(m_now));
 }
 
-void CallSimulation::onAnswer(CallerToken token, const Wire::JobReply& reply)
+void CallSimulation::onAnswer(std::size_t n, CallerToken token, const Wire::JobReply& reply)
 {
+    m_entries[n].unanswered.erase(token);
+    const std::map<CallerToken, std::string>::iterator query = m_queries.find(token);
+    if (query != m_queries.end()) {
+        onQueryAnswer(n, query->second, reply);
+        m_queries.erase(query);
+        return;
+    }
     const std::map<CallerToken, std::size_t>::iterator it = m_attempts.find(token);
     if (it == m_attempts.end())
         return;
@@ -172,6 +274,7 @@
     m_attempts.erase(it);
     submission.token = 0;
     submission.isAccepted = reply.kind == Wire::JobReplyKind::Accepted;
+    submission.acceptedAt = m_now;
     submission.isOutcomeUnknown = submission.isOutcomeUnknown || reply.kind == Wire::JobReplyKind::Unknown;
     submission.nextAttemptAt = m_now + 50 + randomBelow(1000);
 }
@@ -204,7 +307,7 @@
         } else if (const SendMessage* message = std::get_if<SendMessage>(&action)) {
             send(n, *message);
         } else if (const AnswerJobCall* answer = std::get_if<AnswerJobCall>(&action)) {
-            onAnswer(answer->token, answer->reply);
+            onAnswer(n, answer->token, answer->reply);
         }
     }
 }
@@ -240,7 +343,7 @@
         return;
     }
     const ReadResponse response = m_store.read(call);
-    if (response.records.empty() && m_now < until) {
+    if (response.answered && response.records.empty() && m_now < until) {
         m_events.emplace(m_now + 20, [this, n, call, until, process = m_entries[n].process] {
             if (m_entries[n].process == process)
                 read(n, call, until);
@@ -321,13 +424,18 @@
 std::vector<std::string> CallSimulation::violations() const
 {
     std::set<std::string> storedJobs;
-    ReadNewest all;
-    all.topic = StoreTopic::Jobs;
-    for (const StoreRecord& record : m_store.newest(all).records) {
-        if (record.key.starts_with("j/"))
-            storedJobs.insert(record.key.substr(2));
+    ReadNewest page;
+    page.topic = StoreTopic::Jobs;
+    for (bool more = true; more;) {
+        const NewestResponse response = m_store.newest(page);
+        for (const StoreRecord& record : response.records) {
+            if (record.key.starts_with("j/"))
+                storedJobs.insert(record.key.substr(2));
+            page.afterKey = record.key;
+        }
+        more = response.more;
     }
-    std::vector<std::string> violations;
+    std::vector<std::string> violations = m_falseAnswers;
     for (const Submission& submission : m_submissions) {
         const bool isStored = storedJobs.contains(submission.job.jobId);
         if (submission.isAccepted && !isStored)
--- a/Tests/Support/CallSimulation.h
+++ b/Tests/Support/CallSimulation.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace Plantainpier {
 
@@ -21,10 +22,13 @@
 
     /// Simulates the given time with random faults, then enough time without faults for all calls to be answered.
     void run(int milliseconds);
-    /// Answers that were not true and accepted jobs that were lost, one sentence each.
+    /// Answers that were not true, accepted jobs that were lost and calls that a stopped process left without an
+    /// answer, one sentence each.
     std::vector<std::string> violations() const;
     std::size_t acceptedCount() const;
     std::size_t takeOverCount() const { return m_takeOverCount; }
+    std::size_t gracefulEndCount() const { return m_gracefulEndCount; }
+    std::size_t queryCount() const { return m_queryCount; }
 
 private:
     /// One entry. Each process of it has its own connections and pending calls.
@@ -38,6 +42,16 @@
         int cutFromStoreUntil = 0;
         /// Messages to and from this entry are delayed until then.
         int slowUntil = 0;
+        /// The process is told to stop then; never if zero.
+        int stopAt = 0;
+        /// Since when the process drains; zero if it does not.
+        int drainingSince = 0;
+        /// Since when the process has had nothing left to do.
+        int drainedSince = 0;
+        /// When the process, which answers all calls by now, ends; zero before that.
+        int endAt = 0;
+        /// Calls that the process has read and not answered.
+        std::set<CallerToken> unanswered;
     };
 
     /// One end of a connection.
@@ -62,6 +76,7 @@
         int answerDueAt = 0;
         int nextAttemptAt = 0;
         bool isAccepted = false;
+        int acceptedAt = 0;
         /// An attempt had no answer, or one that leaves open whether the job was accepted.
         bool isOutcomeUnknown = false;
     };
@@ -76,9 +91,16 @@
     void injectFaults();
     void restart(std::size_t n);
     void stepEntry(std::size_t n);
+    /// Drains the process of an entry as the program does, and starts the next process.
+    void stepShutdown(std::size_t n);
     void stepClients();
     void sendAttempt(Submission& submission);
-    void onAnswer(CallerToken token, const Wire::JobReply& reply);
+    /// Asks a random entry for the state of a job that was accepted some time ago.
+    void sendQuery();
+    /// Sends a call to a random entry. Returns its token.
+    CallerToken sendCall(ClientCall call);
+    void onAnswer(std::size_t n, CallerToken token, const Wire::JobReply& reply);
+    void onQueryAnswer(std::size_t n, const std::string& jobId, const Wire::JobReply& reply);
     void perform(std::size_t n, Actions&& actions);
     void append(std::size_t n, const AppendToStore& call);
     void read(std::size_t n, const ReadStore& call, int until);
@@ -100,8 +122,13 @@
     std::vector<Submission> m_submissions;
     /// Index of the submission by the token of its current attempt.
     std::map<CallerToken, std::size_t> m_attempts;
+    /// Job of each query by its token.
+    std::map<CallerToken, std::string> m_queries;
     CallerToken m_lastToken = 0;
+    std::vector<std::string> m_falseAnswers;
     std::size_t m_takeOverCount = 0;
+    std::size_t m_gracefulEndCount = 0;
+    std::size_t m_queryCount = 0;
 };
 
 } // namespace Plantainpier
--- a/Tests/Support/VirtualStore.h
+++ b/Tests/Support/VirtualStore.h
@@ -4,6 +4,7 @@
 
 #include "Decision/Process/Message.h"
 
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -55,6 +56,12 @@
         std::map<StoreTopic, Topic>::const_iterator it = m_topics.find(call.topic);
         if (it == m_topics.end())
             return response;
+        if (call.fromOffset < it->second.oldestOffset) {
+            response.answered = false;
+            response.truncated = true;
+            response.oldestOffset = it->second.oldestOffset;
+            return response;
+        }
         response.endOffset = static_cast<std::int64_t>(it->second.records.size());
         for (std::int64_t n = call.fromOffset; n < response.endOffset; ++n)
             response.records.push_back(it->second.records[static_cast<std::size_t>(n)]);
@@ -72,16 +79,31 @@
         for (const StoreRecord& record : it->second.records)
             byKey[record.key] = record;
         for (const std::pair<const std::string, StoreRecord>& entry : byKey) {
-            if (!entry.second.value.empty())
-                response.records.push_back(entry.second);
+            if (entry.second.value.empty() || entry.first <= call.afterKey)
+                continue;
+            response.more = response.records.size() == m_pageSize;
+            if (response.more)
+                break;
+            response.records.push_back(entry.second);
         }
         response.endOffset = static_cast<std::int64_t>(it->second.records.size());
         return response;
     }
 
+    /// Drops all records up to now from the topics' logs. The newest record of each key can still be read by key.
+    void compact()
+    {
+        for (std::pair<const StoreTopic, Topic>& entry : m_topics)
+            entry.second.oldestOffset = static_cast<std::int64_t>(entry.second.records.size());
+    }
+
+    /// Limits the number of records in one page of the newest records.
+    void setPageSize(std::size_t size) { m_pageSize = size; }
+
 private:
     struct Topic {
         std::vector<StoreRecord> records;
+        std::int64_t oldestOffset = 0;
         std::int64_t epoch = 0;
         std::int64_t number = 0;
         bool beforeFirstEpoch = true;
@@ -89,6 +111,7 @@
     };
 
     std::map<StoreTopic, Topic> m_topics;
+    std::size_t m_pageSize = std::numeric_limits<std::size_t>::max();
 };
 
 } // namespace Plantainpier
