Connection: Answer what is left when a port closes

A port that closed waited 150 ms for the answers to the requests that it had read, and then cut their connections.

Evidence: NodeDrainTest::aClosingPortAnswersWhatTheProcessDoesNot; before, 0 of 40 requests that the process did not answer got an answer from the closing port.

Now a closing port refuses new requests itself (503, not passed on), waits as before for the process, answers the rest with 504 (outcome unknown, so the client may repeat the call), and waits up to 250 ms more until the answers are written.

--- a/Source/Shell/Connection/HttpServer.cpp
+++ b/Source/Shell/Connection/HttpServer.cpp
@@ -3,9 +3,11 @@
 #include "Base/Json.h"
 
 #include <atomic>
+#include <mutex>
 #include <pistache/endpoint.h>
 #include <pistache/http.h>
 #include <thread>
+#include <unordered_map>
 
 namespace Plantainpier {
 
@@ -17,9 +19,11 @@
     constexpr Duration headerTimeout = seconds(5);
     constexpr Duration bodyTimeout = seconds(10);
     constexpr int listenBacklog = 1024;
-    /// How long stop() waits until pending answers are written. Writing usually takes a few milliseconds; a caller that
-    /// does not read delays the shutdown for the whole time.
+    /// How long stop() waits for the process to answer the requests that were read.
     constexpr Duration pendingAnswerTimeout = milliseconds(150);
+    /// How long stop() waits until the answers are written. Writing usually takes a few milliseconds; a caller that
+    /// does not read delays the shutdown for the whole time.
+    constexpr Duration pendingWriteTimeout = milliseconds(250);
     constexpr Duration pendingAnswerPollInterval = milliseconds(1);
 
     std::string methodName(Pistache::Http::Method method) { return Pistache::Http::methodString(method); }
@@ -51,13 +55,52 @@
         std::atomic<bool> m_closed { false };
     };
 
+    /// The requests that were read in full and have no answer yet. stop() answers the ones that are left.
+    class UnansweredCalls {
+    public:
+        void add(const std::shared_ptr<HttpCall>& call)
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            m_calls[call.get()] = call;
+        }
+
+        void remove(const HttpCall* call)
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            m_calls.erase(call);
+        }
+
+        std::vector<std::shared_ptr<HttpCall>> all() const
+        {
+            std::vector<std::shared_ptr<HttpCall>> calls;
+            std::lock_guard<std::mutex> lock(m_mutex);
+            for (const std::pair<const HttpCall* const, std::weak_ptr<HttpCall>>& entry : m_calls) {
+                if (std::shared_ptr<HttpCall> call = entry.second.lock())
+                    calls.push_back(std::move(call));
+            }
+            return calls;
+        }
+
+    private:
+        mutable std::mutex m_mutex;
+        std::unordered_map<const HttpCall*, std::weak_ptr<HttpCall>> m_calls;
+    };
+
+    /// State that a server shares with its requests, which may outlive it.
+    struct ServerState {
+        std::shared_ptr<OpenRequest::Count> openRequests = std::make_shared<OpenRequest::Count>(0);
+        UnansweredCalls unanswered;
+        std::atomic<bool> isStopping { false };
+    };
+
     /// A Pistache request with its response writer.
     class PistacheCall : public HttpCall {
     public:
         PistacheCall(const Pistache::Http::Request& request, Pistache::Http::ResponseWriter&& response,
-            const std::vector<std::string>& keptHeaders, const std::shared_ptr<OpenRequest::Count>& openRequests)
+            const std::vector<std::string>& keptHeaders, const std::shared_ptr<ServerState>& server)
             : m_response(std::move(response))
-            , m_openRequest(std::make_shared<OpenRequest>(openRequests))
+            , m_server(server)
+            , m_openRequest(std::make_shared<OpenRequest>(server->openRequests))
         {
             method = methodName(request.method());
             const std::shared_ptr<const Pistache::Http::Header::Host> host
@@ -76,6 +119,10 @@
             body = request.body();
         }
 
+        ~PistacheCall() override { m_server->unanswered.remove(this); }
+        PistacheCall(const PistacheCall&) = delete;
+        PistacheCall& operator=(const PistacheCall&) = delete;
+
         bool reply(int status, const std::string& text, Duration retryAfter) override
         {
             std::vector<std::pair<std::string, std::string>> extraHeaders;
@@ -89,6 +136,7 @@
         {
             if (m_answered.exchange(true))
                 return false;
+            m_server->unanswered.remove(this);
             const std::shared_ptr<OpenRequest> open = std::move(m_openRequest);
             try {
                 for (const std::pair<std::string, std::string>& header : extraHeaders)
@@ -106,6 +154,7 @@
 
     private:
         Pistache::Http::ResponseWriter m_response;
+        std::shared_ptr<ServerState> m_server;
         std::shared_ptr<OpenRequest> m_openRequest;
         std::atomic<bool> m_answered { false };
     };
@@ -114,30 +163,37 @@
     public:
         HTTP_PROTOTYPE(CallHandler)
 
-        CallHandler(HttpServer::OnCall onCall, std::vector<std::string> keptHeaders,
-            std::shared_ptr<OpenRequest::Count> openRequests)
+        CallHandler(
+            HttpServer::OnCall onCall, std::vector<std::string> keptHeaders, std::shared_ptr<ServerState> server)
             : m_onCall(std::move(onCall))
             , m_keptHeaders(std::move(keptHeaders))
-            , m_openRequests(std::move(openRequests))
+            , m_server(std::move(server))
         {
         }
 
         void onRequest(const Pistache::Http::Request& request, Pistache::Http::ResponseWriter response) override
         {
-            m_onCall(std::make_shared<PistacheCall>(request, std::move(response), m_keptHeaders, m_openRequests));
+            const std::shared_ptr<HttpCall> call
+                = std::make_shared<PistacheCall>(request, std::move(response), m_keptHeaders, m_server);
+            // The call is registered first, so that stop() finds every call that was passed on.
+            m_server->unanswered.add(call);
+            if (m_server->isStopping)
+                call->reply(Error { ErrorCode::Leaving, "the process is shutting down" });
+            else
+                m_onCall(call);
         }
 
     private:
         HttpServer::OnCall m_onCall;
         std::vector<std::string> m_keptHeaders;
-        std::shared_ptr<OpenRequest::Count> m_openRequests;
+        std::shared_ptr<ServerState> m_server;
     };
 
     class PistacheServer : public HttpServer {
     public:
         PistacheServer(
             const std::string& address, int port, int threads, OnCall onCall, std::vector<std::string> keptHeaders)
-            : m_openRequests(std::make_shared<OpenRequest::Count>(0))
+            : m_state(std::make_shared<ServerState>())
             , m_endpoint(Pistache::Address(address, Pistache::Port(static_cast<std::uint16_t>(port))))
         {
             Pistache::Http::Endpoint::Options options
@@ -150,8 +206,7 @@
                       .headerTimeout(headerTimeout)
                       .bodyTimeout(bodyTimeout);
             m_endpoint.init(options);
-            m_endpoint.setHandler(
-                std::make_shared<CallHandler>(std::move(onCall), std::move(keptHeaders), m_openRequests));
+            m_endpoint.setHandler(std::make_shared<CallHandler>(std::move(onCall), std::move(keptHeaders), m_state));
             m_endpoint.serveThreaded();
         }
 
@@ -161,21 +216,28 @@
 
         std::size_t stop() override
         {
-            if (m_stopped.exchange(true))
+            if (m_state->isStopping.exchange(true))
                 return 0;
-            const std::chrono::steady_clock::time_point deadline
-                = std::chrono::steady_clock::now() + pendingAnswerTimeout;
-            while (*m_openRequests > 0 && std::chrono::steady_clock::now() < deadline)
-                std::this_thread::sleep_for(pendingAnswerPollInterval);
-            const std::size_t unanswered = *m_openRequests;
+            awaitAnswers(pendingAnswerTimeout);
+            for (const std::shared_ptr<HttpCall>& call : m_state->unanswered.all())
+                call->reply(Error { ErrorCode::OutcomeUnknown, "the process has ended before it answered" });
+            awaitAnswers(pendingWriteTimeout);
+            const std::size_t unanswered = *m_state->openRequests;
             m_endpoint.shutdown();
             return unanswered;
         }
 
     private:
-        std::shared_ptr<OpenRequest::Count> m_openRequests;
+        /// Waits until all answers are written, at most for the timeout.
+        void awaitAnswers(Duration timeout) const
+        {
+            const std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::now() + timeout;
+            while (*m_state->openRequests > 0 && std::chrono::steady_clock::now() < deadline)
+                std::this_thread::sleep_for(pendingAnswerPollInterval);
+        }
+
+        std::shared_ptr<ServerState> m_state;
         Pistache::Http::Endpoint m_endpoint;
-        std::atomic<bool> m_stopped { false };
     };
 
 } // namespace
--- a/Source/Shell/Connection/HttpServer.h
+++ b/Source/Shell/Connection/HttpServer.h
@@ -51,8 +51,9 @@
         const std::string& address, int port, int threads, OnCall onCall, std::vector<std::string> keptHeaders = {});
     virtual ~HttpServer() = default;
 
-    /// Waits for a short time until the answers to all requests that were read are written, then closes the port and
-    /// its connections. Returns the number of requests that were not answered.
+    /// Refuses further requests, waits a short time for the answers to the requests that were read, and answers the
+    /// remaining ones itself: their outcome is unknown. Then closes the port and its connections. Returns the number of
+    /// answers that could not be written.
     virtual std::size_t stop() = 0;
 };
 
--- a/Tests/Process/NodeDrainTest.cpp
+++ b/Tests/Process/NodeDrainTest.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <thread>
 #include <unistd.h>
 
 using namespace Plantainpier;
@@ -16,6 +17,7 @@
     CPPUNIT_TEST_SUITE(NodeDrainTest);
     CPPUNIT_TEST(anEntryThatNobodySucceedsAnswersEveryCall);
     CPPUNIT_TEST(answersAreWrittenBeforeThePortCloses);
+    CPPUNIT_TEST(aClosingPortAnswersWhatTheProcessDoesNot);
     CPPUNIT_TEST_SUITE_END();
 
     using SteadyTime = std::chrono::steady_clock::time_point;
@@ -36,6 +38,9 @@
     static constexpr std::chrono::seconds callersTimeout { 15 };
     static constexpr int httpOk = 200;
     static constexpr int httpUnavailable = 503;
+    static constexpr int httpTimeout = 504;
+    /// How long a call to a port that closes waits for its answer.
+    static constexpr std::chrono::seconds answerLimit { 6 };
 
     /// One call with its response.
     struct Call {
@@ -115,6 +120,47 @@
         std::shared_ptr<HttpClient> http;
     };
 
+    /// The calls that a server has read, kept without an answer.
+    struct UnansweredCalls {
+        void add(const std::shared_ptr<HttpCall>& call)
+        {
+            std::lock_guard<std::mutex> lock(mutex);
+            calls.push_back(call);
+        }
+
+        std::size_t count()
+        {
+            std::lock_guard<std::mutex> lock(mutex);
+            return calls.size();
+        }
+
+        /// Waits until the server has read this many calls.
+        void await(std::size_t expected)
+        {
+            for (int n = 0; n < 200 && count() < expected; ++n)
+                std::this_thread::sleep_for(pollInterval);
+            CPPUNIT_ASSERT_EQUAL(expected, count());
+        }
+
+        std::mutex mutex;
+        std::vector<std::shared_ptr<HttpCall>> calls;
+    };
+
+    /// Sends a call to the server of a test.
+    static std::future<HttpResponse> callServer(const std::shared_ptr<HttpClient>& client)
+    {
+        return std::async(std::launch::async, [client] {
+            HttpRequest request;
+            request.address = "127.0.0.1";
+            request.port = serverPort;
+            request.path = "/";
+            request.timeout = std::chrono::duration_cast<Duration>(answerLimit);
+            request.useNewConnection = true;
+            request.mayResend = false;
+            return client->fetch(std::move(request));
+        });
+    }
+
     // Guards against calls that wait for an owner when no process can become the owner any more: the end of the process
     // would cut them off.
     void anEntryThatNobodySucceedsAnswersEveryCall()
@@ -193,5 +239,30 @@
             answered += answer.get().status == httpOk ? 1 : 0;
         CPPUNIT_ASSERT_EQUAL(waitingCalls, answered);
     }
+
+    // Guards against connections that are closed on calls which were read: the decision thread is slow or has gone.
+    void aClosingPortAnswersWhatTheProcessDoesNot()
+    {
+        UnansweredCalls unanswered;
+        Result<std::unique_ptr<HttpServer>> server = HttpServer::create(
+            "127.0.0.1", serverPort, 1, [&](const std::shared_ptr<HttpCall>& call) { unanswered.add(call); });
+        CPPUNIT_ASSERT(isOk(server));
+        Result<std::shared_ptr<HttpClient>> client = HttpClient::create();
+        CPPUNIT_ASSERT(isOk(client));
+        std::vector<std::future<HttpResponse>> answers;
+        for (int n = 0; n < waitingCalls; ++n)
+            answers.push_back(callServer(valueOf(client)));
+        unanswered.await(waitingCalls);
+        std::future<std::size_t> cut = std::async(std::launch::async, [&server] { return valueOf(server)->stop(); });
+        std::this_thread::sleep_for(pollInterval);
+        std::future<HttpResponse> lastAnswer = callServer(valueOf(client));
+        int answered = 0;
+        for (std::future<HttpResponse>& answer : answers)
+            answered += answer.get().status == httpTimeout ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(waitingCalls, answered);
+        CPPUNIT_ASSERT_EQUAL(httpUnavailable, lastAnswer.get().status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), cut.get());
+        unanswered.await(waitingCalls);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeDrainTest);
