platform: Bound the waits of a drain for the decision thread

Each check of a drain waited for the decision thread without a bound, and so did the end of the drain.

--- a/Source/Shell/Process/DecisionProcess.cpp
+++ b/Source/Shell/Process/DecisionProcess.cpp
@@ -1,6 +1,5 @@
 #include "Shell/Process/DecisionProcess.h"
 
-#include <future>
 #include <spdlog/spdlog.h>
 
 namespace Plantainpier {
@@ -49,12 +48,23 @@
     m_decisionThread.join();
 }
 
-bool DecisionProcess::runOnDecisionThread(const std::function<bool()>& function)
+std::future<bool> DecisionProcess::postFunction(const std::function<bool()>& function)
 {
     const std::shared_ptr<std::promise<bool>> promise = std::make_shared<std::promise<bool>>();
-    std::future<bool> result = promise->get_future();
-    const bool posted = m_loop.post([promise, function](Instant, Actions&) { promise->set_value(function()); });
-    return posted && result.get();
+    if (!m_loop.post([promise, function](Instant, Actions&) { promise->set_value(function()); }))
+        promise->set_value(false);
+    return promise->get_future();
+}
+
+bool DecisionProcess::runOnDecisionThread(const std::function<bool()>& function)
+{
+    return postFunction(function).get();
+}
+
+bool DecisionProcess::runOnDecisionThread(const std::function<bool()>& function, Duration timeout)
+{
+    std::future<bool> result = postFunction(function);
+    return result.wait_for(timeout) == std::future_status::ready && result.get();
 }
 
 void DecisionProcess::log(const LogLine& line) { spdlog::info("{}", line.text()); }
--- a/Source/Shell/Process/DecisionProcess.h
+++ b/Source/Shell/Process/DecisionProcess.h
@@ -8,6 +8,8 @@
 #include "Shell/Process/DecisionLoop.h"
 #include "Shell/Process/Metrics.h"
 
+#include <future>
+
 namespace Plantainpier {
 
 /// Passes events to a decision core and carries out the actions that need only links or the log. Lives for the process.
@@ -37,6 +39,8 @@
     /// Runs a function on the decision thread, waits for it and returns its result. Returns false if the event queue is
     /// full.
     bool runOnDecisionThread(const std::function<bool()>& function);
+    /// The same, but also returns false if the function has not run within the timeout. It may still run later.
+    bool runOnDecisionThread(const std::function<bool()>& function, Duration timeout);
     static void log(const LogLine& line);
 
     DecisionLoop& loop() { return m_loop; }
@@ -45,6 +49,7 @@
 
 private:
     void perform(Action&& action);
+    std::future<bool> postFunction(const std::function<bool()>& function);
 
     DecisionLoop m_loop;
     std::shared_ptr<HttpClient> m_http;
--- a/Tests/Process/NodeDrainTest.cpp
+++ b/Tests/Process/NodeDrainTest.cpp
@@ -3,8 +3,11 @@
 #include "Process/ChildProcess.h"
 #include "Shell/Connection/HttpClient.h"
 #include "Soak/StoreStandIn.h"
+#include "platform/NodeProgram.h"
 
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <future>
@@ -18,6 +21,7 @@
     CPPUNIT_TEST(anEntryThatNobodySucceedsAnswersEveryCall);
     CPPUNIT_TEST(answersAreWrittenBeforeThePortCloses);
     CPPUNIT_TEST(aClosingPortAnswersWhatTheProcessDoesNot);
+    CPPUNIT_TEST(aProcessThatNoLongerDecidesAnswersEveryCall);
     CPPUNIT_TEST_SUITE_END();
 
     using SteadyTime = std::chrono::steady_clock::time_point;
@@ -146,6 +150,56 @@
         std::vector<std::shared_ptr<HttpCall>> calls;
     };
 
+    /// A program that answers no call and whose decision thread can be stopped.
+    class StuckProgram : public Platform::NodeProgram {
+    public:
+        static constexpr std::chrono::seconds shutdownTimeout { 3 };
+
+        StuckProgram()
+            : NodeProgram(makeSettings(), {}, "stuck", 0)
+        {
+        }
+
+        UnansweredCalls calls;
+        std::atomic<bool> isStuck { false };
+
+    protected:
+        Result<Success> openServers() override
+        {
+            Result<std::unique_ptr<HttpServer>> server = HttpServer::create(
+                "127.0.0.1", serverPort, 1, [this](const std::shared_ptr<HttpCall>& call) { calls.add(call); });
+            if (!isOk(server))
+                return errorOf(server);
+            m_server = takeValue(std::move(server));
+            return Success {};
+        }
+        void closeServers() override { closeServer(*m_server, "calls"); }
+        void tick(Instant, Actions&) override
+        {
+            while (isStuck)
+                std::this_thread::sleep_for(pollInterval);
+        }
+        void onMessage(Instant, LinkId, const PeerMessage&, Actions&) override { }
+        void onLinkUp(Instant, LinkId, Actions&) override { }
+        void onLinkDown(Instant, LinkId, Actions&) override { }
+        void onRead(Instant, std::uint64_t, const ReadResponse&, Actions&) override { }
+        void onNewest(Instant, std::uint64_t, const NewestResponse&, Actions&) override { }
+        void performRoleAction(Action&&) override { }
+        void fillMetrics() override { }
+
+    private:
+        static NodeSettings makeSettings()
+        {
+            NodeSettings settings;
+            settings.id = "stuck";
+            settings.peers = Endpoint { "127.0.0.1", peerPort };
+            settings.shutdownTimeout = std::chrono::duration_cast<Duration>(shutdownTimeout);
+            return settings;
+        }
+
+        std::unique_ptr<HttpServer> m_server;
+    };
+
     /// Sends a call to the server of a test.
     static std::future<HttpResponse> callServer(const std::shared_ptr<HttpClient>& client)
     {
@@ -264,5 +318,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), cut.get());
         unanswered.await(waitingCalls);
     }
+
+    // Guards against a shutdown that waits for the decision thread until the platform kills the process.
+    void aProcessThatNoLongerDecidesAnswersEveryCall()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        sigaddset(&signals, SIGHUP);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        Result<std::shared_ptr<HttpClient>> client = HttpClient::create();
+        CPPUNIT_ASSERT(isOk(client));
+        StuckProgram program;
+        bool ended = false;
+        std::thread runner([&program, &ended] { ended = isOk(program.run()); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        std::future<HttpResponse> answer = callServer(valueOf(client));
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        const std::size_t read = program.calls.count();
+        program.isStuck = true;
+        const SteadyTime stoppedAt = std::chrono::steady_clock::now();
+        pthread_kill(runner.native_handle(), SIGTERM);
+        const HttpResponse response = answer.get();
+        const SteadyTime endedAt = std::chrono::steady_clock::now();
+        program.isStuck = false;
+        runner.join();
+        CPPUNIT_ASSERT(ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), read);
+        CPPUNIT_ASSERT_EQUAL(httpTimeout, response.status);
+        CPPUNIT_ASSERT(endedAt - stoppedAt < StuckProgram::shutdownTimeout);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeDrainTest);
