Connection: Close a port at once when its server is destroyed

Lint finding after: the destructor of a server answered calls, which may throw. Every program calls stop() first, so the destructor closes the port only. The drain test sends SIGINT, which the program treats as SIGTERM, for another lint finding.

--- a/Source/Shell/Connection/HttpServer.cpp
+++ b/Source/Shell/Connection/HttpServer.cpp
@@ -210,7 +210,11 @@
             m_endpoint.serveThreaded();
         }
 
-        ~PistacheServer() override { stop(); }
+        ~PistacheServer() override
+        {
+            if (!m_state->isStopping.exchange(true))
+                m_endpoint.shutdown();
+        }
         PistacheServer(const PistacheServer&) = delete;
         PistacheServer& operator=(const PistacheServer&) = delete;
 
--- a/Source/Shell/Connection/HttpServer.h
+++ b/Source/Shell/Connection/HttpServer.h
@@ -49,6 +49,7 @@
     /// Listens on the port. keptHeaders are the names of the request headers that are copied to HttpCall.
     static Result<std::unique_ptr<HttpServer>> create(
         const std::string& address, int port, int threads, OnCall onCall, std::vector<std::string> keptHeaders = {});
+    /// Closes the port at once unless stop() was called.
     virtual ~HttpServer() = default;
 
     /// Refuses further requests, waits a short time for the answers to the requests that were read, and answers the
--- a/Tests/Process/NodeDrainTest.cpp
+++ b/Tests/Process/NodeDrainTest.cpp
@@ -304,6 +304,7 @@
         Result<std::shared_ptr<HttpClient>> client = HttpClient::create();
         CPPUNIT_ASSERT(isOk(client));
         std::vector<std::future<HttpResponse>> answers;
+        answers.reserve(waitingCalls);
         for (int n = 0; n < waitingCalls; ++n)
             answers.push_back(callServer(valueOf(client)));
         unanswered.await(waitingCalls);
@@ -339,7 +340,8 @@
         const std::size_t read = program.calls.count();
         program.isStuck = true;
         const SteadyTime stoppedAt = std::chrono::steady_clock::now();
-        pthread_kill(runner.native_handle(), SIGTERM);
+        // The thread waits for this signal as for SIGTERM.
+        pthread_kill(runner.native_handle(), SIGINT);
         const HttpResponse response = answer.get();
         const SteadyTime endedAt = std::chrono::steady_clock::now();
         program.isStuck = false;
