--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -102,8 +102,8 @@
         && (m_resigning || now - m_pulseSentAt >= m_timing.pulseInterval)) {
         // The store answers a repeated number with the outcome of the first append. A resignation therefore needs a
         // number that no earlier pulse may have been stored under.
-        const bool resignsNow
-            = m_resignationSent || (m_resigning && !m_pulseUncertain && m_owner->hasNoPendingWrites());
+        const bool isReady = m_owner->isReadyToHandOver() || now >= m_resignBy;
+        const bool resignsNow = m_resignationSent || (m_resigning && !m_pulseUncertain && isReady);
         if (resignsNow || m_pulseUncertain || now - m_pulseSentAt >= m_timing.pulseInterval)
             sendPulse(now, resignsNow, actions);
     }
@@ -307,10 +307,12 @@
         return false;
     const std::vector<StoreRecord> records = m_pulseWatcher.onReadResponse(now, response);
     applyPulses(now, records, actions);
-    // An answered read without records means that the store received no pulse during the whole wait.
+    // An answered read without records means that the store received no pulse during the whole wait. As long as the
+    // store has no pulse at all, reads wait for a shorter time, and nobody has finished a take-over.
     const Duration age = now - m_pulseReadSentAt;
-    const bool isWithoutPulse
-        = age >= m_timing.silenceTimeoutWhenDisconnected && response.answered && !response.truncated && records.empty();
+    const bool hasNoPulseYet = m_pulseWatcher.nextOffset() == 0 && now - m_lastPulseReadAt >= m_timing.silenceTimeout;
+    const bool isLongEnough = age >= m_timing.silenceTimeoutWhenDisconnected || hasNoPulseYet;
+    const bool isWithoutPulse = isLongEnough && response.answered && !response.truncated && records.empty();
     if (!isWithoutPulse || m_stage != Stage::Following)
         return true;
     if (age > m_pulseReadWait + responseValidity)
@@ -336,12 +338,16 @@
     m_loadInFlight = false;
     if (m_stage != Stage::Loading || !m_owner)
         return true;
-    if (!response.answered) {
+    // The load can only continue after the key of a record.
+    const bool cannotContinue = response.more && response.records.empty();
+    if (cannotContinue)
+        actions.push_back(WriteLog { LogLine("load_page_empty").add("after", m_loadAfterKey).text() });
+    if (!response.answered || cannotContinue) {
         m_nextStoreCallAt = now + m_timing.retryDelay;
         return true;
     }
     m_owner->loadRecords(response.records);
-    if (response.more && !response.records.empty()) {
+    if (response.more) {
         m_loadAfterKey = response.records.back().key;
         return true;
     }
@@ -430,13 +436,13 @@
 void Ownership::resign(Instant now, Actions& actions)
 {
     m_resigning = true;
+    m_resignBy = now + m_timing.handOverTimeout;
     if (m_owner) {
         m_owner->stopScheduling();
         actions.push_back(WriteLog { LogLine("resigning").add("term", m_current.term).text() });
     } else {
         m_resigned = true;
     }
-    (void)now;
 }
 
 } // namespace Plantainpier
--- a/Tests/Process/NodeDrainTest.cpp
+++ b/Tests/Process/NodeDrainTest.cpp
@@ -3,11 +3,15 @@
 #include "Process/ChildProcess.h"
 #include "Shell/Connection/HttpClient.h"
 #include "Soak/StoreStandIn.h"
+#include "platform/NodeProgram.h"
 
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <thread>
 #include <unistd.h>
 
 using namespace Plantainpier;
@@ -16,6 +20,8 @@
     CPPUNIT_TEST_SUITE(NodeDrainTest);
     CPPUNIT_TEST(anEntryThatNobodySucceedsAnswersEveryCall);
     CPPUNIT_TEST(answersAreWrittenBeforeThePortCloses);
+    CPPUNIT_TEST(aClosingPortAnswersWhatTheProcessDoesNot);
+    CPPUNIT_TEST(aProcessThatNoLongerDecidesAnswersEveryCall);
     CPPUNIT_TEST_SUITE_END();
 
     using SteadyTime = std::chrono::steady_clock::time_point;
@@ -36,6 +42,9 @@
     static constexpr std::chrono::seconds callersTimeout { 15 };
     static constexpr int httpOk = 200;
     static constexpr int httpUnavailable = 503;
+    static constexpr int httpTimeout = 504;
+    /// How long a call to a port that closes waits for its answer.
+    static constexpr std::chrono::seconds answerLimit { 6 };
 
     /// One call with its response.
     struct Call {
@@ -115,6 +124,97 @@
         std::shared_ptr<HttpClient> http;
     };
 
+    /// The calls that a server has read, kept without an answer.
+    struct UnansweredCalls {
+        void add(const std::shared_ptr<HttpCall>& call)
+        {
+            std::lock_guard<std::mutex> lock(mutex);
+            calls.push_back(call);
+        }
+
+        std::size_t count()
+        {
+            std::lock_guard<std::mutex> lock(mutex);
+            return calls.size();
+        }
+
+        /// Waits until the server has read this many calls.
+        void await(std::size_t expected)
+        {
+            for (int n = 0; n < 200 && count() < expected; ++n)
+                std::this_thread::sleep_for(pollInterval);
+            CPPUNIT_ASSERT_EQUAL(expected, count());
+        }
+
+        std::mutex mutex;
+        std::vector<std::shared_ptr<HttpCall>> calls;
+    };
+
+    /// A program that answers no call and whose decision thread can be stopped.
+    class StuckProgram : public Platform::NodeProgram {
+    public:
+        static constexpr std::chrono::seconds shutdownTimeout { 3 };
+
+        StuckProgram()
+            : NodeProgram(makeSettings(), {}, "stuck", 0)
+        {
+        }
+
+        UnansweredCalls calls;
+        std::atomic<bool> isStuck { false };
+
+    protected:
+        Result<Success> openServers() override
+        {
+            Result<std::unique_ptr<HttpServer>> server = HttpServer::create(
+                "127.0.0.1", serverPort, 1, [this](const std::shared_ptr<HttpCall>& call) { calls.add(call); });
+            if (!isOk(server))
+                return errorOf(server);
+            m_server = takeValue(std::move(server));
+            return Success {};
+        }
+        void closeServers() override { closeServer(*m_server, "calls"); }
+        void tick(Instant, Actions&) override
+        {
+            while (isStuck)
+                std::this_thread::sleep_for(pollInterval);
+        }
+        void onMessage(Instant, LinkId, const PeerMessage&, Actions&) override { }
+        void onLinkUp(Instant, LinkId, Actions&) override { }
+        void onLinkDown(Instant, LinkId, Actions&) override { }
+        void onRead(Instant, std::uint64_t, const ReadResponse&, Actions&) override { }
+        void onNewest(Instant, std::uint64_t, const NewestResponse&, Actions&) override { }
+        void performRoleAction(Action&&) override { }
+        void fillMetrics() override { }
+
+    private:
+        static NodeSettings makeSettings()
+        {
+            NodeSettings settings;
+            settings.id = "stuck";
+            settings.peers = Endpoint { "127.0.0.1", peerPort };
+            settings.shutdownTimeout = std::chrono::duration_cast<Duration>(shutdownTimeout);
+            return settings;
+        }
+
+        std::unique_ptr<HttpServer> m_server;
+    };
+
+    /// Sends a call to the server of a test.
+    static std::future<HttpResponse> callServer(const std::shared_ptr<HttpClient>& client)
+    {
+        return std::async(std::launch::async, [client] {
+            HttpRequest request;
+            request.address = "127.0.0.1";
+            request.port = serverPort;
+            request.path = "/";
+            request.timeout = std::chrono::duration_cast<Duration>(answerLimit);
+            request.useNewConnection = true;
+            request.mayResend = false;
+            return client->fetch(std::move(request));
+        });
+    }
+
     // Guards against calls that wait for an owner when no process can become the owner any more: the end of the process
     // would cut them off.
     void anEntryThatNobodySucceedsAnswersEveryCall()
@@ -193,5 +293,63 @@
             answered += answer.get().status == httpOk ? 1 : 0;
         CPPUNIT_ASSERT_EQUAL(waitingCalls, answered);
     }
+
+    // Guards against connections that are closed on calls which were read: the decision thread is slow or has gone.
+    void aClosingPortAnswersWhatTheProcessDoesNot()
+    {
+        UnansweredCalls unanswered;
+        Result<std::unique_ptr<HttpServer>> server = HttpServer::create(
+            "127.0.0.1", serverPort, 1, [&](const std::shared_ptr<HttpCall>& call) { unanswered.add(call); });
+        CPPUNIT_ASSERT(isOk(server));
+        Result<std::shared_ptr<HttpClient>> client = HttpClient::create();
+        CPPUNIT_ASSERT(isOk(client));
+        std::vector<std::future<HttpResponse>> answers;
+        answers.reserve(waitingCalls);
+        for (int n = 0; n < waitingCalls; ++n)
+            answers.push_back(callServer(valueOf(client)));
+        unanswered.await(waitingCalls);
+        std::future<std::size_t> cut = std::async(std::launch::async, [&server] { return valueOf(server)->stop(); });
+        std::this_thread::sleep_for(pollInterval);
+        std::future<HttpResponse> lastAnswer = callServer(valueOf(client));
+        int answered = 0;
+        for (std::future<HttpResponse>& answer : answers)
+            answered += answer.get().status == httpTimeout ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(waitingCalls, answered);
+        CPPUNIT_ASSERT_EQUAL(httpUnavailable, lastAnswer.get().status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), cut.get());
+        unanswered.await(waitingCalls);
+    }
+
+    // Guards against a shutdown that waits for the decision thread until the platform kills the process.
+    void aProcessThatNoLongerDecidesAnswersEveryCall()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        sigaddset(&signals, SIGHUP);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        Result<std::shared_ptr<HttpClient>> client = HttpClient::create();
+        CPPUNIT_ASSERT(isOk(client));
+        StuckProgram program;
+        bool ended = false;
+        std::thread runner([&program, &ended] { ended = isOk(program.run()); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        std::future<HttpResponse> answer = callServer(valueOf(client));
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        const std::size_t read = program.calls.count();
+        program.isStuck = true;
+        const SteadyTime stoppedAt = std::chrono::steady_clock::now();
+        // The thread waits for this signal as for SIGTERM.
+        pthread_kill(runner.native_handle(), SIGINT);
+        const HttpResponse response = answer.get();
+        const SteadyTime endedAt = std::chrono::steady_clock::now();
+        program.isStuck = false;
+        runner.join();
+        CPPUNIT_ASSERT(ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), read);
+        CPPUNIT_ASSERT_EQUAL(httpTimeout, response.status);
+        CPPUNIT_ASSERT(endedAt - stoppedAt < StuckProgram::shutdownTimeout);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeDrainTest);
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -16,8 +16,11 @@
     CPPUNIT_TEST(oneOfThreeEntriesBecomesOwner);
     CPPUNIT_TEST(aFailedOwnerIsReplacedWithinTwoSeconds);
     CPPUNIT_TEST(aResigningOwnerIsReplacedAtOnce);
+    CPPUNIT_TEST(aResigningOwnerIsReplacedWhileTasksEnd);
+    CPPUNIT_TEST(aResigningOwnerIsReplacedWhileItsRecordsAreNotStored);
     CPPUNIT_TEST(anOwnerWithoutTheStoreIsReplacedAndFenced);
     CPPUNIT_TEST(noEntryClaimsWhileTheStoreIsUnavailable);
+    CPPUNIT_TEST(anOwnerThatEndsBeforeItsFirstPulseIsReplaced);
     CPPUNIT_TEST(aFrozenOwnerStepsDownWhenItResumes);
     CPPUNIT_TEST(aClaimWhoseResponseWasLostIsFound);
     CPPUNIT_TEST(aRestartedOwnerWaitsForItsPredecessor);
@@ -27,6 +30,7 @@
     CPPUNIT_TEST(aResignationAfterAnUnansweredPulseIsRead);
     CPPUNIT_TEST(aResponseToAPulseOfAnEarlierTermDoesNotCount);
     CPPUNIT_TEST(aPageReadForAnEarlierTermIsNotLoaded);
+    CPPUNIT_TEST(aPageWithoutRecordsThatIsNotTheLastIsReadAgain);
     CPPUNIT_TEST(anOwnerWithoutPulsesIsNotCertainWhenItIsReplaced);
     CPPUNIT_TEST(pulseSilenceFromBeforeASuspensionCausesNoClaim);
     CPPUNIT_TEST(aPlannedClaimFromBeforeASuspensionIsDropped);
@@ -53,8 +57,14 @@
         bool losesReadResponses = false;
         /// Pulses, the heartbeat records of an owner, do not reach the store.
         bool losesPulses = false;
+        /// Records of jobs do not reach the store.
+        bool losesJobRecords = false;
+        /// The pages of job records that this node reads are empty and say that more follow.
+        bool readsEmptyPages = false;
         /// The longest lease that this node ordered, on the hosts' clock.
         std::int64_t longestLeaseOrdered = 0;
+        /// The newest end of a run that this node acknowledged to host i-1.
+        std::int64_t acknowledgedNumber = 0;
         /// Selects calls that the store carries out, but whose responses are held back until deliverLateResponses().
         std::function<bool(const Action&)> delaysResponseTo;
         std::vector<std::function<void(Actions&)>> lateResponses;
@@ -94,9 +104,11 @@
 
         void perform(std::size_t node, const Actions& actions)
         {
-            for (const Wire::HostOrders& orders : messagesOf<Wire::HostOrders>(actions))
+            for (const Wire::HostOrders& orders : messagesOf<Wire::HostOrders>(actions)) {
                 nodes[node]->longestLeaseOrdered
                     = std::max(nodes[node]->longestLeaseOrdered, orders.leaseUntilMilliseconds);
+                nodes[node]->acknowledgedNumber = std::max(nodes[node]->acknowledgedNumber, orders.acknowledgedNumber);
+            }
             for (const Action& action : actions) {
                 const ReadStore* read = std::get_if<ReadStore>(&action);
                 const bool toStore = read || std::holds_alternative<AppendToStore>(action)
@@ -118,8 +130,9 @@
             Actions actions;
             if (const AppendToStore* append = std::get_if<AppendToStore>(&call.action)) {
                 AppendResponse response;
-                const bool pulseIsLost = node.losesPulses && append->topic == StoreTopic::Pulses;
-                if (!node.storeUnreachable && !storeUnavailable && !pulseIsLost)
+                const bool isLost = (node.losesPulses && append->topic == StoreTopic::Pulses)
+                    || (node.losesJobRecords && append->topic == StoreTopic::Jobs);
+                if (!node.storeUnreachable && !storeUnavailable && !isLost)
                     response = store.append(*append);
                 if (node.delaysResponseTo && node.delaysResponseTo(call.action)) {
                     node.lateResponses.push_back([this, &node, id = append->callId, response](Actions& more) {
@@ -132,8 +145,12 @@
                 if (!node.frozen)
                     node.ownership.onAppendResponse(at(now), append->callId, response, actions);
             } else if (const ReadNewest* newest = std::get_if<ReadNewest>(&call.action)) {
-                const NewestResponse response
+                NewestResponse response
                     = node.storeUnreachable || storeUnavailable ? NewestResponse() : store.newest(*newest);
+                if (node.readsEmptyPages && newest->topic == StoreTopic::Jobs) {
+                    response.records.clear();
+                    response.more = true;
+                }
                 if (node.delaysResponseTo && node.delaysResponseTo(call.action)) {
                     node.lateResponses.push_back([this, &node, id = newest->callId, response](Actions& more) {
                         node.ownership.onNewestResponse(at(now), id, response, more);
@@ -213,7 +230,8 @@
         }
 
         /// Delivers a report of host i-1 with the given runs to the owner.
-        void report(std::size_t owner, const std::vector<Wire::RunningTask>& running)
+        void report(std::size_t owner, const std::vector<Wire::RunningTask>& running,
+            const std::vector<Wire::EndedTask>& ended = {})
         {
             JobOwner& reader = *nodes[owner]->ownership.owner();
             Wire::HostReport report = makeReport("i-1", 1, now);
@@ -223,14 +241,15 @@
             report.listed = true;
             report.listFence = reader.state().hosts.hosts().at("i-1").fence;
             report.running = running;
+            report.ended = ended;
             reader.onReport(at(now), testLink, report, actions);
             perform(owner, actions);
         }
 
-        void submit(std::size_t owner, const std::string& jobId)
+        void submit(std::size_t owner, const std::string& jobId, int tasks = 1)
         {
             const Wire::JobCall call
-                = makeCall(Wire::JobCallKind::Submit, makeJob(jobId, { makeStep(1, 1000, 60'000) }));
+                = makeCall(Wire::JobCallKind::Submit, makeJob(jobId, { makeStep(tasks, 1000, 60'000) }));
             Actions actions;
             nodes[owner]->ownership.owner()->onCall(at(now), CallOrigin { noLink, 1 }, call, actions);
             perform(owner, actions);
@@ -334,6 +353,56 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation.owners().size());
     }
 
+    // Guards against a hand-over that lasts as long as tasks end: nothing is scheduled meanwhile.
+    void aResigningOwnerIsReplacedWhileTasksEnd()
+    {
+        Simulation simulation(2);
+        simulation.run(3000);
+        const std::size_t owner = simulation.owners().at(0);
+        Node& node = *simulation.nodes[owner];
+        constexpr int tasks = 1000;
+        simulation.submit(owner, "aa", tasks);
+        simulation.run(simulation.now + 100);
+        int ends = 0;
+        const auto endOneTask = [&] {
+            ++ends;
+            simulation.report(
+                owner, {}, { makeEndedTask(ends, makeTask("aa", 0, ends - 1), 1, Wire::RunEnd::Completed) });
+            simulation.run(simulation.now + stepMilliseconds);
+        };
+        while (ends < 50)
+            endOneTask();
+        Actions actions;
+        node.ownership.resign(at(simulation.now), actions);
+        const int resignedAt = simulation.now;
+        while (node.ownership.owner() && ends < tasks)
+            endOneTask();
+        CPPUNIT_ASSERT_MESSAGE("the resignation took " + std::to_string(simulation.now - resignedAt) + " ms",
+            simulation.now - resignedAt <= 200);
+        CPPUNIT_ASSERT(node.ownership.hasResigned());
+        CPPUNIT_ASSERT(simulation.millisecondsUntilReplaced(owner, 5000) <= 200);
+        const JobOwner& successor = *simulation.nodes[1 - owner]->ownership.owner();
+        const int loaded = successor.state().jobs.at("aa")->steps().at(0).completedTasks;
+        CPPUNIT_ASSERT(node.acknowledgedNumber >= 50);
+        CPPUNIT_ASSERT_MESSAGE("ends that were acknowledged are missing", loaded >= node.acknowledgedNumber);
+    }
+
+    // Guards against an owner that never resigns because one of its records cannot be stored.
+    void aResigningOwnerIsReplacedWhileItsRecordsAreNotStored()
+    {
+        Simulation simulation(2);
+        simulation.run(3000);
+        const std::size_t owner = simulation.owners().at(0);
+        Node& node = *simulation.nodes[owner];
+        node.losesJobRecords = true;
+        simulation.submit(owner, "aa");
+        simulation.run(simulation.now + 100);
+        Actions actions;
+        node.ownership.resign(at(simulation.now), actions);
+        CPPUNIT_ASSERT(simulation.millisecondsUntilReplaced(owner, 5000) <= 1500);
+        CPPUNIT_ASSERT(node.ownership.hasResigned());
+    }
+
     void anOwnerWithoutTheStoreIsReplacedAndFenced()
     {
         Simulation simulation(3);
@@ -361,6 +430,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), simulation.owners().size());
     }
 
+    // Guards against a system without an owner for good: reads of pulses wait for a short time only until the first
+    // pulse is read, which is too short to show that pulses have stopped.
+    void anOwnerThatEndsBeforeItsFirstPulseIsReplaced()
+    {
+        Simulation simulation(1);
+        simulation.claimAs("entry-9");
+        simulation.run(5000);
+        CPPUNIT_ASSERT(simulation.nodes[0]->ownership.owner());
+    }
+
     void aFrozenOwnerStepsDownWhenItResumes()
     {
         Simulation simulation(3);
@@ -546,6 +625,27 @@
         CPPUNIT_ASSERT(node.ownership.owner()->state().jobs.contains("aa"));
     }
 
+    // Guards against an owner that misses accepted jobs: a page without readable records ends its load.
+    void aPageWithoutRecordsThatIsNotTheLastIsReadAgain()
+    {
+        Simulation simulation(1);
+        Node& node = *simulation.nodes[0];
+        simulation.appendAs(
+            1, StoreTopic::Jobs, StoreKey::job("aa"), Wire::encode(makeJob("aa", { makeStep(1, 1000, 100) })));
+        simulation.claimAs("entry-9");
+        Wire::OwnerPulse pulse;
+        pulse.term = 1;
+        simulation.appendAs(1, StoreTopic::Pulses, "pulse", Wire::encode(pulse));
+        node.readsEmptyPages = true;
+        simulation.run(5000);
+        CPPUNIT_ASSERT_MESSAGE("the node owns without the records", !node.ownership.owner());
+        CPPUNIT_ASSERT(node.ownership.isTakingOver());
+        node.readsEmptyPages = false;
+        simulation.run(simulation.now + 500);
+        CPPUNIT_ASSERT(node.ownership.owner());
+        CPPUNIT_ASSERT(node.ownership.owner()->state().jobs.contains("aa"));
+    }
+
     // Guards against a second start of a run that a successor has adopted: only pulses keep other entries from
     // claiming, so successful appends alone must not make an owner certain of its ownership.
     void anOwnerWithoutPulsesIsNotCertainWhenItIsReplaced()
