Job: Wait for each host once a term before inherited tasks start

What callers see: after a change of the owner, tasks of jobs that an earlier owner accepted wait without a bound while connections of a large fleet break and are replaced in turn, although every host has been listed. Gangs, trials of hosts that may forget ends and moves of fillers wait too.

Cause: a host counted as unheard again after each raise of its fence, that is, after each new connection. In a fleet of 240 hosts one host or another is always between its connection and its next list, and hosts with runs keep their leases, so the wait does not end with them.

Why one list is enough: a complete list under a fence of this term shows that the incarnation refuses every order of an earlier owner, and the runs that it shows are recorded. Runs that it begins later were ordered by this owner and are recorded as well, whatever fence is raised within the term. The mark belongs to the incarnation: the next one under the same id has seen no fence and is awaited as before, as are hosts with unreadable records (incarnation 0, replaced by their first report). Lists under an earlier fence, over an earlier connection or without all ends do not count.

--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -135,6 +135,9 @@
     bool refusesConnections = false;
     /// A complete list of the host's runs under the current fence has been received.
     bool listed = false;
+    /// A complete list under any fence of this term has been received. From then on the host refuses every order of an
+    /// earlier owner, so all of its runs are recorded, also while the next list under a raised fence is awaited.
+    bool listedInTerm = false;
     /// Number of lists of this incarnation that were processed.
     std::uint64_t listNumber = 0;
     /// Orders to an earlier incarnation may have reached this one; false once a list has been processed.
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -157,13 +157,13 @@
         flushNow = flushNow || urgent;
     }
 
-    /// Number of hosts with an unexpired lease and no list under the current fence. Such a host may have runs that this
-    /// owner has no record of.
+    /// Number of hosts with an unexpired lease that have not been listed in this term. Such a host may have runs that
+    /// this owner has no record of.
     int countUnlistedHosts(Instant now) const
     {
         int count = 0;
         for (const std::pair<const std::string, Host>& entry : hosts.hosts())
-            count += !entry.second.listed && now < entry.second.leaseExpiresAt ? 1 : 0;
+            count += !entry.second.listedInTerm && now < entry.second.leaseExpiresAt ? 1 : 0;
         return count;
     }
 
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -139,6 +139,7 @@
     m_state.scheduleDue = true;
     host.departed = true;
     host.listed = true;
+    host.listedInTerm = true;
     host.link = noLink;
     if (host.runs.empty())
         removeHost(now, host);
@@ -221,6 +222,7 @@
                                          .add("ended", report.ended.size())
                                          .text() });
     host.listed = true;
+    host.listedInTerm = true;
 }
 
 void RunTracker::addListedOccurrences(Instant now, const Wire::HostReport& report)
