Process: Report hosts that ended without an owner to the next owners

What callers see: after a change of the owner, inherited lasting tasks and plans wait until the leases of hosts that have left are over, although their sides know that the hosts are gone. Owners that follow one another wait anew each time: the record of such a host says nothing of its end.

Cause: a side reported the end of its host once, to the owner that it was connected to at that moment. Without an owner the report was dropped. The report could also reach an owner that ended before it stored the departure.

Change: the side keeps the last eight ended incarnations and reports them to each owner that it connects to or that takes over. It does not do so under the id of its present host: an order to the ended incarnation may have reached the next one, whose own lists show that. No message confirms that a departure is stored, so the reports are repeated; owners that know of the departure pass over them. A side that starts again has no record of earlier hosts, so the wait for their leases remains there.

--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -10,6 +10,8 @@
 
     /// A host that answered within this time is still the same process, because a restart takes longer.
     constexpr Duration contactValidity = milliseconds(100);
+    /// Number of ended incarnations that are kept for the next owner.
+    constexpr std::size_t keptEndedHosts = 8;
 
     Wire::OrderResult makeResult(
         const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome, const std::string& reason)
@@ -94,10 +96,32 @@
 {
     ++m_endedIncarnations;
     actions.push_back(WriteLog { line.text() });
-    Wire::HostReport report = makeReport(now);
+    reportEnd(m_host->hostId, m_host->incarnation, actions);
+    m_endedHosts.emplace_back(m_host->hostId, m_host->incarnation);
+    if (m_endedHosts.size() > keptEndedHosts)
+        m_endedHosts.pop_front();
+    forgetIncarnation(now);
+}
+
+void HostAgent::reportEnd(const std::string& hostId, std::int64_t incarnation, Actions& actions)
+{
+    Wire::HostReport report;
+    report.hostId = hostId;
+    report.incarnation = incarnation;
     report.state = Wire::HostState::Gone;
+    report.highestTerm = m_term;
     sendReport(std::move(report), actions);
-    forgetIncarnation(now);
+}
+
+void HostAgent::reportToNextOwner(Instant now, Actions& actions)
+{
+    for (const std::pair<std::string, std::int64_t>& ended : m_endedHosts) {
+        // An order to an ended incarnation may have reached the next one under its id, whose lists show this.
+        if (!m_host || m_host->hostId != ended.first)
+            reportEnd(ended.first, ended.second, actions);
+    }
+    if (m_host)
+        sendReport(makeReport(now), actions);
 }
 
 void HostAgent::forgetIncarnation(Instant now)
@@ -291,8 +315,7 @@
         WriteLog { LogLine("owner_link_up").add("owner", m_owner.claim.nodeId).add("term", m_owner.term).text() });
     m_reportedRuns.reset();
     m_ownerAcceptsChanges = false;
-    if (m_host)
-        sendReport(makeReport(now), actions);
+    reportToNextOwner(now, actions);
 }
 
 void HostAgent::onLinkDown(Instant now, LinkId link, Actions& actions)
@@ -313,9 +336,9 @@
     if (const Wire::HostOrders* orders = std::get_if<Wire::HostOrders>(&message))
         onOrders(now, *orders, actions);
     // The greeting means that the owner has just taken over. Reports sent before that are lost.
-    if (std::holds_alternative<Wire::NodeHello>(message) && m_host) {
+    if (std::holds_alternative<Wire::NodeHello>(message)) {
         m_reportedRuns.reset();
-        sendReport(makeReport(now), actions);
+        reportToNextOwner(now, actions);
     }
 }
 
@@ -340,12 +363,7 @@
             return;
         }
         // The incarnation that the orders were meant for has ended, and none of its runs continue.
-        Wire::HostReport report;
-        report.hostId = orders.hostId;
-        report.incarnation = orders.incarnation;
-        report.state = Wire::HostState::Gone;
-        report.highestTerm = m_term;
-        sendReport(std::move(report), actions);
+        reportEnd(orders.hostId, orders.incarnation, actions);
         return;
     }
     m_leaseUntilMilliseconds = std::max(m_leaseUntilMilliseconds, orders.leaseUntilMilliseconds);
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -10,6 +10,7 @@
 #include "Decision/Process/PeerLink.h"
 #include "Decision/Process/ReportedRuns.h"
 
+#include <deque>
 #include <map>
 
 namespace Plantainpier {
@@ -130,6 +131,11 @@
     void endAfterResponse(
         Instant now, const char* reason, const char* call, const HostResponse& response, Actions& actions);
     void endIncarnation(Instant now, const LogLine& line, Actions& actions);
+    /// Reports that an incarnation has ended, and with it all of its runs.
+    void reportEnd(const std::string& hostId, std::int64_t incarnation, Actions& actions);
+    /// Reports the current host, and the ends of earlier incarnations, to an owner that has taken over or that this
+    /// side has connected to.
+    void reportToNextOwner(Instant now, Actions& actions);
     /// Resets all state of the incarnation, and raises the local fence against orders that were meant for it.
     void forgetIncarnation(Instant now);
     Wire::HostReport makeReport(Instant now) const;
@@ -154,6 +160,9 @@
     /// incarnation refuses orders sent before that.
     std::int64_t m_localFenceRaises = 0;
     std::int64_t m_endedIncarnations = 0;
+    /// The ids and numbers of incarnations that ended last, oldest first. They are reported to each next owner: the one
+    /// before may have ended without storing the departure, and the next one would wait for the leases.
+    std::deque<std::pair<std::string, std::int64_t>> m_endedHosts;
     std::optional<HostDescription> m_host;
     /// Earliest time at which a draining host shuts down, by its newest announcement.
     Instant m_shutdownAt;
--- a/Tests/Support/OrderSimulation.cpp
+++ b/Tests/Support/OrderSimulation.cpp
@@ -168,22 +168,23 @@
     performOwner(model.term, std::move(actions));
 }
 
-void OrderSimulation::changeOwner()
+void OrderSimulation::endOwners()
 {
-    const std::int64_t term = m_owners.empty() ? 1 : m_owners.back().term + 1;
-    if (chance(0.5)) {
-        for (std::pair<const LinkId, Connection>& entry : m_connections) {
-            Connection& connection = entry.second;
-            if (!connection.closed)
-                schedule(2, [this, n = connection.side, process = connection.process, link = connection.sideLink] {
-                    withAgent(n, process, [this, link](HostAgent& agent, Actions& actions) {
-                        agent.onLinkDown(at(m_now), link, actions);
-                    });
-                });
-            connection.closed = true;
-        }
-        m_owners.clear();
+    for (std::pair<const LinkId, Connection>& entry : m_connections) {
+        Connection& connection = entry.second;
+        if (!connection.closed)
+            schedule(2, [this, n = connection.side, process = connection.process, link = connection.sideLink] {
+                withAgent(n, process,
+                    [this, link](HostAgent& agent, Actions& actions) { agent.onLinkDown(at(m_now), link, actions); });
+            });
+        connection.closed = true;
     }
+    m_owners.clear();
+}
+
+void OrderSimulation::startOwner(Duration leasesHeld, int foundAfter)
+{
+    const std::int64_t term = ++m_lastTerm;
     AppendToStore fence;
     fence.topic = StoreTopic::Jobs;
     fence.epoch = term;
@@ -193,15 +194,81 @@
     next.owner = std::make_unique<JobOwner>("entry", term, OwnerRules {}, at(m_now));
     next.owner->loadRecords(newestRecords());
     Actions actions;
-    const Duration hold = withClockMargin(OwnerRules {}.ownershipHold);
-    next.owner->finishLoad(at(m_now), m_now, at(m_now) + hold, actions);
+    next.owner->finishLoad(at(m_now), m_now, at(m_now) + withClockMargin(leasesHeld), actions);
     m_owners.push_back(std::move(next));
     performOwner(term, std::move(actions));
-    Wire::OwnerClaim claim;
-    claim.nodeId = "entry-" + std::to_string(term);
-    claim.address = "127.0.0.1";
-    claim.port = static_cast<std::int32_t>(term);
-    m_claims.push_back(StoreRecord { "owner", Wire::encode(claim), term - 1 });
+    const auto publishClaim = [this, term] {
+        Wire::OwnerClaim claim;
+        claim.nodeId = "entry-" + std::to_string(term);
+        claim.address = "127.0.0.1";
+        claim.port = static_cast<std::int32_t>(term);
+        m_claims.push_back(StoreRecord { "owner", Wire::encode(claim), term - 1 });
+    };
+    if (foundAfter > 0)
+        schedule(foundAfter, publishClaim);
+    else
+        publishClaim();
+}
+
+void OrderSimulation::changeOwner()
+{
+    if (chance(0.5))
+        endOwners();
+    startOwner(OwnerRules {}.ownershipHold, 0);
+}
+
+int OrderSimulation::runHandOvers(int count)
+{
+    constexpr int intervalMilliseconds = 8000;
+    constexpr int withoutOwnerMilliseconds = 1500;
+    constexpr std::size_t leavingShare = 3;
+    m_faultFree = true;
+    m_areNoticesOnTime = true;
+    const auto stepUntil = [this](int end) {
+        while (m_now < end)
+            step();
+    };
+    stepUntil(m_now + intervalMilliseconds);
+    Wire::StepDefinition lasting = makeStep(static_cast<int>(m_sides.size()), 500, 300);
+    lasting.longRunning = true;
+    m_jobs.push_back(makeJob("lasting-0", { lasting }));
+    Actions actions;
+    m_owners.back().owner->onCall(
+        at(m_now), CallOrigin { noLink, 1 }, makeCall(Wire::JobCallKind::Submit, m_jobs.back()), actions);
+    performOwner(m_owners.back().term, std::move(actions));
+    stepUntil(m_now + intervalMilliseconds);
+    for (int n = 0; n < count; ++n) {
+        const int startedAt = m_now;
+        endOwners();
+        startOwner(OwnerRules {}.lease, withoutOwnerMilliseconds);
+        // The sides notice first that the owner has ended, so that nothing is reported to it.
+        stepUntil(startedAt + 4 * stepMilliseconds);
+        for (std::size_t k = static_cast<std::size_t>(n) % leavingShare; k < m_sides.size(); k += leavingShare) {
+            drainHost(k);
+            m_sides[k].departsAt = m_now + 300 + below(m_departureRandom, 700);
+        }
+        stepUntil(startedAt + intervalMilliseconds);
+    }
+    return longestTimeWithoutRun();
+}
+
+int OrderSimulation::longestTimeWithoutRun() const
+{
+    // The end of the newest run of each task; negative while it is active.
+    std::map<std::string, int> lastEnds;
+    int longest = 0;
+    for (const RunRecord& record : m_records) {
+        const std::string task = record.task.jobId + "." + std::to_string(record.task.index);
+        const std::map<std::string, int>::const_iterator it = lastEnds.find(task);
+        if (it != lastEnds.end() && it->second >= 0)
+            longest = std::max(longest, record.startedAt - it->second);
+        lastEnds[task] = record.endedAt;
+    }
+    for (const std::pair<const std::string, int>& end : lastEnds) {
+        if (end.second >= 0)
+            longest = std::max(longest, m_now - end.second);
+    }
+    return longest;
 }
 
 void OrderSimulation::restartSide(std::size_t n)
@@ -284,7 +351,8 @@
 {
     Side& side = m_sides[n];
     const std::string hostId = side.host->hostId();
-    const int delay = chanceOf(m_departureRandom, 0.2) ? below(m_departureRandom, 5000) : 1;
+    const bool isNoticeLate = !m_areNoticesOnTime && chanceOf(m_departureRandom, 0.2);
+    const int delay = isNoticeLate ? below(m_departureRandom, 5000) : 1;
     schedule(delay, [this, n, hostId] {
         withAgent(n, m_sides[n].process, [this, hostId](HostAgent& agent, Actions& actions) {
             agent.onDepartureNotice(at(m_now), hostId, actions);
--- a/Tests/Support/OrderSimulation.h
+++ b/Tests/Support/OrderSimulation.h
@@ -44,6 +44,9 @@
 
     /// Simulates the given time with random faults, then enough time without faults for all jobs to finish.
     void run(int milliseconds);
+    /// Simulates hand-overs without other faults. While the sides have no owner, a third of the hosts leaves by plan
+    /// and others take their place. Returns the longest time for which a long-running task had no run.
+    int runHandOvers(int count);
     /// Violations of the guarantees for runs and jobs, one sentence each.
     std::vector<std::string> violations() const;
     std::size_t startedRunCount() const { return m_records.size(); }
@@ -121,6 +124,12 @@
     void injectFaults();
     void submit();
     void changeOwner();
+    /// Ends all owners and closes their connections.
+    void endOwners();
+    /// Starts the owner of the next term, which sides find after the given time.
+    void startOwner(Duration leasesHeld, int foundAfter);
+    /// Longest time between two runs of a long-running task, and from the end of its last run until now.
+    int longestTimeWithoutRun() const;
     void restartSide(std::size_t n);
     void injectOptionalFaults();
     void drainHost(std::size_t n);
@@ -184,7 +193,10 @@
     /// Prints the log lines of owners and sides.
     const bool m_trace;
     int m_now = 0;
+    std::int64_t m_lastTerm = 0;
     bool m_faultFree = false;
+    /// Departure notices of hosts arrive at once.
+    bool m_areNoticesOnTime = false;
     int m_storeUnavailableUntil = 0;
     /// Some orders are executed late until then.
     int m_ordersLateUntil = 0;
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -42,6 +42,8 @@
     CPPUNIT_TEST(aDrainingAnnouncementBelowTheNewestSequenceCounts);
     CPPUNIT_TEST(aPassedOverAnnouncementLetsTheHostKeepItsLease);
     CPPUNIT_TEST(connectsAnewWhenTheHostKeepsRefusingItsFence);
+    CPPUNIT_TEST(aHostThatEndedWithoutAnOwnerIsReportedToTheNext);
+    CPPUNIT_TEST(anEndedIncarnationIsNotReportedBesideTheNextOne);
     CPPUNIT_TEST_SUITE_END();
 
     static HostDescription describeHost(std::int64_t incarnation, std::int64_t sequence)
@@ -767,5 +769,71 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), opened.size());
         CPPUNIT_ASSERT(opened.at(0).link != harness.link);
     }
+
+    /// The incarnations that were reported as gone, as "id/incarnation".
+    static std::vector<std::string> goneHosts(const Actions& actions)
+    {
+        std::vector<std::string> hosts;
+        for (const Wire::HostReport& report : messagesOf<Wire::HostReport>(actions)) {
+            if (report.state == Wire::HostState::Gone)
+                hosts.push_back(report.hostId + "/" + std::to_string(report.incarnation));
+        }
+        return hosts;
+    }
+
+    /// Connects the agent to its owner again.
+    static Actions reconnect(Harness& harness, int now)
+    {
+        harness.link = actionsOf<OpenLink>(harness.tick(now)).at(0).link;
+        Actions actions;
+        harness.agent.onLinkUp(at(now), harness.link, actions);
+        return actions;
+    }
+
+    /// Ends the connection to the owner, then the host by plan.
+    static void endHostWithoutAnOwner(Harness& harness)
+    {
+        Actions actions = harness.sendOrders(10, Harness::makeStartOrders(4));
+        harness.agent.onListResponse(
+            at(12), actionsOf<ListHost>(harness.tick(11)).at(0), makeResponse(HostAnswer::Done), actions);
+        harness.agent.onLinkDown(at(20), harness.link, actions);
+        HostDescription draining = describeHost(1, 2);
+        draining.draining = true;
+        harness.agent.onAnnouncement(at(100), draining, actions);
+        harness.agent.onDepartureNotice(at(100), "host-1", actions);
+        harness.agent.onListResponse(
+            at(101), actionsOf<ListHost>(harness.tick(100)).at(0), makeResponse(HostAnswer::NotListening), actions);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), harness.agent.endedIncarnations());
+    }
+
+    // Guards against an owner that waits for the leases of a host that has left: the host left while its side had no
+    // owner, or the owner that received the report ended before it stored the departure.
+    void aHostThatEndedWithoutAnOwnerIsReportedToTheNext()
+    {
+        const std::vector<std::string> gone { "host-1/1" };
+        Harness harness;
+        endHostWithoutAnOwner(harness);
+        CPPUNIT_ASSERT(goneHosts(reconnect(harness, 300)) == gone);
+        Actions actions;
+        harness.agent.onLinkDown(at(400), harness.link, actions);
+        CPPUNIT_ASSERT_MESSAGE("the next owner may know nothing of it", goneHosts(reconnect(harness, 700)) == gone);
+        Actions greeted;
+        harness.agent.onMessage(at(800), harness.link, Wire::NodeHello(), greeted);
+        CPPUNIT_ASSERT_MESSAGE("reports before the greeting are lost", goneHosts(greeted) == gone);
+    }
+
+    // Guards against a new incarnation that an owner takes for free of runs: an order to the ended one may have reached
+    // it, which its own lists show.
+    void anEndedIncarnationIsNotReportedBesideTheNextOne()
+    {
+        Harness harness;
+        endHostWithoutAnOwner(harness);
+        Actions actions;
+        harness.agent.onAnnouncement(at(120), describeHost(2, 1), actions);
+        HostResponse listed = makeResponse(HostAnswer::Done);
+        listed.incarnation = 2;
+        harness.agent.onListResponse(at(121), actionsOf<ListHost>(harness.tick(120)).at(0), listed, actions);
+        CPPUNIT_ASSERT(goneHosts(reconnect(harness, 300)).empty());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HostAgentTest);
--- a/Tests/Unit/OrderHistoryTest.cpp
+++ b/Tests/Unit/OrderHistoryTest.cpp
@@ -1,6 +1,7 @@
 /// Tests the real JobOwner and HostAgent in random histories: hosts crash and restart under the same id, orders are
 /// carried out seconds late, sides restart, owners freeze and are replaced, and messages of old connections are read
 /// after those of new ones. The checks use the runs that the hosts carried out.
+#include "Support/HistorySeeds.h"
 #include "Support/OrderSimulation.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -15,6 +16,7 @@
     CPPUNIT_TEST(tasksRunOnceInALargeFleet);
     CPPUNIT_TEST(tasksRunOnceBesideSlowSides);
     CPPUNIT_TEST(tasksRunOnceWithAllFaults);
+    CPPUNIT_TEST(lastingTasksRunAgainSoonAfterHandOvers);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against two concurrent runs of a task, overcommitted hosts, and tasks that are never placed again, when
@@ -55,5 +57,25 @@
             runOrderHistories(
                 5, { .overlappingSides = true, .plannedDepartures = true, .largeFleet = true, .slowAnswers = true }));
     }
+
+    // Guards against long-running tasks that wait for the leases of hosts that have left: a host that leaves while its
+    // side has no owner is never reported as gone, and each hand-over waits for its leases again.
+    void lastingTasksRunAgainSoonAfterHandOvers()
+    {
+        constexpr int handOvers = 8;
+        constexpr int longestWaitMilliseconds = 3000;
+        const HistorySeeds seeds = historySeeds(20);
+        std::string violations;
+        for (unsigned seed = seeds.first; seed <= seeds.last; ++seed) {
+            OrderSimulation simulation(seed, { .largeFleet = true });
+            const int longest = simulation.runHandOvers(handOvers);
+            if (longest > longestWaitMilliseconds)
+                violations
+                    += "seed " + std::to_string(seed) + ": a task has no run for " + std::to_string(longest) + " ms\n";
+            for (const std::string& violation : simulation.violations())
+                violations += "seed " + std::to_string(seed) + ": " + violation + "\n";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), violations);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OrderHistoryTest);
