Job: Place a task again when no list shows its confirmed run

What callers see: a lasting task has no run, and its host's room stays taken, for as long as the host stays connected.

Cause: the owner gives up a run that is missing from a list only if an earlier list has shown it. A run that the host has confirmed as started, and that ended before the first list that could show it, holds its task for good if the host has forgotten the end. A host does so when it starts again under its id and takes an acknowledgement that was meant for its former incarnation.

Change: the second list after the answer to the start settles it. The first may have been requested before the start was carried out; the second is requested after the first has been answered. Reports of changes hold every run that no earlier list has shown, so they count as well.

Evidence: JobOwnerTest::aRunThatEndedBeforeItsFirstListIsPlacedAgain failed before (1 start instead of 2) and passes now.

The histories now check that every recorded run of a listed host runs there. Ruled out by this check: halted runs that hold their room.

--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -24,6 +24,16 @@
     constexpr double slownessCeiling = 8;
     constexpr std::size_t maximumEndTrials = 16;
 
+    /// Lists after the answer to a start, of which the first may have been requested before the start was carried out.
+    constexpr std::uint64_t listsUntilStartShows = 2;
+
+    /// Whether the run should be in the newest list. The host may have forgotten the end of a run that it started.
+    bool isExpectedInList(const Host& host, const HostRun& run)
+    {
+        return run.phase == RunPhase::Running
+            && (run.listed || host.listNumber >= run.listNumber + listsUntilStartShows);
+    }
+
     constexpr std::array runEndNames {
         NamedValue { Wire::RunEnd::Completed, "completed" },
         NamedValue { Wire::RunEnd::Failed, "failed" },
@@ -252,6 +262,7 @@
         if (it->second.phase == RunPhase::Ordered) {
             it->second.phase = RunPhase::Running;
             it->second.startConfirmedAt = now;
+            it->second.listNumber = host.listNumber;
             haltIfEndMayBeLost(host, it->second, actions);
         }
         return;
@@ -555,8 +566,7 @@
     for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
         const HostRun& run = entry.second;
         const bool orderVoid = run.fence < host.fence;
-        const bool vanished = run.listed && run.phase == RunPhase::Running;
-        if (run.listNumber != host.listNumber && (orderVoid || vanished))
+        if (run.listNumber != host.listNumber && (orderVoid || isExpectedInList(host, run)))
             unlistedRuns.push_back(entry.first);
     }
     for (const RunKey& key : unlistedRuns)
@@ -565,12 +575,20 @@
 
 void RunTracker::abandonRemovedRuns(Instant now, Host& host, const Wire::HostReport& report, Actions& actions)
 {
+    std::vector<RunKey> removedRuns;
     for (const Wire::RunName& removed : report.removed) {
         const RunKey key = runKey(removed.task, removed.run);
         const std::map<RunKey, HostRun>::const_iterator it = host.runs.find(key);
         if (it != host.runs.end() && it->second.listed && it->second.phase == RunPhase::Running)
-            abandonMissingRun(now, host, key, actions);
+            removedRuns.push_back(key);
     }
+    // A report of changes holds each run that no earlier list has shown.
+    for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
+        if (!entry.second.listed && isExpectedInList(host, entry.second))
+            removedRuns.push_back(entry.first);
+    }
+    for (const RunKey& key : removedRuns)
+        abandonMissingRun(now, host, key, actions);
 }
 
 void RunTracker::abandonMissingRun(Instant now, Host& host, const RunKey& key, Actions& actions)
--- a/Tests/Support/OrderSimulation.cpp
+++ b/Tests/Support/OrderSimulation.cpp
@@ -862,6 +862,8 @@
         checkStart(record, violations);
     for (const Wire::JobDefinition& job : m_jobs)
         checkOutcome(job, violations);
+    for (const Side& side : m_sides)
+        checkRecordedRuns(side, violations);
     return violations;
 }
 
@@ -907,6 +909,28 @@
     }
 }
 
+const Host* OrderSimulation::findListedHost(const Side& side) const
+{
+    const std::map<std::string, Host>& hosts = m_owners.back().owner->state().hosts.hosts();
+    const std::map<std::string, Host>::const_iterator it = hosts.find(side.host->hostId());
+    const bool isListed = it != hosts.end() && it->second.incarnation == side.host->incarnation()
+        && it->second.link != noLink && it->second.listed;
+    return isListed ? &it->second : nullptr;
+}
+
+void OrderSimulation::checkRecordedRuns(const Side& side, std::vector<std::string>& violations) const
+{
+    const Host* host = findListedHost(side);
+    if (!host)
+        return;
+    for (const std::pair<const RunKey, HostRun>& entry : host->runs) {
+        const HostRun& run = entry.second;
+        if (!side.host->isRunning(run.task, run.run))
+            violations.push_back(host->hostId + " does not run " + run.task.jobId + " task "
+                + std::to_string(run.task.index) + " run " + std::to_string(run.run) + ", which takes up its room");
+    }
+}
+
 std::string runOrderHistories(unsigned defaultHistories, const HistoryOptions& options)
 {
     constexpr int milliseconds = 20'000;
--- a/Tests/Support/OrderSimulation.h
+++ b/Tests/Support/OrderSimulation.h
@@ -180,6 +180,10 @@
 
     void checkStart(const RunRecord& start, std::vector<std::string>& violations) const;
     void checkOutcome(const Wire::JobDefinition& job, std::vector<std::string>& violations) const;
+    /// The newest owner's record of the host of the side, or null unless the owner has listed that host.
+    const Host* findListedHost(const Side& side) const;
+    /// Checks that each run that the newest owner has recorded runs on the host, once all faults are over.
+    void checkRecordedRuns(const Side& side, std::vector<std::string>& violations) const;
 
     std::mt19937 m_random;
     /// Draws foreign announcements, so that they leave the other faults of a seed as they are.
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(aHostOnProbationGetsOneTaskOfAGang);
     CPPUNIT_TEST(aTrialThatOutlastsItsEstimateAllowsTheNext);
     CPPUNIT_TEST(waitsForTheLongestLeaseOfANewIncarnation);
+    CPPUNIT_TEST(aRunThatEndedBeforeItsFirstListIsPlacedAgain);
     CPPUNIT_TEST_SUITE_END();
 
     /// A listing report of host-1 with the given runs.
@@ -928,5 +929,39 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.startOrders.size());
     }
+
+    // Guards against a task that is never placed again: the host has confirmed its start and has forgotten its end, and
+    // no list has ever shown the run.
+    void aRunThatEndedBeforeItsFirstListIsPlacedAgain()
+    {
+        for (const bool changesOnly : { false, true }) {
+            OwnerHarness harness;
+            harness.announceAndReport(0, makeReport("host-1", 1, 100));
+            harness.settle(10);
+            Wire::StepDefinition step = makeStep(1, 1000, 1000);
+            step.longRunning = true;
+            harness.submit(60, makeJob("aa", { step }));
+            harness.settle(70);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.startOrders.size());
+            Wire::HostReport started = makeReport("host-1", 1, 100);
+            started.listed = false;
+            Wire::OrderResult result;
+            result.task = harness.startOrders[0].task;
+            result.run = 1;
+            result.outcome = Wire::OrderOutcome::Started;
+            started.results.push_back(result);
+            harness.deliverReport(130, started);
+            Wire::HostReport list = makeReport("host-1", 1, 200);
+            list.listFence = harness.owner.state().hosts.hosts().at("host-1").fence;
+            list.changesOnly = changesOnly;
+            harness.deliverReport(140, list);
+            harness.settle(150);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                "the list may be older than the start", std::size_t(1), harness.startOrders.size());
+            harness.deliverReport(200, list);
+            harness.settle(210);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.startOrders.size());
+        }
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(JobOwnerTest);
