Tests: Histories check that no living host is lost

What callers see: a host gets no task for as long as its connection lasts, although it and its side are well; its runs end with their leases.

Not tried: the owner closes the earlier connection, so that the side connects anew.

--- a/Tests/Support/OrderSimulation.cpp
+++ b/Tests/Support/OrderSimulation.cpp
@@ -918,6 +918,16 @@
     return isListed ? &it->second : nullptr;
 }
 
+std::vector<std::string> OrderSimulation::unlistedHosts() const
+{
+    std::vector<std::string> unlisted;
+    for (const Side& side : m_sides) {
+        if (!findListedHost(side))
+            unlisted.push_back(side.host->hostId() + " is not listed by the owner");
+    }
+    return unlisted;
+}
+
 void OrderSimulation::checkRecordedRuns(const Side& side, std::vector<std::string>& violations) const
 {
     const Host* host = findListedHost(side);
--- a/Tests/Support/OrderSimulation.h
+++ b/Tests/Support/OrderSimulation.h
@@ -49,6 +49,8 @@
     int runHandOvers(int count);
     /// Violations of the guarantees for runs and jobs, one sentence each.
     std::vector<std::string> violations() const;
+    /// Hosts that the newest owner has not listed, one sentence each.
+    std::vector<std::string> unlistedHosts() const;
     std::size_t startedRunCount() const { return m_records.size(); }
 
 private:
