Soak: Judge what is lost by the room that the hosts have

Change: a job is submitted as lasting only while all lasting jobs together take less than half of the places. RunAudit follows the room of the hosts that are up: a lasting task is missed if it has not run for 9 s and there was room for two tasks without a break during the last 3 s. It is asked again and again once no disruption is near, not only at the end. New: a job that has nothing running for 3 s although a task of it may start, with room for two and under half of the places used, stands still. The 30 s within which every job must finish are counted while under half of the places is used; a run that never gets there fails as FAULT. Lasting tasks that were neither seen running nor missed are counted in the summary, and fail the run.

--- a/Tests/Soak/HostStandIn.cpp
+++ b/Tests/Soak/HostStandIn.cpp
@@ -9,7 +9,7 @@
 
     constexpr std::chrono::milliseconds backgroundInterval(10);
     constexpr std::chrono::milliseconds announceInterval(700);
-    constexpr std::int64_t capacityMilliCores = 4000;
+    constexpr std::int64_t capacityMilliCores = std::int64_t(1000) * RunAudit::placesPerHost;
     constexpr std::int64_t capacityMegabytes = 8000;
     constexpr std::int64_t maximumLeaseMilliseconds = 10'000;
     constexpr unsigned failurePercent = 3;
@@ -94,7 +94,7 @@
     m_lastEndNumber = 0;
     m_acknowledgedUpTo = 0;
     m_relay.setListening(true);
-    m_audit.note("born " + m_incarnation);
+    m_audit.onIncarnationStarted(m_incarnation);
 }
 
 void HostStandIn::crash(std::chrono::milliseconds pause, bool reusesId)
--- a/Tests/Soak/RunAudit.cpp
+++ b/Tests/Soak/RunAudit.cpp
@@ -7,6 +7,11 @@
 
 using Guard = std::lock_guard<std::mutex>;
 
+RunAudit::RunAudit(Clock clock)
+    : m_clock(std::move(clock))
+{
+}
+
 void RunAudit::openLog(const std::string& path)
 {
     const Guard guard(m_mutex);
@@ -50,6 +55,19 @@
     addViolation(text);
 }
 
+bool RunAudit::admitLongRunning(const std::string& jobId, std::size_t places)
+{
+    const Guard guard(m_mutex);
+    std::size_t count = 1;
+    for (const std::pair<const std::string, JobRecord>& entry : m_jobs) {
+        const JobRecord& job = entry.second;
+        count += job.job.longRunning && !job.refused && !job.cancelled ? 1 : 0;
+    }
+    const bool admitted = 2 * count < places;
+    m_jobs[jobId].job.longRunning = admitted;
+    return admitted;
+}
+
 void RunAudit::onSubmit(const std::string& jobId, SoakJob job)
 {
     const Guard guard(m_mutex);
@@ -61,7 +79,7 @@
     const Guard guard(m_mutex);
     JobRecord& job = m_jobs[jobId];
     job.accepted = true;
-    job.acceptedAt = std::chrono::steady_clock::now();
+    job.acceptedAt = m_clock();
     write("accepted " + jobId);
 }
 
@@ -93,6 +111,33 @@
     return std::any_of(ends.begin(), ends.end(), [](const EndRecord& end) { return end.outcome == "done"; });
 }
 
+int RunAudit::failures(const SoakTask& task)
+{
+    const std::vector<EndRecord>& ends = m_tasks[task].ends;
+    return static_cast<int>(
+        std::count_if(ends.begin(), ends.end(), [](const EndRecord& end) { return end.outcome == "failed"; }));
+}
+
+void RunAudit::updateRoom()
+{
+    int used = 0;
+    int freePlaces = 0;
+    for (const std::pair<const std::string, int>& host : m_hostRuns) {
+        used += host.second;
+        freePlaces += std::max(0, placesPerHost - host.second);
+    }
+    const auto update = [now = m_clock()](std::optional<SteadyTime>& since, bool holds) {
+        if (!holds)
+            since.reset();
+        else if (!since)
+            since = now;
+    };
+    update(m_roomSince, freePlaces >= 2);
+    update(m_halfFreeSince, 2 * used < placesPerHost * static_cast<int>(m_hostRuns.size()));
+}
+
+bool RunAudit::hadRoom(const std::optional<SteadyTime>& since) const { return since && m_clock() - *since >= roomTime; }
+
 void RunAudit::onReportedCompleted(const std::string& jobId)
 {
     const Guard guard(m_mutex);
@@ -124,10 +169,7 @@
     bool hasExhaustedTask = false;
     for (std::map<SoakTask, TaskRecord>::const_iterator it = m_tasks.lower_bound(SoakTask { jobId, 0, 0 });
          it != m_tasks.end() && it->first.jobId == jobId; ++it) {
-        const std::vector<EndRecord>& ends = it->second.ends;
-        hasExhaustedTask = hasExhaustedTask || std::count_if(ends.begin(), ends.end(), [](const EndRecord& end) {
-            return end.outcome == "failed";
-        }) >= maximumAttempts;
+        hasExhaustedTask = hasExhaustedTask || failures(it->first) >= maximumAttempts;
     }
     if (!hasExhaustedTask || job.job.longRunning)
         addViolation("LOST: " + jobId + " is reported as failed although no task has used up its attempts");
@@ -173,6 +215,8 @@
             start + " beside run " + std::to_string(other.first.second) + " on " + other.first.first
                 + (other.second.empty() ? "" : " by " + other.second));
     record.running[{ incarnation, run }] = origin;
+    ++m_hostRuns[incarnation];
+    updateRoom();
     record.lastStartSequenceNumber = ++m_lastSequenceNumber;
     record.lastStart = start;
     checkNewestStart(task, record);
@@ -200,8 +244,11 @@
 {
     const Guard guard(m_mutex);
     TaskRecord& record = m_tasks[task];
-    record.running.erase({ incarnation, run });
-    record.lastRunningAt = std::chrono::steady_clock::now();
+    if (record.running.erase({ incarnation, run }) > 0) {
+        --m_hostRuns[incarnation];
+        updateRoom();
+    }
+    record.lastRunningAt = m_clock();
     record.ends.push_back(EndRecord { incarnation, run, outcome, ++m_lastSequenceNumber, false });
     write("end " + task.text() + " run " + std::to_string(run) + " on " + incarnation + " " + outcome);
 }
@@ -218,10 +265,20 @@
     checkNewestStart(task, record);
 }
 
+void RunAudit::onIncarnationStarted(const std::string& incarnation)
+{
+    const Guard guard(m_mutex);
+    write("born " + incarnation);
+    m_hostRuns[incarnation] = 0;
+    updateRoom();
+}
+
 void RunAudit::onIncarnationEnded(const std::string& incarnation)
 {
     const Guard guard(m_mutex);
     write("gone " + incarnation);
+    m_hostRuns.erase(incarnation);
+    updateRoom();
     for (std::pair<const SoakTask, TaskRecord>& entry : m_tasks) {
         std::map<std::pair<std::string, int>, std::string>& running = entry.second.running;
         for (std::map<std::pair<std::string, int>, std::string>::iterator it = running.begin(); it != running.end();) {
@@ -229,7 +286,7 @@
                 ++it;
                 continue;
             }
-            entry.second.lastRunningAt = std::chrono::steady_clock::now();
+            entry.second.lastRunningAt = m_clock();
             it = running.erase(it);
         }
     }
@@ -279,25 +336,101 @@
     return longRunning;
 }
 
-std::vector<std::string> RunAudit::longRunningTasksIdleSince(SteadyTime since) const
+std::vector<std::string> RunAudit::idleLongRunningTasks() const
 {
     const Guard guard(m_mutex);
     std::vector<std::string> idle;
     for (const std::pair<const std::string, JobRecord>& entry : m_jobs) {
-        if (!entry.second.mustKeepRunning())
-            continue;
-        for (int index = 0; index < entry.second.job.widths.front(); ++index) {
+        for (int index = 0; entry.second.mustKeepRunning() && index < entry.second.job.widths.front(); ++index) {
             const SoakTask task { entry.first, 0, index };
             std::map<SoakTask, TaskRecord>::const_iterator it = m_tasks.find(task);
-            const bool runs = it != m_tasks.end() && !it->second.running.empty();
-            const SteadyTime lastRunningAt = it == m_tasks.end() ? SteadyTime() : it->second.lastRunningAt;
-            if (!runs && std::max(lastRunningAt, entry.second.acceptedAt) <= since)
+            if (it == m_tasks.end() || it->second.running.empty())
                 idle.push_back(task.text());
         }
     }
     return idle;
 }
 
+void RunAudit::checkLongRunningTasks(bool isCalm)
+{
+    const Guard guard(m_mutex);
+    const SteadyTime now = m_clock();
+    for (const std::pair<const std::string, JobRecord>& entry : m_jobs) {
+        for (int index = 0; entry.second.mustKeepRunning() && index < entry.second.job.widths.front(); ++index) {
+            const SoakTask task { entry.first, 0, index };
+            TaskRecord& record = m_tasks[task];
+            if (!record.running.empty()) {
+                record.judgedAt = now;
+                continue;
+            }
+            const SteadyTime idleSince = std::max(record.lastRunningAt, entry.second.acceptedAt);
+            if (!isCalm || now - idleSince < longRunningRestartLimit || !hadRoom(m_roomSince))
+                continue;
+            record.judgedAt = now;
+            if (record.reportedRules.insert("LOST").second)
+                addViolation("LOST", task, "is long-running but is not running");
+        }
+    }
+}
+
+bool RunAudit::standsStill(const std::string& jobId, const JobRecord& job)
+{
+    const SteadyTime idleUntil = m_clock() - roomTime;
+    if (job.acceptedAt > m_clock() - finishTime - roomTime)
+        return false;
+    for (std::map<SoakTask, TaskRecord>::const_iterator it = m_tasks.lower_bound(SoakTask { jobId, 0, 0 });
+         it != m_tasks.end() && it->first.jobId == jobId; ++it) {
+        if (!it->second.running.empty() || it->second.lastRunningAt > idleUntil
+            || failures(it->first) >= maximumAttempts)
+            return false;
+    }
+    // The tasks of the first step that has not completed may start.
+    for (std::size_t step = 0; step < job.job.widths.size(); ++step) {
+        for (int index = 0; index < job.job.widths[step]; ++index) {
+            if (!hasCompleted(SoakTask { jobId, static_cast<int>(step), index }))
+                return true;
+        }
+    }
+    return false;
+}
+
+void RunAudit::checkStandingJobs()
+{
+    const Guard guard(m_mutex);
+    if (!hadRoom(m_roomSince) || !hadRoom(m_halfFreeSince))
+        return;
+    for (std::pair<const std::string, JobRecord>& entry : m_jobs) {
+        JobRecord& job = entry.second;
+        if (job.missed || !job.accepted || job.cancelRequested || job.cancelled || job.reportedFinished
+            || job.job.longRunning || !standsStill(entry.first, job))
+            continue;
+        job.missed = true;
+        addViolation("LOST: " + entry.first + " stands still although there is room");
+    }
+}
+
+bool RunAudit::isHalfFree() const
+{
+    const Guard guard(m_mutex);
+    return m_halfFreeSince.has_value();
+}
+
+std::pair<std::size_t, std::size_t> RunAudit::judgedLongRunningTasks(SteadyTime since) const
+{
+    const Guard guard(m_mutex);
+    std::pair<std::size_t, std::size_t> counts;
+    for (const std::pair<const std::string, JobRecord>& entry : m_jobs) {
+        for (int index = 0; entry.second.mustKeepRunning() && index < entry.second.job.widths.front(); ++index) {
+            std::map<SoakTask, TaskRecord>::const_iterator it = m_tasks.find(SoakTask { entry.first, 0, index });
+            if (it != m_tasks.end() && it->second.judgedAt >= since)
+                ++counts.first;
+            else if (m_clock() - entry.second.acceptedAt >= longRunningRestartLimit)
+                ++counts.second;
+        }
+    }
+    return counts;
+}
+
 std::vector<std::string> RunAudit::runsOfCancelledJobs() const
 {
     const Guard guard(m_mutex);
--- a/Tests/Soak/RunAudit.h
+++ b/Tests/Soak/RunAudit.h
@@ -5,8 +5,10 @@
 #include "Base/Time.h"
 
 #include <fstream>
+#include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -47,12 +49,28 @@
     /// Failed runs of a task after which the task must not be started again. The stand-ins' configuration sets the same
     /// limit.
     static constexpr int maximumAttempts = 4;
+    /// Tasks that a host has room for; all tasks of the soak take the same room.
+    static constexpr int placesPerHost = 4;
+    /// A task that does not run is missed only if the hosts had room for it twice over during this time.
+    static constexpr std::chrono::seconds roomTime { 3 };
+    /// A long-running task must run again 6 s after its last run ended, and is missed if it does not during roomTime.
+    static constexpr std::chrono::seconds longRunningRestartLimit { 9 };
+    /// Time after its acceptance, or after the end of the traffic, from which a job must not stand still.
+    static constexpr std::chrono::seconds finishTime { 14 };
+
+    /// Hook: the present time.
+    using Clock = std::function<SteadyTime()>;
+
+    explicit RunAudit(Clock clock = &std::chrono::steady_clock::now);
 
     /// Opens the file that receives all notes.
     void openLog(const std::string& path);
     /// Writes one line to the log, for tracing a violation.
     void note(const std::string& text);
 
+    /// Whether one more long-running job leaves more than half of the given places to others. Jobs that may have been
+    /// accepted without an answer count; the job counts from then on.
+    bool admitLongRunning(const std::string& jobId, std::size_t places);
     void onSubmit(const std::string& jobId, SoakJob job);
     void onAccepted(const std::string& jobId);
     /// Every attempt to submit the job was answered with a refusal.
@@ -70,6 +88,8 @@
     void onEnd(const std::string& incarnation, const SoakTask& task, int run, const std::string& outcome);
     /// The acknowledgement of the host's list covers this end.
     void onAcknowledged(const std::string& incarnation, const SoakTask& task, int run);
+    /// A host has room for tasks from now on.
+    void onIncarnationStarted(const std::string& incarnation);
     /// The incarnation ended, and all its runs with it.
     void onIncarnationEnded(const std::string& incarnation);
     void reportViolation(const std::string& violation);
@@ -81,9 +101,19 @@
     std::vector<std::string> unfinishedJobs() const;
     /// Accepted long-running jobs whose cancellation has not been requested.
     std::vector<std::string> longRunningJobs() const;
-    /// Tasks of those jobs that are not running and have not run since the given time; without jobs that were accepted
-    /// after it.
-    std::vector<std::string> longRunningTasksIdleSince(SteadyTime since) const;
+    /// Tasks of those jobs that are not running.
+    std::vector<std::string> idleLongRunningTasks() const;
+    /// Notes which long-running tasks run. If the system has been calm, reports those that have not run for too long
+    /// although there was room, each once. To be called again and again.
+    void checkLongRunningTasks(bool isCalm);
+    /// Reports jobs that stand still although there is room and less than half of it is used, each once. To be called
+    /// again and again, from finishTime + roomTime after the traffic on.
+    void checkStandingJobs();
+    /// Whether less than half of the room of the hosts that are up is used.
+    bool isHalfFree() const;
+    /// How many long-running tasks the checks have judged since the given time, and how many they have not: neither
+    /// seen running nor missed although they were accepted longer than longRunningRestartLimit ago.
+    std::pair<std::size_t, std::size_t> judgedLongRunningTasks(SteadyTime since) const;
     /// Tasks that are running although their job is cancelled or has failed.
     std::vector<std::string> runsOfCancelledJobs() const;
 
@@ -103,6 +133,8 @@
         std::size_t lastStartSequenceNumber = 0;
         std::string lastStart;
         SteadyTime lastRunningAt;
+        /// When a check last saw the task running or missed it.
+        SteadyTime judgedAt;
         /// Rules whose violation by an end of this task has been reported.
         std::set<std::string> reportedRules;
     };
@@ -115,6 +147,7 @@
         bool cancelled = false;
         bool reportedFinished = false;
         bool started = false;
+        bool missed = false;
         bool mustKeepRunning() const { return job.longRunning && accepted && !cancelRequested && !cancelled; }
     };
 
@@ -122,11 +155,24 @@
     void addViolation(const std::string& text);
     void addViolation(const std::string& rule, const SoakTask& task, const std::string& text);
     bool hasCompleted(const SoakTask& task);
+    int failures(const SoakTask& task);
+    /// Whether the job has nothing running, has had nothing running for roomTime, and one of its tasks may start.
+    bool standsStill(const std::string& jobId, const JobRecord& job);
+    /// To be called after each change of the hosts or their runs.
+    void updateRoom();
+    bool hadRoom(const std::optional<SteadyTime>& since) const;
     /// Checks the newest start against the acknowledged ends before it. Called for each start and each acknowledgement.
     void checkNewestStart(const SoakTask& task, TaskRecord& record);
 
+    Clock m_clock;
     mutable std::mutex m_mutex;
     std::ofstream m_log;
+    /// Runs by incarnation, of the hosts that are up.
+    std::map<std::string, int> m_hostRuns;
+    /// Since when the hosts have room for one task twice over.
+    std::optional<SteadyTime> m_roomSince;
+    /// Since when less than half of their room is used.
+    std::optional<SteadyTime> m_halfFreeSince;
     std::map<std::string, JobRecord> m_jobs;
     std::map<SoakTask, TaskRecord> m_tasks;
     std::vector<std::string> m_violations;
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -36,14 +36,15 @@
     /// Orders that got no answer may still be executed this long after the last fault: 12 s is the longest delay of a
     /// host stand-in.
     constexpr std::chrono::seconds minimumSettleTime(13);
-    /// A long-running task must run again 6 s after its last run ended, with a margin of 3 s; this is the platform's
-    /// rule for LOST.
-    constexpr std::chrono::seconds longRunningRestartLimit(9);
     /// The numbers of the long-running and of the always failing jobs, as remainders of a division by the period.
     constexpr int longRunningPeriod = 8;
     constexpr int longRunningRemainder = 3;
     constexpr int failingPeriod = 16;
     constexpr int failingRemainder = 6;
+    /// Time without disruptions after which tasks that do not run are missed: 3 s, and 4 s before them.
+    constexpr std::chrono::seconds calmTime(7);
+    /// Work of a job that is not long-running, on average: 2 steps of 2.5 tasks of some 0.8 s each.
+    constexpr std::chrono::seconds jobWork(4);
     constexpr int maximumCallAttempts = 5;
     /// A submission takes up to 20 s while entries are down.
     constexpr std::size_t submittingThreads = 64;
@@ -465,6 +466,9 @@
     std::snprintf(id, sizeof id, "%08x%08x", m_options.seed, static_cast<unsigned>(number));
     SoakJob job;
     job.longRunning = number % longRunningPeriod == longRunningRemainder;
+    // Beyond the room that long-running tasks must find, a job is an ordinary one.
+    job.longRunning = job.longRunning
+        && m_audit.admitLongRunning(id, m_hosts.size() * static_cast<std::size_t>(RunAudit::placesPerHost));
     const bool alwaysFails = number % failingPeriod == failingRemainder;
     job.payload = (job.longRunning      ? longRunningPayloadPrefix
                           : alwaysFails ? failingPayloadPrefix
@@ -552,7 +556,7 @@
 bool Soak::isSettled() const
 {
     return m_audit.unfinishedJobs().empty() && m_audit.runsOfCancelledJobs().empty()
-        && m_audit.longRunningTasksIdleSince(SteadyClock::now()).empty();
+        && m_audit.idleLongRunningTasks().empty();
 }
 
 void Soak::clientLoop(unsigned seed)
@@ -622,15 +626,7 @@
     }
     runRecoveries(true);
     m_submitting = false;
-    m_audit.note("calm");
-    const SteadyTime settleStartedAt = SteadyClock::now();
-    while (SteadyClock::now() < settleStartedAt + minimumSettleTime
-        || (SteadyClock::now() < settleStartedAt + m_options.settleLimit && !isSettled()))
-        pause(100);
-    for (const std::string& task : m_audit.longRunningTasksIdleSince(SteadyClock::now() - longRunningRestartLimit))
-        m_audit.reportViolation("LOST: " + task + " is long-running but is not running");
-    for (const std::string& jobId : m_audit.unfinishedJobs())
-        m_audit.reportViolation("LOST: " + jobId + " was accepted but has not finished");
+    settle();
     for (const std::string& task : m_audit.runsOfCancelledJobs())
         m_audit.reportViolation("UNASKED: " + task + " is still running although its job was cancelled");
     if (m_audit.acceptedCount() == 0)
@@ -640,10 +636,49 @@
     return m_audit.violations();
 }
 
+void Soak::settle()
+{
+    m_audit.note("calm");
+    const SteadyTime startedAt = SteadyClock::now();
+    // The time that the accepted jobs take on half of the room, beside the time that each job may take.
+    const std::chrono::milliseconds work = std::chrono::milliseconds(jobWork) * m_audit.unfinishedJobs().size() * 2
+        / (m_hosts.size() * static_cast<std::size_t>(RunAudit::placesPerHost));
+    const SteadyTime latestEnd = startedAt + work + 2 * m_options.settleLimit;
+    SteadyClock::duration timeWithRoom {};
+    for (SteadyTime now = startedAt; timeWithRoom < m_options.settleLimit && now < latestEnd;) {
+        const bool isCalm = now >= startedAt + minimumSettleTime + calmTime;
+        m_audit.checkLongRunningTasks(isCalm);
+        if (now >= startedAt + minimumSettleTime && isSettled())
+            break;
+        if (isCalm)
+            m_audit.checkStandingJobs();
+        pause(100);
+        const SteadyTime before = std::exchange(now, SteadyClock::now());
+        if (m_audit.isHalfFree())
+            timeWithRoom += now - before;
+    }
+    m_audit.checkLongRunningTasks(false);
+    m_longRunningTasks = m_audit.judgedLongRunningTasks(startedAt + minimumSettleTime);
+    if (m_longRunningTasks.second > 0)
+        m_audit.reportViolation("FAULT: " + std::to_string(m_longRunningTasks.second)
+            + " long-running tasks could not be judged for want of room");
+    const std::vector<std::string> unfinished = m_audit.unfinishedJobs();
+    if (timeWithRoom < m_options.settleLimit) {
+        if (!unfinished.empty())
+            m_audit.reportViolation("FAULT: " + std::to_string(unfinished.size())
+                + " jobs have not finished and could not be judged for want of room");
+        return;
+    }
+    for (const std::string& jobId : unfinished)
+        m_audit.reportViolation("LOST: " + jobId + " was accepted but has not finished");
+}
+
 std::string Soak::summary() const
 {
     std::string text = "seed " + std::to_string(m_options.seed) + ": " + std::to_string(m_audit.acceptedCount())
-        + " jobs accepted, " + std::to_string(m_audit.startCount()) + " starts, faults:";
+        + " jobs accepted, " + std::to_string(m_audit.startCount())
+        + " starts, long-running tasks: " + std::to_string(m_longRunningTasks.first) + " judged, "
+        + std::to_string(m_longRunningTasks.second) + " not judged, faults:";
     for (const std::string& fault : m_faults)
         text += " " + fault;
     if (m_skippedJobs > 0)
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -17,7 +17,8 @@
     int entries = 3;
     int hosts = 4;
     std::chrono::seconds faultDuration { 12 };
-    /// Time after the last fault within which every accepted job must finish.
+    /// Time after the last fault, with at least half of the hosts' room free, within which every accepted job must
+    /// finish.
     std::chrono::seconds settleLimit { 30 };
     int jobsPerSecond = 4;
     /// Whether faults that hit a host and its side together, or only some connections of a host, are injected too.
@@ -99,6 +100,9 @@
     void pollJobStatus(std::mt19937& random);
     void pollJobStatus(std::mt19937& random, const std::string& jobId);
     bool isSettled() const;
+    /// Waits without faults until every job has finished and every long-running task runs, and reports those that do
+    /// not while there is room.
+    void settle();
     HttpResponse call(int entry, const std::string& method, const std::string& jobId, const std::string& body);
 
     SoakOptions m_options;
@@ -115,6 +119,8 @@
     std::vector<Node> m_nodes;
     std::vector<Recovery> m_recoveries;
     std::vector<std::string> m_faults;
+    /// Long-running tasks that were judged after the faults, and those that were not.
+    std::pair<std::size_t, std::size_t> m_longRunningTasks;
     /// Until then all node faults hit the current owner, one owner after the other.
     SteadyTime m_ownerFaultsUntil;
     /// Weight of host faults in this run, against a weight of 8 for all other faults.
