Soak: Ask every entry for accepted jobs at any time

What was missing: an accepted job that is answered 410 was looked for after the faults only, at one entry by chance, and only for jobs that had not finished.

Change: each entry is asked every 150 ms for a job that it must know, finished ones too, from 3 s after the acceptance on. A 410 is LOST if the entry is in touch (no disruption of its process, its connections to the store or the store within 3 s), and noted in the audit log otherwise. States that are shown at that time are checked as at the end. The summary says how many answers came from entries in touch.

--- a/Tests/Soak/RunAudit.cpp
+++ b/Tests/Soak/RunAudit.cpp
@@ -409,6 +409,20 @@
     }
 }
 
+std::vector<std::string> RunAudit::knownJobs() const
+{
+    const Guard guard(m_mutex);
+    const SteadyTime now = m_clock();
+    std::vector<std::string> known;
+    for (const std::pair<const std::string, JobRecord>& entry : m_jobs) {
+        const JobRecord& job = entry.second;
+        if (job.accepted && !job.cancelRequested && now - job.acceptedAt >= visibleTime
+            && now - job.acceptedAt < statusTime)
+            known.push_back(entry.first);
+    }
+    return known;
+}
+
 bool RunAudit::isHalfFree() const
 {
     const Guard guard(m_mutex);
--- a/Tests/Soak/RunAudit.h
+++ b/Tests/Soak/RunAudit.h
@@ -55,6 +55,9 @@
     static constexpr std::chrono::seconds roomTime { 3 };
     /// A long-running task must run again 6 s after its last run ended, and is missed if it does not during roomTime.
     static constexpr std::chrono::seconds longRunningRestartLimit { 9 };
+    /// Time after its acceptance from which every entry must know a job, and time for which it must.
+    static constexpr std::chrono::seconds visibleTime { 3 };
+    static constexpr std::chrono::seconds statusTime { 120 };
     /// Time after its acceptance, or after the end of the traffic, from which a job must not stand still.
     static constexpr std::chrono::seconds finishTime { 14 };
 
@@ -109,6 +112,9 @@
     /// Reports jobs that stand still although there is room and less than half of it is used, each once. To be called
     /// again and again, from finishTime + roomTime after the traffic on.
     void checkStandingJobs();
+    /// Accepted jobs, finished ones too, that every entry must know: accepted long enough ago, not cancelled, and not
+    /// so old that the platform may forget them.
+    std::vector<std::string> knownJobs() const;
     /// Whether less than half of the room of the hosts that are up is used.
     bool isHalfFree() const;
     /// How many long-running tasks the checks have judged since the given time, and how many they have not: neither
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -41,6 +41,12 @@
     constexpr int longRunningRemainder = 3;
     constexpr int failingPeriod = 16;
     constexpr int failingRemainder = 6;
+    /// The platform's bound contact_ms.
+    constexpr std::chrono::seconds contactTime(3);
+    /// Time after which a process has replaced connections that were silenced.
+    constexpr std::chrono::seconds silentConnectionTime(5);
+    /// Each entry is asked for a job's state this often.
+    constexpr unsigned long statusIntervalMilliseconds = 150;
     /// Time without disruptions after which tasks that do not run are missed: 3 s, and 4 s before them.
     constexpr std::chrono::seconds calmTime(7);
     /// Work of a job that is not long-running, on average: 2 steps of 2.5 tasks of some 0.8 s each.
@@ -141,7 +147,37 @@
     const std::vector<std::string> command { m_options.nodeProgram, node.role == Role::Entry ? "entry" : "side",
         "--settings", m_options.folder + "/" + node.name + ".json" };
     node.process = std::make_unique<ChildProcess>(command, m_options.folder + "/" + node.name + ".log", true);
-    node.unavailable = false;
+    if (std::exchange(node.unavailable, false))
+        endDisruption(node);
+}
+
+void Soak::changeDisruptions(Contact& contact, int change)
+{
+    const std::lock_guard<std::mutex> guard(m_contactsMutex);
+    contact.disruptions += change;
+    contact.restoredAt = SteadyClock::now();
+}
+
+void Soak::beginDisruption(const Node& node)
+{
+    if (node.role == Role::Entry)
+        changeDisruptions(m_contacts[static_cast<std::size_t>(node.number)], 1);
+}
+
+void Soak::endDisruption(const Node& node)
+{
+    if (node.role == Role::Entry)
+        changeDisruptions(m_contacts[static_cast<std::size_t>(node.number)], -1);
+}
+
+bool Soak::isInTouch(int entry) const
+{
+    const std::lock_guard<std::mutex> guard(m_contactsMutex);
+    for (const Contact* contact : { &m_contacts[static_cast<std::size_t>(entry)], &m_contacts.back() }) {
+        if (contact->disruptions > 0 || SteadyClock::now() - contact->restoredAt < contactTime)
+            return false;
+    }
+    return true;
 }
 
 bool Soak::start()
@@ -178,6 +214,7 @@
         }
         m_hosts.push_back(takeValue(std::move(host)));
     }
+    m_contacts.resize(static_cast<std::size_t>(m_options.entries) + 1, Contact { 0, SteadyClock::now() });
     for (Node& node : m_nodes) {
         writeSettings(node);
         launch(node);
@@ -232,6 +269,7 @@
     case 0:
         node.process->kill();
         node.unavailable = true;
+        beginDisruption(node);
         scheduleRecovery(300, 2500, [this, &node] { launch(node); });
         return;
     case 1: {
@@ -239,6 +277,7 @@
         // The node starts again 1.5 to 4 s later, when its work may still be running elsewhere.
         node.process->requestStop();
         node.unavailable = true;
+        beginDisruption(node);
         node.stopRequestedAt = SteadyClock::now();
         scheduleRecovery(
             1500, 4000, [this, &node, beforeSignalHandling] { restartWhenStopped(node, beforeSignalHandling); });
@@ -247,10 +286,12 @@
     case 2:
         node.process->freeze();
         node.unavailable = true;
+        beginDisruption(node);
         scheduleRecovery(500, 8000, [this, &node] {
             m_audit.note("awake " + node.name);
             node.process->resume();
             node.unavailable = false;
+            endDisruption(node);
         });
         return;
     case 3:
@@ -258,21 +299,31 @@
             ::kill(node.process->pid(), SIGHUP);
         return;
     case 4:
-        node.storeRelay->silenceExisting(true, true);
-        return;
     case 5:
-        node.storeRelay->silenceExisting(draw(2) == 0, draw(2) == 0);
+        node.storeRelay->silenceExisting(kind == 4 || draw(2) == 0, kind == 4 || draw(2) == 0);
+        beginDisruption(node);
+        scheduleRecovery(silentConnectionTime, [this, &node] { endDisruption(node); });
         return;
     case 6:
         node.storeRelay->resetExisting();
+        beginDisruption(node);
+        endDisruption(node);
         return;
     case 7:
         node.storeRelay->setDelay(std::chrono::milliseconds(50 + draw(400)));
-        scheduleRecovery(500, 4000, [&node] { node.storeRelay->setDelay({}); });
+        beginDisruption(node);
+        scheduleRecovery(500, 4000, [this, &node] {
+            node.storeRelay->setDelay({});
+            endDisruption(node);
+        });
         return;
     default:
         node.storeRelay->setPaused(true);
-        scheduleRecovery(1000, 6000, [&node] { node.storeRelay->setPaused(false); });
+        beginDisruption(node);
+        scheduleRecovery(1000, 6000, [this, &node] {
+            node.storeRelay->setPaused(false);
+            endDisruption(node);
+        });
         return;
     }
 }
@@ -346,14 +397,19 @@
     static const char* const names[storeFaultKinds] = { "silent", "busy", "loses-answers", "compacted" };
     m_faults.push_back(std::string(names[kind]) + ":store");
     m_audit.note("fault " + m_faults.back());
+    changeDisruptions(storeContact(), 1);
     if (kind == 3) {
         m_store->compact();
+        changeDisruptions(storeContact(), -1);
         return;
     }
     static constexpr StoreBehaviour behaviours[]
         = { StoreBehaviour::Silent, StoreBehaviour::Busy, StoreBehaviour::LosesAnswers };
     m_store->setBehaviour(behaviours[kind]);
-    scheduleRecovery(500, 4000, [this] { m_store->setBehaviour(StoreBehaviour::Normal); });
+    scheduleRecovery(500, 4000, [this] {
+        m_store->setBehaviour(StoreBehaviour::Normal);
+        changeDisruptions(storeContact(), -1);
+    });
 }
 
 void Soak::injectHostFault(std::size_t number, unsigned kind)
@@ -523,22 +579,39 @@
 
 void Soak::pollJobStatus(std::mt19937& random)
 {
+    const unsigned entries = static_cast<unsigned>(m_options.entries);
     for (const std::string& jobId : m_audit.unfinishedJobs())
-        pollJobStatus(random, jobId);
+        pollJobStatus(static_cast<int>(random() % entries), jobId);
     for (const std::string& jobId : m_audit.longRunningJobs())
-        pollJobStatus(random, jobId);
+        pollJobStatus(static_cast<int>(random() % entries), jobId);
+}
+
+void Soak::statusLoop(int entry)
+{
+    std::mt19937 random(m_options.seed + static_cast<unsigned>(entry));
+    for (; !m_stopping; pause(statusIntervalMilliseconds)) {
+        const std::vector<std::string> jobs = m_audit.knownJobs();
+        if (!jobs.empty())
+            pollJobStatus(entry, jobs[random() % jobs.size()]);
+    }
 }
 
-void Soak::pollJobStatus(std::mt19937& random, const std::string& jobId)
+void Soak::pollJobStatus(int entry, const std::string& jobId)
 {
     if (m_stopping)
         return;
-    const HttpResponse response
-        = call(static_cast<int>(random() % static_cast<unsigned>(m_options.entries)), "GET", jobId, {});
+    const HttpResponse response = call(entry, "GET", jobId, {});
     if (response.kind != HttpResponse::Kind::Answered || (response.status != 200 && response.status != 410))
         return;
+    const bool inTouch = !m_submitting || isInTouch(entry);
+    if (m_submitting)
+        ++(inTouch ? m_statesInTouch : m_statesOutOfTouch);
     if (response.status == 410) {
-        m_audit.reportViolation("LOST: " + jobId + " was accepted but the entry has no record of it");
+        const std::string text = jobId + " was accepted but entry-" + std::to_string(entry) + " has no record of it";
+        if (inTouch)
+            m_audit.reportViolation("LOST: " + text);
+        else
+            m_audit.note(text);
         return;
     }
     const Json body = Json::parse(response.body, nullptr, false);
@@ -610,6 +683,10 @@
         return m_audit.violations();
     pause(2500);
     std::thread client([this, seed = draw(~0U)] { clientLoop(seed); });
+    std::vector<std::thread> statusClients;
+    statusClients.reserve(static_cast<std::size_t>(m_options.entries));
+    for (int entry = 0; entry < m_options.entries; ++entry)
+        statusClients.emplace_back([this, entry] { statusLoop(entry); });
     const SteadyTime faultsEnd = SteadyClock::now() + m_options.faultDuration;
     try {
         while (SteadyClock::now() < faultsEnd) {
@@ -633,6 +710,8 @@
         m_audit.reportViolation("FAULT: no job was accepted");
     m_stopping = true;
     client.join();
+    for (std::thread& statusClient : statusClients)
+        statusClient.join();
     return m_audit.violations();
 }
 
@@ -676,9 +755,10 @@
 std::string Soak::summary() const
 {
     std::string text = "seed " + std::to_string(m_options.seed) + ": " + std::to_string(m_audit.acceptedCount())
-        + " jobs accepted, " + std::to_string(m_audit.startCount())
-        + " starts, long-running tasks: " + std::to_string(m_longRunningTasks.first) + " judged, "
-        + std::to_string(m_longRunningTasks.second) + " not judged, faults:";
+        + " jobs accepted, " + std::to_string(m_audit.startCount()) + " starts, long-running tasks: "
+        + std::to_string(m_longRunningTasks.first) + " judged, " + std::to_string(m_longRunningTasks.second)
+        + " not judged, states asked under traffic: " + std::to_string(m_statesInTouch) + " of entries in touch, "
+        + std::to_string(m_statesOutOfTouch) + " of others, faults:";
     for (const std::string& fault : m_faults)
         text += " " + fault;
     if (m_skippedJobs > 0)
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -62,6 +62,11 @@
         /// When the process was sent SIGTERM.
         SteadyTime stopRequestedAt;
     };
+    /// Disruptions of an entry, or of the store.
+    struct Contact {
+        int disruptions = 0;
+        SteadyTime restoredAt;
+    };
     /// An action that ends a fault once it is due.
     struct Recovery {
         SteadyTime at;
@@ -98,7 +103,16 @@
     void submitJob(std::mt19937& random, int number);
     void cancelJob(std::mt19937& random, const std::string& jobId);
     void pollJobStatus(std::mt19937& random);
-    void pollJobStatus(std::mt19937& random, const std::string& jobId);
+    void pollJobStatus(int entry, const std::string& jobId);
+    /// An entry is in touch while, for contactTime, neither its process, its connection to the store nor the store has
+    /// been disrupted.
+    bool isInTouch(int entry) const;
+    void beginDisruption(const Node& node);
+    void endDisruption(const Node& node);
+    Contact& storeContact() { return m_contacts.back(); }
+    void changeDisruptions(Contact& contact, int change);
+    /// Asks one entry for the states of accepted jobs, at any time of the run.
+    void statusLoop(int entry);
     bool isSettled() const;
     /// Waits without faults until every job has finished and every long-running task runs, and reports those that do
     /// not while there is room.
@@ -118,6 +132,12 @@
     std::vector<std::unique_ptr<HostStandIn>> m_hosts;
     std::vector<Node> m_nodes;
     std::vector<Recovery> m_recoveries;
+    /// One for each entry; the last one is the store's.
+    std::vector<Contact> m_contacts;
+    mutable std::mutex m_contactsMutex;
+    /// Answers under traffic to requests for jobs that every entry must know: of entries in touch, and of others.
+    std::atomic<std::size_t> m_statesInTouch { 0 };
+    std::atomic<std::size_t> m_statesOutOfTouch { 0 };
     std::vector<std::string> m_faults;
     /// Long-running tasks that were judged after the faults, and those that were not.
     std::pair<std::size_t, std::size_t> m_longRunningTasks;
