Soak: Stop entries as planned under traffic

What was missing: a SIGTERM of an entry came among other faults only, so a request that it had read and did not answer counted for nothing, and long-running tasks were not judged during a hand-over.

Change: `--planned-stops SECONDS` adds a stretch after the faults in which clients go on, nothing else is disrupted, and every 15 s an entry, every other time the owner, gets SIGTERM and starts again. A request that ends without a complete answer later than 200 ms after it was sent, until 7 s after the SIGTERM and before its deadline, is LOST; clients keep their connections and the HTTP client repeats nothing then. Long-running tasks are judged from 7 s after the last process started again on.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -47,8 +47,14 @@
     constexpr std::chrono::seconds silentConnectionTime(5);
     /// Each entry is asked for a job's state this often.
     constexpr unsigned long statusIntervalMilliseconds = 150;
+    /// A request counts as read if its connection ends later than this after its last byte was sent: loss_slack_ms.
+    constexpr std::chrono::milliseconds lossSlack(200);
+    /// A request is around a planned stop until 1 s after grace_s, which is 6 s.
+    constexpr std::chrono::seconds plannedStopTime(7);
+    constexpr std::chrono::seconds plannedStopInterval(15);
     /// Time without disruptions after which tasks that do not run are missed: 3 s, and 4 s before them.
     constexpr std::chrono::seconds calmTime(7);
+    constexpr std::chrono::milliseconds requestDeadline(3000);
     /// Work of a job that is not long-running, on average: 2 steps of 2.5 tasks of some 0.8 s each.
     constexpr std::chrono::seconds jobWork(4);
     constexpr int maximumCallAttempts = 5;
@@ -509,11 +515,81 @@
     request.address = loopbackAddress;
     request.port = portOf(clientPortOffset, entry);
     request.path = "/plans/" + jobId;
-    request.headers = { "Host: " + hostName, "Request-Deadline: 3000" };
+    request.headers = { "Host: " + hostName, "Request-Deadline: " + std::to_string(requestDeadline.count()) };
     request.body = body;
     request.timeout = milliseconds(3200);
-    request.mayResend = true;
-    return m_http->fetch(std::move(request));
+    request.mayResend = !m_plannedStops;
+    const SteadyTime sentAt = SteadyClock::now();
+    const bool isJudged = m_plannedStops;
+    HttpResponse response = m_http->fetch(std::move(request));
+    if (isJudged)
+        judgeEnd(entry, method + " " + jobId, sentAt, response);
+    return response;
+}
+
+void Soak::judgeEnd(int entry, const std::string& request, SteadyTime sentAt, const HttpResponse& response)
+{
+    const SteadyTime now = SteadyClock::now();
+    {
+        const std::lock_guard<std::mutex> guard(m_contactsMutex);
+        const std::optional<SteadyTime>& stopAt = m_contacts[static_cast<std::size_t>(entry)].plannedStopAt;
+        if (!stopAt || now < *stopAt || now > *stopAt + plannedStopTime)
+            return;
+    }
+    if (response.kind == HttpResponse::Kind::Answered) {
+        ++m_answeredAroundStops;
+        return;
+    }
+    if (response.kind == HttpResponse::Kind::NotConnected || now - sentAt >= requestDeadline)
+        return;
+    const std::chrono::milliseconds time = std::chrono::duration_cast<std::chrono::milliseconds>(now - sentAt);
+    const std::string text = request + " to entry-" + std::to_string(entry) + " was cut off after "
+        + std::to_string(time.count()) + " ms around a planned stop: " + response.text;
+    if (time > lossSlack) {
+        m_audit.reportViolation("LOST: " + text);
+        return;
+    }
+    ++m_cutUnreadAroundStops;
+    m_audit.note(text);
+}
+
+void Soak::stopEntry()
+{
+    Node* ownerNode = owner();
+    const bool stopsOwner = m_plannedStopCount++ % 2 == 0 && ownerNode && ownerNode->role == Role::Entry;
+    Node& node = stopsOwner ? *ownerNode : m_nodes[draw(static_cast<unsigned>(m_options.entries))];
+    noteFault("planned-stop:" + node.name + (&node == ownerNode ? ",owner" : ""));
+    {
+        const std::lock_guard<std::mutex> guard(m_contactsMutex);
+        m_contacts[static_cast<std::size_t>(node.number)].plannedStopAt = SteadyClock::now();
+    }
+    beginDisruption(node);
+    node.unavailable = true;
+    node.process->requestStop();
+    node.stopRequestedAt = SteadyClock::now();
+    scheduleRecovery(500, 1500, [this, &node] { restartWhenStopped(node, false); });
+}
+
+void Soak::runPlannedStops()
+{
+    m_audit.note("planned stops");
+    const SteadyTime startedAt = SteadyClock::now() + minimumSettleTime;
+    const SteadyTime endsAt = startedAt + m_options.plannedStopDuration;
+    SteadyTime nextStopAt = startedAt + calmTime;
+    SteadyTime calmFrom = startedAt + calmTime;
+    for (SteadyTime now = SteadyClock::now(); now < endsAt || !m_recoveries.empty(); now = SteadyClock::now()) {
+        m_plannedStops = now >= startedAt;
+        runRecoveries(false);
+        if (now >= nextStopAt && now + plannedStopInterval <= endsAt) {
+            stopEntry();
+            nextStopAt = now + plannedStopInterval;
+        }
+        if (!m_recoveries.empty())
+            calmFrom = now + calmTime;
+        m_audit.checkLongRunningTasks(now >= calmFrom);
+        pause(50);
+    }
+    m_plannedStops = false;
 }
 
 void Soak::submitJob(std::mt19937& random, int number)
@@ -702,6 +778,8 @@
         m_audit.reportViolation(std::string("FAULT: ") + error.what());
     }
     runRecoveries(true);
+    if (m_options.plannedStopDuration > std::chrono::seconds::zero())
+        runPlannedStops();
     m_submitting = false;
     settle();
     for (const std::string& task : m_audit.runsOfCancelledJobs())
@@ -758,7 +836,11 @@
         + " jobs accepted, " + std::to_string(m_audit.startCount()) + " starts, long-running tasks: "
         + std::to_string(m_longRunningTasks.first) + " judged, " + std::to_string(m_longRunningTasks.second)
         + " not judged, states asked under traffic: " + std::to_string(m_statesInTouch) + " of entries in touch, "
-        + std::to_string(m_statesOutOfTouch) + " of others, faults:";
+        + std::to_string(m_statesOutOfTouch) + " of others, ";
+    if (m_plannedStopCount > 0)
+        text += std::to_string(m_plannedStopCount) + " planned stops: " + std::to_string(m_answeredAroundStops)
+            + " requests answered, " + std::to_string(m_cutUnreadAroundStops) + " cut unread, ";
+    text += "faults:";
     for (const std::string& fault : m_faults)
         text += " " + fault;
     if (m_skippedJobs > 0)
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -20,6 +20,8 @@
     /// Time after the last fault, with at least half of the hosts' room free, within which every accepted job must
     /// finish.
     std::chrono::seconds settleLimit { 30 };
+    /// Time after the faults in which jobs are still submitted and entries are stopped as planned, one after the other.
+    std::chrono::seconds plannedStopDuration { 0 };
     int jobsPerSecond = 4;
     /// Whether faults that hit a host and its side together, or only some connections of a host, are injected too.
     bool machineFaults = false;
@@ -66,6 +68,8 @@
     struct Contact {
         int disruptions = 0;
         SteadyTime restoredAt;
+        /// When the entry was last stopped as planned.
+        std::optional<SteadyTime> plannedStopAt;
     };
     /// An action that ends a fault once it is due.
     struct Recovery {
@@ -114,6 +118,12 @@
     /// Asks one entry for the states of accepted jobs, at any time of the run.
     void statusLoop(int entry);
     bool isSettled() const;
+    /// Stops entries as planned, with nothing else near, while clients submit jobs and ask for them.
+    void runPlannedStops();
+    /// Stops an entry, every other time the owner, and starts it again once it has ended.
+    void stopEntry();
+    /// Judges how a request to an entry ended that was stopped as planned.
+    void judgeEnd(int entry, const std::string& request, SteadyTime sentAt, const HttpResponse& response);
     /// Waits without faults until every job has finished and every long-running task runs, and reports those that do
     /// not while there is room.
     void settle();
@@ -151,6 +161,12 @@
     std::condition_variable m_jobQueued;
     /// Jobs that were not submitted because too many submissions waited for answers.
     std::size_t m_skippedJobs = 0;
+    /// Set while disruptions other than planned stops are over, and clients repeat no request on their own.
+    std::atomic<bool> m_plannedStops { false };
+    std::size_t m_plannedStopCount = 0;
+    /// Requests to entries around their planned stops: those answered, and those cut before they count as read.
+    std::atomic<std::size_t> m_answeredAroundStops { 0 };
+    std::atomic<std::size_t> m_cutUnreadAroundStops { 0 };
     std::atomic<bool> m_submitting { true };
     std::atomic<bool> m_stopping { false };
 };
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -20,6 +20,7 @@
         options.entries = parsed["entries"].as<int>();
         options.hosts = parsed["hosts"].as<int>();
         options.faultDuration = std::chrono::seconds(parsed["seconds"].as<int>());
+        options.plannedStopDuration = std::chrono::seconds(parsed["planned-stops"].as<int>());
         options.firstPort = parsed["port"].as<int>();
         options.jobsPerSecond = parsed["rate"].as<int>();
         options.machineFaults = parsed["machine-faults"].as<bool>();
@@ -44,9 +45,11 @@
     std::signal(SIGPIPE, SIG_IGN);
     try {
         cxxopts::Options options("plantainpier-soak", "Runs the real programs under seeded, injected faults.");
-        options.add_options()("seed", "first seed", cxxopts::value<unsigned>()->default_value("1"))(
-            "seeds", "number of seeds to run, one after the other", cxxopts::value<int>()->default_value("1"))(
-            "seconds", "seconds of fault injection per seed", cxxopts::value<int>()->default_value("12"))(
+        options.add_options()("seed", "first seed", cxxopts::value<unsigned>()->default_value("1"))("seeds",
+            "number of seeds to run, one after the other", cxxopts::value<int>()->default_value("1"))("seconds",
+            "seconds of fault injection per seed", cxxopts::value<int>()->default_value("12"))("planned-stops",
+            "seconds after the faults in which entries are stopped as planned under traffic; 0: none",
+            cxxopts::value<int>()->default_value("0"))(
             "entries", "entry processes", cxxopts::value<int>()->default_value("3"))(
             "hosts", "hosts, each with a side process", cxxopts::value<int>()->default_value("4"))(
             "rate", "submitted jobs per second", cxxopts::value<int>()->default_value("4"))("machine-faults",
