--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -36,14 +36,27 @@
     /// Orders that got no answer may still be executed this long after the last fault: 12 s is the longest delay of a
     /// host stand-in.
     constexpr std::chrono::seconds minimumSettleTime(13);
-    /// A long-running task must run again 6 s after its last run ended, with a margin of 3 s; this is the platform's
-    /// rule for LOST.
-    constexpr std::chrono::seconds longRunningRestartLimit(9);
     /// The numbers of the long-running and of the always failing jobs, as remainders of a division by the period.
     constexpr int longRunningPeriod = 8;
     constexpr int longRunningRemainder = 3;
     constexpr int failingPeriod = 16;
     constexpr int failingRemainder = 6;
+    /// The platform's bound contact_ms.
+    constexpr std::chrono::seconds contactTime(3);
+    /// Time after which a process has replaced connections that were silenced.
+    constexpr std::chrono::seconds silentConnectionTime(5);
+    /// Each entry is asked for a job's state this often.
+    constexpr unsigned long statusIntervalMilliseconds = 150;
+    /// A request counts as read if its connection ends later than this after its last byte was sent: loss_slack_ms.
+    constexpr std::chrono::milliseconds lossSlack(200);
+    /// A request is around a planned stop until 1 s after grace_s, which is 6 s.
+    constexpr std::chrono::seconds plannedStopTime(7);
+    constexpr std::chrono::seconds plannedStopInterval(15);
+    /// Time without disruptions after which tasks that do not run are missed: 3 s, and 4 s before them.
+    constexpr std::chrono::seconds calmTime(7);
+    constexpr std::chrono::milliseconds requestDeadline(3000);
+    /// Work of a job that is not long-running, on average: 2 steps of 2.5 tasks of some 0.8 s each.
+    constexpr std::chrono::seconds jobWork(4);
     constexpr int maximumCallAttempts = 5;
     /// A submission takes up to 20 s while entries are down.
     constexpr std::size_t submittingThreads = 64;
@@ -140,7 +153,37 @@
     const std::vector<std::string> command { m_options.nodeProgram, node.role == Role::Entry ? "entry" : "side",
         "--settings", m_options.folder + "/" + node.name + ".json" };
     node.process = std::make_unique<ChildProcess>(command, m_options.folder + "/" + node.name + ".log", true);
-    node.unavailable = false;
+    if (std::exchange(node.unavailable, false))
+        endDisruption(node);
+}
+
+void Soak::changeDisruptions(Contact& contact, int change)
+{
+    const std::lock_guard<std::mutex> guard(m_contactsMutex);
+    contact.disruptions += change;
+    contact.restoredAt = SteadyClock::now();
+}
+
+void Soak::beginDisruption(const Node& node)
+{
+    if (node.role == Role::Entry)
+        changeDisruptions(m_contacts[static_cast<std::size_t>(node.number)], 1);
+}
+
+void Soak::endDisruption(const Node& node)
+{
+    if (node.role == Role::Entry)
+        changeDisruptions(m_contacts[static_cast<std::size_t>(node.number)], -1);
+}
+
+bool Soak::isInTouch(int entry) const
+{
+    const std::lock_guard<std::mutex> guard(m_contactsMutex);
+    for (const Contact* contact : { &m_contacts[static_cast<std::size_t>(entry)], &m_contacts.back() }) {
+        if (contact->disruptions > 0 || SteadyClock::now() - contact->restoredAt < contactTime)
+            return false;
+    }
+    return true;
 }
 
 bool Soak::start()
@@ -177,6 +220,7 @@
         }
         m_hosts.push_back(takeValue(std::move(host)));
     }
+    m_contacts.resize(static_cast<std::size_t>(m_options.entries) + 1, Contact { 0, SteadyClock::now() });
     for (Node& node : m_nodes) {
         writeSettings(node);
         launch(node);
@@ -231,6 +275,7 @@
     case 0:
         node.process->kill();
         node.unavailable = true;
+        beginDisruption(node);
         scheduleRecovery(300, 2500, [this, &node] { launch(node); });
         return;
     case 1: {
@@ -238,6 +283,7 @@
         // The node starts again 1.5 to 4 s later, when its work may still be running elsewhere.
         node.process->requestStop();
         node.unavailable = true;
+        beginDisruption(node);
         node.stopRequestedAt = SteadyClock::now();
         scheduleRecovery(
             1500, 4000, [this, &node, beforeSignalHandling] { restartWhenStopped(node, beforeSignalHandling); });
@@ -246,10 +292,12 @@
     case 2:
         node.process->freeze();
         node.unavailable = true;
+        beginDisruption(node);
         scheduleRecovery(500, 8000, [this, &node] {
             m_audit.note("awake " + node.name);
             node.process->resume();
             node.unavailable = false;
+            endDisruption(node);
         });
         return;
     case 3:
@@ -257,21 +305,31 @@
             ::kill(node.process->pid(), SIGHUP);
         return;
     case 4:
-        node.storeRelay->silenceExisting(true, true);
-        return;
     case 5:
-        node.storeRelay->silenceExisting(draw(2) == 0, draw(2) == 0);
+        node.storeRelay->silenceExisting(kind == 4 || draw(2) == 0, kind == 4 || draw(2) == 0);
+        beginDisruption(node);
+        scheduleRecovery(silentConnectionTime, [this, &node] { endDisruption(node); });
         return;
     case 6:
         node.storeRelay->resetExisting();
+        beginDisruption(node);
+        endDisruption(node);
         return;
     case 7:
         node.storeRelay->setDelay(std::chrono::milliseconds(50 + draw(400)));
-        scheduleRecovery(500, 4000, [&node] { node.storeRelay->setDelay({}); });
+        beginDisruption(node);
+        scheduleRecovery(500, 4000, [this, &node] {
+            node.storeRelay->setDelay({});
+            endDisruption(node);
+        });
         return;
     default:
         node.storeRelay->setPaused(true);
-        scheduleRecovery(1000, 6000, [&node] { node.storeRelay->setPaused(false); });
+        beginDisruption(node);
+        scheduleRecovery(1000, 6000, [this, &node] {
+            node.storeRelay->setPaused(false);
+            endDisruption(node);
+        });
         return;
     }
 }
@@ -345,14 +403,19 @@
     static const char* const names[storeFaultKinds] = { "silent", "busy", "loses-answers", "compacted" };
     m_faults.push_back(std::string(names[kind]) + ":store");
     m_audit.note("fault " + m_faults.back());
+    changeDisruptions(storeContact(), 1);
     if (kind == 3) {
         m_store->compact();
+        changeDisruptions(storeContact(), -1);
         return;
     }
     static constexpr StoreBehaviour behaviours[]
         = { StoreBehaviour::Silent, StoreBehaviour::Busy, StoreBehaviour::LosesAnswers };
     m_store->setBehaviour(behaviours[kind]);
-    scheduleRecovery(500, 4000, [this] { m_store->setBehaviour(StoreBehaviour::Normal); });
+    scheduleRecovery(500, 4000, [this] {
+        m_store->setBehaviour(StoreBehaviour::Normal);
+        changeDisruptions(storeContact(), -1);
+    });
 }
 
 void Soak::injectHostFault(std::size_t number, unsigned kind)
@@ -452,11 +515,81 @@
     request.address = loopbackAddress;
     request.port = portOf(clientPortOffset, entry);
     request.path = "/plans/" + jobId;
-    request.headers = { "Host: " + hostName, "Request-Deadline: 3000" };
+    request.headers = { "Host: " + hostName, "Request-Deadline: " + std::to_string(requestDeadline.count()) };
     request.body = body;
     request.timeout = milliseconds(3200);
-    request.mayResend = true;
-    return m_http->fetch(std::move(request));
+    request.mayResend = !m_plannedStops;
+    const SteadyTime sentAt = SteadyClock::now();
+    const bool isJudged = m_plannedStops;
+    HttpResponse response = m_http->fetch(std::move(request));
+    if (isJudged)
+        judgeEnd(entry, method + " " + jobId, sentAt, response);
+    return response;
+}
+
+void Soak::judgeEnd(int entry, const std::string& request, SteadyTime sentAt, const HttpResponse& response)
+{
+    const SteadyTime now = SteadyClock::now();
+    {
+        const std::lock_guard<std::mutex> guard(m_contactsMutex);
+        const std::optional<SteadyTime>& stopAt = m_contacts[static_cast<std::size_t>(entry)].plannedStopAt;
+        if (!stopAt || now < *stopAt || now > *stopAt + plannedStopTime)
+            return;
+    }
+    if (response.kind == HttpResponse::Kind::Answered) {
+        ++m_answeredAroundStops;
+        return;
+    }
+    if (response.kind == HttpResponse::Kind::NotConnected || now - sentAt >= requestDeadline)
+        return;
+    const std::chrono::milliseconds time = std::chrono::duration_cast<std::chrono::milliseconds>(now - sentAt);
+    const std::string text = request + " to entry-" + std::to_string(entry) + " was cut off after "
+        + std::to_string(time.count()) + " ms around a planned stop: " + response.text;
+    if (time > lossSlack) {
+        m_audit.reportViolation("LOST: " + text);
+        return;
+    }
+    ++m_cutUnreadAroundStops;
+    m_audit.note(text);
+}
+
+void Soak::stopEntry()
+{
+    Node* ownerNode = owner();
+    const bool stopsOwner = m_plannedStopCount++ % 2 == 0 && ownerNode && ownerNode->role == Role::Entry;
+    Node& node = stopsOwner ? *ownerNode : m_nodes[draw(static_cast<unsigned>(m_options.entries))];
+    noteFault("planned-stop:" + node.name + (&node == ownerNode ? ",owner" : ""));
+    {
+        const std::lock_guard<std::mutex> guard(m_contactsMutex);
+        m_contacts[static_cast<std::size_t>(node.number)].plannedStopAt = SteadyClock::now();
+    }
+    beginDisruption(node);
+    node.unavailable = true;
+    node.process->requestStop();
+    node.stopRequestedAt = SteadyClock::now();
+    scheduleRecovery(500, 1500, [this, &node] { restartWhenStopped(node, false); });
+}
+
+void Soak::runPlannedStops()
+{
+    m_audit.note("planned stops");
+    const SteadyTime startedAt = SteadyClock::now() + minimumSettleTime;
+    const SteadyTime endsAt = startedAt + m_options.plannedStopDuration;
+    SteadyTime nextStopAt = startedAt + calmTime;
+    SteadyTime calmFrom = startedAt + calmTime;
+    for (SteadyTime now = SteadyClock::now(); now < endsAt || !m_recoveries.empty(); now = SteadyClock::now()) {
+        m_plannedStops = now >= startedAt;
+        runRecoveries(false);
+        if (now >= nextStopAt && now + plannedStopInterval <= endsAt) {
+            stopEntry();
+            nextStopAt = now + plannedStopInterval;
+        }
+        if (!m_recoveries.empty())
+            calmFrom = now + calmTime;
+        m_audit.checkLongRunningTasks(now >= calmFrom);
+        pause(50);
+    }
+    m_plannedStops = false;
 }
 
 void Soak::submitJob(std::mt19937& random, int number)
@@ -465,6 +598,9 @@
     std::snprintf(id, sizeof id, "%08x%08x", m_options.seed, static_cast<unsigned>(number));
     SoakJob job;
     job.longRunning = number % longRunningPeriod == longRunningRemainder;
+    // Beyond the room that long-running tasks must find, a job is an ordinary one.
+    job.longRunning = job.longRunning
+        && m_audit.admitLongRunning(id, m_hosts.size() * static_cast<std::size_t>(RunAudit::placesPerHost));
     const bool alwaysFails = number % failingPeriod == failingRemainder;
     job.payload = (job.longRunning      ? longRunningPayloadPrefix
                           : alwaysFails ? failingPayloadPrefix
@@ -519,22 +655,39 @@
 
 void Soak::pollJobStatus(std::mt19937& random)
 {
+    const unsigned entries = static_cast<unsigned>(m_options.entries);
     for (const std::string& jobId : m_audit.unfinishedJobs())
-        pollJobStatus(random, jobId);
+        pollJobStatus(static_cast<int>(random() % entries), jobId);
     for (const std::string& jobId : m_audit.longRunningJobs())
-        pollJobStatus(random, jobId);
+        pollJobStatus(static_cast<int>(random() % entries), jobId);
 }
 
-void Soak::pollJobStatus(std::mt19937& random, const std::string& jobId)
+void Soak::statusLoop(int entry)
+{
+    std::mt19937 random(m_options.seed + static_cast<unsigned>(entry));
+    for (; !m_stopping; pause(statusIntervalMilliseconds)) {
+        const std::vector<std::string> jobs = m_audit.knownJobs();
+        if (!jobs.empty())
+            pollJobStatus(entry, jobs[random() % jobs.size()]);
+    }
+}
+
+void Soak::pollJobStatus(int entry, const std::string& jobId)
 {
     if (m_stopping)
         return;
-    const HttpResponse response
-        = call(static_cast<int>(random() % static_cast<unsigned>(m_options.entries)), "GET", jobId, {});
+    const HttpResponse response = call(entry, "GET", jobId, {});
     if (response.kind != HttpResponse::Kind::Answered || (response.status != 200 && response.status != 410))
         return;
+    const bool inTouch = !m_submitting || isInTouch(entry);
+    if (m_submitting)
+        ++(inTouch ? m_statesInTouch : m_statesOutOfTouch);
     if (response.status == 410) {
-        m_audit.reportViolation("LOST: " + jobId + " was accepted but the entry has no record of it");
+        const std::string text = jobId + " was accepted but entry-" + std::to_string(entry) + " has no record of it";
+        if (inTouch)
+            m_audit.reportViolation("LOST: " + text);
+        else
+            m_audit.note(text);
         return;
     }
     const Json body = Json::parse(response.body, nullptr, false);
@@ -552,7 +705,7 @@
 bool Soak::isSettled() const
 {
     return m_audit.unfinishedJobs().empty() && m_audit.runsOfCancelledJobs().empty()
-        && m_audit.longRunningTasksIdleSince(SteadyClock::now()).empty();
+        && m_audit.idleLongRunningTasks().empty();
 }
 
 void Soak::clientLoop(unsigned seed)
@@ -606,6 +759,10 @@
         return m_audit.violations();
     pause(2500);
     std::thread client([this, seed = draw(~0U)] { clientLoop(seed); });
+    std::vector<std::thread> statusClients;
+    statusClients.reserve(static_cast<std::size_t>(m_options.entries));
+    for (int entry = 0; entry < m_options.entries; ++entry)
+        statusClients.emplace_back([this, entry] { statusLoop(entry); });
     const SteadyTime faultsEnd = SteadyClock::now() + m_options.faultDuration;
     try {
         while (SteadyClock::now() < faultsEnd) {
@@ -621,29 +778,69 @@
         m_audit.reportViolation(std::string("FAULT: ") + error.what());
     }
     runRecoveries(true);
+    if (m_options.plannedStopDuration > std::chrono::seconds::zero())
+        runPlannedStops();
     m_submitting = false;
-    m_audit.note("calm");
-    const SteadyTime settleStartedAt = SteadyClock::now();
-    while (SteadyClock::now() < settleStartedAt + minimumSettleTime
-        || (SteadyClock::now() < settleStartedAt + m_options.settleLimit && !isSettled()))
-        pause(100);
-    for (const std::string& task : m_audit.longRunningTasksIdleSince(SteadyClock::now() - longRunningRestartLimit))
-        m_audit.reportViolation("LOST: " + task + " is long-running but is not running");
-    for (const std::string& jobId : m_audit.unfinishedJobs())
-        m_audit.reportViolation("LOST: " + jobId + " was accepted but has not finished");
+    settle();
     for (const std::string& task : m_audit.runsOfCancelledJobs())
         m_audit.reportViolation("UNASKED: " + task + " is still running although its job was cancelled");
     if (m_audit.acceptedCount() == 0)
         m_audit.reportViolation("FAULT: no job was accepted");
     m_stopping = true;
     client.join();
+    for (std::thread& statusClient : statusClients)
+        statusClient.join();
     return m_audit.violations();
 }
 
+void Soak::settle()
+{
+    m_audit.note("calm");
+    const SteadyTime startedAt = SteadyClock::now();
+    // The time that the accepted jobs take on half of the room, beside the time that each job may take.
+    const std::chrono::milliseconds work = std::chrono::milliseconds(jobWork) * m_audit.unfinishedJobs().size() * 2
+        / (m_hosts.size() * static_cast<std::size_t>(RunAudit::placesPerHost));
+    const SteadyTime latestEnd = startedAt + work + 2 * m_options.settleLimit;
+    SteadyClock::duration timeWithRoom {};
+    for (SteadyTime now = startedAt; timeWithRoom < m_options.settleLimit && now < latestEnd;) {
+        const bool isCalm = now >= startedAt + minimumSettleTime + calmTime;
+        m_audit.checkLongRunningTasks(isCalm);
+        if (now >= startedAt + minimumSettleTime && isSettled())
+            break;
+        if (isCalm)
+            m_audit.checkStandingJobs();
+        pause(100);
+        const SteadyTime before = std::exchange(now, SteadyClock::now());
+        if (m_audit.isHalfFree())
+            timeWithRoom += now - before;
+    }
+    m_audit.checkLongRunningTasks(false);
+    m_longRunningTasks = m_audit.judgedLongRunningTasks(startedAt + minimumSettleTime);
+    if (m_longRunningTasks.second > 0)
+        m_audit.reportViolation("FAULT: " + std::to_string(m_longRunningTasks.second)
+            + " long-running tasks could not be judged for want of room");
+    const std::vector<std::string> unfinished = m_audit.unfinishedJobs();
+    if (timeWithRoom < m_options.settleLimit) {
+        if (!unfinished.empty())
+            m_audit.reportViolation("FAULT: " + std::to_string(unfinished.size())
+                + " jobs have not finished and could not be judged for want of room");
+        return;
+    }
+    for (const std::string& jobId : unfinished)
+        m_audit.reportViolation("LOST: " + jobId + " was accepted but has not finished");
+}
+
 std::string Soak::summary() const
 {
     std::string text = "seed " + std::to_string(m_options.seed) + ": " + std::to_string(m_audit.acceptedCount())
-        + " jobs accepted, " + std::to_string(m_audit.startCount()) + " starts, faults:";
+        + " jobs accepted, " + std::to_string(m_audit.startCount()) + " starts, long-running tasks: "
+        + std::to_string(m_longRunningTasks.first) + " judged, " + std::to_string(m_longRunningTasks.second)
+        + " not judged, states asked under traffic: " + std::to_string(m_statesInTouch) + " of entries in touch, "
+        + std::to_string(m_statesOutOfTouch) + " of others, ";
+    if (m_plannedStopCount > 0)
+        text += std::to_string(m_plannedStopCount) + " planned stops: " + std::to_string(m_answeredAroundStops)
+            + " requests answered, " + std::to_string(m_cutUnreadAroundStops) + " cut unread, ";
+    text += "faults:";
     for (const std::string& fault : m_faults)
         text += " " + fault;
     if (m_skippedJobs > 0)
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -17,8 +17,11 @@
     int entries = 3;
     int hosts = 4;
     std::chrono::seconds faultDuration { 12 };
-    /// Time after the last fault within which every accepted job must finish.
+    /// Time after the last fault, with at least half of the hosts' room free, within which every accepted job must
+    /// finish.
     std::chrono::seconds settleLimit { 30 };
+    /// Time after the faults in which jobs are still submitted and entries are stopped as planned, one after the other.
+    std::chrono::seconds plannedStopDuration { 0 };
     int jobsPerSecond = 4;
     /// Whether faults that hit a host and its side together, or only some connections of a host, are injected too.
     bool machineFaults = false;
@@ -61,6 +64,13 @@
         /// When the process was sent SIGTERM.
         SteadyTime stopRequestedAt;
     };
+    /// Disruptions of an entry, or of the store.
+    struct Contact {
+        int disruptions = 0;
+        SteadyTime restoredAt;
+        /// When the entry was last stopped as planned.
+        std::optional<SteadyTime> plannedStopAt;
+    };
     /// An action that ends a fault once it is due.
     struct Recovery {
         SteadyTime at;
@@ -97,8 +107,26 @@
     void submitJob(std::mt19937& random, int number);
     void cancelJob(std::mt19937& random, const std::string& jobId);
     void pollJobStatus(std::mt19937& random);
-    void pollJobStatus(std::mt19937& random, const std::string& jobId);
+    void pollJobStatus(int entry, const std::string& jobId);
+    /// An entry is in touch while, for contactTime, neither its process, its connection to the store nor the store has
+    /// been disrupted.
+    bool isInTouch(int entry) const;
+    void beginDisruption(const Node& node);
+    void endDisruption(const Node& node);
+    Contact& storeContact() { return m_contacts.back(); }
+    void changeDisruptions(Contact& contact, int change);
+    /// Asks one entry for the states of accepted jobs, at any time of the run.
+    void statusLoop(int entry);
     bool isSettled() const;
+    /// Stops entries as planned, with nothing else near, while clients submit jobs and ask for them.
+    void runPlannedStops();
+    /// Stops an entry, every other time the owner, and starts it again once it has ended.
+    void stopEntry();
+    /// Judges how a request to an entry ended that was stopped as planned.
+    void judgeEnd(int entry, const std::string& request, SteadyTime sentAt, const HttpResponse& response);
+    /// Waits without faults until every job has finished and every long-running task runs, and reports those that do
+    /// not while there is room.
+    void settle();
     HttpResponse call(int entry, const std::string& method, const std::string& jobId, const std::string& body);
 
     SoakOptions m_options;
@@ -114,7 +142,15 @@
     std::vector<std::unique_ptr<HostStandIn>> m_hosts;
     std::vector<Node> m_nodes;
     std::vector<Recovery> m_recoveries;
+    /// One for each entry; the last one is the store's.
+    std::vector<Contact> m_contacts;
+    mutable std::mutex m_contactsMutex;
+    /// Answers under traffic to requests for jobs that every entry must know: of entries in touch, and of others.
+    std::atomic<std::size_t> m_statesInTouch { 0 };
+    std::atomic<std::size_t> m_statesOutOfTouch { 0 };
     std::vector<std::string> m_faults;
+    /// Long-running tasks that were judged after the faults, and those that were not.
+    std::pair<std::size_t, std::size_t> m_longRunningTasks;
     /// Until then all node faults hit the current owner, one owner after the other.
     SteadyTime m_ownerFaultsUntil;
     /// Weight of host faults in this run, against a weight of 8 for all other faults.
@@ -125,6 +161,12 @@
     std::condition_variable m_jobQueued;
     /// Jobs that were not submitted because too many submissions waited for answers.
     std::size_t m_skippedJobs = 0;
+    /// Set while disruptions other than planned stops are over, and clients repeat no request on their own.
+    std::atomic<bool> m_plannedStops { false };
+    std::size_t m_plannedStopCount = 0;
+    /// Requests to entries around their planned stops: those answered, and those cut before they count as read.
+    std::atomic<std::size_t> m_answeredAroundStops { 0 };
+    std::atomic<std::size_t> m_cutUnreadAroundStops { 0 };
     std::atomic<bool> m_submitting { true };
     std::atomic<bool> m_stopping { false };
 };
