--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -187,24 +187,6 @@
     return count;
 }
 
-Duration JobState::idleTime(Instant now) const
-{
-    std::optional<Instant> idleSince;
-    for (const StepState& step : m_steps) {
-        if (!step.open)
-            continue;
-        if (static_cast<std::size_t>(step.completedTasks + step.waitingTasks) < step.tasks.size())
-            return Duration::zero();
-        if (step.waitingTasks == 0)
-            continue;
-        for (const TaskState& task : step.tasks) {
-            if (task.isWaiting())
-                idleSince = std::max(idleSince.value_or(task.waitingSince), task.waitingSince);
-        }
-    }
-    return idleSince ? now - *idleSince : Duration::zero();
-}
-
 Wire::JobProgress JobState::progress() const
 {
     Wire::JobProgress progress;
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -111,8 +111,6 @@
     int failedAttempts(const StepState& step, const TaskState& task) const;
     /// Number of failed runs of all tasks.
     std::size_t failedRuns() const;
-    /// Time since the job had a run, or since a step became open; zero if a task has a run or none waits.
-    Duration idleTime(Instant now) const;
     /// Work of one occurrence in core-seconds, over all tasks of all steps.
     double workCoreSeconds() const { return m_workCoreSeconds; }
     /// Sum of estimates along the critical path of one occurrence.
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -78,7 +78,7 @@
     const Wire::StepDefinition& step = request.definition;
     if (freeMegabytes - step.demand.memoryMegabytes < reservedMegabytes(host))
         return HostEligibility::NoMemory;
-    if (!request.sharesProcessors && idleMilliCores(host) < step.demand.milliProcessors)
+    if (idleMilliCores(host) < step.demand.milliProcessors)
         return HostEligibility::NoIdleProcessors;
     if (m_paceController.tolerablePace(host, step.image, step.demand.milliProcessors) < request.minimumPacePercent)
         return HostEligibility::FillerNotTolerated;
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -37,8 +37,6 @@
     std::string rack;
     /// A filler needs a host that tolerates it at this pace or above.
     int minimumPacePercent = 30;
-    /// A filler needs no idle processors: it gets its share of those that the fillers of the host use.
-    bool sharesProcessors = false;
     /// The run will be halted once it has started, so its end may be forgotten.
     bool isEndTrial = false;
 };
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -37,15 +37,10 @@
     for (const std::pair<const std::string, JobState*>& entry : m_state.openJobs) {
         JobState& job = *entry.second;
         job.addDueOccurrences(now, m_state.unixMilliseconds);
-        bool standsStill = job.idleTime(now) >= longestStandstill;
         for (std::size_t n = 0; n < job.steps().size(); ++n) {
             const StepState& step = job.steps()[n];
-            if (!step.open || step.waitingTasks == 0)
-                continue;
-            if (standsStill && !job.stepDefinition(step).gang)
-                candidates.push_back(Candidate { workPriority(job, step, now, Standstill::Overlong), &job, n });
-            standsStill = false;
-            candidates.push_back(Candidate { workPriority(job, step, now), &job, n });
+            if (step.open && step.waitingTasks > 0)
+                candidates.push_back(Candidate { workPriority(job, step, now), &job, n });
         }
     }
     std::sort(candidates.begin(), candidates.end(),
@@ -56,7 +51,7 @@
 void TaskScheduler::schedule(Instant now, Actions& actions)
 {
     m_failedPlacements.clear();
-    m_startsInPass = 0;
+    m_leastUrgentStarts.clear();
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts())
         entry.second.isRecordPersisted
             = m_state.storeWriter.storedSequenceNumber() >= entry.second.recordSequenceNumber;
@@ -67,7 +62,7 @@
     if (earlierRunsKnown)
         m_fillerRelocator.relocate(now, actions);
     int stepsWithPreemption = 0;
-    std::vector<PassedOverStep> stepsWithoutRoom;
+    std::vector<StepWithoutRoom> stepsWithoutRoom;
     const std::vector<Candidate> candidates = collectCandidates(now);
     for (const Candidate& candidate : candidates) {
         JobState& job = *candidate.job;
@@ -76,19 +71,17 @@
         StepState& step = job.steps()[candidate.step];
         if (job.stepDefinition(step).gang)
             placeGang(now, job, step, actions);
-        else if (const TaskState* task
-            = placeStep(now, job, step, earlierRunsKnown, candidate.sortKey.standstill, actions))
-            stepsWithoutRoom.push_back(PassedOverStep { &job, &step, task, m_startsInPass });
-        // Once the job has a run again, its other tasks have no precedence.
-        if (candidate.sortKey.standstill == Standstill::Overlong && job.idleTime(now) == Duration::zero())
-            continue;
+        else if (const TaskState* task = placeStep(now, job, step, earlierRunsKnown, actions))
+            stepsWithoutRoom.push_back(StepWithoutRoom { &job, &step, task });
         if (step.waitingTasks > 0 && stepsWithPreemption < maximumStepsWithPreemption
             && preemptRuns(now, job, step, actions))
             ++stepsWithPreemption;
     }
-    for (const PassedOverStep& passedOver : stepsWithoutRoom) {
-        if (m_startsInPass > passedOver.startsBefore)
-            m_reservations.reserve(now, *passedOver.job, *passedOver.step, *passedOver.task, actions);
+    for (const StepWithoutRoom& waiting : stepsWithoutRoom) {
+        const Wire::JobDefinition& definition = waiting.job->definition();
+        const std::map<std::string, int>::const_iterator it = m_leastUrgentStarts.find(definition.serviceName);
+        if (it != m_leastUrgentStarts.end() && it->second >= definition.priority)
+            m_reservations.reserve(now, *waiting.job, *waiting.step, *waiting.task, actions);
     }
     startEndTrials(now, candidates, actions);
     m_capacityLogger.logIfDue(now, actions);
@@ -157,14 +150,10 @@
     return task.lastEndUnknown && !m_state.isOwnershipCertain(now);
 }
 
-Host* TaskScheduler::findHost(Instant now, const JobState& job, const StepState& step, const TaskState& task,
-    Standstill standstill, HostEligibilityCounts& hostCounts)
+Host* TaskScheduler::findHost(
+    Instant now, const JobState& job, const StepState& step, const TaskState& task, HostEligibilityCounts& hostCounts)
 {
-    PlacementRequest request = makePlacementRequest(job, step, task);
-    if (standstill == Standstill::Overlong) {
-        request.sharesProcessors = true;
-        request.minimumPacePercent = 1;
-    }
+    const PlacementRequest request = makePlacementRequest(job, step, task);
     // Room that is reserved for the step counted as taken for the others that failed.
     if (m_reservations.hasReservation(job, step)) {
         ++m_state.counters.hostSearches;
@@ -182,13 +171,14 @@
 }
 
 const TaskState* TaskScheduler::placeStep(
-    Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Standstill standstill, Actions& actions)
+    Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
     const bool duplicatesAllowed = job.stepDefinition(step).allowDuplicates;
     HostEligibilityCounts hostCounts;
     // The task that has waited longest among those that cannot start in this pass.
     const TaskState* longestWaiting = nullptr;
+    const TaskState* withoutRoom = nullptr;
     WaitReason waitReason = WaitReason::NoHost;
     const auto recordWait = [&longestWaiting, &waitReason](const TaskState& task, WaitReason reason) {
         if (longestWaiting && longestWaiting->waitingSince <= task.waitingSince)
@@ -218,18 +208,17 @@
             recordWait(task, WaitReason::NoRunNumber);
             continue;
         }
-        Host* host = findHost(now, job, step, task, standstill, hostCounts);
+        Host* host = findHost(now, job, step, task, hostCounts);
         if (!host) {
             recordWait(task, reasonWithoutHost(hostCounts));
+            withoutRoom = &task;
             break;
         }
         startRun(now, job, step, n, *run, *host, actions);
-        if (standstill == Standstill::Overlong)
-            break;
     }
     if (longestWaiting)
         m_waitLogger.logIfDue(now, WaitingTask { job, step, *longestWaiting, waitReason, hostCounts }, actions);
-    return waitReason == WaitReason::NoHost ? longestWaiting : nullptr;
+    return withoutRoom;
 }
 
 void TaskScheduler::placeGang(Instant now, JobState& job, StepState& step, Actions& actions)
@@ -324,9 +313,10 @@
     std::vector<HostRun*> bestRuns;
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
-        const bool isReservedForOthers = std::any_of(
-            host.reservations.begin(), host.reservations.end(), [&job, &step](const RoomReservation& reservation) {
-                return !reservation.isOf(job.definition(), step.occurrence, step.step);
+        const bool isReservedForOthers = std::any_of(host.reservations.begin(), host.reservations.end(),
+            [&job, &step, priority](const RoomReservation& reservation) {
+                return reservation.priority <= priority
+                    && !reservation.isOf(job.definition(), step.occurrence, step.step);
             });
         if (isReservedForOthers || !Placement::isOpenTo(host, job.definition(), definition, now))
             continue;
@@ -401,7 +391,11 @@
     order.percent = hostRun.orderedPacePercent;
     HostRegistry::addRun(host, std::move(hostRun));
     job.markStarted();
-    m_startsInPass += definition.filler ? 0 : 1;
+    if (!definition.filler) {
+        const int priority = job.definition().priority;
+        int& leastUrgent = m_leastUrgentStarts.try_emplace(job.definition().serviceName, priority).first->second;
+        leastUrgent = std::max(leastUrgent, priority);
+    }
     m_reservations.onStarted(job, step, host);
     if (!step.roomExpectedUntil.empty())
         step.roomExpectedUntil.erase(step.roomExpectedUntil.begin());
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -34,26 +34,22 @@
     void schedule(Instant now, Actions& actions);
 
 private:
-    /// A waiting step, or one task of it if the job stands still.
     struct Candidate {
         WorkPriority sortKey;
         JobState* job;
         std::size_t step;
     };
 
-    /// A step with a task for which no host had room, and the number of tasks that had been started in the pass by
-    /// then.
-    struct PassedOverStep {
+    /// A step with a task for which no host had room.
+    struct StepWithoutRoom {
         const JobState* job;
         const StepState* step;
         const TaskState* task;
-        int startsBefore;
     };
 
     std::vector<Candidate> collectCandidates(Instant now);
-    /// Returns the task that has waited longest among those for which no host has room; null if there is none.
-    const TaskState* placeStep(
-        Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Standstill standstill, Actions& actions);
+    /// Returns the task for which no host has room; null if there is none.
+    const TaskState* placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions);
     void placeGang(Instant now, JobState& job, StepState& step, Actions& actions);
     /// Starts all tasks of the gang, or returns the reason why the gang waits.
     std::optional<WaitReason> tryStartGang(
@@ -76,7 +72,7 @@
     /// Returns the host for the task, or null. Requests that a failed one of the same pass rules out are not searched
     /// for.
     Host* findHost(Instant now, const JobState& job, const StepState& step, const TaskState& task,
-        Standstill standstill, HostEligibilityCounts& hostCounts);
+        HostEligibilityCounts& hostCounts);
 
     OwnerState& m_state;
     RunTracker& m_runTracker;
@@ -85,8 +81,8 @@
     FillerRelocator m_fillerRelocator;
     RoomReservations m_reservations;
     FailedPlacements m_failedPlacements;
-    /// Number of runs with reserved processors that the pass has started.
-    int m_startsInPass = 0;
+    /// For each service, the least urgent priority of a run with reserved processors that the pass has started.
+    std::map<std::string, int> m_leastUrgentStarts;
     WaitLogger m_waitLogger;
     CapacityLogger m_capacityLogger;
     /// OwnerState::countUnlistedHosts() at the start of the pass.
--- a/Source/Decision/Job/WorkPriority.h
+++ b/Source/Decision/Job/WorkPriority.h
@@ -1,7 +1,6 @@
 /// The order in which TaskScheduler places waiting steps. Steps that can still be on time come first, those with the
 /// least slack in front. Late steps follow, small jobs before large ones, so that an overload delays a few jobs by much
-/// instead of all jobs by some. One task of a job that has stood still comes before all others of its priority, so that
-/// no job waits without bound.
+/// instead of all jobs by some.
 #pragma once
 
 #include "Decision/Job/JobState.h"
@@ -18,33 +17,21 @@
     Overdue,
 };
 
-/// Whether a job has had no run for too long although a step of it is open.
-enum class Standstill {
-    Overlong,
-    None,
-};
-
-/// A job that has had no run for this time stands still.
-constexpr Duration longestStandstill = seconds(4);
-
 /// Sort key of a step; lower values are placed first.
 struct WorkPriority {
     int priority = 0;
-    Standstill standstill = Standstill::None;
     Timeliness timeliness = Timeliness::OnTime;
     /// Slack of a step that is on time; work of the whole job for other steps.
     double rank = 0;
 
     bool operator<(const WorkPriority& other) const
     {
-        return std::tie(priority, standstill, timeliness, rank)
-            < std::tie(other.priority, other.standstill, other.timeliness, other.rank);
+        return std::tie(priority, timeliness, rank) < std::tie(other.priority, other.timeliness, other.rank);
     }
 };
 
 /// Returns the sort key of an open step. Long-running steps come first within their priority.
-inline WorkPriority workPriority(
-    const JobState& job, const StepState& step, Instant now, Standstill standstill = Standstill::None)
+inline WorkPriority workPriority(const JobState& job, const StepState& step, Instant now)
 {
     // A step is late, but not overdue, while it can be completed within this multiple of its allowed time.
     constexpr int lateFactor = 3;
@@ -52,7 +39,6 @@
     const Duration slack = step.due - step.remainingCriticalPath - now;
     WorkPriority key;
     key.priority = job.definition().priority;
-    key.standstill = standstill;
     if (job.stepDefinition(step).longRunning) {
         key.rank = 0;
         return key;
--- a/Tests/Support/BusyFleet.h
+++ b/Tests/Support/BusyFleet.h
@@ -12,15 +12,9 @@
 /// The hosts and their owner. Durations are in milliseconds, processors in thousandths of a core.
 class BusyFleet {
 public:
-    enum class SmallTasks {
-        Reserved,
-        Fillers,
-    };
-
     /// Once arrivals have begun, the given number of small tasks arrives every 100 ms.
-    BusyFleet(int hosts, int smallTasksPerStep, SmallTasks kind = SmallTasks::Reserved)
+    BusyFleet(int hosts, int smallTasksPerStep)
         : m_smallTasksPerStep(smallTasksPerStep)
-        , m_smallTasks(kind)
     {
         for (int n = 0; n < hosts; ++n)
             m_hosts["host-" + std::to_string(100 + n)] = SimulatedHost {};
@@ -30,7 +24,7 @@
     void runUntil(int until)
     {
         for (; m_now < until; m_now += stepMilliseconds) {
-            if (m_arrivals && m_now % 100 == 0)
+            for (int n = 0; m_arrivals && m_now % 100 == 0 && n < m_jobsPerArrival; ++n)
                 submitSmallJob();
             for (std::pair<const std::string, SimulatedHost>& entry : m_hosts)
                 report(entry.first, entry.second);
@@ -49,6 +43,7 @@
     }
 
     void startArrivals() { m_arrivals = true; }
+    void setJobsPerArrival(int jobs) { m_jobsPerArrival = jobs; }
     int now() const { return m_now; }
 
     std::size_t runsOf(const std::string& jobId) const
@@ -82,10 +77,7 @@
     {
         char id[17];
         std::snprintf(id, sizeof id, "%016x", static_cast<unsigned>(++m_lastSmallJob));
-        Wire::StepDefinition step = makeStep(m_smallTasksPerStep, smallMilliCores, smallEstimate);
-        step.filler = m_smallTasks == SmallTasks::Fillers;
-        step.image = "small";
-        harness.submit(m_now, makeJob(id, { step }));
+        harness.submit(m_now, makeJob(id, { makeStep(m_smallTasksPerStep, smallMilliCores, smallEstimate) }));
     }
 
     void report(const std::string& hostId, SimulatedHost& host)
@@ -126,9 +118,9 @@
     }
 
     int m_smallTasksPerStep;
-    SmallTasks m_smallTasks;
     int m_now = 0;
     int m_lastSmallJob = 0;
+    int m_jobsPerArrival = 1;
     bool m_arrivals = false;
     std::size_t m_smallStarts = 0;
     std::size_t m_nextOrders = 0;
