Job: Reserve hosts for long-running tasks alone

Only long-running tasks reserve now: they are the ones that have to run again at once, and in an overload of short tasks a reserved host is one that short tasks lack.

Left: gangs, fillers that take the memory, and two long-running tasks that wait for each other's quota have no reservation.

--- a/Source/Decision/Job/RoomReservations.cpp
+++ b/Source/Decision/Job/RoomReservations.cpp
@@ -14,10 +14,24 @@
         }));
 }
 
-std::size_t RoomReservations::maximumReservations() const
+bool RoomReservations::isQuotaUsed(const std::string& service) const
 {
-    const double share = m_rules.maximumShareOfHosts * static_cast<double>(m_state.hosts.hosts().size());
-    return std::max<std::size_t>(1, static_cast<std::size_t>(share));
+    const std::map<std::string, Host>& hosts = m_state.hosts.hosts();
+    const std::ptrdiff_t serviceHosts = std::count_if(hosts.begin(), hosts.end(),
+        [&service](const std::pair<const std::string, Host>& entry) { return entry.second.service == service; });
+    const std::ptrdiff_t reserved = std::count_if(
+        m_entries.begin(), m_entries.end(), [&service](const Entry& entry) { return entry.service == service; });
+    const double quota = m_rules.maximumShareOfHosts * static_cast<double>(serviceHosts);
+    return reserved >= std::max<std::ptrdiff_t>(1, static_cast<std::ptrdiff_t>(quota));
+}
+
+bool RoomReservations::isRuledOut(const JobState& job, const StepState& step) const
+{
+    const Wire::Resources& demand = job.stepDefinition(step).demand;
+    return std::any_of(m_failedSearches.begin(), m_failedSearches.end(),
+        [&job, &demand](const std::pair<std::string, Wire::Resources>& failed) {
+            return failed.first == job.definition().serviceName && fits(failed.second, demand);
+        });
 }
 
 const char* RoomReservations::reasonToRemove(Instant now, const Entry& entry, std::size_t earlierOfStep) const
@@ -42,6 +56,8 @@
 
 void RoomReservations::removeOutdated(Instant now, Actions& actions)
 {
+    m_searchesInPass = 0;
+    m_failedSearches.clear();
     std::vector<Entry> kept;
     for (Entry& entry : m_entries) {
         const RoomReservation& reservation = entry.reservation;
@@ -119,23 +135,28 @@
     reservation.demand = job.stepDefinition(step).demand;
     host.reservations.push_back(reservation);
     const Instant until = now + m_rules.maximumWaitFactor * expectedWait + m_rules.additionalWait;
-    m_entries.push_back(Entry { host.hostId, host.incarnation, std::move(reservation), until });
+    m_entries.push_back(
+        Entry { host.hostId, host.incarnation, job.definition().serviceName, std::move(reservation), until });
 }
 
 void RoomReservations::reserve(
     Instant now, const JobState& job, const StepState& step, const TaskState& task, Actions& actions)
 {
     const Wire::StepDefinition& definition = job.stepDefinition(step);
-    const bool isEnough = m_entries.size() >= maximumReservations()
-        || countOf(job, step) >= static_cast<std::size_t>(step.waitingTasks);
-    if (definition.filler || isEnough || now - task.waitingSince < m_rules.minimumWait)
+    if (!definition.longRunning || now - task.waitingSince < m_rules.minimumWait
+        || m_searchesInPass >= m_rules.maximumSearchesPerPass || isRuledOut(job, step)
+        || isQuotaUsed(job.definition().serviceName)
+        || countOf(job, step) >= static_cast<std::size_t>(step.waitingTasks))
         return;
+    ++m_searchesInPass;
     Host* best = nullptr;
     Duration bestWait {};
     const PlacementRequest request = makePlacementRequest(job, step, task);
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
         // One reservation a host: the tasks of several would wait for the same runs.
+        if (host.service != job.definition().serviceName)
+            continue;
         if (!host.reservations.empty() || !m_placement.isEligibleBesidesRoom(host, request, now))
             continue;
         const std::optional<Duration> wait = expectedWait(now, host, definition);
@@ -144,8 +165,12 @@
             bestWait = *wait;
         }
     }
-    if (!best)
+    if (!best) {
+        // A host that a label or the maximum per host keeps out may have room for another step.
+        if (definition.maximumPerHost == 0 && definition.requiredLabel.empty())
+            m_failedSearches.emplace_back(job.definition().serviceName, definition.demand);
         return;
+    }
     add(now, job, step, *best, bestWait);
     LogLine line("room_reserved");
     line.add("job", job.definition().jobId).add("occurrence", step.occurrence).add("step", step.step);
@@ -157,7 +182,7 @@
 void RoomReservations::reserveHost(
     Instant now, const JobState& job, const StepState& step, Host& host, Duration expectedWait)
 {
-    if (host.reservations.empty() && m_entries.size() < maximumReservations() && !job.stepDefinition(step).filler)
+    if (host.reservations.empty() && job.stepDefinition(step).longRunning && !isQuotaUsed(job.definition().serviceName))
         add(now, job, step, host, expectedWait);
 }
 
--- a/Tests/Unit/RoomReservationsTest.cpp
+++ b/Tests/Unit/RoomReservationsTest.cpp
@@ -9,6 +9,7 @@
 class RoomReservationsTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(RoomReservationsTest);
     CPPUNIT_TEST(aLargeTaskStartsAlthoughSmallTasksKeepArriving);
+    CPPUNIT_TEST(aLargeTaskStartsAlthoughSmallJobsStandStill);
     CPPUNIT_TEST(smallTasksStartBesideAReservation);
     CPPUNIT_TEST(nothingIsReservedWhereLongRunningTasksTakeTheRoom);
     CPPUNIT_TEST(aMoreUrgentTaskIgnoresAReservation);
@@ -43,6 +44,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), fleet->runsOf(large));
     }
 
+    // Guards against small jobs that stood still for long: they come before the large task in the order of the pass.
+    void aLargeTaskStartsAlthoughSmallJobsStandStill()
+    {
+        BusyFleet fleet(hosts, 1);
+        fleet.setJobsPerArrival(130);
+        fleet.submitLasting(background, 3 * hosts, 4000);
+        fleet.runUntil(1000);
+        fleet.startArrivals();
+        fleet.runUntil(10'000);
+        fleet.submitLasting(large, 4, 3900);
+        fleet.runUntil(10'000 + longestWait);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), fleet.runsOf(large));
+    }
+
     // Guards against reservations that keep small tasks from the rest of the fleet.
     void smallTasksStartBesideAReservation()
     {
