--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -101,20 +101,6 @@
     double headroomLeft = 0;
 };
 
-/// Room on a host that is kept for a waiting task of a step; see RoomReservations.
-struct RoomReservation {
-    std::string jobId;
-    int occurrence = 0;
-    int step = 0;
-    int priority = 0;
-    Wire::Resources demand;
-
-    bool isOf(const Wire::JobDefinition& job, int ofOccurrence, int ofStep) const
-    {
-        return jobId == job.jobId && occurrence == ofOccurrence && step == ofStep;
-    }
-};
-
 /// Health of a host, derived from the ends of its runs.
 struct HostHealth {
     /// Jobs whose tasks have failed on this host since the last task completed.
@@ -189,8 +175,6 @@
     /// Sum of all runs; fillers commit memory and accelerators only.
     Wire::Resources committed;
     ProcessorUse processorUse;
-    /// Room that only the steps that it is reserved for, and more urgent ones, may use.
-    std::vector<RoomReservation> reservations;
     HostHealth health;
     /// Orders that have not been sent yet.
     Wire::HostOrders orders;
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -1,7 +1,5 @@
 #include "Decision/Job/Placement.h"
 
-#include "Decision/Job/ResourceMath.h"
-
 #include <algorithm>
 
 namespace Plantainpier {
@@ -61,22 +59,10 @@
     });
 }
 
-Wire::Resources Placement::freeResources(const Host& host, const PlacementRequest& request)
-{
-    Wire::Resources free = minus(host.capacity, host.committed);
-    for (const RoomReservation& reservation : host.reservations) {
-        const bool isOwn = reservation.isOf(request.job, request.occurrence, request.step);
-        if (!isOwn && reservation.priority <= request.job.priority)
-            free = minus(free, reservation.demand);
-    }
-    return free;
-}
-
-HostEligibility Placement::evaluateFiller(
-    const Host& host, const PlacementRequest& request, std::int64_t freeMegabytes) const
+HostEligibility Placement::evaluateFiller(const Host& host, const PlacementRequest& request) const
 {
     const Wire::StepDefinition& step = request.definition;
-    if (freeMegabytes - step.demand.memoryMegabytes < reservedMegabytes(host))
+    if (host.freeMegabytes() - step.demand.memoryMegabytes < reservedMegabytes(host))
         return HostEligibility::NoMemory;
     if (idleMilliCores(host) < step.demand.milliProcessors)
         return HostEligibility::NoIdleProcessors;
@@ -85,7 +71,7 @@
     return HostEligibility::Eligible;
 }
 
-HostEligibility Placement::evaluateState(const Host& host, const PlacementRequest& request, Instant now) const
+HostEligibility Placement::evaluate(const Host& host, const PlacementRequest& request, Instant now) const
 {
     const Wire::StepDefinition& step = request.definition;
     if (host.service != request.job.serviceName)
@@ -108,35 +94,27 @@
         return HostEligibility::MayForgetEnds;
     if (!request.rack.empty() && host.rack != request.rack)
         return HostEligibility::OtherRack;
-    return hasLabel(host, step.requiredLabel) ? HostEligibility::Eligible : HostEligibility::NoLabel;
-}
-
-HostEligibility Placement::evaluateStep(const Host& host, const PlacementRequest& request)
-{
+    if (!hasLabel(host, step.requiredLabel))
+        return HostEligibility::NoLabel;
+    Wire::Resources free;
+    free.milliProcessors = host.freeMilliCores();
+    free.memoryMegabytes = host.freeMegabytes();
+    free.accelerators = host.freeAccelerators();
+    HostEligibility eligibility = evaluateResources(free, step);
+    if (eligibility == HostEligibility::Eligible && step.filler)
+        eligibility = evaluateFiller(host, request);
+    if (eligibility != HostEligibility::Eligible)
+        return eligibility;
     for (const RunPlace& place : request.currentRuns) {
         if (place.hostId == host.hostId)
             return HostEligibility::RunsTheTask;
     }
-    const int maximum = request.definition.maximumPerHost;
-    const bool full = maximum > 0
-        && HostRegistry::countRunsOfStep(host, request.job.jobId, request.occurrence, request.step) >= maximum;
-    return full ? HostEligibility::StepAtMaximum : HostEligibility::Eligible;
-}
-
-HostEligibility Placement::evaluate(const Host& host, const PlacementRequest& request, Instant now) const
-{
-    HostEligibility eligibility = evaluateState(host, request, now);
-    if (eligibility != HostEligibility::Eligible)
-        return eligibility;
-    const Wire::Resources free = freeResources(host, request);
-    eligibility = evaluateResources(free, request.definition);
-    if (eligibility == HostEligibility::Eligible && request.definition.filler)
-        eligibility = evaluateFiller(host, request, free.memoryMegabytes);
-    if (eligibility == HostEligibility::Eligible)
-        eligibility = evaluateStep(host, request);
-    if (eligibility == HostEligibility::Eligible && !host.isRecordPersisted)
-        eligibility = HostEligibility::NotPersisted;
-    return eligibility;
+    const bool full = step.maximumPerHost > 0
+        && HostRegistry::countRunsOfStep(host, request.job.jobId, request.occurrence, request.step)
+            >= step.maximumPerHost;
+    if (full)
+        return HostEligibility::StepAtMaximum;
+    return host.isRecordPersisted ? HostEligibility::Eligible : HostEligibility::NotPersisted;
 }
 
 double Placement::imageAffinity(const Host& host, const std::string& image)
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -64,12 +64,6 @@
     {
         return evaluate(host, request, now) == HostEligibility::Eligible;
     }
-    /// Whether the host is eligible apart from the room that the task needs.
-    bool isEligibleBesidesRoom(const Host& host, const PlacementRequest& request, Instant now) const
-    {
-        return host.isRecordPersisted && evaluateState(host, request, now) == HostEligibility::Eligible
-            && evaluateStep(host, request) == HostEligibility::Eligible;
-    }
     /// Whether a registered host of the service could hold a task of the step if the host were empty.
     static bool fitsAnyEmptyHost(
         const HostRegistry& hosts, const std::string& service, const Wire::StepDefinition& step);
@@ -83,15 +77,10 @@
 
 private:
     HostEligibility evaluate(const Host& host, const PlacementRequest& request, Instant now) const;
-    HostEligibility evaluateState(const Host& host, const PlacementRequest& request, Instant now) const;
-    /// Whether runs of the same step keep the host out.
-    static HostEligibility evaluateStep(const Host& host, const PlacementRequest& request);
-    /// Resources of the host that the request may use.
-    static Wire::Resources freeResources(const Host& host, const PlacementRequest& request);
     /// Whether a run that was placed since the quarantine of the host has yet to show that the host works. Runs from
     /// before the quarantine do not count: a long-running one never ends.
     static bool isTrialUnderWay(const Host& host, Instant now);
-    HostEligibility evaluateFiller(const Host& host, const PlacementRequest& request, std::int64_t freeMegabytes) const;
+    HostEligibility evaluateFiller(const Host& host, const PlacementRequest& request) const;
     /// Preference among eligible hosts; higher is better.
     double score(const Host& host, const PlacementRequest& request) const;
     /// What a filler's interference with the serving tasks of the host takes from the score of the host.
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -51,18 +51,15 @@
 void TaskScheduler::schedule(Instant now, Actions& actions)
 {
     m_failedPlacements.clear();
-    m_leastUrgentStarts.clear();
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts())
         entry.second.isRecordPersisted
             = m_state.storeWriter.storedSequenceNumber() >= entry.second.recordSequenceNumber;
-    m_reservations.removeOutdated(now, actions);
     m_unlistedHosts = m_state.countUnlistedHosts(now);
     const bool earlierRunsKnown = m_unlistedHosts == 0;
     // Until the earlier owner's runs are known, a halted task could not be placed again.
     if (earlierRunsKnown)
         m_fillerRelocator.relocate(now, actions);
     int stepsWithPreemption = 0;
-    std::vector<StepWithoutRoom> stepsWithoutRoom;
     const std::vector<Candidate> candidates = collectCandidates(now);
     for (const Candidate& candidate : candidates) {
         JobState& job = *candidate.job;
@@ -71,18 +68,12 @@
         StepState& step = job.steps()[candidate.step];
         if (job.stepDefinition(step).gang)
             placeGang(now, job, step, actions);
-        else if (const TaskState* task = placeStep(now, job, step, earlierRunsKnown, actions))
-            stepsWithoutRoom.push_back(StepWithoutRoom { &job, &step, task });
+        else
+            placeStep(now, job, step, earlierRunsKnown, actions);
         if (step.waitingTasks > 0 && stepsWithPreemption < maximumStepsWithPreemption
             && preemptRuns(now, job, step, actions))
             ++stepsWithPreemption;
     }
-    for (const StepWithoutRoom& waiting : stepsWithoutRoom) {
-        const Wire::JobDefinition& definition = waiting.job->definition();
-        const std::map<std::string, int>::const_iterator it = m_leastUrgentStarts.find(definition.serviceName);
-        if (it != m_leastUrgentStarts.end() && it->second >= definition.priority)
-            m_reservations.reserve(now, *waiting.job, *waiting.step, *waiting.task, actions);
-    }
     startEndTrials(now, candidates, actions);
     m_capacityLogger.logIfDue(now, actions);
 }
@@ -150,15 +141,8 @@
     return task.lastEndUnknown && !m_state.isOwnershipCertain(now);
 }
 
-Host* TaskScheduler::findHost(
-    Instant now, const JobState& job, const StepState& step, const TaskState& task, HostEligibilityCounts& hostCounts)
+Host* TaskScheduler::findHost(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts)
 {
-    const PlacementRequest request = makePlacementRequest(job, step, task);
-    // Room that is reserved for the step counted as taken for the others that failed.
-    if (m_reservations.hasReservation(job, step)) {
-        ++m_state.counters.hostSearches;
-        return m_placement.chooseHost(m_state.hosts, request, now, &hostCounts);
-    }
     if (const HostEligibilityCounts* known = m_failedPlacements.find(request)) {
         hostCounts = *known;
         return nullptr;
@@ -170,15 +154,13 @@
     return host;
 }
 
-const TaskState* TaskScheduler::placeStep(
-    Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
+void TaskScheduler::placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
     const bool duplicatesAllowed = job.stepDefinition(step).allowDuplicates;
     HostEligibilityCounts hostCounts;
     // The task that has waited longest among those that cannot start in this pass.
     const TaskState* longestWaiting = nullptr;
-    const TaskState* withoutRoom = nullptr;
     WaitReason waitReason = WaitReason::NoHost;
     const auto recordWait = [&longestWaiting, &waitReason](const TaskState& task, WaitReason reason) {
         if (longestWaiting && longestWaiting->waitingSince <= task.waitingSince)
@@ -208,17 +190,15 @@
             recordWait(task, WaitReason::NoRunNumber);
             continue;
         }
-        Host* host = findHost(now, job, step, task, hostCounts);
+        Host* host = findHost(now, makePlacementRequest(job, step, task), hostCounts);
         if (!host) {
             recordWait(task, reasonWithoutHost(hostCounts));
-            withoutRoom = &task;
             break;
         }
         startRun(now, job, step, n, *run, *host, actions);
     }
     if (longestWaiting)
         m_waitLogger.logIfDue(now, WaitingTask { job, step, *longestWaiting, waitReason, hostCounts }, actions);
-    return withoutRoom;
 }
 
 void TaskScheduler::placeGang(Instant now, JobState& job, StepState& step, Actions& actions)
@@ -313,12 +293,7 @@
     std::vector<HostRun*> bestRuns;
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
-        const bool isReservedForOthers = std::any_of(host.reservations.begin(), host.reservations.end(),
-            [&job, &step, priority](const RoomReservation& reservation) {
-                return reservation.priority <= priority
-                    && !reservation.isOf(job.definition(), step.occurrence, step.step);
-            });
-        if (isReservedForOthers || !Placement::isOpenTo(host, job.definition(), definition, now))
+        if (!Placement::isOpenTo(host, job.definition(), definition, now))
             continue;
         std::int64_t processors = host.freeMilliCores();
         std::int64_t memory = host.freeMegabytes() - (definition.filler ? m_placement.reservedMegabytes(host) : 0);
@@ -355,9 +330,7 @@
         return false;
     for (HostRun* run : bestRuns)
         m_runTracker.haltRun(*bestHost, *run, "room_for_more_urgent_work", actions);
-    const Duration expectedWait = m_state.rules.longestHalt + RunTracker::timeToListAnEnd;
-    step.roomExpectedUntil.push_back(now + expectedWait);
-    m_reservations.reserveHost(now, job, step, *bestHost, expectedWait);
+    step.roomExpectedUntil.push_back(now + m_state.rules.longestHalt + RunTracker::timeToListAnEnd);
     return true;
 }
 
@@ -391,12 +364,6 @@
     order.percent = hostRun.orderedPacePercent;
     HostRegistry::addRun(host, std::move(hostRun));
     job.markStarted();
-    if (!definition.filler) {
-        const int priority = job.definition().priority;
-        int& leastUrgent = m_leastUrgentStarts.try_emplace(job.definition().serviceName, priority).first->second;
-        leastUrgent = std::max(leastUrgent, priority);
-    }
-    m_reservations.onStarted(job, step, host);
     if (!step.roomExpectedUntil.empty())
         step.roomExpectedUntil.erase(step.roomExpectedUntil.begin());
     step.lastStartedAt = now;
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -7,7 +7,6 @@
 #include "Decision/Job/OwnerState.h"
 #include "Decision/Job/PaceController.h"
 #include "Decision/Job/Placement.h"
-#include "Decision/Job/RoomReservations.h"
 #include "Decision/Job/RunTracker.h"
 #include "Decision/Job/WaitLogger.h"
 #include "Decision/Job/WorkPriority.h"
@@ -24,7 +23,6 @@
         , m_paceController(paceController)
         , m_placement(rules, paceController)
         , m_fillerRelocator(state, runTracker, paceController, m_placement, RelocationRules {})
-        , m_reservations(state, m_placement, ReservationRules {})
         , m_waitLogger(state)
         , m_capacityLogger(state)
     {
@@ -40,16 +38,8 @@
         std::size_t step;
     };
 
-    /// A step with a task for which no host had room.
-    struct StepWithoutRoom {
-        const JobState* job;
-        const StepState* step;
-        const TaskState* task;
-    };
-
     std::vector<Candidate> collectCandidates(Instant now);
-    /// Returns the task for which no host has room; null if there is none.
-    const TaskState* placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions);
+    void placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions);
     void placeGang(Instant now, JobState& job, StepState& step, Actions& actions);
     /// Starts all tasks of the gang, or returns the reason why the gang waits.
     std::optional<WaitReason> tryStartGang(
@@ -69,20 +59,16 @@
     /// Whether the task's last run may still be executing under a new owner: the run was abandoned here, but a
     /// successor that this owner has not yet observed may have reached the host and adopted the run.
     bool mayContinueUnderSuccessor(Instant now, const TaskState& task) const;
-    /// Returns the host for the task, or null. Requests that a failed one of the same pass rules out are not searched
-    /// for.
-    Host* findHost(Instant now, const JobState& job, const StepState& step, const TaskState& task,
-        HostEligibilityCounts& hostCounts);
+    /// Returns the host for the request, or null. Requests that a failed one of the same pass rules out are not
+    /// searched for.
+    Host* findHost(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts);
 
     OwnerState& m_state;
     RunTracker& m_runTracker;
     const PaceController& m_paceController;
     Placement m_placement;
     FillerRelocator m_fillerRelocator;
-    RoomReservations m_reservations;
     FailedPlacements m_failedPlacements;
-    /// For each service, the least urgent priority of a run with reserved processors that the pass has started.
-    std::map<std::string, int> m_leastUrgentStarts;
     WaitLogger m_waitLogger;
     CapacityLogger m_capacityLogger;
     /// OwnerState::countUnlistedHosts() at the start of the pass.
