Revert "Job: Let later owners not wait for a host whose leases are over"

A host whose leases are over may still hold ends that nobody has read. It comes back, its list shows a completed run, and the owner ends before it has stored that; the next owner does not wait for the host's list any more and starts the task again. So the wait for a host that an owner has given up guards unread ends as well, and only the host's own end makes it needless. The rest is by reading.

--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -154,9 +154,6 @@
     std::uint64_t recordSequenceNumber = 0;
     /// Whether that write was persisted at the start of the newest scheduling pass.
     bool isRecordPersisted = true;
-    /// The stored record says that the host has departed, since all its leases are over: later owners need not wait for
-    /// the host. Nothing is ordered before the record is stored anew.
-    bool isRecordedAsDeparted = false;
     /// Time of the last report, or of the loss of the connection after that.
     Instant lastContactAt;
     /// Newest reading of the host's clock, and when it was received.
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -18,8 +18,6 @@
     constexpr Duration longRunningProbation = seconds(1);
     /// A disconnected host without runs is removed after this time, which exceeds every time limit of the platform.
     constexpr Duration hostRetention = seconds(30);
-    /// A host that reconnects sooner keeps its record, even if it holds no lease.
-    constexpr Duration minimumSilence = seconds(1);
     /// Weight of the newest run in the smoothed slowness of a host.
     constexpr double slownessWeight = 0.15;
     constexpr double slownessFloor = 0.7;
@@ -80,7 +78,7 @@
     record.incarnation = host.incarnation;
     record.term = m_state.term;
     record.mayForgetEnds = host.mayForgetEnds;
-    record.departed = host.departed || host.isRecordedAsDeparted;
+    record.departed = host.departed;
     return m_state.storeWriter.enqueue(now, StoreRecord { StoreKey::host(host.hostId), Wire::encode(record) }, urgency);
 }
 
@@ -125,11 +123,6 @@
     Host* existing = m_state.hosts.find(report.hostId);
     const bool sameIncarnation = existing && existing->incarnation == report.incarnation && !existing->departed;
     Host& host = sameIncarnation ? *existing : addIncarnation(now, report, actions);
-    if (host.isRecordedAsDeparted) {
-        host.isRecordedAsDeparted = false;
-        host.recordSequenceNumber = storeHostRecord(now, host, Urgency::Immediate);
-        host.isRecordPersisted = false;
-    }
     if (host.link != link) {
         host.link = link;
         host.newestLink = link;
@@ -751,12 +744,6 @@
             abandonRunsAfterLeaseExpiry(now, host, actions);
         if (host.draining && host.link != noLink)
             haltRunsForDrain(now, host, actions);
-        // Otherwise each later owner would hold back inherited tasks until the longest lease of this host is over.
-        const bool areLeasesOver = now >= host.leaseExpiresAt && now - host.lastContactAt >= minimumSilence;
-        if (host.link == noLink && host.runs.empty() && areLeasesOver && !host.departed && !host.isRecordedAsDeparted) {
-            host.isRecordedAsDeparted = true;
-            storeHostRecord(now, host, Urgency::Lazy);
-        }
         const bool disconnectedTooLong
             = host.link == noLink && now >= host.leaseExpiresAt && now - host.lastContactAt > hostRetention;
         ++it;
--- a/Tests/Unit/InheritedTasksTest.cpp
+++ b/Tests/Unit/InheritedTasksTest.cpp
@@ -129,71 +129,8 @@
     CPPUNIT_TEST_SUITE(InheritedTasksTest);
     CPPUNIT_TEST(startWhileConnectionsOfAFleetAreReplaced);
     CPPUNIT_TEST(waitForALaterIncarnationOfAListedHost);
-    CPPUNIT_TEST(waitOnceForAHostThatIsGoneOverSeveralOwners);
-    CPPUNIT_TEST(aHostThatReturnsIsRecordedBeforeItsFirstOrder);
     CPPUNIT_TEST_SUITE_END();
 
-    /// Lets an owner run until the leases of a host that never reports are over, and returns its records.
-    static std::vector<StoreRecord> recordsAfterTheLeases(OwnerHarness& owner, const std::vector<StoreRecord>& records)
-    {
-        owner.owner.loadRecords(records);
-        Actions actions;
-        owner.owner.finishLoad(at(0), 0, at(9290), actions);
-        for (int now = 0; now < 12'000; now += 50)
-            owner.tick(now);
-        std::vector<StoreRecord> all = records;
-        all.insert(all.end(), owner.storedRecords.begin(), owner.storedRecords.end());
-        return all;
-    }
-
-    static std::vector<StoreRecord> recordOfAHost()
-    {
-        Wire::HostRecord record;
-        record.incarnation = 1;
-        record.term = 1;
-        return { StoreRecord { StoreKey::host("host-gone"), Wire::encode(record) } };
-    }
-
-    // Guards against each of several owners waiting for the longest lease of a host that is gone with its side:
-    // inherited long-running tasks stood still for 9 s after every planned hand-over.
-    void waitOnceForAHostThatIsGoneOverSeveralOwners()
-    {
-        OwnerHarness second(2);
-        const std::vector<StoreRecord> records = recordsAfterTheLeases(second, recordOfAHost());
-        OwnerHarness third(3);
-        third.owner.loadRecords(records);
-        Actions actions;
-        third.owner.finishLoad(at(0), 0, at(9290), actions);
-        third.tick(0);
-        CPPUNIT_ASSERT_EQUAL(0, third.owner.state().countUnlistedHosts(at(10)));
-    }
-
-    // Guards against orders to a host that a later owner would not wait for.
-    void aHostThatReturnsIsRecordedBeforeItsFirstOrder()
-    {
-        OwnerHarness second(2);
-        std::vector<StoreRecord> records = recordOfAHost();
-        Wire::JobDefinition job = makeJob(planJob, { makeStep(1, 1000, 1000) });
-        job.acceptedTerm = 1;
-        records.push_back(StoreRecord { StoreKey::job(planJob), Wire::encode(job) });
-        records = recordsAfterTheLeases(second, records);
-        second.storeUnavailable = true;
-        second.storedRecords.clear();
-        second.announceAndReport(12'010, makeReport("host-gone", 1, 100));
-        second.settle(12'020);
-        CPPUNIT_ASSERT(second.startOrders.empty());
-        second.storeUnavailable = false;
-        second.announceAndReport(12'100, makeReport("host-gone", 1, 200));
-        second.settle(12'110);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), second.startOrders.size());
-        records.insert(records.end(), second.storedRecords.begin(), second.storedRecords.end());
-        OwnerHarness third(3);
-        third.owner.loadRecords(records);
-        Actions actions;
-        third.owner.finishLoad(at(0), 0, at(9290), actions);
-        CPPUNIT_ASSERT_EQUAL(1, third.owner.state().countUnlistedHosts(at(10)));
-    }
-
     // Guards against tasks that wait for as long as connections are replaced: in a large fleet the next connection
     // breaks before the host of the one before has been listed again.
     void startWhileConnectionsOfAFleetAreReplaced()
