Shell: Log how long events wait for the decision thread

The log could not tell a store that is slow from a process that does not get to its answers: neither the length of the event queue, nor the delay from arrival to handling, nor the time of a tick was measured.

No decision changes.

--- a/Source/Base/BoundedRing.h
+++ b/Source/Base/BoundedRing.h
@@ -69,6 +69,12 @@
         m_itemAvailable.notify_all();
     }
 
+    std::size_t size() const
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        return m_items.size();
+    }
+
     bool isClosed() const
     {
         std::lock_guard<std::mutex> lock(m_mutex);
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -61,6 +61,8 @@
         m_fillerRelocator.relocate(now, actions);
     int stepsWithPreemption = 0;
     const std::vector<Candidate> candidates = collectCandidates(now);
+    ++m_state.counters.passes;
+    m_state.counters.waitingStepsExamined += static_cast<std::int64_t>(candidates.size());
     for (const Candidate& candidate : candidates) {
         JobState& job = *candidate.job;
         if (!job.isOpen())
@@ -148,6 +150,7 @@
         return nullptr;
     }
     ++m_state.counters.hostSearches;
+    m_state.counters.hostEvaluations += static_cast<std::int64_t>(m_state.hosts.hosts().size());
     Host* host = m_placement.chooseHost(m_state.hosts, request, now, &hostCounts);
     if (!host)
         m_failedPlacements.add(request, hostCounts);
@@ -287,6 +290,7 @@
     std::erase_if(step.roomExpectedUntil, [now](Instant until) { return now >= until; });
     if (step.roomExpectedUntil.size() >= static_cast<std::size_t>(step.waitingTasks))
         return false;
+    ++m_state.counters.preemptionSearches;
     const Wire::StepDefinition& definition = job.stepDefinition(step);
     const int priority = job.definition().priority;
     Host* bestHost = nullptr;
--- a/Source/Decision/Process/Message.h
+++ b/Source/Decision/Process/Message.h
@@ -1,6 +1,7 @@
 /// Typed messages between processes, and the actions that the decision logic requests from its shell.
 #pragma once
 
+#include "Base/NameTable.h"
 #include "Base/Result.h"
 #include "Base/Time.h"
 #include "Decision/Job/LogRecord.h"
@@ -146,6 +147,14 @@
     Uncertain,
 };
 
+inline constexpr std::array appendOutcomeNames {
+    NamedValue { AppendOutcome::Stored, "stored" },
+    NamedValue { AppendOutcome::EndMismatch, "end_mismatch" },
+    NamedValue { AppendOutcome::Fenced, "fenced" },
+    NamedValue { AppendOutcome::Rejected, "rejected" },
+    NamedValue { AppendOutcome::Uncertain, "uncertain" },
+};
+
 struct AppendResponse {
     AppendOutcome outcome = AppendOutcome::Uncertain;
     /// Offset of the first record.
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -14,6 +14,8 @@
     /// of date.
     constexpr Duration responseValidity = milliseconds(700);
     constexpr const char* noPulseReason = "no_sign_of_life";
+    /// A pulse with a later answer is logged.
+    constexpr Duration slowPulse = milliseconds(500);
 
     const char* reasonToStepDown(const OwnerState& state)
     {
@@ -145,6 +147,12 @@
 void Ownership::onPulseResponse(Instant now, const AppendResponse& response, Actions& actions)
 {
     m_pulseInFlight = false;
+    if (now - m_pulseSentAt > slowPulse)
+        actions.push_back(WriteLog { LogLine("pulse_slow")
+                                         .add("term", m_current.term)
+                                         .add("outcome", nameIn(appendOutcomeNames, response.outcome))
+                                         .add("after_ms", toMilliseconds(now - m_pulseSentAt))
+                                         .text() });
     switch (response.outcome) {
     case AppendOutcome::Stored:
         ++m_pulseNumber;
@@ -203,6 +211,7 @@
                                      .add("current_term", m_current.term)
                                      .add("current_owner", m_current.claim.nodeId)
                                      .add("pulse_age_ms", toMilliseconds(now - m_lastPulseReadAt))
+                                     .add("processor_milli", static_cast<int>(1000 * m_identity.processorShare))
                                      .text() });
 }
 
--- a/Source/Shell/Process/Daemon.cpp
+++ b/Source/Shell/Process/Daemon.cpp
@@ -68,7 +68,7 @@
 
 void Daemon::drain()
 {
-    loop().post([this](Instant now, Actions& actions) { beginShutdown(now, actions); });
+    loop().post(EventKind::Control, [this](Instant now, Actions& actions) { beginShutdown(now, actions); });
     const Instant deadline = steadyNow() + drainTimeout;
     Instant idleSince = steadyNow();
     while (steadyNow() < deadline && steadyNow() - idleSince < idlePeriod) {
@@ -106,11 +106,12 @@
 
 void Daemon::postCall(const std::shared_ptr<HttpCall>& call, CallEvent event)
 {
-    const bool posted = loop().post([this, call, event = std::move(event)](Instant now, Actions& actions) {
-        const CallerToken caller = ++m_lastCaller;
-        m_calls[caller] = call;
-        event(now, caller, actions);
-    });
+    const bool posted
+        = loop().post(EventKind::Call, [this, call, event = std::move(event)](Instant now, Actions& actions) {
+              const CallerToken caller = ++m_lastCaller;
+              m_calls[caller] = call;
+              event(now, caller, actions);
+          });
     if (!posted)
         call->reply(Error { ErrorCode::Overloaded, "the event queue of the process is full; nothing was run" });
 }
@@ -128,7 +129,7 @@
         return;
     }
     if (call->path == "/readyz") {
-        const bool posted = loop().post([this, call](Instant now, Actions&) {
+        const bool posted = loop().post(EventKind::Call, [this, call](Instant now, Actions&) {
             const bool ready = isReady(now);
             call->reply(ready ? httpOk : httpUnavailable, ready ? "ready\n" : "not ready\n");
         });
@@ -137,7 +138,7 @@
         return;
     }
     if (call->path == "/metrics") {
-        loop().post([this, call](Instant, Actions&) {
+        loop().post(EventKind::Call, [this, call](Instant, Actions&) {
             fillMetrics(metrics());
             call->reply(httpOk, metrics().render());
         });
--- a/Source/Shell/Process/DecisionLoop.h
+++ b/Source/Shell/Process/DecisionLoop.h
@@ -4,6 +4,7 @@
 
 #include "Base/BoundedRing.h"
 #include "Decision/Process/Message.h"
+#include "Shell/Process/LoopMonitor.h"
 
 #include <atomic>
 #include <functional>
@@ -20,26 +21,43 @@
 
     /// Hook: whether requests are in progress, so that ticks must be frequent.
     using IsBusy = std::function<bool()>;
+    /// Hook: receives a line about each interval in which events waited long; called on the loop's thread.
+    using WriteLine = std::function<void(const LogLine& line)>;
 
-    DecisionLoop(Event tick, PerformAction perform, IsBusy isBusy);
+    DecisionLoop(Event tick, PerformAction perform, IsBusy isBusy, WriteLine writeLine);
 
     /// Queues an event. Returns false if the queue is full; the caller must then report the overload.
-    bool post(Event event);
+    bool post(EventKind kind, Event event);
     /// Queues an event that the decision core waits for or cannot learn in another way: the outcome of its own call, or
     /// the beginning or end of a link. Such events are queued even if the queue is full, since their number is limited
     /// by the calls and links of the process. Returns false after stop().
-    bool postAwaited(Event event);
+    bool postAwaited(EventKind kind, Event event);
     /// Runs until stop().
     void run();
     void stop();
 
+    /// Number of events that wait.
+    std::size_t queueLength() const { return m_ring.size(); }
+    /// Used on the loop's thread only.
+    const LoopMonitor& monitor() const { return m_monitor; }
+
 private:
-    void process(const Event& event);
+    struct QueuedEvent {
+        EventKind kind;
+        Instant queuedAt;
+        Event event;
+    };
+
+    void process(Instant now, const Event& event);
+    void processQueued(const QueuedEvent& queued);
+    void processTick();
 
     Event m_tick;
     PerformAction m_perform;
     IsBusy m_isBusy;
-    BoundedRing<Event> m_ring;
+    WriteLine m_writeLine;
+    BoundedRing<QueuedEvent> m_ring;
+    LoopMonitor m_monitor;
     std::atomic<bool> m_stopping { false };
 };
 
--- a/Source/Shell/Process/DecisionProcess.cpp
+++ b/Source/Shell/Process/DecisionProcess.cpp
@@ -6,7 +6,8 @@
 
 DecisionProcess::DecisionProcess()
     : m_loop([this](Instant now, Actions& actions) { tick(now, actions); },
-        [this](Action&& action) { perform(std::move(action)); }, [this] { return isBusy(); })
+        [this](Action&& action) { perform(std::move(action)); }, [this] { return isBusy(); },
+        [](const LogLine& line) { log(line); })
 {
 }
 
@@ -18,17 +19,20 @@
     m_http = takeValue(std::move(http));
     LinkHooks hooks;
     hooks.onUp = [this](LinkId link) {
-        m_loop.postAwaited([this, link](Instant now, Actions& actions) { onLinkUp(now, link, actions); });
+        m_loop.postAwaited(
+            EventKind::Link, [this, link](Instant now, Actions& actions) { onLinkUp(now, link, actions); });
     };
     hooks.onDown = [this](LinkId link, const std::string& reason) {
-        m_loop.postAwaited([this, link, reason](Instant now, Actions& actions) {
+        m_loop.postAwaited(EventKind::Link, [this, link, reason](Instant now, Actions& actions) {
             actions.push_back(WriteLog { LogLine("link_down").add("link", link).add("why", reason).text() });
             onLinkDown(now, link, actions);
         });
     };
     hooks.onMessage = [this](LinkId link, PeerMessage&& message) {
-        return m_loop.post([this, link, message = std::move(message)](
-                               Instant now, Actions& actions) { onMessage(now, link, message, actions); });
+        return m_loop.post(
+            EventKind::Message, [this, link, message = std::move(message)](Instant now, Actions& actions) {
+                onMessage(now, link, message, actions);
+            });
     };
     Result<std::unique_ptr<LinkHub>> links = LinkHub::create(address, port, std::move(hooks));
     if (!isOk(links))
@@ -51,7 +55,7 @@
 std::future<bool> DecisionProcess::postFunction(const std::function<bool()>& function)
 {
     const std::shared_ptr<std::promise<bool>> promise = std::make_shared<std::promise<bool>>();
-    if (!m_loop.post([promise, function](Instant, Actions&) { promise->set_value(function()); }))
+    if (!m_loop.post(EventKind::Control, [promise, function](Instant, Actions&) { promise->set_value(function()); }))
         promise->set_value(false);
     return promise->get_future();
 }
--- a/Source/Shell/Process/EntryDaemon.cpp
+++ b/Source/Shell/Process/EntryDaemon.cpp
@@ -84,7 +84,7 @@
         return;
     m_isAwaitingLog = true;
     m_log->append(batch->texts, [this](AppendResult result) {
-        loop().postAwaited(
+        loop().postAwaited(EventKind::StoreAnswer,
             [this, result](Instant now, Actions& actions) { m_core.onAppendResult(now, result, actions); });
     });
 }
@@ -200,10 +200,11 @@
     const std::shared_ptr<std::promise<void>> applied = std::make_shared<std::promise<void>>();
     std::future<void> done = applied->get_future();
     const bool reachedEnd = read.reachedEnd;
-    const bool posted = loop().post([this, read = std::move(read), applied](Instant now, Actions& actions) {
-        m_core.onLogRead(now, read, actions);
-        applied->set_value();
-    });
+    const bool posted
+        = loop().post(EventKind::Control, [this, read = std::move(read), applied](Instant now, Actions& actions) {
+              m_core.onLogRead(now, read, actions);
+              applied->set_value();
+          });
     if (posted)
         done.wait();
     return reachedEnd;
--- a/Source/Shell/Process/SideDaemon.cpp
+++ b/Source/Shell/Process/SideDaemon.cpp
@@ -126,7 +126,7 @@
     request.useNewConnection = !call.idempotent;
     http()->submit(std::move(request), [this, dispatchId = call.dispatchId](HttpResponse&& response) {
         const TargetResult result = resultOf(std::move(response));
-        loop().postAwaited([this, dispatchId, result](Instant now, Actions& actions) {
+        loop().postAwaited(EventKind::OtherAnswer, [this, dispatchId, result](Instant now, Actions& actions) {
             m_core.onTargetResult(now, dispatchId, result, actions);
         });
     });
@@ -141,9 +141,9 @@
                    [this](const StopTask& task) { m_worker->stop(task); },
                    [this](const ListTasks&) {
                        m_worker->list([this](WorkerListing&& listing) {
-                           loop().postAwaited([this, listing = std::move(listing)](Instant now, Actions& actions) {
-                               m_core.onWorkerListing(now, listing, actions);
-                           });
+                           loop().postAwaited(EventKind::OtherAnswer,
+                               [this, listing = std::move(listing)](
+                                   Instant now, Actions& actions) { m_core.onWorkerListing(now, listing, actions); });
                        });
                    },
                    [](const auto&) {},
--- a/Tests/Process/DecisionLoopTest.cpp
+++ b/Tests/Process/DecisionLoopTest.cpp
@@ -16,21 +16,23 @@
     void anAwaitedEventArrivesThroughAFullQueue()
     {
         constexpr int moreThanTheCapacity = 100'000;
-        DecisionLoop loop([](Instant, Actions&) {}, [](Action&&) {}, [] { return false; });
+        DecisionLoop loop([](Instant, Actions&) {}, [](Action&&) {}, [] { return false; }, [](const LogLine&) {});
         int accepted = 0;
         int processed = 0;
-        while (accepted < moreThanTheCapacity && loop.post([&processed](Instant, Actions&) { ++processed; }))
+        while (accepted < moreThanTheCapacity
+            && loop.post(EventKind::Message, [&processed](Instant, Actions&) { ++processed; }))
             ++accepted;
         CPPUNIT_ASSERT(accepted < moreThanTheCapacity);
         int processedBefore = -1;
-        CPPUNIT_ASSERT(loop.postAwaited([&loop, &processed, &processedBefore](Instant, Actions&) {
-            processedBefore = processed;
-            loop.stop();
-        }));
+        CPPUNIT_ASSERT(
+            loop.postAwaited(EventKind::OtherAnswer, [&loop, &processed, &processedBefore](Instant, Actions&) {
+                processedBefore = processed;
+                loop.stop();
+            }));
         std::thread decisionThread([&loop] { loop.run(); });
         decisionThread.join();
         CPPUNIT_ASSERT_EQUAL(accepted, processedBefore);
-        CPPUNIT_ASSERT(!loop.postAwaited([](Instant, Actions&) {}));
+        CPPUNIT_ASSERT(!loop.postAwaited(EventKind::OtherAnswer, [](Instant, Actions&) {}));
     }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(DecisionLoopTest);
