Process: Show that a busy owner lives

Cause: two faults of the decision loop. If a tick took longer than the interval of ticks, events got 5 ms between two ticks however long the tick was: 8% of the time at ticks of 60 ms, so that the queue only grew. And answers of the store, heartbeats of peers and health checks waited in that queue behind the reports of all hosts; the next pulse is sent once the last one's answer is handled. Besides, each answer to an append ran a whole tick with a scheduling pass.

Now events that waited when a tick ended are handled before the next tick, for 100 ms at most (LoopPacer); answers of the store, heartbeats and health checks have a lane of their own (isUrgent); an answer to an append sends the next append and leaves the pass to the next tick.

--- a/Source/Base/BoundedRing.h
+++ b/Source/Base/BoundedRing.h
@@ -11,7 +11,8 @@
 
 namespace Plantainpier {
 
-/// push() does not block. It fails if the ring is full, and the producer reports the overload to its caller.
+/// push() does not block. It fails if the ring is full, and the producer reports the overload to its caller. Urgent
+/// items are popped before all others; the order of each of the two kinds is kept.
 template <typename T> class BoundedRing {
 public:
     explicit BoundedRing(std::size_t capacity)
@@ -46,16 +47,32 @@
         return true;
     }
 
-    /// Removes and returns the oldest item. Returns nothing if no item arrived within the timeout, or if the ring is
-    /// closed and empty.
+    /// Adds an item before all that are not urgent, beyond the capacity if necessary. Only for items whose number is
+    /// limited by other means. Returns false if the ring is closed.
+    bool pushUrgent(T&& item)
+    {
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            if (m_closed)
+                return false;
+            m_urgentItems.push_back(std::move(item));
+        }
+        m_itemAvailable.notify_one();
+        return true;
+    }
+
+    /// Removes and returns the oldest urgent item, or the oldest item if none is urgent. Returns nothing if no item
+    /// arrived within the timeout, or if the ring is closed and empty.
     std::optional<T> pop(Duration timeout)
     {
         std::unique_lock<std::mutex> lock(m_mutex);
-        m_itemAvailable.wait_for(lock, timeout, [this] { return m_closed || !m_items.empty(); });
-        if (m_items.empty())
+        m_itemAvailable.wait_for(
+            lock, timeout, [this] { return m_closed || !m_urgentItems.empty() || !m_items.empty(); });
+        std::deque<T>& items = m_urgentItems.empty() ? m_items : m_urgentItems;
+        if (items.empty())
             return std::nullopt;
-        std::optional<T> item(std::move(m_items.front()));
-        m_items.pop_front();
+        std::optional<T> item(std::move(items.front()));
+        items.pop_front();
         return item;
     }
 
@@ -72,7 +89,7 @@
     std::size_t size() const
     {
         std::lock_guard<std::mutex> lock(m_mutex);
-        return m_items.size();
+        return m_urgentItems.size() + m_items.size();
     }
 
     bool isClosed() const
@@ -88,6 +105,7 @@
     /// A deque, which grows and shrinks with its content: a preallocated ring buffer would permanently occupy memory in
     /// every small process.
     std::deque<T> m_items;
+    std::deque<T> m_urgentItems;
     bool m_closed = false;
 };
 
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -110,6 +110,11 @@
             sendPulse(now, resignsNow, actions);
     }
     m_owner->tick(now, m_unixMilliseconds, actions);
+    sendOwnerRecords(now, actions);
+}
+
+void Ownership::sendOwnerRecords(Instant now, Actions& actions)
+{
     std::optional<AppendToStore> append = m_owner->nextAppend(now);
     if (append) {
         append->callId = m_ownerAppendCall = nextCallId();
@@ -431,7 +436,7 @@
     } else if (callId == m_ownerAppendCall) {
         if (m_owner && m_stage == Stage::Owning) {
             m_owner->onAppendResponse(now, response, actions);
-            runOwner(now, actions);
+            sendOwnerRecords(now, actions);
         }
         return true;
     } else {
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -107,6 +107,8 @@
     void sendPulse(Instant now, bool resigning, Actions& actions);
     void onPulseResponse(Instant now, const AppendResponse& response, Actions& actions);
     void runOwner(Instant now, Actions& actions);
+    /// Sends the owner's next append, and steps down if the owner is fenced.
+    void sendOwnerRecords(Instant now, Actions& actions);
     std::uint64_t nextCallId() { return ++m_lastCallId; }
 
     NodeIdentity m_identity;
--- a/Source/Shell/Process/Daemon.cpp
+++ b/Source/Shell/Process/Daemon.cpp
@@ -129,7 +129,7 @@
         return;
     }
     if (call->path == "/readyz") {
-        const bool posted = loop().post(EventKind::Call, [this, call](Instant now, Actions&) {
+        const bool posted = loop().post(EventKind::SignOfLife, [this, call](Instant now, Actions&) {
             const bool ready = isReady(now);
             call->reply(ready ? httpOk : httpUnavailable, ready ? "ready\n" : "not ready\n");
         });
--- a/Source/Shell/Process/DecisionLoop.h
+++ b/Source/Shell/Process/DecisionLoop.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Base/BoundedRing.h"
+#include "Decision/Process/LoopPacer.h"
 #include "Decision/Process/Message.h"
 #include "Shell/Process/LoopMonitor.h"
 
@@ -23,10 +24,13 @@
     using IsBusy = std::function<bool()>;
     /// Hook: receives a line about each interval in which events waited long; called on the loop's thread.
     using WriteLine = std::function<void(const LogLine& line)>;
+    /// Hook: the current time; called on any thread.
+    using Clock = std::function<Instant()>;
 
-    DecisionLoop(Event tick, PerformAction perform, IsBusy isBusy, WriteLine writeLine);
+    DecisionLoop(Event tick, PerformAction perform, IsBusy isBusy, WriteLine writeLine, Clock clock);
 
-    /// Queues an event. Returns false if the queue is full; the caller must then report the overload.
+    /// Queues an event, before all other events if its kind is urgent. Returns false if the queue is full; the caller
+    /// must then report the overload. Urgent events are queued even then.
     bool post(EventKind kind, Event event);
     /// Queues an event that the decision core waits for or cannot learn in another way: the outcome of its own call, or
     /// the beginning or end of a link. Such events are queued even if the queue is full, since their number is limited
@@ -34,6 +38,9 @@
     bool postAwaited(EventKind kind, Event event);
     /// Runs until stop().
     void run();
+    /// Handles one event, or a tick that is due. Waits for an event until the next tick is due, but not longer than the
+    /// given time.
+    void step(Duration longestWait);
     void stop();
 
     /// Number of events that wait.
@@ -56,8 +63,10 @@
     PerformAction m_perform;
     IsBusy m_isBusy;
     WriteLine m_writeLine;
+    Clock m_clock;
     BoundedRing<QueuedEvent> m_ring;
     LoopMonitor m_monitor;
+    LoopPacer m_pacer;
     std::atomic<bool> m_stopping { false };
 };
 
--- a/Source/Shell/Process/DecisionProcess.cpp
+++ b/Source/Shell/Process/DecisionProcess.cpp
@@ -1,5 +1,7 @@
 #include "Shell/Process/DecisionProcess.h"
 
+#include "Shell/Process/Clock.h"
+
 #include <spdlog/spdlog.h>
 
 namespace Plantainpier {
@@ -7,7 +9,7 @@
 DecisionProcess::DecisionProcess()
     : m_loop([this](Instant now, Actions& actions) { tick(now, actions); },
         [this](Action&& action) { perform(std::move(action)); }, [this] { return isBusy(); },
-        [](const LogLine& line) { log(line); })
+        [](const LogLine& line) { log(line); }, steadyNow)
 {
 }
 
@@ -29,10 +31,11 @@
         });
     };
     hooks.onMessage = [this](LinkId link, PeerMessage&& message) {
-        return m_loop.post(
-            EventKind::Message, [this, link, message = std::move(message)](Instant now, Actions& actions) {
-                onMessage(now, link, message, actions);
-            });
+        const bool isHeartbeat
+            = std::holds_alternative<Wire::Ping>(message) || std::holds_alternative<Wire::Pong>(message);
+        return m_loop.post(isHeartbeat ? EventKind::SignOfLife : EventKind::Message,
+            [this, link, message = std::move(message)](
+                Instant now, Actions& actions) { onMessage(now, link, message, actions); });
     };
     Result<std::unique_ptr<LinkHub>> links = LinkHub::create(address, port, std::move(hooks));
     if (!isOk(links))
--- a/Source/Shell/Process/LoopMonitor.h
+++ b/Source/Shell/Process/LoopMonitor.h
@@ -16,6 +16,8 @@
 enum class EventKind {
     /// The outcome of this process's own call to the store.
     StoreAnswer,
+    /// A question whether this process runs, or the answer to one: a heartbeat of a peer or a health check.
+    SignOfLife,
     /// The outcome of another call of this process, such as one to a host.
     OtherAnswer,
     /// A message of a peer.
@@ -30,6 +32,7 @@
 
 constexpr std::array eventKindNames {
     NamedValue { EventKind::StoreAnswer, "store_answer" },
+    NamedValue { EventKind::SignOfLife, "sign_of_life" },
     NamedValue { EventKind::OtherAnswer, "other_answer" },
     NamedValue { EventKind::Message, "message" },
     NamedValue { EventKind::Link, "link" },
@@ -37,6 +40,10 @@
     NamedValue { EventKind::Control, "control" },
 };
 
+/// Whether events of this kind are handled before all others: peers conclude from late ones that this process has ended
+/// or is cut off, so their delay must not depend on the amount of work. Handling them is cheap.
+constexpr bool isUrgent(EventKind kind) { return kind == EventKind::StoreAnswer || kind == EventKind::SignOfLife; }
+
 /// Figures of the current interval, and a log line about each interval in which events waited long. Used on the
 /// decision thread only.
 class LoopMonitor {
--- a/Tests/Process/DecisionLoopTest.cpp
+++ b/Tests/Process/DecisionLoopTest.cpp
@@ -1,5 +1,6 @@
 /// The queue of a decision loop when it is full: which events may be refused, and which must arrive.
 #include "Shell/Process/DecisionLoop.h"
+#include "Shell/Process/Clock.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <thread>
@@ -16,7 +17,8 @@
     void anAwaitedEventArrivesThroughAFullQueue()
     {
         constexpr int moreThanTheCapacity = 100'000;
-        DecisionLoop loop([](Instant, Actions&) {}, [](Action&&) {}, [] { return false; }, [](const LogLine&) {});
+        DecisionLoop loop(
+            [](Instant, Actions&) {}, [](Action&&) {}, [] { return false; }, [](const LogLine&) {}, steadyNow);
         int accepted = 0;
         int processed = 0;
         while (accepted < moreThanTheCapacity
