Process: Limit the lane of signs of life

Found by reading the lane for signs of life: it took events beyond the capacity of the queue, although the number of heartbeats and health checks is up to peers and probers, unlike that of answers of the store. A process that handles them more slowly than they come would grow without limit, and the answers of the store would wait behind them.

A health check that is refused is answered with 503; the reader of a peer whose heartbeat is refused ends its link, as for any other message.

--- a/Source/Base/BoundedRing.h
+++ b/Source/Base/BoundedRing.h
@@ -5,6 +5,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <limits>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -12,7 +13,7 @@
 namespace Plantainpier {
 
 /// push() does not block. It fails if the ring is full, and the producer reports the overload to its caller. Urgent
-/// items are popped before all others; the order of each of the two kinds is kept.
+/// items are popped before all others; the order of each of the two kinds is kept, and each has the whole capacity.
 template <typename T> class BoundedRing {
 public:
     explicit BoundedRing(std::size_t capacity)
@@ -21,45 +22,18 @@
     }
 
     /// Returns false if the ring is full or closed; the item is then not moved from.
-    bool push(T&& item)
-    {
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            if (m_closed || m_items.size() >= m_capacity)
-                return false;
-            m_items.push_back(std::move(item));
-        }
-        m_itemAvailable.notify_one();
-        return true;
-    }
+    bool push(T&& item) { return add(m_items, m_capacity, std::move(item)); }
 
     /// Adds an item beyond the capacity if necessary. Only for items whose number is limited by other means. Returns
     /// false if the ring is closed.
-    bool pushBeyondCapacity(T&& item)
-    {
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            if (m_closed)
-                return false;
-            m_items.push_back(std::move(item));
-        }
-        m_itemAvailable.notify_one();
-        return true;
-    }
+    bool pushBeyondCapacity(T&& item) { return add(m_items, noLimit, std::move(item)); }
 
-    /// Adds an item before all that are not urgent, beyond the capacity if necessary. Only for items whose number is
-    /// limited by other means. Returns false if the ring is closed.
-    bool pushUrgent(T&& item)
-    {
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            if (m_closed)
-                return false;
-            m_urgentItems.push_back(std::move(item));
-        }
-        m_itemAvailable.notify_one();
-        return true;
-    }
+    /// Adds an item before all that are not urgent. Returns false if as many urgent items wait as the ring has
+    /// capacity, or if the ring is closed; the item is then not moved from.
+    bool pushUrgent(T&& item) { return add(m_urgentItems, m_capacity, std::move(item)); }
+
+    /// The same, but beyond the capacity if necessary. Only for items whose number is limited by other means.
+    bool pushUrgentBeyondCapacity(T&& item) { return add(m_urgentItems, noLimit, std::move(item)); }
 
     /// Removes and returns the oldest urgent item, or the oldest item if none is urgent. Returns nothing if no item
     /// arrived within the timeout, or if the ring is closed and empty.
@@ -99,6 +73,20 @@
     }
 
 private:
+    static constexpr std::size_t noLimit = std::numeric_limits<std::size_t>::max();
+
+    bool add(std::deque<T>& items, std::size_t limit, T&& item)
+    {
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            if (m_closed || items.size() >= limit)
+                return false;
+            items.push_back(std::move(item));
+        }
+        m_itemAvailable.notify_one();
+        return true;
+    }
+
     mutable std::mutex m_mutex;
     std::condition_variable m_itemAvailable;
     const std::size_t m_capacity;
--- a/Source/Shell/Process/DecisionLoop.cpp
+++ b/Source/Shell/Process/DecisionLoop.cpp
@@ -34,7 +34,8 @@
 bool DecisionLoop::postAwaited(EventKind kind, Event event)
 {
     QueuedEvent queued { kind, m_clock(), std::move(event) };
-    return isUrgent(kind) ? m_ring.pushUrgent(std::move(queued)) : m_ring.pushBeyondCapacity(std::move(queued));
+    return isUrgent(kind) ? m_ring.pushUrgentBeyondCapacity(std::move(queued))
+                          : m_ring.pushBeyondCapacity(std::move(queued));
 }
 
 void DecisionLoop::process(Instant now, const Event& event)
--- a/Source/Shell/Process/DecisionLoop.h
+++ b/Source/Shell/Process/DecisionLoop.h
@@ -29,8 +29,8 @@
 
     DecisionLoop(Event tick, PerformAction perform, IsBusy isBusy, WriteLine writeLine, Clock clock);
 
-    /// Queues an event, before all other events if its kind is urgent. Returns false if the queue is full; the caller
-    /// must then report the overload. Urgent events are queued even then.
+    /// Queues an event, before all other events if its kind is urgent. Returns false if the queue of urgent or of other
+    /// events is full; the caller must then report the overload.
     bool post(EventKind kind, Event event);
     /// Queues an event that the decision core waits for or cannot learn in another way: the outcome of its own call, or
     /// the beginning or end of a link. Such events are queued even if the queue is full, since their number is limited
