Connection: Send heartbeats before the messages that wait

A peer that reads slowly could take a living owner for silent.

Now heartbeats have the urgent lane of that queue. What is already in the socket's buffers still precedes them; the order of all other messages is kept. A heartbeat says nothing about another message, so it may overtake any; its receiver answers it without looking at the greeting.

--- a/Source/Shell/Connection/Link.cpp
+++ b/Source/Shell/Connection/Link.cpp
@@ -118,7 +118,10 @@
     std::thread([self = shared_from_this()] { self->runReader(); }).detach();
 }
 
-bool Link::send(PeerMessage message) { return m_outgoing.push(std::move(message)); }
+bool Link::send(PeerMessage message)
+{
+    return isHeartbeat(message) ? m_outgoing.pushUrgent(std::move(message)) : m_outgoing.push(std::move(message));
+}
 
 void Link::close()
 {
--- a/Source/Shell/Connection/Link.h
+++ b/Source/Shell/Connection/Link.h
@@ -10,6 +10,12 @@
 
 namespace Plantainpier {
 
+/// Whether the message only shows that its sender lives. Its delay must not depend on the amount of other messages.
+inline bool isHeartbeat(const PeerMessage& message)
+{
+    return std::holds_alternative<Wire::Ping>(message) || std::holds_alternative<Wire::Pong>(message);
+}
+
 /// Callbacks of a link. Called on the link's reader thread: onUp first, then onMessage, and onDown last.
 struct LinkHooks {
     std::function<void(LinkId link)> onUp;
@@ -31,8 +37,8 @@
 
     /// Starts the reader thread, which connects the socket if necessary and starts the writer thread.
     void start();
-    /// Queues a message. Returns false if the link is closed, or if the queue is full because the peer reads too
-    /// slowly.
+    /// Queues a message; heartbeats are sent before all others. Returns false if the link is closed, or if the queue is
+    /// full because the peer reads too slowly.
     bool send(PeerMessage message);
     /// Closes the connection. May be called on any thread.
     void close();
--- a/Source/Shell/Process/DecisionProcess.cpp
+++ b/Source/Shell/Process/DecisionProcess.cpp
@@ -31,9 +31,7 @@
         });
     };
     hooks.onMessage = [this](LinkId link, PeerMessage&& message) {
-        const bool isHeartbeat
-            = std::holds_alternative<Wire::Ping>(message) || std::holds_alternative<Wire::Pong>(message);
-        return m_loop.post(isHeartbeat ? EventKind::SignOfLife : EventKind::Message,
+        return m_loop.post(isHeartbeat(message) ? EventKind::SignOfLife : EventKind::Message,
             [this, link, message = std::move(message)](
                 Instant now, Actions& actions) { onMessage(now, link, message, actions); });
     };
--- a/Tests/Process/LinkTest.cpp
+++ b/Tests/Process/LinkTest.cpp
@@ -38,11 +38,15 @@
     CPPUNIT_TEST_SUITE(LinkTest);
     CPPUNIT_TEST(theEndOfALinkIsReportedAfterItsMessages);
     CPPUNIT_TEST(aRefusedMessageEndsItsLink);
+    CPPUNIT_TEST(aHeartbeatPassesQueuedMessages);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int sentMessages = 20;
 
     std::mutex m_mutex;
+    /// Messages that a receiver takes before and including the first heartbeat.
+    int m_messagesUpToHeartbeat = 0;
+    bool m_isReading = false;
     std::condition_variable m_changed;
     std::unique_ptr<LinkHub> m_hub;
     int m_messages = 0;
@@ -129,5 +133,47 @@
         CPPUNIT_ASSERT_EQUAL(0, m_messagesAfterEnd);
         CPPUNIT_ASSERT_EQUAL(sentMessages, m_messages);
     }
+
+    // Guards against a living peer that is taken for dead because its heartbeats wait behind the orders or reports that
+    // it sends.
+    void aHeartbeatPassesQueuedMessages()
+    {
+        // More than the buffers of the sockets hold, so that the rest waits in the link.
+        constexpr int orderCount = 600;
+        constexpr std::size_t orderBytes = 100'000;
+        LinkHooks hooks;
+        hooks.onUp = [](LinkId) {};
+        hooks.onDown = [](LinkId, const std::string&) {};
+        hooks.onMessage = [this](LinkId, PeerMessage&& message) {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            m_changed.wait_for(lock, seconds(5), [this] { return m_isReading; });
+            ++m_messages;
+            if (std::holds_alternative<Wire::Ping>(message))
+                m_messagesUpToHeartbeat = m_messages;
+            m_changed.notify_all();
+            return true;
+        };
+        const int port = findFreePort();
+        Result<std::unique_ptr<LinkHub>> receiver = LinkHub::create("127.0.0.1", port, std::move(hooks));
+        CPPUNIT_ASSERT(isOk(receiver));
+        openHub([](LinkId) { return true; });
+        constexpr LinkId link = 1'000;
+        m_hub->open(link, "127.0.0.1", port);
+        Wire::HostOrders orders;
+        orders.hostId = std::string(orderBytes, 'h');
+        for (int n = 0; n < orderCount; ++n)
+            m_hub->send(link, orders);
+        m_hub->send(link, Wire::Ping());
+        std::unique_lock<std::mutex> lock(m_mutex);
+        m_isReading = true;
+        m_changed.notify_all();
+        const bool isComplete = m_changed.wait_for(lock, seconds(5), [this] { return m_messages == orderCount + 1; });
+        const std::string text = std::to_string(m_messagesUpToHeartbeat) + " of " + std::to_string(m_messages);
+        lock.unlock();
+        m_hub->stop();
+        valueOf(receiver)->stop();
+        CPPUNIT_ASSERT_MESSAGE(text, isComplete);
+        CPPUNIT_ASSERT_MESSAGE(text, m_messagesUpToHeartbeat <= orderCount / 2);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(LinkTest);
