Process: Give events as much time as long ticks

An owner whose ticks are long showed that it lives, and was ready, while submissions and reports waited in its queue for seconds: callers got no answer from an owner that nobody replaces.

Cause: events got 100 ms between two ticks however long the tick was. Ruled out: to lengthen the limit alone, because pulses were sent by ticks only, and after the whole pass of a tick at that, so that each longer delay would come on top of the interval of pulses.

Now events that wait get as long as the tick took, 100 ms at least and 300 ms at most, and a due pulse is sent after each event and before each tick (sendSignsOfLife). A resignation is still sent by ticks only.

--- a/Source/Decision/Process/JobEntryCore.h
+++ b/Source/Decision/Process/JobEntryCore.h
@@ -54,6 +54,8 @@
     void onReadResponse(Instant now, std::uint64_t callId, const ReadResponse& response, Actions& actions);
     void onNewestResponse(Instant now, std::uint64_t callId, const NewestResponse& response, Actions& actions);
     void tick(Instant now, std::int64_t unixMilliseconds, Actions& actions);
+    /// Cheap; called between any two events.
+    void sendSignsOfLife(Instant now, Actions& actions) { m_ownership.sendDuePulse(now, actions); }
     /// Starts a graceful shutdown: hands the ownership over, completes calls in progress and refuses calls that can no
     /// longer be forwarded.
     void beginShutdown(Instant now, Actions& actions);
--- a/Source/Decision/Process/LoopPacer.h
+++ b/Source/Decision/Process/LoopPacer.h
@@ -12,8 +12,8 @@
 /// limit.
 class LoopPacer {
 public:
-    /// interval: shortest time until the next tick. queueLength: number of events that wait now.
-    void onTickEnd(Instant now, Duration interval, std::size_t queueLength);
+    /// worked: length of the tick. interval: shortest time until the next one. queueLength: number of events that wait.
+    void onTickEnd(Instant now, Duration worked, Duration interval, std::size_t queueLength);
     /// An event has been handled.
     void onEvent();
     /// Time from which a tick is due; it becomes earlier once the events that waited at the last tick are handled.
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -87,8 +87,7 @@
             sendPulse(now, false, actions);
     }
     // Loading may take long while the store is slow. Pulses keep other entries from claiming the ownership meanwhile.
-    if (m_stage == Stage::Loading && !m_pulseInFlight && now - m_pulseSentAt >= m_timing.pulseInterval)
-        sendPulse(now, false, actions);
+    sendDuePulse(now, actions);
     if (m_stage == Stage::Loading && !m_loadInFlight && now >= m_nextStoreCallAt) {
         m_loadInFlight = true;
         m_loadCall = nextCallId();
@@ -98,6 +97,14 @@
         runOwner(now, actions);
 }
 
+void Ownership::sendDuePulse(Instant now, Actions& actions)
+{
+    const bool isDue = !m_pulseInFlight && now - m_pulseSentAt >= m_timing.pulseInterval;
+    const bool mayOwn = m_stage == Stage::Owning && !m_resigning && now >= m_nextStoreCallAt;
+    if (isDue && (m_stage == Stage::Loading || mayOwn))
+        sendPulse(now, false, actions);
+}
+
 void Ownership::runOwner(Instant now, Actions& actions)
 {
     if (!m_pulseInFlight && now >= m_nextStoreCallAt
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -56,6 +56,9 @@
     bool onReadResponse(Instant now, std::uint64_t callId, const ReadResponse& response, Actions& actions);
     bool onNewestResponse(Instant now, std::uint64_t callId, const NewestResponse& response, Actions& actions);
     void tick(Instant now, std::int64_t unixMilliseconds, Actions& actions);
+    /// Sends the owner's pulse if it is due. Cheap; called between any two events, so that the work of events and ticks
+    /// delays no pulse by more than the length of one of them.
+    void sendDuePulse(Instant now, Actions& actions);
 
     /// Sets whether the connection to the owner is down.
     void setLinkBroken(bool broken) { m_linkBroken = broken; }
--- a/Source/Shell/Process/DecisionLoop.cpp
+++ b/Source/Shell/Process/DecisionLoop.cpp
@@ -52,16 +52,20 @@
     process(now, queued.event);
     m_monitor.onEvent(queued.kind, now - queued.queuedAt, m_clock() - now);
     m_pacer.onEvent();
+    if (sendSignsOfLife)
+        process(m_clock(), sendSignsOfLife);
 }
 
 void DecisionLoop::processTick()
 {
+    if (sendSignsOfLife)
+        process(m_clock(), sendSignsOfLife);
     const Instant now = m_clock();
     process(now, m_tick);
     const Instant end = m_clock();
     const std::size_t queueLength = m_ring.size();
     m_monitor.onTick(end - now, queueLength);
-    m_pacer.onTickEnd(end, m_isBusy() ? busyTickInterval : idleTickInterval, queueLength);
+    m_pacer.onTickEnd(end, end - now, m_isBusy() ? busyTickInterval : idleTickInterval, queueLength);
     if (const std::optional<LogLine> line = m_monitor.endInterval(now))
         m_writeLine(*line);
 }
--- a/Source/Shell/Process/DecisionLoop.h
+++ b/Source/Shell/Process/DecisionLoop.h
@@ -43,6 +43,10 @@
     void step(Duration longestWait);
     void stop();
 
+    /// Hook: cheap; called after each event and before each tick, and its actions are carried out before the tick
+    /// begins. Set before run(), if at all.
+    Event sendSignsOfLife;
+
     /// Number of events that wait.
     std::size_t queueLength() const { return m_ring.size(); }
     /// Used on the loop's thread only.
--- a/Source/Shell/Process/DecisionProcess.cpp
+++ b/Source/Shell/Process/DecisionProcess.cpp
@@ -11,6 +11,7 @@
         [this](Action&& action) { perform(std::move(action)); }, [this] { return isBusy(); },
         [](const LogLine& line) { log(line); }, steadyNow)
 {
+    m_loop.sendSignsOfLife = [this](Instant now, Actions& actions) { sendSignsOfLife(now, actions); };
 }
 
 Result<Success> DecisionProcess::openLinks(const std::string& address, int port)
--- a/Source/Shell/Process/DecisionProcess.h
+++ b/Source/Shell/Process/DecisionProcess.h
@@ -22,6 +22,8 @@
 
     /// Events for the core; called on the decision thread.
     virtual void tick(Instant now, Actions& actions) = 0;
+    /// Called after each event and before each tick, so it must be cheap.
+    virtual void sendSignsOfLife(Instant, Actions&) { }
     virtual void onMessage(Instant now, LinkId link, const PeerMessage& message, Actions& actions) = 0;
     virtual void onLinkUp(Instant now, LinkId link, Actions& actions) = 0;
     virtual void onLinkDown(Instant now, LinkId link, Actions& actions) = 0;
--- a/Tests/Unit/BusyOwnerTest.cpp
+++ b/Tests/Unit/BusyOwnerTest.cpp
@@ -23,13 +23,15 @@
 /// One entry that owns the jobs, its store, and 240 hosts that report without pause.
 class BusyOwner {
 public:
-    BusyOwner()
-        : m_ownership(NodeIdentity { "entry-1", 1, "127.0.0.1", 7720 }, OwnerRules {}, OwnershipTiming {})
+    explicit BusyOwner(Duration tickCost)
+        : m_tickCost(tickCost)
+        , m_ownership(NodeIdentity { "entry-1", 1, "127.0.0.1", 7720 }, OwnerRules {}, OwnershipTiming {})
         , m_loop([this](Instant now, Actions& actions) { tick(now, actions); },
               [this](Action&& action) { perform(std::move(action)); },
               [this] { return m_ownership.owner() != nullptr; }, [](const LogLine&) {}, [this] { return m_now; })
     {
         m_ownership.onChange = [](Instant, bool, Actions&) {};
+        m_loop.sendSignsOfLife = [this](Instant now, Actions& actions) { m_ownership.sendDuePulse(now, actions); };
     }
 
     void runUntil(Instant end)
@@ -76,7 +78,7 @@
     void tick(Instant now, Actions& actions)
     {
         m_ownership.tick(now, toMilliseconds(now.time_since_epoch()), actions);
-        m_now += m_isFlooded ? tickCost : smallCost;
+        m_now += m_isFlooded ? m_tickCost : smallCost;
     }
 
     void arriveAt(Instant due, std::function<void(Instant)> arrive) { m_arrivals.emplace(due, std::move(arrive)); }
@@ -165,6 +167,7 @@
     }
 
     Instant m_now = at(0);
+    Duration m_tickCost;
     VirtualStore m_store;
     Ownership m_ownership;
     DecisionLoop m_loop;
@@ -182,6 +185,7 @@
 class BusyOwnerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(BusyOwnerTest);
     CPPUNIT_TEST(aBusyOwnerShowsThatItLives);
+    CPPUNIT_TEST(longTicksLeaveTimeForEvents);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against an owner that is replaced, and refuses callers, because answers of the store wait in its queue
@@ -191,7 +195,7 @@
         constexpr long long longestPulseGapMilliseconds = 1000;
         constexpr long long longestCheckMilliseconds = 500;
         constexpr long long longestReportWaitMilliseconds = 500;
-        BusyOwner owner;
+        BusyOwner owner(tickCost);
         owner.runUntil(at(5000));
         CPPUNIT_ASSERT(owner.owns());
         owner.startFlood();
@@ -210,5 +214,27 @@
         CPPUNIT_ASSERT(owner.submitted >= 400);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(owner.accepted), owner.accepted >= owner.submitted - inProgress);
     }
+
+    // Guards against an owner that shows that it lives but answers nobody: events got a third of the time of ticks that
+    // take 300 ms, so that reports and submissions waited for seconds.
+    void longTicksLeaveTimeForEvents()
+    {
+        constexpr Duration longTickCost = milliseconds(300);
+        constexpr long long longestPulseGapMilliseconds = 1000;
+        constexpr long long longestReportWaitMilliseconds = 1000;
+        BusyOwner owner(longTickCost);
+        owner.runUntil(at(5000));
+        CPPUNIT_ASSERT(owner.owns());
+        owner.startFlood();
+        owner.runUntil(at(25'000));
+        CPPUNIT_ASSERT(owner.owns());
+        const long long pulseGap = toMilliseconds(owner.longestPulseGap());
+        const long long reportWait = toMilliseconds(owner.longestReportWait());
+        const std::string text
+            = "pulses " + std::to_string(pulseGap) + " ms, reports " + std::to_string(reportWait) + " ms";
+        CPPUNIT_ASSERT_MESSAGE(text, pulseGap <= longestPulseGapMilliseconds);
+        CPPUNIT_ASSERT_MESSAGE(text, reportWait <= longestReportWaitMilliseconds);
+        CPPUNIT_ASSERT(owner.refusals.empty());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(BusyOwnerTest);
--- a/Tests/Unit/LoopPacerTest.cpp
+++ b/Tests/Unit/LoopPacerTest.cpp
@@ -12,11 +12,13 @@
     CPPUNIT_TEST(anIdleLoopTicksOnceAnInterval);
     CPPUNIT_TEST(eventsThatWaitAreHandledBeforeTheNextTick);
     CPPUNIT_TEST(eventsDelayATickWithinALimit);
+    CPPUNIT_TEST(eventsGetAsLongAsALongTick);
     CPPUNIT_TEST(aLongIntervalIsKept);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Duration interval = milliseconds(5);
-    /// The limit on the delay of a tick.
+    static constexpr Duration shortTick = milliseconds(1);
+    /// The limit on the delay of a tick after a short one.
     static constexpr Duration longestDelay = milliseconds(100);
 
     static void assertNextTick(Instant expected, const LoopPacer& pacer)
@@ -35,12 +37,12 @@
     void anIdleLoopTicksOnceAnInterval()
     {
         LoopPacer pacer;
-        pacer.onTickEnd(at(0), interval, 0);
+        pacer.onTickEnd(at(0), shortTick, interval, 0);
         assertNextTick(at(0) + interval, pacer);
         // Events that arrive later don't delay the tick.
         pacer.onEvent();
         assertNextTick(at(0) + interval, pacer);
-        pacer.onTickEnd(at(20), interval, 0);
+        pacer.onTickEnd(at(20), shortTick, interval, 0);
         assertNextTick(at(20) + interval, pacer);
     }
 
@@ -49,7 +51,7 @@
     {
         constexpr int waitingEvents = 3;
         LoopPacer pacer;
-        pacer.onTickEnd(at(0), interval, waitingEvents);
+        pacer.onTickEnd(at(0), shortTick, interval, waitingEvents);
         for (int n = 0; n < waitingEvents; ++n) {
             assertNextTick(at(0) + longestDelay, pacer);
             pacer.onEvent();
@@ -62,21 +64,34 @@
     {
         constexpr int waitingEvents = 1'000'000;
         LoopPacer pacer;
-        pacer.onTickEnd(at(0), interval, waitingEvents);
+        pacer.onTickEnd(at(0), shortTick, interval, waitingEvents);
         for (int n = 0; n < waitingEvents / 2; ++n)
             pacer.onEvent();
         assertNextTick(at(0) + longestDelay, pacer);
         // The remaining events count anew after the tick.
-        pacer.onTickEnd(at(100), interval, 1);
+        pacer.onTickEnd(at(100), shortTick, interval, 1);
         pacer.onEvent();
         assertNextTick(at(100) + interval, pacer);
     }
 
+    // Guards against calls and reports that wait for seconds because ticks take several times as long as what events
+    // get between two of them.
+    void eventsGetAsLongAsALongTick()
+    {
+        LoopPacer pacer;
+        pacer.onTickEnd(at(0), milliseconds(250), interval, 1);
+        assertNextTick(at(250), pacer);
+        pacer.onTickEnd(at(0), milliseconds(2000), interval, 1);
+        assertNextTick(at(300), pacer);
+        pacer.onEvent();
+        assertNextTick(at(0) + interval, pacer);
+    }
+
     void aLongIntervalIsKept()
     {
         constexpr Duration longInterval = milliseconds(250);
         LoopPacer pacer;
-        pacer.onTickEnd(at(0), longInterval, 1);
+        pacer.onTickEnd(at(0), shortTick, longInterval, 1);
         assertNextTick(at(0) + longInterval, pacer);
         pacer.onEvent();
         assertNextTick(at(0) + longInterval, pacer);
