Job: Examine only hosts that may take tasks

One cause of the cost: each search for a host, and each search for less urgent runs to stop, examined every host on record, also the 240 that were gone. Now a pass collects the open hosts of each service once (OpenHosts) and counts the others by reason, so that `task_waits` stays as it was. Searches for gangs and for runs to stop now count in hostEvaluations; before, they did not.

--- a/Source/Decision/Job/FillerRelocator.cpp
+++ b/Source/Decision/Job/FillerRelocator.cpp
@@ -118,6 +118,7 @@
     const std::vector<Candidate> candidates = collectCandidates(now);
     reserveDestinations(now);
     FailedPlacements failedPlacements;
+    const OpenHosts openHosts(m_state.hosts);
     std::set<const Host*> halted;
     std::vector<const Candidate*> chosen;
     for (const Candidate& candidate : candidates) {
@@ -128,7 +129,7 @@
         if (failedPlacements.find(request))
             continue;
         HostEligibilityCounts hostCounts;
-        const Host* destination = m_placement.chooseHost(m_state.hosts, request, now, &hostCounts);
+        const Host* destination = m_placement.chooseHost(openHosts, request, now, &hostCounts);
         if (!destination) {
             failedPlacements.add(request, hostCounts);
             continue;
--- a/Source/Decision/Job/HostEligibility.h
+++ b/Source/Decision/Job/HostEligibility.h
@@ -70,7 +70,7 @@
 class HostEligibilityCounts {
 public:
     void clear() { m_counts.fill(0); }
-    void add(HostEligibility eligibility) { ++m_counts[static_cast<std::size_t>(eligibility)]; }
+    void add(HostEligibility eligibility, int hosts = 1) { m_counts[static_cast<std::size_t>(eligibility)] += hosts; }
     int count(HostEligibility eligibility) const { return m_counts[static_cast<std::size_t>(eligibility)]; }
 
 private:
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -62,14 +62,14 @@
     std::int64_t outdatedReports = 0;
     /// Orders that a list under a higher fence showed to have never been carried out.
     std::int64_t voidOrders = 0;
-    /// Searches for a host over all hosts.
+    /// Searches for a host over all open hosts.
     std::int64_t hostSearches = 0;
-    /// Hosts examined in these searches.
+    /// Hosts examined in these searches and in those for less urgent runs to stop.
     std::int64_t hostEvaluations = 0;
     /// Scheduling passes, and the steps with waiting tasks that they went through.
     std::int64_t passes = 0;
     std::int64_t waitingStepsExamined = 0;
-    /// Searches for less urgent runs to stop, each over all hosts.
+    /// Searches for less urgent runs to stop, each over all open hosts.
     std::int64_t preemptionSearches = 0;
     /// Runs that were listed as running and later missing without a listed end.
     std::int64_t vanishedRuns = 0;
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Job/Placement.cpp
@@ -44,9 +44,9 @@
 bool Placement::isOpenTo(
     const Host& host, const Wire::JobDefinition& job, const Wire::StepDefinition& step, Instant now)
 {
-    return host.listed && !host.draining && host.link != noLink && !host.refusesConnections
-        && host.service == job.serviceName && hasLabel(host, step.requiredLabel) && now >= host.health.quarantinedUntil
-        && !host.health.onProbation && (!host.mayForgetEnds || HostRegistry::mayRunTwice(step));
+    return OpenHosts::eligibility(host) == HostEligibility::Eligible && host.service == job.serviceName
+        && hasLabel(host, step.requiredLabel) && now >= host.health.quarantinedUntil && !host.health.onProbation
+        && (!host.mayForgetEnds || HostRegistry::mayRunTwice(step));
 }
 
 bool Placement::isTrialUnderWay(const Host& host, Instant now)
@@ -73,17 +73,15 @@
 
 HostEligibility Placement::evaluate(const Host& host, const PlacementRequest& request, Instant now) const
 {
-    const Wire::StepDefinition& step = request.definition;
     if (host.service != request.job.serviceName)
         return HostEligibility::OtherService;
-    if (!host.listed)
-        return HostEligibility::NotListed;
-    if (host.draining)
-        return HostEligibility::Draining;
-    if (host.link == noLink)
-        return HostEligibility::NoLink;
-    if (host.refusesConnections)
-        return HostEligibility::RefusesConnections;
+    const HostEligibility eligibility = OpenHosts::eligibility(host);
+    return eligibility == HostEligibility::Eligible ? evaluateOpen(host, request, now) : eligibility;
+}
+
+HostEligibility Placement::evaluateOpen(const Host& host, const PlacementRequest& request, Instant now) const
+{
+    const Wire::StepDefinition& step = request.definition;
     if (now - host.lastContactAt > m_rules.maximumReportAge)
         return HostEligibility::Silent;
     if (now < host.health.quarantinedUntil)
@@ -166,22 +164,22 @@
 }
 
 Host* Placement::chooseHost(
-    HostRegistry& hosts, const PlacementRequest& request, Instant now, HostEligibilityCounts* counts) const
+    const OpenHosts& hosts, const PlacementRequest& request, Instant now, HostEligibilityCounts* counts) const
 {
+    const OpenHostGroup& group = hosts.ofService(request.job.serviceName);
     if (counts)
-        counts->clear();
+        *counts = group.closed;
     Host* best = nullptr;
     double bestScore = 0;
-    for (std::pair<const std::string, Host>& entry : hosts.hosts()) {
-        Host& host = entry.second;
-        const HostEligibility eligibility = evaluate(host, request, now);
+    for (Host* host : group.hosts) {
+        const HostEligibility eligibility = evaluateOpen(*host, request, now);
         if (counts)
             counts->add(eligibility);
         if (eligibility != HostEligibility::Eligible)
             continue;
-        const double value = score(host, request);
+        const double value = score(*host, request);
         if (!best || value > bestScore) {
-            best = &host;
+            best = host;
             bestScore = value;
         }
     }
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Job/Placement.h
@@ -6,6 +6,7 @@
 #include "Decision/Job/HostEligibility.h"
 #include "Decision/Job/HostRegistry.h"
 #include "Decision/Job/JobState.h"
+#include "Decision/Job/OpenHosts.h"
 #include "Decision/Job/PaceController.h"
 
 namespace Plantainpier {
@@ -58,8 +59,13 @@
 
     /// Returns the eligible host with the highest score, or null when no host is eligible. If counts is given, it
     /// receives the number of hosts by eligibility.
-    Host* chooseHost(HostRegistry& hosts, const PlacementRequest& request, Instant now,
+    Host* chooseHost(const OpenHosts& hosts, const PlacementRequest& request, Instant now,
         HostEligibilityCounts* counts = nullptr) const;
+    Host* chooseHost(HostRegistry& hosts, const PlacementRequest& request, Instant now,
+        HostEligibilityCounts* counts = nullptr) const
+    {
+        return chooseHost(OpenHosts(hosts), request, now, counts);
+    }
     bool isEligible(const Host& host, const PlacementRequest& request, Instant now) const
     {
         return evaluate(host, request, now) == HostEligibility::Eligible;
@@ -77,6 +83,8 @@
 
 private:
     HostEligibility evaluate(const Host& host, const PlacementRequest& request, Instant now) const;
+    /// The same for a host of the service that OpenHosts does not rule out.
+    HostEligibility evaluateOpen(const Host& host, const PlacementRequest& request, Instant now) const;
     /// Whether a run that was placed since the quarantine of the host has yet to show that the host works. Runs from
     /// before the quarantine do not count: a long-running one never ends.
     static bool isTrialUnderWay(const Host& host, Instant now);
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -54,6 +54,7 @@
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts())
         entry.second.isRecordPersisted
             = m_state.storeWriter.storedSequenceNumber() >= entry.second.recordSequenceNumber;
+    m_openHosts = OpenHosts(m_state.hosts);
     m_unlistedHosts = m_state.countUnlistedHosts(now);
     const bool earlierRunsKnown = m_unlistedHosts == 0;
     // Until the earlier owner's runs are known, a halted task could not be placed again.
@@ -149,14 +150,20 @@
         hostCounts = *known;
         return nullptr;
     }
-    ++m_state.counters.hostSearches;
-    m_state.counters.hostEvaluations += static_cast<std::int64_t>(m_state.hosts.hosts().size());
-    Host* host = m_placement.chooseHost(m_state.hosts, request, now, &hostCounts);
+    Host* host = searchHosts(now, request, hostCounts);
     if (!host)
         m_failedPlacements.add(request, hostCounts);
     return host;
 }
 
+Host* TaskScheduler::searchHosts(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts)
+{
+    ++m_state.counters.hostSearches;
+    m_state.counters.hostEvaluations
+        += static_cast<std::int64_t>(m_openHosts.ofService(request.job.serviceName).hosts.size());
+    return m_placement.chooseHost(m_openHosts, request, now, &hostCounts);
+}
+
 void TaskScheduler::placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
@@ -223,7 +230,7 @@
     Instant now, JobState& job, StepState& step, HostEligibilityCounts& hostCounts, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
-    if (inherited && !m_state.areAllHostsAccountedFor(now))
+    if (inherited && m_unlistedHosts > 0)
         return WaitReason::HostsNotReported;
     int run = 0;
     for (const TaskState& task : step.tasks) {
@@ -254,7 +261,7 @@
         for (std::size_t n = 0; n < step.tasks.size(); ++n) {
             PlacementRequest request = makePlacementRequest(job, step, step.tasks[n]);
             request.rack = rack;
-            Host* host = m_placement.chooseHost(m_state.hosts, request, now, &hostCounts);
+            Host* host = searchHosts(now, request, hostCounts);
             if (!host) {
                 waitReason = reasonWithoutHost(hostCounts);
                 break;
@@ -295,8 +302,10 @@
     const int priority = job.definition().priority;
     Host* bestHost = nullptr;
     std::vector<HostRun*> bestRuns;
-    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
-        Host& host = entry.second;
+    const std::vector<Host*>& openHosts = m_openHosts.ofService(job.definition().serviceName).hosts;
+    m_state.counters.hostEvaluations += static_cast<std::int64_t>(openHosts.size());
+    for (Host* candidate : openHosts) {
+        Host& host = *candidate;
         if (!Placement::isOpenTo(host, job.definition(), definition, now))
             continue;
         std::int64_t processors = host.freeMilliCores();
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -62,6 +62,7 @@
     /// Returns the host for the request, or null. Requests that a failed one of the same pass rules out are not
     /// searched for.
     Host* findHost(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts);
+    Host* searchHosts(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts);
 
     OwnerState& m_state;
     RunTracker& m_runTracker;
@@ -71,6 +72,8 @@
     FailedPlacements m_failedPlacements;
     WaitLogger m_waitLogger;
     CapacityLogger m_capacityLogger;
+    /// As of the start of the pass.
+    OpenHosts m_openHosts;
     /// OwnerState::countUnlistedHosts() at the start of the pass.
     int m_unlistedHosts = 0;
 };
