Job: Search for runs to stop only where room is lacking

Cause: each waiting step looked for less urgent runs to stop, whatever it waited for. A step that was held until the hosts of an earlier owner had reported stopped runs for room that it could not use. Only successes counted against the limit, so that each of hundreds of steps searched all hosts in every pass and found nothing.

Now placeStep() and placeGang() say whether a task that may start has no host, and only then is room made. A failed search rules out those of the same pass that need as much with no more urgency (FailedPreemptions); where a host had room that the step may not use, only those with the same demand, since a larger one might stop runs there. Such a request may so make room one pass later than before. Hosts with enough room are passed over before their runs are looked at.

Not mended here: a pass is not divided, so one tick may still examine 444,960 hosts when the hold ends.

--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -51,6 +51,7 @@
 void TaskScheduler::schedule(Instant now, Actions& actions)
 {
     m_failedPlacements.clear();
+    m_failedPreemptions.clear();
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts())
         entry.second.isRecordPersisted
             = m_state.storeWriter.storedSequenceNumber() >= entry.second.recordSequenceNumber;
@@ -69,12 +70,10 @@
         if (!job.isOpen())
             continue;
         StepState& step = job.steps()[candidate.step];
-        if (job.stepDefinition(step).gang)
-            placeGang(now, job, step, actions);
-        else
-            placeStep(now, job, step, earlierRunsKnown, actions);
-        if (step.waitingTasks > 0 && stepsWithPreemption < maximumStepsWithPreemption
-            && preemptRuns(now, job, step, actions))
+        const bool lacksRoom = job.stepDefinition(step).gang ? placeGang(now, job, step, actions)
+                                                             : placeStep(now, job, step, earlierRunsKnown, actions);
+        // A step that waits for another reason could not use the room.
+        if (lacksRoom && stepsWithPreemption < maximumStepsWithPreemption && preemptRuns(now, job, step, actions))
             ++stepsWithPreemption;
     }
     startEndTrials(now, candidates, actions);
@@ -164,11 +163,12 @@
     return m_placement.chooseHost(m_openHosts, request, now, &hostCounts);
 }
 
-void TaskScheduler::placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
+bool TaskScheduler::placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
     const bool duplicatesAllowed = job.stepDefinition(step).allowDuplicates;
     HostEligibilityCounts hostCounts;
+    bool lacksRoom = false;
     // The task that has waited longest among those that cannot start in this pass.
     const TaskState* longestWaiting = nullptr;
     WaitReason waitReason = WaitReason::NoHost;
@@ -202,21 +202,24 @@
         }
         Host* host = findHost(now, makePlacementRequest(job, step, task), hostCounts);
         if (!host) {
-            recordWait(task, reasonWithoutHost(hostCounts));
+            const WaitReason reason = reasonWithoutHost(hostCounts);
+            lacksRoom = reason == WaitReason::NoHost;
+            recordWait(task, reason);
             break;
         }
         startRun(now, job, step, n, *run, *host, actions);
     }
     if (longestWaiting)
         m_waitLogger.logIfDue(now, WaitingTask { job, step, *longestWaiting, waitReason, hostCounts }, actions);
+    return lacksRoom;
 }
 
-void TaskScheduler::placeGang(Instant now, JobState& job, StepState& step, Actions& actions)
+bool TaskScheduler::placeGang(Instant now, JobState& job, StepState& step, Actions& actions)
 {
     HostEligibilityCounts hostCounts;
     const std::optional<WaitReason> waitReason = tryStartGang(now, job, step, hostCounts, actions);
     if (!waitReason)
-        return;
+        return false;
     const TaskState* longestWaiting = nullptr;
     for (const TaskState& task : step.tasks) {
         if (task.isWaiting() && (!longestWaiting || task.waitingSince < longestWaiting->waitingSince))
@@ -224,6 +227,7 @@
     }
     if (longestWaiting)
         m_waitLogger.logIfDue(now, WaitingTask { job, step, *longestWaiting, *waitReason, hostCounts }, actions);
+    return waitReason == WaitReason::NoHost;
 }
 
 std::optional<WaitReason> TaskScheduler::tryStartGang(
@@ -297,8 +301,11 @@
     std::erase_if(step.roomExpectedUntil, [now](Instant until) { return now >= until; });
     if (step.roomExpectedUntil.size() >= static_cast<std::size_t>(step.waitingTasks))
         return false;
-    ++m_state.counters.preemptionSearches;
     const Wire::StepDefinition& definition = job.stepDefinition(step);
+    if (m_failedPreemptions.rulesOut(job.definition(), definition))
+        return false;
+    ++m_state.counters.preemptionSearches;
+    bool someHostHasRoom = false;
     const int priority = job.definition().priority;
     Host* bestHost = nullptr;
     std::vector<HostRun*> bestRuns;
@@ -310,6 +317,14 @@
             continue;
         std::int64_t processors = host.freeMilliCores();
         std::int64_t memory = host.freeMegabytes() - (definition.filler ? m_placement.reservedMegabytes(host) : 0);
+        const auto isEnough = [&memory, &processors, &definition] {
+            return memory >= definition.demand.memoryMegabytes
+                && (definition.filler || processors >= definition.demand.milliProcessors);
+        };
+        if (isEnough()) {
+            someHostHasRoom = true;
+            continue;
+        }
         std::vector<HostRun*> victims;
         bool halting = false;
         for (std::pair<const RunKey, HostRun>& run : host.runs) {
@@ -322,10 +337,6 @@
             continue;
         std::sort(victims.begin(), victims.end(),
             [](const HostRun* one, const HostRun* other) { return one->placedAt > other->placedAt; });
-        const auto isEnough = [&memory, &processors, &definition] {
-            return memory >= definition.demand.memoryMegabytes
-                && (definition.filler || processors >= definition.demand.milliProcessors);
-        };
         std::vector<HostRun*> chosen;
         for (HostRun* victim : victims) {
             if (isEnough())
@@ -339,8 +350,10 @@
             bestRuns = chosen;
         }
     }
-    if (!bestHost)
+    if (!bestHost) {
+        m_failedPreemptions.add(job.definition(), definition, someHostHasRoom);
         return false;
+    }
     for (HostRun* run : bestRuns)
         m_runTracker.haltRun(*bestHost, *run, "room_for_more_urgent_work", actions);
     step.roomExpectedUntil.push_back(now + m_state.rules.longestHalt + RunTracker::timeToListAnEnd);
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -3,6 +3,7 @@
 
 #include "Decision/Job/CapacityLogger.h"
 #include "Decision/Job/FailedPlacements.h"
+#include "Decision/Job/FailedPreemptions.h"
 #include "Decision/Job/FillerRelocator.h"
 #include "Decision/Job/OwnerState.h"
 #include "Decision/Job/PaceController.h"
@@ -39,8 +40,9 @@
     };
 
     std::vector<Candidate> collectCandidates(Instant now);
-    void placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions);
-    void placeGang(Instant now, JobState& job, StepState& step, Actions& actions);
+    /// Returns whether a task that may start now has no host. The same for placeGang().
+    bool placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions);
+    bool placeGang(Instant now, JobState& job, StepState& step, Actions& actions);
     /// Starts all tasks of the gang, or returns the reason why the gang waits.
     std::optional<WaitReason> tryStartGang(
         Instant now, JobState& job, StepState& step, HostEligibilityCounts& hostCounts, Actions& actions);
@@ -70,6 +72,7 @@
     Placement m_placement;
     FillerRelocator m_fillerRelocator;
     FailedPlacements m_failedPlacements;
+    FailedPreemptions m_failedPreemptions;
     WaitLogger m_waitLogger;
     CapacityLogger m_capacityLogger;
     /// As of the start of the pass.
