--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -51,9 +51,11 @@
 void TaskScheduler::schedule(Instant now, Actions& actions)
 {
     m_failedPlacements.clear();
+    m_failedPreemptions.clear();
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts())
         entry.second.isRecordPersisted
             = m_state.storeWriter.storedSequenceNumber() >= entry.second.recordSequenceNumber;
+    m_openHosts = OpenHosts(m_state.hosts);
     m_unlistedHosts = m_state.countUnlistedHosts(now);
     const bool earlierRunsKnown = m_unlistedHosts == 0;
     // Until the earlier owner's runs are known, a halted task could not be placed again.
@@ -68,12 +70,10 @@
         if (!job.isOpen())
             continue;
         StepState& step = job.steps()[candidate.step];
-        if (job.stepDefinition(step).gang)
-            placeGang(now, job, step, actions);
-        else
-            placeStep(now, job, step, earlierRunsKnown, actions);
-        if (step.waitingTasks > 0 && stepsWithPreemption < maximumStepsWithPreemption
-            && preemptRuns(now, job, step, actions))
+        const bool lacksRoom = job.stepDefinition(step).gang ? placeGang(now, job, step, actions)
+                                                             : placeStep(now, job, step, earlierRunsKnown, actions);
+        // A step that waits for another reason could not use the room.
+        if (lacksRoom && stepsWithPreemption < maximumStepsWithPreemption && preemptRuns(now, job, step, actions))
             ++stepsWithPreemption;
     }
     startEndTrials(now, candidates, actions);
@@ -149,19 +149,26 @@
         hostCounts = *known;
         return nullptr;
     }
-    ++m_state.counters.hostSearches;
-    m_state.counters.hostEvaluations += static_cast<std::int64_t>(m_state.hosts.hosts().size());
-    Host* host = m_placement.chooseHost(m_state.hosts, request, now, &hostCounts);
+    Host* host = searchHosts(now, request, hostCounts);
     if (!host)
         m_failedPlacements.add(request, hostCounts);
     return host;
 }
 
-void TaskScheduler::placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
+Host* TaskScheduler::searchHosts(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts)
+{
+    ++m_state.counters.hostSearches;
+    m_state.counters.hostEvaluations
+        += static_cast<std::int64_t>(m_openHosts.ofService(request.job.serviceName).hosts.size());
+    return m_placement.chooseHost(m_openHosts, request, now, &hostCounts);
+}
+
+bool TaskScheduler::placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
     const bool duplicatesAllowed = job.stepDefinition(step).allowDuplicates;
     HostEligibilityCounts hostCounts;
+    bool lacksRoom = false;
     // The task that has waited longest among those that cannot start in this pass.
     const TaskState* longestWaiting = nullptr;
     WaitReason waitReason = WaitReason::NoHost;
@@ -195,21 +202,24 @@
         }
         Host* host = findHost(now, makePlacementRequest(job, step, task), hostCounts);
         if (!host) {
-            recordWait(task, reasonWithoutHost(hostCounts));
+            const WaitReason reason = reasonWithoutHost(hostCounts);
+            lacksRoom = reason == WaitReason::NoHost;
+            recordWait(task, reason);
             break;
         }
         startRun(now, job, step, n, *run, *host, actions);
     }
     if (longestWaiting)
         m_waitLogger.logIfDue(now, WaitingTask { job, step, *longestWaiting, waitReason, hostCounts }, actions);
+    return lacksRoom;
 }
 
-void TaskScheduler::placeGang(Instant now, JobState& job, StepState& step, Actions& actions)
+bool TaskScheduler::placeGang(Instant now, JobState& job, StepState& step, Actions& actions)
 {
     HostEligibilityCounts hostCounts;
     const std::optional<WaitReason> waitReason = tryStartGang(now, job, step, hostCounts, actions);
     if (!waitReason)
-        return;
+        return false;
     const TaskState* longestWaiting = nullptr;
     for (const TaskState& task : step.tasks) {
         if (task.isWaiting() && (!longestWaiting || task.waitingSince < longestWaiting->waitingSince))
@@ -217,13 +227,14 @@
     }
     if (longestWaiting)
         m_waitLogger.logIfDue(now, WaitingTask { job, step, *longestWaiting, *waitReason, hostCounts }, actions);
+    return waitReason == WaitReason::NoHost;
 }
 
 std::optional<WaitReason> TaskScheduler::tryStartGang(
     Instant now, JobState& job, StepState& step, HostEligibilityCounts& hostCounts, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
-    if (inherited && !m_state.areAllHostsAccountedFor(now))
+    if (inherited && m_unlistedHosts > 0)
         return WaitReason::HostsNotReported;
     int run = 0;
     for (const TaskState& task : step.tasks) {
@@ -254,7 +265,7 @@
         for (std::size_t n = 0; n < step.tasks.size(); ++n) {
             PlacementRequest request = makePlacementRequest(job, step, step.tasks[n]);
             request.rack = rack;
-            Host* host = m_placement.chooseHost(m_state.hosts, request, now, &hostCounts);
+            Host* host = searchHosts(now, request, hostCounts);
             if (!host) {
                 waitReason = reasonWithoutHost(hostCounts);
                 break;
@@ -290,17 +301,30 @@
     std::erase_if(step.roomExpectedUntil, [now](Instant until) { return now >= until; });
     if (step.roomExpectedUntil.size() >= static_cast<std::size_t>(step.waitingTasks))
         return false;
-    ++m_state.counters.preemptionSearches;
     const Wire::StepDefinition& definition = job.stepDefinition(step);
+    if (m_failedPreemptions.rulesOut(job.definition(), definition))
+        return false;
+    ++m_state.counters.preemptionSearches;
+    bool someHostHasRoom = false;
     const int priority = job.definition().priority;
     Host* bestHost = nullptr;
     std::vector<HostRun*> bestRuns;
-    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
-        Host& host = entry.second;
+    const std::vector<Host*>& openHosts = m_openHosts.ofService(job.definition().serviceName).hosts;
+    m_state.counters.hostEvaluations += static_cast<std::int64_t>(openHosts.size());
+    for (Host* candidate : openHosts) {
+        Host& host = *candidate;
         if (!Placement::isOpenTo(host, job.definition(), definition, now))
             continue;
         std::int64_t processors = host.freeMilliCores();
         std::int64_t memory = host.freeMegabytes() - (definition.filler ? m_placement.reservedMegabytes(host) : 0);
+        const auto isEnough = [&memory, &processors, &definition] {
+            return memory >= definition.demand.memoryMegabytes
+                && (definition.filler || processors >= definition.demand.milliProcessors);
+        };
+        if (isEnough()) {
+            someHostHasRoom = true;
+            continue;
+        }
         std::vector<HostRun*> victims;
         bool halting = false;
         for (std::pair<const RunKey, HostRun>& run : host.runs) {
@@ -313,10 +337,6 @@
             continue;
         std::sort(victims.begin(), victims.end(),
             [](const HostRun* one, const HostRun* other) { return one->placedAt > other->placedAt; });
-        const auto isEnough = [&memory, &processors, &definition] {
-            return memory >= definition.demand.memoryMegabytes
-                && (definition.filler || processors >= definition.demand.milliProcessors);
-        };
         std::vector<HostRun*> chosen;
         for (HostRun* victim : victims) {
             if (isEnough())
@@ -330,8 +350,10 @@
             bestRuns = chosen;
         }
     }
-    if (!bestHost)
+    if (!bestHost) {
+        m_failedPreemptions.add(job.definition(), definition, someHostHasRoom);
         return false;
+    }
     for (HostRun* run : bestRuns)
         m_runTracker.haltRun(*bestHost, *run, "room_for_more_urgent_work", actions);
     step.roomExpectedUntil.push_back(now + m_state.rules.longestHalt + RunTracker::timeToListAnEnd);
