Process: Let an entry with enough processors claim before a small one

Cause: a claim waited 40 ms for each halving of the processor share below half a core, 114 ms in all, from the time at which the entry itself had handled the answer that showed the silence. Entries handle an answer up to some 300 ms late, twice in a row (the last pulse, then the silence). A small entry that had lost its connection also used the shorter timeout, 600 ms ahead of a large one that had not.

Ruled out: a check just before the claim. A read of pulses and one of claims wait in the store during the delay, and each drops the planned claim; the append is conditional. All of them lose only to an entry that was faster.

Fix: 320 ms for each halving, twice for the first one, at most 1,280 ms (a sixteenth of a core and less). The delay counts from the time at which the store can have shown the silence, so it runs as the answer travels, and for an entry with less than half a core always from the whole timeout. The delays of the largest share and of one below half of it then differ by more than 300 ms for each answer that the larger one handles late. Entries with half a core and more claim as soon as before.

Not covered: entries that start at different times, shares below a sixteenth of a core, and a small owner that starts again, which still claims at once.

--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -26,6 +26,14 @@
 
 } // namespace
 
+double NodeIdentity::halvings() const
+{
+    constexpr double ampleShare = 0.5;
+    // Smaller shares do not wait longer, which bounds the time without an owner.
+    constexpr double minimumShare = 0.0625;
+    return std::max(0.0, std::log2(ampleShare / std::max(minimumShare, processorShare)));
+}
+
 Ownership::Ownership(NodeIdentity identity, const OwnerRules& rules, const OwnershipTiming& timing)
     : m_identity(std::move(identity))
     , m_rules(rules)
@@ -58,7 +66,7 @@
         }
     }
     if (isFollowing && m_current.term == 0)
-        scheduleClaim(now, "no_owner_yet");
+        scheduleClaim(now, now, "no_owner_yet");
     if (m_claimReason == noPulseReason && now - m_claimAt > responseValidity) {
         actions.push_back(WriteLog { LogLine("silence_is_old")
                                          .add("term", m_current.term)
@@ -181,15 +189,16 @@
     }
 }
 
-void Ownership::scheduleClaim(Instant now, const char* reason)
+void Ownership::scheduleClaim(Instant now, Instant since, const char* reason)
 {
     if (m_claimReason)
         return;
-    constexpr double ampleShare = 0.5;
-    constexpr double minimumShare = 0.001;
-    const double halvings = std::max(0.0, std::log2(ampleShare / std::max(minimumShare, m_identity.processorShare)));
+    const double halvings = m_identity.halvings();
+    // The first halving counts twice: an entry without a delay may handle both the last pulse and the answer that shows
+    // the silence late, while the delay of other entries runs as the answer travels.
+    const double steps = halvings + std::min(1.0, halvings);
     m_claimReason = reason;
-    m_claimAt = now + std::chrono::duration_cast<Duration>(m_timing.claimDelayPerHalving * halvings);
+    m_claimAt = std::max(now, since + std::chrono::duration_cast<Duration>(m_timing.claimDelayPerHalving * steps));
 }
 
 void Ownership::appendClaim(Instant now, const char* reason, Actions& actions)
@@ -306,11 +315,18 @@
             m_claimReason = nullptr;
         if (pulse->resigning && pulse->term == m_current.term && m_stage == Stage::Following) {
             m_formerOwnerEnded = true;
-            scheduleClaim(now, "owner_resigned");
+            scheduleClaim(now, now, "owner_resigned");
         }
     }
 }
 
+Instant Ownership::silenceShownAt() const
+{
+    // The shorter timeout would put a small entry without a connection before a large one that has its connection.
+    const bool isAmple = m_identity.halvings() <= 0;
+    return m_pulseReadSentAt + (isAmple ? m_pulseReadWait : m_timing.silenceTimeout);
+}
+
 bool Ownership::onReadResponse(Instant now, std::uint64_t callId, const ReadResponse& response, Actions& actions)
 {
     if (callId == m_claimReadCall) {
@@ -333,7 +349,7 @@
         actions.push_back(WriteLog {
             LogLine("silence_is_old").add("term", m_current.term).add("age_ms", toMilliseconds(age)).text() });
     else
-        scheduleClaim(now, noPulseReason);
+        scheduleClaim(now, hasNoPulseYet ? now : silenceShownAt(), noPulseReason);
     return true;
 }
 
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -18,6 +18,9 @@
     int port = 0;
     /// Number of processor cores that this process may use; may be a fraction.
     double processorShare = 1;
+
+    /// Number of halvings of half a core that lead to the processor share; none for half a core and more.
+    double halvings() const;
 };
 
 /// The claim with the highest term that this process has read or won.
@@ -42,8 +45,8 @@
     /// meanwhile, and clients repeat calls without an answer at the next owner.
     Duration handOverTimeout = milliseconds(1000);
     /// Delay of a claim for each halving of the processor share below half a core, so that entries with more processors
-    /// claim first.
-    Duration claimDelayPerHalving = milliseconds(40);
+    /// claim first. Longer than an entry on a busy machine takes to handle an answer of the store.
+    Duration claimDelayPerHalving = milliseconds(320);
 };
 
 /// Claims the ownership for one entry and holds the JobOwner while this entry owns. One object per process.
@@ -100,7 +103,10 @@
     LeaseWait formerLeaseWait(Instant now) const;
     void finishTakeOver(Instant now, Actions& actions);
     void applyPulses(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
-    void scheduleClaim(Instant now, const char* reason);
+    /// Plans a claim for this entry's delay after `since`, or for now if that is later.
+    void scheduleClaim(Instant now, Instant since, const char* reason);
+    /// The time from which the delay of a claim counts after a read without pulses.
+    Instant silenceShownAt() const;
     void appendClaim(Instant now, const char* reason, Actions& actions);
     void startTakeOver(Instant now, std::int64_t term, Actions& actions);
     void stepDown(Instant now, const char* reason, Actions& actions);
