Process: Let only the owner's end shorten the timeout of a claim

Cause: an entry claims after 700 instead of 1300 ms without a pulse while its connection to the owner is down, whoever closed it. An entry that closed the connection itself, because an answer was 900 ms late, or that could not open one within 700 ms, has only seen that the owner is slow. The state also outlived the owner: an entry that lost the connection to the former owner judged the next one by the shorter timeout until it was connected.

Fix: only a connection that the owner's end closed or refused shortens the timeout, and a new claim clears that. A connection closed for silence still shortens the wait of the reads of claims, so that a new owner is found as early as before. Connections are closed and calls are sent again as before: without that, the calls on a half-open connection would wait for nothing.

Cost for an owner whose machine is cut off: none in the case tested. The read of pulses that shows the silence waits for 1300 ms already when the connection is closed 900 ms after the last message. Held to 1400 ms by JobEntryCoreTest.anOwnerThatIsCutOffIsReplacedInTime, which passes before and after.

Ruled out by reading: any message received counts as a sign of life, not only a Pong (JobEntryCore.onMessage).

Evidence (JobEntryCoreTest, virtual time, pulses 1000 ms apart): aSlowOwnerIsNotReplacedSooner and aLostConnectionSaysNothingAboutTheNextOwner fail without the change (the entry claims), pass with it (15 of 15). ClaimOrderTest, OwnershipTest, CallHistoryTest, RunHistoryTest, BusyOwnerTest and DocumentationTest pass.

--- a/Source/Decision/Process/JobEntryCore.cpp
+++ b/Source/Decision/Process/JobEntryCore.cpp
@@ -407,7 +407,7 @@
     const bool awaitsAnswer = std::any_of(m_pending.begin(), m_pending.end(),
         [](const std::pair<const CallerToken, PendingCall>& entry) { return !entry.second.forwards.isEmpty(); });
     if (m_ownerLink.tick(now, awaitsAnswer, actions))
-        m_ownership.setLinkBroken(true);
+        m_ownership.setLinkSilent();
     if (m_ownership.owner() || m_ownerLink.isUp())
         m_ownerLastConnectedAt = now;
     completeAnsweredCalls(now, firstAction, actions);
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -46,7 +46,8 @@
 void Ownership::tick(Instant now, std::int64_t unixMilliseconds, Actions& actions)
 {
     m_unixMilliseconds = unixMilliseconds;
-    m_claimWatcher.setReadWait(m_linkBroken ? m_timing.silenceTimeoutWhenDisconnected : WatchTiming {}.readWait);
+    const bool isDisconnected = m_linkBroken || m_linkSilent;
+    m_claimWatcher.setReadWait(isDisconnected ? m_timing.silenceTimeoutWhenDisconnected : WatchTiming {}.readWait);
     if (!m_claimWatcher.isReadInFlight()) {
         std::optional<Action> read = m_claimWatcher.nextRead(now, m_lastCallId + 1);
         if (read) {
@@ -189,6 +190,12 @@
     }
 }
 
+void Ownership::setLinkBroken(bool broken)
+{
+    m_linkBroken = broken;
+    m_linkSilent = false;
+}
+
 void Ownership::scheduleClaim(Instant now, Instant since, const char* reason)
 {
     if (m_claimReason)
@@ -277,6 +284,8 @@
         if (term <= m_current.term)
             continue;
         m_current = CurrentOwner { term, *claim };
+        // The connection to the former owner says nothing about this one.
+        setLinkBroken(false);
         m_claimReason = nullptr;
         m_lastPulseReadAt = now;
         m_formerOwnerEnded = false;
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -36,7 +36,7 @@
     /// Time without a pulse after which an entry claims the ownership. Well below the platform's limit on the time
     /// without contact.
     Duration silenceTimeout = milliseconds(1300);
-    /// Shorter timeout while the connection to the owner is down as well.
+    /// Shorter timeout while the owner's end has closed or refused the connection as well.
     Duration silenceTimeoutWhenDisconnected = milliseconds(700);
     /// Timeout of one append. The store answers within milliseconds; a slow answer takes hundreds of milliseconds.
     Duration appendTimeout = milliseconds(900);
@@ -60,8 +60,11 @@
     bool onNewestResponse(Instant now, std::uint64_t callId, const NewestResponse& response, Actions& actions);
     void tick(Instant now, std::int64_t unixMilliseconds, Actions& actions);
 
-    /// Sets whether the connection to the owner is down.
-    void setLinkBroken(bool broken) { m_linkBroken = broken; }
+    /// Sets whether the owner's end has closed or refused the connection.
+    void setLinkBroken(bool broken);
+    /// This process has closed a silent connection to the owner. A busy owner is slow, so this does not shorten the
+    /// timeout after which this process claims the ownership.
+    void setLinkSilent() { m_linkSilent = true; }
     /// Prevents further claims and hands the ownership over if this process has it.
     void resign(Instant now, Actions& actions);
     bool hasResigned() const { return m_resigned; }
@@ -127,6 +130,7 @@
     std::unique_ptr<JobOwner> m_owner;
     std::int64_t m_unixMilliseconds = 0;
     bool m_linkBroken = false;
+    bool m_linkSilent = false;
     bool m_resigning = false;
     /// An owner that is to resign waits for its writes until then.
     Instant m_resignBy;
--- a/Tests/Unit/JobEntryCoreTest.cpp
+++ b/Tests/Unit/JobEntryCoreTest.cpp
@@ -24,6 +24,9 @@
     CPPUNIT_TEST(theLastCopyOnAConnectionDecides);
     CPPUNIT_TEST(answersAllCallsWhenShutdownFinishes);
     CPPUNIT_TEST(forwardsNoCallAfterShutdown);
+    CPPUNIT_TEST(aSlowOwnerIsNotReplacedSooner);
+    CPPUNIT_TEST(aLostConnectionSaysNothingAboutTheNextOwner);
+    CPPUNIT_TEST(anOwnerThatIsCutOffIsReplacedInTime);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int stepMilliseconds = 5;
@@ -56,16 +59,21 @@
         {
             std::vector<ReadStore> reads;
             reads.swap(waitingReads);
-            for (const ReadStore& read : reads)
-                answerRead(read, actions);
+            for (const ReadStore& read : reads) {
+                if (readsEnd && now >= readEnds.at(read.callId))
+                    core.onReadResponse(at(now), read.callId, store.read(read), actions);
+                else
+                    answerRead(read, actions);
+            }
         }
 
         void answerRead(const ReadStore& read, Actions& actions)
         {
             const ReadResponse response = store.read(read);
-            if (response.records.empty())
+            if (response.records.empty()) {
                 waitingReads.push_back(read);
-            else
+                readEnds.emplace(read.callId, now + static_cast<int>(toMilliseconds(read.wait)));
+            } else
                 core.onReadResponse(at(now), read.callId, response, actions);
         }
 
@@ -109,6 +117,32 @@
             store.append(append);
         }
 
+        /// Stores a pulse of the owner that this entry has found.
+        void storePulse()
+        {
+            Wire::OwnerPulse pulse;
+            pulse.term = core.ownership().currentOwner().term;
+            AppendToStore append;
+            append.topic = StoreTopic::Pulses;
+            append.records.push_back(StoreRecord { "pulse", Wire::encode(pulse) });
+            store.append(append);
+        }
+
+        /// Runs while the owner stores a pulse at each interval.
+        void runWithPulses(int until, int interval)
+        {
+            while (now < until) {
+                storePulse();
+                run(std::min(until, now + interval));
+            }
+        }
+
+        bool hasClaimed() const
+        {
+            return core.ownership().owner() || core.ownership().isTakingOver()
+                || core.ownership().currentOwner().claim.nodeId == "entry-1";
+        }
+
         /// Makes another entry the owner and connects to it.
         void connectToOtherOwner()
         {
@@ -186,6 +220,9 @@
         VirtualStore store;
         JobEntryCore core;
         std::vector<ReadStore> waitingReads;
+        /// Reads without records are answered at the end of their wait.
+        bool readsEnd = false;
+        std::map<std::uint64_t, int> readEnds;
         LinkId ownerLink = noLink;
         CallerToken lastToken = 0;
         std::map<CallerToken, std::vector<Wire::JobReply>> answers;
@@ -382,5 +419,54 @@
         assertRefused(entry.answerTo(entry.call(Wire::JobCallKind::Submit)));
         CPPUNIT_ASSERT(entry.forwardedCalls.empty());
     }
+
+    /// Pulses of a busy owner may be this far apart: less than the timeout without a pulse.
+    static constexpr int slowPulseInterval = 1000;
+    static constexpr int pulseInterval = 500;
+
+    // Guards against the replacement of a living owner: entries that close silent connections to it claim sooner.
+    void aSlowOwnerIsNotReplacedSooner()
+    {
+        Entry entry;
+        entry.readsEnd = true;
+        entry.connectToOtherOwner();
+        const LinkId first = entry.ownerLink;
+        entry.call(Wire::JobCallKind::Status);
+        entry.runWithPulses(entry.now + 1500, pulseInterval);
+        CPPUNIT_ASSERT_MESSAGE("the entry has closed the silent connection", entry.ownerLink != first);
+        entry.runWithPulses(entry.now + 5000, slowPulseInterval);
+        CPPUNIT_ASSERT(!entry.hasClaimed());
+    }
+
+    // Guards against the replacement of a living owner: an entry that lost the connection to the former owner claims
+    // sooner until it is connected to the present one.
+    void aLostConnectionSaysNothingAboutTheNextOwner()
+    {
+        Entry entry;
+        entry.readsEnd = true;
+        entry.connectToOtherOwner();
+        entry.runWithPulses(entry.now + 1000, pulseInterval);
+        entry.linkDown();
+        entry.storeClaim("entry-3");
+        entry.run(entry.now + 50);
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-3"), entry.core.ownership().currentOwner().claim.nodeId);
+        entry.runWithPulses(entry.now + 5000, slowPulseInterval);
+        CPPUNIT_ASSERT(!entry.hasClaimed());
+    }
+
+    // Guards against a late replacement of an owner whose machine is cut off: nothing resets the connection to it.
+    void anOwnerThatIsCutOffIsReplacedInTime()
+    {
+        Entry entry;
+        entry.readsEnd = true;
+        entry.connectToOtherOwner();
+        entry.call(Wire::JobCallKind::Status);
+        entry.runWithPulses(entry.now + 400, pulseInterval);
+        const int lastPulseAt = entry.now - 400;
+        while (!entry.hasClaimed() && entry.now < lastPulseAt + 5000)
+            entry.run(entry.now + stepMilliseconds);
+        const int silent = entry.now - lastPulseAt;
+        CPPUNIT_ASSERT_MESSAGE("replaced after " + std::to_string(silent) + " ms", silent <= 1400);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(JobEntryCoreTest);
