Process: Delay claims by the largest share of the claimants so far

A delay of 320 ms for each halving below half a core keeps small entries behind large ones, but on a site whose entries have a tenth of a core each it would have left every change of owner 1.06 s later than before, although there is no larger entry to wait for. A claim now carries the largest processor share of all claimants so far, and the halvings count from there; before the first claim from half a core.

--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -13,6 +13,7 @@
     /// call itself times out no later, so a longer delay means that this process was suspended and the response is out
     /// of date.
     constexpr Duration responseValidity = milliseconds(700);
+    constexpr double milliPerCore = 1000;
     constexpr const char* noPulseReason = "no_sign_of_life";
     /// A pulse with a later answer is logged.
     constexpr Duration slowPulse = milliseconds(500);
@@ -26,14 +27,6 @@
 
 } // namespace
 
-double NodeIdentity::halvings() const
-{
-    constexpr double ampleShare = 0.5;
-    // Smaller shares do not wait longer, which bounds the time without an owner.
-    constexpr double minimumShare = 0.0625;
-    return std::max(0.0, std::log2(ampleShare / std::max(minimumShare, processorShare)));
-}
-
 Ownership::Ownership(NodeIdentity identity, const OwnerRules& rules, const OwnershipTiming& timing)
     : m_identity(std::move(identity))
     , m_rules(rules)
@@ -196,11 +189,26 @@
     m_linkSilent = false;
 }
 
+std::int32_t Ownership::milliProcessors() const
+{
+    return static_cast<std::int32_t>(std::lround(milliPerCore * m_identity.processorShare));
+}
+
+double Ownership::halvingsOfLargestShare() const
+{
+    constexpr double ampleShare = 0.5;
+    // Smaller shares do not wait longer, which bounds the time without an owner.
+    constexpr double minimumShare = 0.0625;
+    const std::int32_t largestMilli = m_current.claim.largestMilliProcessors;
+    const double largest = largestMilli > 0 ? std::min(ampleShare, largestMilli / milliPerCore) : ampleShare;
+    return std::max(0.0, std::log2(largest / std::max(minimumShare, m_identity.processorShare)));
+}
+
 void Ownership::scheduleClaim(Instant now, Instant since, const char* reason)
 {
     if (m_claimReason)
         return;
-    const double halvings = m_identity.halvings();
+    const double halvings = halvingsOfLargestShare();
     // The first halving counts twice: an entry without a delay may handle both the last pulse and the answer that shows
     // the silence late, while the delay of other entries runs as the answer travels.
     const double steps = halvings + std::min(1.0, halvings);
@@ -219,6 +227,7 @@
     claim.incarnation = m_identity.incarnation;
     claim.address = m_identity.address;
     claim.port = m_identity.port;
+    claim.largestMilliProcessors = std::max(m_current.claim.largestMilliProcessors, milliProcessors());
     AppendToStore append;
     append.callId = m_claimCall = nextCallId();
     append.topic = StoreTopic::Owners;
@@ -232,7 +241,7 @@
                                      .add("current_term", m_current.term)
                                      .add("current_owner", m_current.claim.nodeId)
                                      .add("pulse_age_ms", toMilliseconds(now - m_lastPulseReadAt))
-                                     .add("processor_milli", static_cast<int>(1000 * m_identity.processorShare))
+                                     .add("processor_milli", milliProcessors())
                                      .text() });
 }
 
@@ -332,7 +341,7 @@
 Instant Ownership::silenceShownAt() const
 {
     // The shorter timeout would put a small entry without a connection before a large one that has its connection.
-    const bool isAmple = m_identity.halvings() <= 0;
+    const bool isAmple = halvingsOfLargestShare() <= 0;
     return m_pulseReadSentAt + (isAmple ? m_pulseReadWait : m_timing.silenceTimeout);
 }
 
@@ -437,6 +446,8 @@
         if (response.outcome == AppendOutcome::Stored) {
             m_current.claim.nodeId = m_identity.nodeId;
             m_current.claim.incarnation = m_identity.incarnation;
+            m_current.claim.largestMilliProcessors
+                = std::max(m_current.claim.largestMilliProcessors, milliProcessors());
             startTakeOver(now, response.offset + 1, actions);
             return true;
         }
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -18,9 +18,6 @@
     int port = 0;
     /// Number of processor cores that this process may use; may be a fraction.
     double processorShare = 1;
-
-    /// Number of halvings of half a core that lead to the processor share; none for half a core and more.
-    double halvings() const;
 };
 
 /// The claim with the highest term that this process has read or won.
@@ -44,8 +41,8 @@
     /// Longest time that an owner which shuts down waits for its writes before it resigns. Nothing is scheduled
     /// meanwhile, and clients repeat calls without an answer at the next owner.
     Duration handOverTimeout = milliseconds(1000);
-    /// Delay of a claim for each halving of the processor share below half a core, so that entries with more processors
-    /// claim first. Longer than an entry on a busy machine takes to handle an answer of the store.
+    /// Delay of a claim for each halving of the processor share below the largest one known, so that entries with more
+    /// processors claim first. Longer than an entry on a busy machine takes to handle an answer of the store.
     Duration claimDelayPerHalving = milliseconds(320);
 };
 
@@ -106,6 +103,11 @@
     LeaseWait formerLeaseWait(Instant now) const;
     void finishTakeOver(Instant now, Actions& actions);
     void applyPulses(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
+    /// This entry's processor share in thousandths of a core.
+    std::int32_t milliProcessors() const;
+    /// Number of halvings that lead from the largest processor share of a claimant so far to this entry's; none for
+    /// half a core and more.
+    double halvingsOfLargestShare() const;
     /// Plans a claim for this entry's delay after `since`, or for now if that is later.
     void scheduleClaim(Instant now, Instant since, const char* reason);
     /// The time from which the delay of a claim counts after a read without pulses.
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -5850,6 +5850,10 @@
 void OwnerClaim::__set_port(const int32_t val) {
   this->port = val;
 }
+
+void OwnerClaim::__set_largestMilliProcessors(const int32_t val) {
+  this->largestMilliProcessors = val;
+}
 std::ostream& operator<<(std::ostream& out, const OwnerClaim& obj)
 {
   obj.printTo(out);
@@ -5910,6 +5914,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->largestMilliProcessors);
+          this->__isset.largestMilliProcessors = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5943,6 +5955,10 @@
   xfer += oprot->writeI32(this->port);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("largestMilliProcessors", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->largestMilliProcessors);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5954,6 +5970,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.address, b.address);
   swap(a.port, b.port);
+  swap(a.largestMilliProcessors, b.largestMilliProcessors);
   swap(a.__isset, b.__isset);
 }
 
@@ -5962,6 +5979,7 @@
   incarnation = other131.incarnation;
   address = other131.address;
   port = other131.port;
+  largestMilliProcessors = other131.largestMilliProcessors;
   __isset = other131.__isset;
 }
 OwnerClaim::OwnerClaim(OwnerClaim&& other132) noexcept {
@@ -5969,6 +5987,7 @@
   incarnation = other132.incarnation;
   address = std::move(other132.address);
   port = other132.port;
+  largestMilliProcessors = other132.largestMilliProcessors;
   __isset = other132.__isset;
 }
 OwnerClaim& OwnerClaim::operator=(const OwnerClaim& other133) {
@@ -5976,6 +5995,7 @@
   incarnation = other133.incarnation;
   address = other133.address;
   port = other133.port;
+  largestMilliProcessors = other133.largestMilliProcessors;
   __isset = other133.__isset;
   return *this;
 }
@@ -5984,6 +6004,7 @@
   incarnation = other134.incarnation;
   address = std::move(other134.address);
   port = other134.port;
+  largestMilliProcessors = other134.largestMilliProcessors;
   __isset = other134.__isset;
   return *this;
 }
@@ -5994,6 +6015,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "address=" << to_string(address);
   out << ", " << "port=" << to_string(port);
+  out << ", " << "largestMilliProcessors=" << to_string(largestMilliProcessors);
   out << ")";
 }
 
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -2303,11 +2303,12 @@
 std::ostream& operator<<(std::ostream& out, const HostRecord& obj);
 
 typedef struct _OwnerClaim__isset {
-  _OwnerClaim__isset() : nodeId(false), incarnation(false), address(false), port(false) {}
+  _OwnerClaim__isset() : nodeId(false), incarnation(false), address(false), port(false), largestMilliProcessors(false) {}
   bool nodeId :1;
   bool incarnation :1;
   bool address :1;
   bool port :1;
+  bool largestMilliProcessors :1;
 } _OwnerClaim__isset;
 
 class OwnerClaim : public virtual ::apache::thrift::TBase {
@@ -2321,7 +2322,8 @@
              : nodeId(),
                incarnation(0),
                address(),
-               port(0) {
+               port(0),
+               largestMilliProcessors(0) {
   }
 
   virtual ~OwnerClaim() noexcept;
@@ -2329,6 +2331,7 @@
   int64_t incarnation;
   std::string address;
   int32_t port;
+  int32_t largestMilliProcessors;
 
   _OwnerClaim__isset __isset;
 
@@ -2340,6 +2343,8 @@
 
   void __set_port(const int32_t val);
 
+  void __set_largestMilliProcessors(const int32_t val);
+
   bool operator == (const OwnerClaim & rhs) const
   {
     if (!(nodeId == rhs.nodeId))
@@ -2350,6 +2355,8 @@
       return false;
     if (!(port == rhs.port))
       return false;
+    if (!(largestMilliProcessors == rhs.largestMilliProcessors))
+      return false;
     return true;
   }
   bool operator != (const OwnerClaim &rhs) const {
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -275,6 +275,8 @@
   2: i64 incarnation
   3: string address
   4: i32 port
+  // Thousandths of a processor core: the largest share of all claimants so far. Zero in claims of earlier versions.
+  5: i32 largestMilliProcessors
 }
 
 // The pulse: the owner's heartbeat record in the store. It shows that the owner is running and reaches the store. A
--- a/Tests/Unit/ClaimOrderTest.cpp
+++ b/Tests/Unit/ClaimOrderTest.cpp
@@ -43,6 +43,8 @@
     bool losesLinks = false;
     /// Largest share of the entries that have less than half a core.
     double largestSmall = largestSmallShare;
+    /// Share of the entry that owns before.
+    double formerOwner = 1;
 };
 
 /// The entry that became the owner.
@@ -65,7 +67,7 @@
     Outcome play()
     {
         if (m_situation.end != End::NeverStarted) {
-            addEntry(1, 0, 0);
+            addEntry(m_situation.formerOwner, 0, 0);
             run(1000);
         }
         const std::size_t first = m_entries.size();
@@ -234,6 +236,7 @@
     CPPUNIT_TEST(aLargeEntryIsTheFirstOwner);
     CPPUNIT_TEST(smallEntriesFollowInTimeIfNoLargeOneLives);
     CPPUNIT_TEST(smallEntriesFollowAResignationInTime);
+    CPPUNIT_TEST(equalSmallEntriesFollowAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
     /// Plays all seeds; the winner has at least half of the largest share, and the time without owner is bounded.
@@ -282,5 +285,12 @@
         check(Situation { End::Resignation, false, false }, 1500);
         check(Situation { End::Resignation, false, false, smallestShare }, 1500);
     }
+
+    // Guards against a site of small entries alone that waits for large ones that it never had.
+    void equalSmallEntriesFollowAtOnce()
+    {
+        check(Situation { End::Silence, false, false, smallestShare, smallestShare }, 2000);
+        check(Situation { End::Resignation, false, false, smallestShare, smallestShare }, 700);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ClaimOrderTest);
