--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -13,6 +13,7 @@
     /// call itself times out no later, so a longer delay means that this process was suspended and the response is out
     /// of date.
     constexpr Duration responseValidity = milliseconds(700);
+    constexpr double milliPerCore = 1000;
     constexpr const char* noPulseReason = "no_sign_of_life";
     /// A pulse with a later answer is logged.
     constexpr Duration slowPulse = milliseconds(500);
@@ -38,7 +39,8 @@
 void Ownership::tick(Instant now, std::int64_t unixMilliseconds, Actions& actions)
 {
     m_unixMilliseconds = unixMilliseconds;
-    m_claimWatcher.setReadWait(m_linkBroken ? m_timing.silenceTimeoutWhenDisconnected : WatchTiming {}.readWait);
+    const bool isDisconnected = m_linkBroken || m_linkSilent;
+    m_claimWatcher.setReadWait(isDisconnected ? m_timing.silenceTimeoutWhenDisconnected : WatchTiming {}.readWait);
     if (!m_claimWatcher.isReadInFlight()) {
         std::optional<Action> read = m_claimWatcher.nextRead(now, m_lastCallId + 1);
         if (read) {
@@ -58,7 +60,7 @@
         }
     }
     if (isFollowing && m_current.term == 0)
-        scheduleClaim(now, "no_owner_yet");
+        scheduleClaim(now, now, "no_owner_yet");
     if (m_claimReason == noPulseReason && now - m_claimAt > responseValidity) {
         actions.push_back(WriteLog { LogLine("silence_is_old")
                                          .add("term", m_current.term)
@@ -188,15 +190,37 @@
     }
 }
 
-void Ownership::scheduleClaim(Instant now, const char* reason)
+void Ownership::setLinkBroken(bool broken)
+{
+    m_linkBroken = broken;
+    m_linkSilent = false;
+}
+
+std::int32_t Ownership::milliProcessors() const
+{
+    return static_cast<std::int32_t>(std::lround(milliPerCore * m_identity.processorShare));
+}
+
+double Ownership::halvingsOfLargestShare() const
+{
+    constexpr double ampleShare = 0.5;
+    // Smaller shares do not wait longer, which bounds the time without an owner.
+    constexpr double minimumShare = 0.0625;
+    const std::int32_t largestMilli = m_current.claim.largestMilliProcessors;
+    const double largest = largestMilli > 0 ? std::min(ampleShare, largestMilli / milliPerCore) : ampleShare;
+    return std::max(0.0, std::log2(largest / std::max(minimumShare, m_identity.processorShare)));
+}
+
+void Ownership::scheduleClaim(Instant now, Instant since, const char* reason)
 {
     if (m_claimReason)
         return;
-    constexpr double ampleShare = 0.5;
-    constexpr double minimumShare = 0.001;
-    const double halvings = std::max(0.0, std::log2(ampleShare / std::max(minimumShare, m_identity.processorShare)));
+    const double halvings = halvingsOfLargestShare();
+    // The first halving counts twice: an entry without a delay may handle both the last pulse and the answer that shows
+    // the silence late, while the delay of other entries runs as the answer travels.
+    const double steps = halvings + std::min(1.0, halvings);
     m_claimReason = reason;
-    m_claimAt = now + std::chrono::duration_cast<Duration>(m_timing.claimDelayPerHalving * halvings);
+    m_claimAt = std::max(now, since + std::chrono::duration_cast<Duration>(m_timing.claimDelayPerHalving * steps));
 }
 
 void Ownership::appendClaim(Instant now, const char* reason, Actions& actions)
@@ -210,6 +234,7 @@
     claim.incarnation = m_identity.incarnation;
     claim.address = m_identity.address;
     claim.port = m_identity.port;
+    claim.largestMilliProcessors = std::max(m_current.claim.largestMilliProcessors, milliProcessors());
     AppendToStore append;
     append.callId = m_claimCall = nextCallId();
     append.topic = StoreTopic::Owners;
@@ -223,7 +248,7 @@
                                      .add("current_term", m_current.term)
                                      .add("current_owner", m_current.claim.nodeId)
                                      .add("pulse_age_ms", toMilliseconds(now - m_lastPulseReadAt))
-                                     .add("processor_milli", static_cast<int>(1000 * m_identity.processorShare))
+                                     .add("processor_milli", milliProcessors())
                                      .text() });
 }
 
@@ -275,6 +300,8 @@
         if (term <= m_current.term)
             continue;
         m_current = CurrentOwner { term, *claim };
+        // The connection to the former owner says nothing about this one.
+        setLinkBroken(false);
         m_claimReason = nullptr;
         m_lastPulseReadAt = now;
         m_formerOwnerEnded = false;
@@ -313,11 +340,18 @@
             m_claimReason = nullptr;
         if (pulse->resigning && pulse->term == m_current.term && m_stage == Stage::Following) {
             m_formerOwnerEnded = true;
-            scheduleClaim(now, "owner_resigned");
+            scheduleClaim(now, now, "owner_resigned");
         }
     }
 }
 
+Instant Ownership::silenceShownAt() const
+{
+    // The shorter timeout would put a small entry without a connection before a large one that has its connection.
+    const bool isAmple = halvingsOfLargestShare() <= 0;
+    return m_pulseReadSentAt + (isAmple ? m_pulseReadWait : m_timing.silenceTimeout);
+}
+
 bool Ownership::onReadResponse(Instant now, std::uint64_t callId, const ReadResponse& response, Actions& actions)
 {
     if (callId == m_claimReadCall) {
@@ -340,7 +374,7 @@
         actions.push_back(WriteLog {
             LogLine("silence_is_old").add("term", m_current.term).add("age_ms", toMilliseconds(age)).text() });
     else
-        scheduleClaim(now, noPulseReason);
+        scheduleClaim(now, hasNoPulseYet ? now : silenceShownAt(), noPulseReason);
     return true;
 }
 
@@ -419,6 +453,8 @@
         if (response.outcome == AppendOutcome::Stored) {
             m_current.claim.nodeId = m_identity.nodeId;
             m_current.claim.incarnation = m_identity.incarnation;
+            m_current.claim.largestMilliProcessors
+                = std::max(m_current.claim.largestMilliProcessors, milliProcessors());
             startTakeOver(now, response.offset + 1, actions);
             return true;
         }
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -33,7 +33,7 @@
     /// Time without a pulse after which an entry claims the ownership. Well below the platform's limit on the time
     /// without contact.
     Duration silenceTimeout = milliseconds(1300);
-    /// Shorter timeout while the connection to the owner is down as well.
+    /// Shorter timeout while the owner's end has closed or refused the connection as well.
     Duration silenceTimeoutWhenDisconnected = milliseconds(700);
     /// Timeout of one append. The store answers within milliseconds; a slow answer takes hundreds of milliseconds.
     Duration appendTimeout = milliseconds(900);
@@ -41,9 +41,9 @@
     /// Longest time that an owner which shuts down waits for its writes before it resigns. Nothing is scheduled
     /// meanwhile, and clients repeat calls without an answer at the next owner.
     Duration handOverTimeout = milliseconds(1000);
-    /// Delay of a claim for each halving of the processor share below half a core, so that entries with more processors
-    /// claim first.
-    Duration claimDelayPerHalving = milliseconds(40);
+    /// Delay of a claim for each halving of the processor share below the largest one known, so that entries with more
+    /// processors claim first. Longer than an entry on a busy machine takes to handle an answer of the store.
+    Duration claimDelayPerHalving = milliseconds(320);
 };
 
 /// Claims the ownership for one entry and holds the JobOwner while this entry owns. One object per process.
@@ -60,8 +60,11 @@
     /// delays no pulse by more than the length of one of them.
     void sendDuePulse(Instant now, Actions& actions);
 
-    /// Sets whether the connection to the owner is down.
-    void setLinkBroken(bool broken) { m_linkBroken = broken; }
+    /// Sets whether the owner's end has closed or refused the connection.
+    void setLinkBroken(bool broken);
+    /// This process has closed a silent connection to the owner. A busy owner is slow, so this does not shorten the
+    /// timeout after which this process claims the ownership.
+    void setLinkSilent() { m_linkSilent = true; }
     /// Prevents further claims and hands the ownership over if this process has it.
     void resign(Instant now, Actions& actions);
     bool hasResigned() const { return m_resigned; }
@@ -103,7 +106,15 @@
     LeaseWait formerLeaseWait(Instant now) const;
     void finishTakeOver(Instant now, Actions& actions);
     void applyPulses(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
-    void scheduleClaim(Instant now, const char* reason);
+    /// This entry's processor share in thousandths of a core.
+    std::int32_t milliProcessors() const;
+    /// Number of halvings that lead from the largest processor share of a claimant so far to this entry's; none for
+    /// half a core and more.
+    double halvingsOfLargestShare() const;
+    /// Plans a claim for this entry's delay after `since`, or for now if that is later.
+    void scheduleClaim(Instant now, Instant since, const char* reason);
+    /// The time from which the delay of a claim counts after a read without pulses.
+    Instant silenceShownAt() const;
     void appendClaim(Instant now, const char* reason, Actions& actions);
     void startTakeOver(Instant now, std::int64_t term, Actions& actions);
     void stepDown(Instant now, const char* reason, Actions& actions);
@@ -124,6 +135,7 @@
     std::unique_ptr<JobOwner> m_owner;
     std::int64_t m_unixMilliseconds = 0;
     bool m_linkBroken = false;
+    bool m_linkSilent = false;
     bool m_resigning = false;
     /// An owner that is to resign waits for its writes until then.
     Instant m_resignBy;
