Job: Let a side connect again when a later connection of its host has ended

Cause: a former process of the side connects to the owner last and ends. The owner passes over the reports of the present process, which come over an earlier connection, and sends it no orders. The side connects again only if its host refuses a list (owner_link_superseded); the host does so only if the former process passed the newer fence on.

Fix: if the newest connection of the host is down, the owner closes the earlier one over which a report arrives (host_link_superseded). The side connects again, so it gets the next fence in the usual order.

Ruled out: counting earlier connections again once the newest is down.

JobOwnerTest.aSideThatIsPassedOverConnectsAgain fails without the change (no connection closed), passes with it.

The simulation carries out the owner's CloseLink, as the program does.

--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -175,6 +175,12 @@
     const bool isOutdated = existing && (existing->incarnation > report.incarnation || link < existing->newestLink);
     if (isOutdated || (report.changesOnly && !hasBase)) {
         ++m_state.counters.outdatedReports;
+        // The newest connection has ended, and reports over earlier ones may be late. The side connects again, which
+        // raises the fence.
+        if (existing && !existing->departed && link < existing->newestLink && existing->link == noLink) {
+            actions.push_back(WriteLog { LogLine("host_link_superseded").add("host", report.hostId).text() });
+            actions.push_back(CloseLink { link });
+        }
         return;
     }
     if (report.state == Wire::HostState::Gone) {
--- a/Tests/Support/OrderSimulation.cpp
+++ b/Tests/Support/OrderSimulation.cpp
@@ -525,6 +525,18 @@
     }
 }
 
+void OrderSimulation::closeByOwner(LinkId link)
+{
+    Connection& connection = m_connections[link];
+    if (connection.closed)
+        return;
+    connection.closed = true;
+    schedule(2, [this, n = connection.side, process = connection.process, sideLink = connection.sideLink] {
+        withAgent(n, process,
+            [this, sideLink](HostAgent& agent, Actions& actions) { agent.onLinkDown(at(m_now), sideLink, actions); });
+    });
+}
+
 void OrderSimulation::sendToOwner(LinkId link, std::function<void(JobOwner&, Actions&)> deliver)
 {
     Connection& connection = m_connections[link];
@@ -849,6 +861,8 @@
                 std::cout << m_now << " term " << term << " " << line->line << "\n";
         } else if (SendMessage* send = std::get_if<SendMessage>(&action)) {
             sendToSide(send->link, std::move(send->message));
+        } else if (const CloseLink* order = std::get_if<CloseLink>(&action)) {
+            closeByOwner(order->link);
         }
     }
 }
--- a/Tests/Support/OrderSimulation.h
+++ b/Tests/Support/OrderSimulation.h
@@ -158,6 +158,8 @@
     void performOwner(std::int64_t term, Actions&& actions);
     void open(std::size_t n, int process, const OpenLink& order);
     void close(std::size_t n, int process, LinkId sideLink);
+    /// The owner closes a connection; its side notices later.
+    void closeByOwner(LinkId link);
     void sendToOwner(LinkId link, std::function<void(JobOwner&, Actions&)> deliver);
     void sendToSide(LinkId link, PeerMessage message);
     void deliverToOwner(std::int64_t term, LinkId link, const std::function<void(JobOwner&, Actions&)>& deliver);
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(anOwnerWithoutFurtherFencesStepsDown);
     CPPUNIT_TEST(logsAnUnreadableRecordOfAHost);
     CPPUNIT_TEST(aReportOverAnEarlierConnectionIsOutdated);
+    CPPUNIT_TEST(aSideThatIsPassedOverConnectsAgain);
     CPPUNIT_TEST(aListUnderAnEarlierFenceDoesNotCount);
     CPPUNIT_TEST(anOrderToAnEarlierIncarnationCountsUntilTheNextIsListed);
     CPPUNIT_TEST(aRunThatIsNoLongerListedIsPlacedAgain);
@@ -696,6 +697,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.startOrders.size());
     }
 
+    // Guards against a host without an owner for good: a former process of its side connected last and has ended, and
+    // the reports of the present process over the earlier connection are passed over.
+    void aSideThatIsPassedOverConnectsAgain()
+    {
+        constexpr LinkId laterLink = testLink + 1;
+        OwnerHarness harness;
+        const Wire::HostReport report = makeReport("host-1", 1, 100);
+        harness.announceAndReport(0, report, testLink);
+        harness.announceAndReport(10, report, laterLink);
+        Actions beside;
+        harness.owner.onReport(at(20), testLink, report, beside);
+        CPPUNIT_ASSERT_MESSAGE("the newest connection is up", actionsOf<CloseLink>(beside).empty());
+        harness.owner.onLinkDown(at(30), laterLink);
+        Actions after;
+        harness.owner.onReport(at(40), testLink, report, after);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), actionsOf<CloseLink>(after).size());
+        CPPUNIT_ASSERT_EQUAL(testLink, actionsOf<CloseLink>(after)[0].link);
+        CPPUNIT_ASSERT(harness.owner.state().hosts.hosts().at("host-1").link == noLink);
+    }
+
     // Guards against two concurrent runs of a task: the host carries out a start order of the previous owner after
     // the list that the new owner receives, but before the first list under the new owner's fence.
     void aListUnderAnEarlierFenceDoesNotCount()
