Job: Make room on stored hosts while another host's record is not stored

Now every step that has found no host may make room; steps that are held still do not. HostNotStoredTest.lessUrgentRunsAreStoppedOnStoredHosts: 0 halts with the condition as it was, 1 now.

--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -122,7 +122,7 @@
     LinkId newestLink = noLink;
     /// Fence of the host's orders and lists; see OwnerState::raiseFence().
     std::int64_t fence = 0;
-    /// Node id of the host's side; empty if unknown. A side has one host at a time.
+    /// Node id and address of the host's side; empty if unknown. A side has one host at a time.
     std::string sideId;
     std::string service;
     std::string zone;
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -202,9 +202,8 @@
         }
         Host* host = findHost(now, makePlacementRequest(job, step, task), hostCounts);
         if (!host) {
-            const WaitReason reason = reasonWithoutHost(hostCounts);
-            lacksRoom = reason == WaitReason::NoHost;
-            recordWait(task, reason);
+            lacksRoom = true;
+            recordWait(task, reasonWithoutHost(hostCounts));
             break;
         }
         startRun(now, job, step, n, *run, *host, actions);
@@ -227,7 +226,7 @@
     }
     if (longestWaiting)
         m_waitLogger.logIfDue(now, WaitingTask { job, step, *longestWaiting, *waitReason, hostCounts }, actions);
-    return waitReason == WaitReason::NoHost;
+    return waitReason == WaitReason::NoHost || waitReason == WaitReason::HostNotPersisted;
 }
 
 std::optional<WaitReason> TaskScheduler::tryStartGang(
--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -38,7 +38,8 @@
     Wire::HostReport report;
     report.hostId = m_host->hostId;
     report.incarnation = m_host->incarnation;
-    report.sideId = m_identity.nodeId;
+    // A machine that takes over the node id at another address says nothing about the host beside this one.
+    report.sideId = m_identity.nodeId + "@" + m_identity.address;
     report.serviceName = m_host->service;
     report.zone = m_host->zone;
     report.rack = m_host->rack;
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -359,7 +359,7 @@
   // empty.
   19: bool changesOnly
   20: list<RunName> removed
-  // The node id of the side, which has one host at a time. Empty in reports of changes and of earlier versions.
+  // The node id and address of the side, which has one host at a time. Empty in reports of changes and of earlier versions.
   21: string sideId
 }
 
--- a/Tests/Unit/BusyOwnerTest.cpp
+++ b/Tests/Unit/BusyOwnerTest.cpp
@@ -130,7 +130,7 @@
             m_loop.post(EventKind::Message, [this, host, arrived = due](Instant now, Actions& actions) {
                 m_longestReportWait = std::max(m_longestReportWait, now - arrived);
                 if (m_ownership.owner())
-                    m_ownership.owner()->onReport(now, static_cast<LinkId>(host + 1),
+                    m_ownership.owner()->onReport(now, static_cast<LinkId>(host) + 1,
                         makeReport("host-" + std::to_string(host), 1, toMilliseconds(now.time_since_epoch())), actions);
                 m_now += reportCost;
             });
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -196,6 +196,7 @@
         Actions announced;
         harness.agent.onAnnouncement(at(100), draining, announced);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(4500), messagesOf<Wire::HostReport>(announced).at(0).remainingMilliseconds);
+        CPPUNIT_ASSERT_EQUAL(std::string("side-1@127.0.0.1"), messagesOf<Wire::HostReport>(announced).at(0).sideId);
         Actions greeted;
         harness.agent.onMessage(at(1100), harness.link, Wire::NodeHello(), greeted);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(3500), messagesOf<Wire::HostReport>(greeted).at(0).remainingMilliseconds);
--- a/Tests/Unit/HostNotStoredTest.cpp
+++ b/Tests/Unit/HostNotStoredTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(tasksStartOnAStoredHostWhileTheStoreIsUnavailable);
     CPPUNIT_TEST(tasksStartOnAStoredHostWhileHostsKeepArriving);
     CPPUNIT_TEST(aGangStartsOnStoredHosts);
+    CPPUNIT_TEST(lessUrgentRunsAreStoppedOnStoredHosts);
     CPPUNIT_TEST_SUITE_END();
 
     static Wire::StepDefinition makeLastingStep(int count)
@@ -130,5 +131,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOn(harness, "host-2"));
         CPPUNIT_ASSERT_EQUAL_MESSAGE("host-1 has room for the gang", std::size_t(5), startsOn(harness, "host-1"));
     }
+
+    // Guards against urgent tasks that wait for the store although a stored host could make room for them.
+    void lessUrgentRunsAreStoppedOnStoredHosts()
+    {
+        constexpr const char* lessUrgentJob = "00000000000000aa";
+        OwnerHarness harness;
+        harness.announceAndReport(0, makeReport("host-1", 1, 0));
+        harness.settle(10);
+        Wire::JobDefinition lessUrgent = makeJob(lessUrgentJob, { makeStep(4, 1000, 60'000) });
+        lessUrgent.priority = 2;
+        harness.submit(60, lessUrgent);
+        harness.settle(70);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), startsOf(harness, lessUrgentJob));
+        listStoredHost(harness, 150, lessUrgentJob, 4);
+        harness.submit(160, makeJob("00000000000000bb", { makeStep(1, 1000, 1000) }));
+        harness.owner.onPulseConfirmed(at(160));
+        const std::optional<AppendToStore> append = harness.owner.nextAppend(at(200));
+        CPPUNIT_ASSERT(append.has_value());
+        harness.announceAndReport(205, makeReport("host-2", 1, 205), testLink + 1);
+        harness.storeUnavailable = true;
+        AppendResponse response;
+        response.outcome = AppendOutcome::Stored;
+        Actions actions;
+        harness.owner.onAppendResponse(at(210), response, actions);
+        harness.collectActions(actions);
+        harness.settle(220);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOn(harness, "host-2"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.haltOrders.size());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HostNotStoredTest);
