--- a/Tests/Unit/ReplacedHostsTest.cpp
+++ b/Tests/Unit/ReplacedHostsTest.cpp
@@ -1,132 +1,18 @@
 /// Tests how long an owner waits for hosts that have been replaced beside their sides while nobody was there to report
 /// their end, as after a loss of power of all machines.
-#include "Support/JobFixture.h"
-#include "Wire/Codec.h"
+#include "Support/ReplacedFleet.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <map>
-#include <memory>
 
 using namespace Plantainpier;
+using namespace Plantainpier::Replacement;
 
 namespace {
 
-constexpr int sideCount = 240;
-constexpr int lastingTaskCount = 1200;
-constexpr int tickMilliseconds = 20;
-/// A successor waits this long for leases of its predecessor.
-constexpr int holdMilliseconds = 9290;
-constexpr const char* lastingJob = "00000000000000bb";
 constexpr const char* formerHost = "host-former";
 constexpr const char* presentHost = "host-present";
 constexpr const char* side = "side-1";
 
-StoreRecord makeHostRecord(const std::string& hostId, const std::string& sideId)
-{
-    Wire::HostRecord record;
-    record.incarnation = 1;
-    record.term = 1;
-    record.sideId = sideId;
-    return StoreRecord { StoreKey::host(hostId), Wire::encode(record) };
-}
-
-Wire::HostReport makeSideReport(const std::string& hostId, const std::string& sideId, int now)
-{
-    Wire::HostReport report = makeReport(hostId, 1, now);
-    report.sideId = sideId;
-    return report;
-}
-
-/// Loads the records and completes the take-over.
-void takeOver(OwnerHarness& harness, const std::vector<StoreRecord>& records, int now)
-{
-    harness.owner.loadRecords(records);
-    Actions actions;
-    harness.owner.finishLoad(at(now), now, at(now + holdMilliseconds), actions);
-}
-
-/// Each side has had a host that an earlier owner recorded, and has another one now. Owners follow each other; each
-/// loads what the earlier ones stored.
-class ReplacedFleet {
-public:
-    ReplacedFleet()
-    {
-        Wire::StepDefinition step = makeStep(lastingTaskCount, 500, 100);
-        step.longRunning = true;
-        Wire::JobDefinition job = makeJob(lastingJob, { step });
-        job.acceptedTerm = 1;
-        m_records.push_back(StoreRecord { StoreKey::job(lastingJob), Wire::encode(job) });
-        for (int n = 0; n < sideCount; ++n) {
-            m_records.push_back(makeHostRecord("former-" + std::to_string(n), "side-" + std::to_string(n)));
-            m_running[n];
-        }
-    }
-
-    void startOwner()
-    {
-        if (m_harness)
-            m_records.insert(m_records.end(), m_harness->storedRecords.begin(), m_harness->storedRecords.end());
-        m_harness = std::make_unique<OwnerHarness>(++m_term);
-        takeOver(*m_harness, m_records, m_now);
-        m_ordersRead = 0;
-        m_listsFrom = m_now + millisecondsUntilListed;
-        deliverReports(false);
-    }
-
-    void step()
-    {
-        m_now += tickMilliseconds;
-        if (m_now >= m_listsFrom) {
-            m_listsFrom = m_now + listIntervalMilliseconds;
-            deliverReports(true);
-        }
-        m_harness->tick(m_now);
-        for (; m_ordersRead < m_harness->sentOrders.size(); ++m_ordersRead) {
-            const Wire::HostOrders& orders = m_harness->sentOrders[m_ordersRead];
-            for (const Wire::StartOrder& start : orders.starts)
-                m_running.at(std::stoi(orders.hostId)).push_back(makeRunningTask(start.task, start.run));
-        }
-    }
-
-    std::size_t runningTasks() const
-    {
-        std::size_t count = 0;
-        for (const std::pair<const int, std::vector<Wire::RunningTask>>& entry : m_running)
-            count += entry.second.size();
-        return count;
-    }
-
-    int now() const { return m_now; }
-
-private:
-    static constexpr int millisecondsUntilListed = 200;
-    static constexpr int listIntervalMilliseconds = 200;
-
-    void deliverReports(bool listed)
-    {
-        LinkId link = testLink;
-        for (const std::pair<const int, std::vector<Wire::RunningTask>>& entry : m_running) {
-            const std::string hostId = std::to_string(entry.first);
-            Wire::HostReport report = makeSideReport(hostId, "side-" + hostId, m_now);
-            report.listed = listed;
-            if (listed) {
-                report.listFence = m_harness->owner.state().hosts.hosts().at(hostId).fence;
-                report.running = entry.second;
-            }
-            m_harness->deliverReport(m_now, report, ++link);
-        }
-    }
-
-    std::unique_ptr<OwnerHarness> m_harness;
-    std::vector<StoreRecord> m_records;
-    /// What the present host of each side runs.
-    std::map<int, std::vector<Wire::RunningTask>> m_running;
-    std::int64_t m_term = 1;
-    int m_now = 0;
-    int m_listsFrom = 0;
-    std::size_t m_ordersRead = 0;
-};
-
 } // namespace
 
 class ReplacedHostsTest : public CppUnit::TestFixture {
@@ -153,15 +39,8 @@
         constexpr int boundMilliseconds = 2000;
         constexpr int endMilliseconds = 20'000;
         for (const int turnMilliseconds : { 5000, 2500, endMilliseconds }) {
-            ReplacedFleet fleet;
-            int startedAt = endMilliseconds;
-            while (fleet.now() < endMilliseconds) {
-                if (fleet.now() % turnMilliseconds == 0)
-                    fleet.startOwner();
-                fleet.step();
-                if (fleet.runningTasks() >= lastingTaskCount)
-                    startedAt = std::min(startedAt, fleet.now());
-            }
+            ReplacedFleet fleet(FormerSides::Same);
+            const int startedAt = fleet.runWithOwnersByTurns(turnMilliseconds, endMilliseconds);
             CPPUNIT_ASSERT_EQUAL(std::size_t(lastingTaskCount), fleet.runningTasks());
             CPPUNIT_ASSERT_MESSAGE("with owners each " + std::to_string(turnMilliseconds) + " ms all tasks run after "
                     + std::to_string(startedAt),
