--- a/Tests/Unit/PassSliceTest.cpp
+++ b/Tests/Unit/PassSliceTest.cpp
@@ -14,7 +14,7 @@
     /// Time in milliseconds in which all tasks with room are started once they may.
     static constexpr int floodTime = 2'000;
     /// Hosts that one tick may examine: 50 searches of a fleet of 240, and one search more that ends the slice.
-    static constexpr std::int64_t evaluationBound = 51 * livingHosts;
+    static constexpr std::int64_t evaluationBound = std::int64_t(51) * livingHosts;
 
     // Guards against an owner that does nothing else than place tasks while thousands wait, so that it is taken for
     // dead and replaced.
