Job: Log and count starts that hosts have shown, and answers of the count

`place` was all that the log said of a start, so ordered and started looked alike; answers to the question for waiting jobs left no line. `runs_started_total`, `runs` and `last_start_after_ms` of `step_completed` now count confirmed starts instead of orders.

RunTracker::recordStart is the one place where evidence of a start arrives; what is answered is not changed yet. A run that was told to stop before its answer arrived now counts as confirmed, too. The wire has a field for each of the two later fixes: JobProgress.started and RunningTask.acknowledgedPacePercent, both unused so far.

--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -153,7 +153,7 @@
         replyStatus(now, origin, call, actions);
         return;
     case Wire::JobCallKind::Waiting:
-        replyWaitingCount(origin, call, actions);
+        replyWaitingCount(now, origin, call, actions);
         return;
     }
 }
@@ -274,14 +274,25 @@
     sendReply(origin, answer, actions);
 }
 
-void JobOwner::replyWaitingCount(const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
+void JobOwner::replyWaitingCount(
+    Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
 {
     Wire::JobReply answer;
     answer.kind = Wire::JobReplyKind::WaitingCount;
+    std::int64_t withoutShownStart = 0;
     for (const std::pair<const std::string, JobState*>& entry : m_state.openJobs) {
-        if (entry.second->definition().queue == call.queue && !entry.second->hasStarted())
-            ++answer.waiting;
+        if (entry.second->definition().queue != call.queue)
+            continue;
+        answer.waiting += entry.second->hasStarted() ? 0 : 1;
+        withoutShownStart += entry.second->isStartShown() ? 0 : 1;
     }
+    actions.push_back(WriteLog { LogLine("waiting_count")
+                                     .add("queue", call.queue)
+                                     .add("waiting", answer.waiting)
+                                     .add("without_shown_start", withoutShownStart)
+                                     .add("term", m_state.term)
+                                     .add("pulse_age_ms", toMilliseconds(now - m_state.pulseConfirmedAt))
+                                     .text() });
     sendReply(origin, answer, actions);
 }
 
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -76,7 +76,7 @@
     void submitJob(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     void cancelJob(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     void replyStatus(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
-    void replyWaitingCount(const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
+    void replyWaitingCount(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     /// Why a submission is refused now; empty if it is accepted.
     std::string refusalReason(Instant now, const Wire::JobCall& call) const;
     /// Replies that there is no such job, or refuses while another entry may own the jobs and have a record of this
--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -224,6 +224,7 @@
             task.lastRun = std::max(task.lastRun, run);
         task.checkpoint = mark.checkpoint;
         m_started = true;
+        m_startShown = true;
         if (!mark.completed)
             continue;
         task.completed = true;
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -67,10 +67,10 @@
     Instant due;
     /// Sum of estimates along the critical path from the start of this step to the end of the occurrence.
     Duration remainingCriticalPath {};
-    /// When the step became open or this term began, and when its newest run of this term was started.
+    /// When the step became open or this term began, and when the newest start of this term was confirmed.
     Instant openedAt;
     Instant lastStartedAt;
-    /// Number of runs that were started in this term.
+    /// Number of runs of this term whose start was confirmed.
     int startedRuns = 0;
     /// For each waiting task for which less urgent runs were stopped: until when these are expected to end.
     std::vector<Instant> roomExpectedUntil;
@@ -91,6 +91,9 @@
     bool isOpen() const { return m_outcome == Wire::JobOutcome::Open; }
     bool hasStarted() const { return m_started; }
     void markStarted() { m_started = true; }
+    /// A host has shown that a task of the job started; see RunTracker::recordStart().
+    bool isStartShown() const { return m_startShown; }
+    void recordStart() { m_startShown = true; }
     Instant accepted() const { return m_accepted; }
 
     /// Adds the occurrences that are due. Returns true if any were added.
@@ -132,6 +135,7 @@
     Wire::JobDefinition m_definition;
     Wire::JobOutcome::type m_outcome = Wire::JobOutcome::Open;
     bool m_started = false;
+    bool m_startShown = false;
     Instant m_accepted;
     std::int64_t m_acceptedUnixMilliseconds;
     int m_occurrencesAdded = 0;
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -45,7 +45,10 @@
 struct OwnerCounters {
     std::int64_t accepted = 0;
     std::int64_t refused = 0;
+    /// Starts that were ordered, those that hosts have confirmed, and those that hosts or sides have refused.
+    std::int64_t orderedStarts = 0;
     std::int64_t started = 0;
+    std::int64_t refusedStarts = 0;
     std::int64_t completedTasks = 0;
     std::int64_t failedTasks = 0;
     std::int64_t lostRuns = 0;
@@ -164,6 +167,15 @@
         flushNow = flushNow || urgent;
     }
 
+    /// Number of open jobs of which no host has shown a start.
+    int countJobsWithoutStart() const
+    {
+        int count = 0;
+        for (const std::pair<const std::string, JobState*>& entry : openJobs)
+            count += entry.second->isStartShown() ? 0 : 1;
+        return count;
+    }
+
     /// Number of hosts with an unexpired lease that have not been listed in this term. Such a host may have runs that
     /// this owner has no record of.
     int countUnlistedHosts(Instant now) const
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -55,6 +55,13 @@
         NamedValue { Effect::SupersededRun, "nothing_other_run_under_way" },
     };
 
+    using Evidence = RunTracker::StartEvidence;
+    constexpr std::array startEvidenceNames {
+        NamedValue { Evidence::Answer, "answer" },
+        NamedValue { Evidence::List, "list" },
+        NamedValue { Evidence::End, "end" },
+    };
+
     LogLine& addTaskFields(LogLine& line, const Wire::TaskName& task)
     {
         return line.add("job", task.jobId)
@@ -284,10 +291,32 @@
         addOccurrences(listedRun.task);
 }
 
+void RunTracker::recordStart(Instant now, const Host& host, const Wire::TaskName& task, HostRun* run,
+    StartEvidence evidence, Actions& actions)
+{
+    JobState* job = m_state.findJob(task.jobId);
+    if (job)
+        job->recordStart();
+    if (!run || !run->isStartUnconfirmed())
+        return;
+    run->startConfirmedAt = now;
+    ++m_state.counters.started;
+    if (StepState* step = job ? job->findStep(task.occurrence, task.step) : nullptr) {
+        step->lastStartedAt = now;
+        ++step->startedRuns;
+    }
+    LogLine line("run_started");
+    addTaskFields(line, task).add("run", run->run).add("host", host.hostId);
+    line.add("shown_by", nameIn(startEvidenceNames, evidence)).add("after_ms", toMilliseconds(now - run->placedAt));
+    actions.push_back(WriteLog { line.text() });
+}
+
 void RunTracker::onOrderResult(Instant now, Host& host, const Wire::OrderResult& result, Actions& actions)
 {
     const RunKey key = runKey(result.task, result.run);
     std::map<RunKey, HostRun>::iterator it = host.runs.find(key);
+    if (result.outcome == Wire::OrderOutcome::Started)
+        recordStart(now, host, result.task, it == host.runs.end() ? nullptr : &it->second, Evidence::Answer, actions);
     if (it == host.runs.end())
         return;
     // Hosts rightly refuse orders under an earlier fence of this owner. A refusal under the current fence shows that a
@@ -297,12 +326,12 @@
     if (result.outcome == Wire::OrderOutcome::Started) {
         if (it->second.phase == RunPhase::Ordered) {
             it->second.phase = RunPhase::Running;
-            it->second.startConfirmedAt = now;
             it->second.listNumber = host.listNumber;
             haltIfEndMayBeLost(host, it->second, actions);
         }
         return;
     }
+    ++m_state.counters.refusedStarts;
     LogLine line("start_refused");
     addTaskFields(line, result.task).add("run", result.run).add("host", host.hostId).add("reason", result.reason);
     actions.push_back(WriteLog { line.text() });
@@ -329,8 +358,7 @@
     HostRun& run = it->second;
     if (run.phase == RunPhase::Ordered)
         run.phase = RunPhase::Running;
-    if (run.isStartUnconfirmed())
-        run.startConfirmedAt = now;
+    recordStart(now, host, listedRun.task, &run, Evidence::List, actions);
     // The halt order may have been lost with an earlier connection, so it is sent again.
     if (run.phase == RunPhase::Halting && run.fence < host.fence)
         haltRun(host, run, "unresolved_order", actions);
@@ -388,6 +416,7 @@
     if (step)
         setRunRequirements(run, *job, *step);
     HostRun& added = HostRegistry::addRun(host, std::move(run));
+    recordStart(now, host, listedRun.task, &added, Evidence::List, actions);
     LogLine line("run_adopted");
     addTaskFields(line, listedRun.task).add("run", listedRun.run).add("host", host.hostId);
     const bool isWanted = task && job->isOpen() && !task->completed
@@ -516,7 +545,8 @@
     }
     // The end is acknowledged only once its effect is persisted.
     host.unpersistedEnds.emplace_back(listedRun.number, 0);
-    const std::optional<HostRun> run = HostRegistry::removeRun(host, runKey(listedRun.task, listedRun.run));
+    std::optional<HostRun> run = HostRegistry::removeRun(host, runKey(listedRun.task, listedRun.run));
+    recordStart(now, host, listedRun.task, run ? &*run : nullptr, Evidence::End, actions);
     const RunEndEffect effect = effectOfEnd(listedRun, run.has_value());
     JobState* job = m_state.findJob(listedRun.task.jobId);
     TaskState* task = job ? job->findTask(listedRun.task) : nullptr;
--- a/Source/Decision/Job/RunTracker.h
+++ b/Source/Decision/Job/RunTracker.h
@@ -47,6 +47,17 @@
         SupersededRun,
     };
 
+
+    /// How a host shows that a run started.
+    enum class StartEvidence {
+        /// The answer to the order.
+        Answer,
+        /// A row of a running task.
+        List,
+        /// A row of an ended task, without any evidence before.
+        End,
+    };
+
 private:
     /// Finds or adds the incarnation that sent the report and updates its description.
     Host& updateHost(Instant now, LinkId link, const Wire::HostReport& report, Actions& actions);
@@ -69,6 +80,10 @@
     /// does.
     void addListedOccurrences(Instant now, const Wire::HostReport& report);
     void onOrderResult(Instant now, Host& host, const Wire::OrderResult& result, Actions& actions);
+    /// Records that the host has shown the start of a run. This is the only place where a run or its job becomes
+    /// started: the order alone may be lost, refused or never carried out. run is null for a run that is not tracked.
+    void recordStart(Instant now, const Host& host, const Wire::TaskName& task, HostRun* run, StartEvidence evidence,
+        Actions& actions);
     void onRunningTask(Instant now, Host& host, const Wire::RunningTask& listedRun, Actions& actions);
     void adoptRun(Instant now, Host& host, const Wire::RunningTask& listedRun, Actions& actions);
     void onEndedTask(Instant now, Host& host, const Wire::EndedTask& listedRun, Actions& actions);
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -391,9 +391,7 @@
     job.markStarted();
     if (!step.roomExpectedUntil.empty())
         step.roomExpectedUntil.erase(step.roomExpectedUntil.begin());
-    step.lastStartedAt = now;
-    ++step.startedRuns;
-    ++m_state.counters.started;
+    ++m_state.counters.orderedStarts;
     LogLine line("place");
     line.add("job", job.definition().jobId)
         .add("occurrence", step.occurrence)
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -5530,6 +5530,10 @@
 void JobProgress::__set_outcome(const JobOutcome::type val) {
   this->outcome = val;
 }
+
+void JobProgress::__set_started(const bool val) {
+  this->started = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobProgress& obj)
 {
   obj.printTo(out);
@@ -5588,6 +5592,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->started);
+          this->__isset.started = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5621,6 +5633,10 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("started", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->started);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5630,28 +5646,33 @@
   using ::std::swap;
   swap(a.marks, b.marks);
   swap(a.outcome, b.outcome);
+  swap(a.started, b.started);
   swap(a.__isset, b.__isset);
 }
 
 JobProgress::JobProgress(const JobProgress& other123) {
   marks = other123.marks;
   outcome = other123.outcome;
+  started = other123.started;
   __isset = other123.__isset;
 }
 JobProgress::JobProgress(JobProgress&& other124) noexcept {
   marks = std::move(other124.marks);
   outcome = other124.outcome;
+  started = other124.started;
   __isset = other124.__isset;
 }
 JobProgress& JobProgress::operator=(const JobProgress& other125) {
   marks = other125.marks;
   outcome = other125.outcome;
+  started = other125.started;
   __isset = other125.__isset;
   return *this;
 }
 JobProgress& JobProgress::operator=(JobProgress&& other126) noexcept {
   marks = std::move(other126.marks);
   outcome = other126.outcome;
+  started = other126.started;
   __isset = other126.__isset;
   return *this;
 }
@@ -5660,6 +5681,7 @@
   out << "JobProgress(";
   out << "marks=" << to_string(marks);
   out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "started=" << to_string(started);
   out << ")";
 }
 
@@ -6210,6 +6232,11 @@
 void RunningTask::__set_usage(const int64_t val) {
   this->usage = val;
 }
+
+void RunningTask::__set_acknowledgedPacePercent(const int32_t val) {
+  this->acknowledgedPacePercent = val;
+__isset.acknowledgedPacePercent = true;
+}
 std::ostream& operator<<(std::ostream& out, const RunningTask& obj)
 {
   obj.printTo(out);
@@ -6278,6 +6305,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->acknowledgedPacePercent);
+          this->__isset.acknowledgedPacePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6315,6 +6350,11 @@
   xfer += oprot->writeI64(this->usage);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.acknowledgedPacePercent) {
+    xfer += oprot->writeFieldBegin("acknowledgedPacePercent", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->acknowledgedPacePercent);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6327,6 +6367,7 @@
   swap(a.checkpoint, b.checkpoint);
   swap(a.progressPercent, b.progressPercent);
   swap(a.usage, b.usage);
+  swap(a.acknowledgedPacePercent, b.acknowledgedPacePercent);
   swap(a.__isset, b.__isset);
 }
 
@@ -6336,6 +6377,7 @@
   checkpoint = other139.checkpoint;
   progressPercent = other139.progressPercent;
   usage = other139.usage;
+  acknowledgedPacePercent = other139.acknowledgedPacePercent;
   __isset = other139.__isset;
 }
 RunningTask::RunningTask(RunningTask&& other140) noexcept {
@@ -6344,6 +6386,7 @@
   checkpoint = std::move(other140.checkpoint);
   progressPercent = other140.progressPercent;
   usage = other140.usage;
+  acknowledgedPacePercent = other140.acknowledgedPacePercent;
   __isset = other140.__isset;
 }
 RunningTask& RunningTask::operator=(const RunningTask& other141) {
@@ -6352,6 +6395,7 @@
   checkpoint = other141.checkpoint;
   progressPercent = other141.progressPercent;
   usage = other141.usage;
+  acknowledgedPacePercent = other141.acknowledgedPacePercent;
   __isset = other141.__isset;
   return *this;
 }
@@ -6361,6 +6405,7 @@
   checkpoint = std::move(other142.checkpoint);
   progressPercent = other142.progressPercent;
   usage = other142.usage;
+  acknowledgedPacePercent = other142.acknowledgedPacePercent;
   __isset = other142.__isset;
   return *this;
 }
@@ -6372,6 +6417,7 @@
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ", " << "progressPercent=" << to_string(progressPercent);
   out << ", " << "usage=" << to_string(usage);
+  out << ", " << "acknowledgedPacePercent="; (__isset.acknowledgedPacePercent ? (out << to_string(acknowledgedPacePercent)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -2182,9 +2182,10 @@
 std::ostream& operator<<(std::ostream& out, const TaskMark& obj);
 
 typedef struct _JobProgress__isset {
-  _JobProgress__isset() : marks(false), outcome(false) {}
+  _JobProgress__isset() : marks(false), outcome(false), started(false) {}
   bool marks :1;
   bool outcome :1;
+  bool started :1;
 } _JobProgress__isset;
 
 class JobProgress : public virtual ::apache::thrift::TBase {
@@ -2195,7 +2196,8 @@
   JobProgress& operator=(const JobProgress&);
   JobProgress& operator=(JobProgress&&) noexcept;
   JobProgress() noexcept
-              : outcome(static_cast<JobOutcome::type>(0)) {
+              : outcome(static_cast<JobOutcome::type>(0)),
+                started(0) {
   }
 
   virtual ~JobProgress() noexcept;
@@ -2205,6 +2207,7 @@
    * @see JobOutcome
    */
   JobOutcome::type outcome;
+  bool started;
 
   _JobProgress__isset __isset;
 
@@ -2212,12 +2215,16 @@
 
   void __set_outcome(const JobOutcome::type val);
 
+  void __set_started(const bool val);
+
   bool operator == (const JobProgress & rhs) const
   {
     if (!(marks == rhs.marks))
       return false;
     if (!(outcome == rhs.outcome))
       return false;
+    if (!(started == rhs.started))
+      return false;
     return true;
   }
   bool operator != (const JobProgress &rhs) const {
@@ -2442,12 +2449,13 @@
 std::ostream& operator<<(std::ostream& out, const OwnerPulse& obj);
 
 typedef struct _RunningTask__isset {
-  _RunningTask__isset() : task(false), run(false), checkpoint(false), progressPercent(false), usage(false) {}
+  _RunningTask__isset() : task(false), run(false), checkpoint(false), progressPercent(false), usage(false), acknowledgedPacePercent(false) {}
   bool task :1;
   bool run :1;
   bool checkpoint :1;
   bool progressPercent :1;
   bool usage :1;
+  bool acknowledgedPacePercent :1;
 } _RunningTask__isset;
 
 class RunningTask : public virtual ::apache::thrift::TBase {
@@ -2461,7 +2469,8 @@
               : run(0),
                 checkpoint(),
                 progressPercent(0),
-                usage(0) {
+                usage(0),
+                acknowledgedPacePercent(0) {
   }
 
   virtual ~RunningTask() noexcept;
@@ -2470,6 +2479,7 @@
   std::string checkpoint;
   int32_t progressPercent;
   int64_t usage;
+  int32_t acknowledgedPacePercent;
 
   _RunningTask__isset __isset;
 
@@ -2483,6 +2493,8 @@
 
   void __set_usage(const int64_t val);
 
+  void __set_acknowledgedPacePercent(const int32_t val);
+
   bool operator == (const RunningTask & rhs) const
   {
     if (!(task == rhs.task))
@@ -2495,6 +2507,10 @@
       return false;
     if (!(usage == rhs.usage))
       return false;
+    if (__isset.acknowledgedPacePercent != rhs.__isset.acknowledgedPacePercent)
+      return false;
+    else if (__isset.acknowledgedPacePercent && !(acknowledgedPacePercent == rhs.acknowledgedPacePercent))
+      return false;
     return true;
   }
   bool operator != (const RunningTask &rhs) const {
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -257,6 +257,8 @@
 struct JobProgress {
   1: list<TaskMark> marks
   2: JobOutcome outcome
+  // A host has shown that a task of the job started. Also implied by any mark.
+  3: bool started
 }
 
 // A host that has orders from the owner. Persisted before the first order is sent.
@@ -302,6 +304,8 @@
   3: string checkpoint
   4: i32 progressPercent
   5: i64 usage
+  // For a filler: the newest pace that the host has acknowledged to this process of its side. Absent if there is none.
+  6: optional i32 acknowledgedPacePercent
 }
 
 // The end of a run, listed by its host until the end is acknowledged. Numbers increase within an incarnation.
