--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -274,8 +274,7 @@
     sendReply(origin, answer, actions);
 }
 
-void JobOwner::replyWaitingCount(
-    Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
+void JobOwner::replyWaitingCount(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
 {
     Wire::JobReply answer;
     answer.kind = Wire::JobReplyKind::WaitingCount;
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -291,8 +291,8 @@
         addOccurrences(listedRun.task);
 }
 
-void RunTracker::recordStart(Instant now, const Host& host, const Wire::TaskName& task, HostRun* run,
-    StartEvidence evidence, Actions& actions)
+void RunTracker::recordStart(
+    Instant now, const Host& host, const Wire::TaskName& task, HostRun* run, StartEvidence evidence, Actions& actions)
 {
     JobState* job = m_state.findJob(task.jobId);
     if (job)
