Job: Count a job as started once a host has shown a start

Cause: TaskScheduler marked the job as started when it sent the order, and nothing took that back: not a refusal, not a void order, not a lost host.

A job now starts where a host shows it: the answer to the order, a listed run, a listed end, also late or of a run that is not wanted. The start is stored with the job's progress, so that a later owner shows the same state. `ordered` of waiting_count names the jobs whose start is ordered and not confirmed.

--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -278,17 +278,18 @@
 {
     Wire::JobReply answer;
     answer.kind = Wire::JobReplyKind::WaitingCount;
-    std::int64_t withoutShownStart = 0;
+    std::int64_t ordered = 0;
     for (const std::pair<const std::string, JobState*>& entry : m_state.openJobs) {
-        if (entry.second->definition().queue != call.queue)
+        const JobState& job = *entry.second;
+        if (job.definition().queue != call.queue || job.hasStarted())
             continue;
-        answer.waiting += entry.second->hasStarted() ? 0 : 1;
-        withoutShownStart += entry.second->isStartShown() ? 0 : 1;
+        ++answer.waiting;
+        ordered += job.hasRuns() ? 1 : 0;
     }
     actions.push_back(WriteLog { LogLine("waiting_count")
                                      .add("queue", call.queue)
                                      .add("waiting", answer.waiting)
-                                     .add("without_shown_start", withoutShownStart)
+                                     .add("ordered", ordered)
                                      .add("term", m_state.term)
                                      .add("pulse_age_ms", toMilliseconds(now - m_state.pulseConfirmedAt))
                                      .text() });
--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -159,6 +159,14 @@
     task.waitingSince = now;
 }
 
+bool JobState::hasRuns() const
+{
+    return std::any_of(m_steps.begin(), m_steps.end(), [](const StepState& step) {
+        return std::any_of(
+            step.tasks.begin(), step.tasks.end(), [](const TaskState& task) { return !task.runs.empty(); });
+    });
+}
+
 bool JobState::isCompleted() const
 {
     if (m_occurrencesAdded == 0 || m_occurrencesAdded < m_definition.occurrences)
@@ -191,6 +199,7 @@
 {
     Wire::JobProgress progress;
     progress.outcome = m_outcome;
+    progress.started = m_started;
     for (const StepState& step : m_steps) {
         for (std::size_t n = 0; n < step.tasks.size(); ++n) {
             const TaskState& task = step.tasks[n];
@@ -213,6 +222,8 @@
 {
     addDueOccurrences(now, unixMilliseconds);
     m_outcome = progress.outcome;
+    // A mark records the end of a run. Records of earlier versions hold marks alone.
+    m_started = progress.started || !progress.marks.empty();
     for (const Wire::TaskMark& mark : progress.marks) {
         addOccurrencesUpTo(now, mark.occurrence);
         StepState* step = findStep(mark.occurrence, mark.step);
@@ -223,8 +234,6 @@
         for (const int run : mark.failedRuns)
             task.lastRun = std::max(task.lastRun, run);
         task.checkpoint = mark.checkpoint;
-        m_started = true;
-        m_startShown = true;
         if (!mark.completed)
             continue;
         task.completed = true;
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -67,7 +67,7 @@
     Instant due;
     /// Sum of estimates along the critical path from the start of this step to the end of the occurrence.
     Duration remainingCriticalPath {};
-    /// When the step became open or this term began, and when the newest start of this term was confirmed.
+    /// When the step became open or this term began, and when the newest of its confirmed starts was ordered.
     Instant openedAt;
     Instant lastStartedAt;
     /// Number of runs of this term whose start was confirmed.
@@ -89,11 +89,11 @@
     Wire::JobOutcome::type outcome() const { return m_outcome; }
     void setOutcome(Wire::JobOutcome::type outcome) { m_outcome = outcome; }
     bool isOpen() const { return m_outcome == Wire::JobOutcome::Open; }
+    /// A host has shown that a task of the job started; see RunTracker::recordStart(). Stays true when the run is lost.
     bool hasStarted() const { return m_started; }
-    void markStarted() { m_started = true; }
-    /// A host has shown that a task of the job started; see RunTracker::recordStart().
-    bool isStartShown() const { return m_startShown; }
-    void recordStart() { m_startShown = true; }
+    void recordStart() { m_started = true; }
+    /// A start of one of its tasks is ordered, or a task runs.
+    bool hasRuns() const;
     Instant accepted() const { return m_accepted; }
 
     /// Adds the occurrences that are due. Returns true if any were added.
@@ -135,7 +135,6 @@
     Wire::JobDefinition m_definition;
     Wire::JobOutcome::type m_outcome = Wire::JobOutcome::Open;
     bool m_started = false;
-    bool m_startShown = false;
     Instant m_accepted;
     std::int64_t m_acceptedUnixMilliseconds;
     int m_occurrencesAdded = 0;
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -172,7 +172,7 @@
     {
         int count = 0;
         for (const std::pair<const std::string, JobState*>& entry : openJobs)
-            count += entry.second->isStartShown() ? 0 : 1;
+            count += entry.second->hasStarted() ? 0 : 1;
         return count;
     }
 
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -295,14 +295,18 @@
     Instant now, const Host& host, const Wire::TaskName& task, HostRun* run, StartEvidence evidence, Actions& actions)
 {
     JobState* job = m_state.findJob(task.jobId);
-    if (job)
+    if (job && !job->hasStarted()) {
         job->recordStart();
+        // A later owner shows the same state, even if the run and its host are lost meanwhile.
+        if (job->isOpen())
+            m_state.markDirty(now, task.jobId, false);
+    }
     if (!run || !run->isStartUnconfirmed())
         return;
     run->startConfirmedAt = now;
     ++m_state.counters.started;
     if (StepState* step = job ? job->findStep(task.occurrence, task.step) : nullptr) {
-        step->lastStartedAt = now;
+        step->lastStartedAt = std::max(step->lastStartedAt, run->placedAt);
         ++step->startedRuns;
     }
     LogLine line("run_started");
@@ -430,7 +434,6 @@
         --step->waitingTasks;
     task->runs.push_back(RunPlace { host.hostId, listedRun.run, now });
     task->lastRun = std::max(task->lastRun, listedRun.run);
-    job->markStarted();
     haltIfEndMayBeLost(host, added, actions);
 }
 
--- a/Source/Decision/Job/RunTracker.h
+++ b/Source/Decision/Job/RunTracker.h
@@ -47,7 +47,6 @@
         SupersededRun,
     };
 
-
     /// How a host shows that a run started.
     enum class StartEvidence {
         /// The answer to the order.
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -388,7 +388,6 @@
     }
     order.percent = hostRun.orderedPacePercent;
     HostRegistry::addRun(host, std::move(hostRun));
-    job.markStarted();
     if (!step.roomExpectedUntil.empty())
         step.roomExpectedUntil.erase(step.roomExpectedUntil.begin());
     ++m_state.counters.orderedStarts;
