--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -43,7 +43,8 @@
         return m_fenced || m_runTracker.isFenced() || m_state.fencesUsedUp || m_state.runNumbersUsedUp;
     }
     /// Everything that was recorded before scheduling stopped is persisted and answered. Later progress needs no wait:
-    /// an end of a run is not acknowledged before it is persisted, so its host lists it to the next owner again.
+    /// an end of a run is not acknowledged before it is persisted, so its host lists it to the next owner again. So
+    /// does the host of a run whose start was shown since.
     bool isReadyToHandOver() const
     {
         return m_lastWriteBeforeHandOver && *m_lastWriteBeforeHandOver <= m_state.storeWriter.storedSequenceNumber();
--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -162,8 +162,7 @@
 bool JobState::hasRuns() const
 {
     return std::any_of(m_steps.begin(), m_steps.end(), [](const StepState& step) {
-        return std::any_of(
-            step.tasks.begin(), step.tasks.end(), [](const TaskState& task) { return !task.runs.empty(); });
+        return step.waitingTasks + step.completedTasks < static_cast<int>(step.tasks.size());
     });
 }
 
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -297,6 +297,12 @@
     JobState* job = m_state.findJob(task.jobId);
     if (job && !job->hasStarted()) {
         job->recordStart();
+        actions.push_back(WriteLog { LogLine("job_started")
+                                         .add("job", task.jobId)
+                                         .add("host", host.hostId)
+                                         .add("shown_by", nameIn(startEvidenceNames, evidence))
+                                         .add("after_ms", toMilliseconds(now - job->accepted()))
+                                         .text() });
         // A later owner shows the same state, even if the run and its host are lost meanwhile.
         if (job->isOpen())
             m_state.markDirty(now, task.jobId, false);
--- a/Tests/Unit/StartEvidenceTest.cpp
+++ b/Tests/Unit/StartEvidenceTest.cpp
@@ -16,6 +16,9 @@
     CPPUNIT_TEST(anAnswerShowsThatAJobHasStarted);
     CPPUNIT_TEST(aListedRunShowsThatAJobHasStarted);
     CPPUNIT_TEST(aListedEndShowsThatAJobHasStarted);
+    CPPUNIT_TEST(anEndIsAcknowledgedOnceItsStartIsStored);
+    CPPUNIT_TEST(anOrderToAFormerLifeIsNoStartUntilTheNextLifeListsIt);
+    CPPUNIT_TEST(aStartIsStoredOnceAndNotAfterTheOutcome);
     CPPUNIT_TEST(aLateAnswerShowsThatAJobHasStarted);
     CPPUNIT_TEST(anUnwantedRunShowsThatItsJobHasStarted);
     CPPUNIT_TEST(aStartedJobStaysStartedAfterItsHostIsLost);
@@ -127,7 +130,7 @@
         assertWaiting(harness, 380);
     }
 
-    // Guards against a change of owner that turns an order into a start.
+    // Guards against a next owner that takes its own order for a start.
     void aNextOwnerCountsAnOrderedJobAsWaiting()
     {
         OwnerHarness first;
@@ -148,6 +151,7 @@
     {
         OwnerHarness harness;
         orderStart(harness);
+        assertWaiting(harness, 130);
         deliverResult(harness, 130, m_task, 1, Wire::OrderOutcome::Started);
         assertStarted(harness, 140);
     }
@@ -157,6 +161,7 @@
     {
         OwnerHarness harness;
         orderStart(harness);
+        assertWaiting(harness, 130);
         Wire::HostReport report = makeReport("host-1", 1, 300);
         report.running.push_back(makeRunningTask(m_task, 1));
         harness.announceAndReport(300, report);
@@ -168,12 +173,80 @@
     {
         OwnerHarness harness;
         orderStart(harness);
+        assertWaiting(harness, 130);
         Wire::HostReport report = makeReport("host-1", 1, 300);
         report.ended.push_back(makeEndedTask(1, m_task, 1, Wire::RunEnd::Stopped));
         harness.announceAndReport(300, report);
         assertStarted(harness, 310);
     }
 
+    // Guards against an end that its host forgets before the start is stored: a later owner would show the job as
+    // queued.
+    void anEndIsAcknowledgedOnceItsStartIsStored()
+    {
+        OwnerHarness harness;
+        orderStart(harness);
+        harness.storeUnavailable = true;
+        Wire::HostReport report = makeReport("host-1", 1, 300);
+        report.ended.push_back(makeEndedTask(1, m_task, 1, Wire::RunEnd::Stopped));
+        harness.announceAndReport(300, report);
+        harness.settle(310);
+        harness.settle(370);
+        for (const Wire::HostOrders& orders : harness.sentOrders)
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(0), orders.acknowledgedNumber);
+        harness.storeUnavailable = false;
+        harness.settle(500);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), harness.sentOrders.back().acknowledgedNumber);
+        OwnerHarness next(3);
+        next.owner.loadRecords(harness.storedRecords);
+        Actions actions;
+        next.owner.finishLoad(at(1000), 1000, at(10'000), actions);
+        assertStarted(next, 1010);
+    }
+
+    // Guards against an order of a former life that counts as a start of the next one before that life lists the run.
+    void anOrderToAFormerLifeIsNoStartUntilTheNextLifeListsIt()
+    {
+        OwnerHarness harness;
+        orderStart(harness);
+        harness.announceAndReport(300, makeReport("host-1", 2, 20));
+        assertWaiting(harness, 310);
+        Wire::HostReport late = makeReport("host-1", 2, 50);
+        late.running.push_back(makeRunningTask(m_task, 1));
+        harness.announceAndReport(320, late);
+        assertStarted(harness, 330);
+    }
+
+    // Guards against evidence that writes progress again, or over the outcome of a job that was cancelled meanwhile.
+    void aStartIsStoredOnceAndNotAfterTheOutcome()
+    {
+        const auto progressRecords = [this](const OwnerHarness& harness) {
+            return std::count_if(harness.storedRecords.begin(), harness.storedRecords.end(),
+                [this](const StoreRecord& record) { return record.key == StoreKey::progress(m_job.jobId); });
+        };
+        OwnerHarness started;
+        orderStart(started);
+        for (int now = 300; now < 900; now += 200) {
+            Wire::HostReport report = makeReport("host-1", 1, now);
+            report.running.push_back(makeRunningTask(m_task, 1));
+            started.announceAndReport(now, report);
+            started.settle(now + 10);
+            started.settle(now + 70);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), std::ptrdiff_t(progressRecords(started)));
+        OwnerHarness cancelled;
+        orderStart(cancelled);
+        cancelled.sendCall(130, Wire::JobCallKind::Cancel, m_job);
+        cancelled.settle(140);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), std::ptrdiff_t(progressRecords(cancelled)));
+        deliverResult(cancelled, 300, m_task, 1, Wire::OrderOutcome::Started);
+        cancelled.settle(310);
+        cancelled.settle(370);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), std::ptrdiff_t(progressRecords(cancelled)));
+        CPPUNIT_ASSERT_EQUAL(
+            Wire::JobPhase::Cancelled, cancelled.sendCall(450, Wire::JobCallKind::Status, m_job).phase);
+    }
+
     // Guards against an answer that is ignored because its run was given up before it arrived.
     void aLateAnswerShowsThatAJobHasStarted()
     {
@@ -183,15 +256,17 @@
         for (int now = 300; now < 9000; now += 100)
             harness.tick(now);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1), harness.owner.state().counters.lostRuns);
+        assertWaiting(harness, 9000);
         deliverResult(harness, 9000, m_task, 1, Wire::OrderOutcome::Started);
         assertStarted(harness, 9010);
     }
 
-    // Guards against a count that omits what an earlier owner has started: a run that is listed, but not wanted.
+    // Guards against a started job that is counted as waiting because the listed run is not wanted.
     void anUnwantedRunShowsThatItsJobHasStarted()
     {
         OwnerHarness harness;
         orderStart(harness);
+        assertWaiting(harness, 130);
         Wire::HostReport report = makeReport("host-2", 1, 300);
         report.running.push_back(makeRunningTask(m_task, 4));
         harness.announceAndReport(300, report, testLink + 1);
