Tests: Compare answers to clients with what hosts began, in histories

RunHistoryTest and the histories of OrderSimulation checked runs and final states only, so a job that was counted as started when its start was ordered broke no check. JobAnswerCheck asks the newest owner for the count of waiting jobs (at each step that may show too low a count) and for the states of open jobs (every tenth step) and compares them with the runs that the hosts carried out:

- the count is not lower than the number of accepted jobs of which no host has begun a task;
- no job is shown as started that no host has begun;
- no job goes back from running to queued under one owner, nor under a later one if an earlier owner had acted for 1 s with the store available;
- once the faults are over and every host is listed, no job is shown as queued more than 2 s after a listed host has run a task of it, and the count is not higher than the number of jobs shown as queued.

--- a/Tests/Support/OrderSimulation.cpp
+++ b/Tests/Support/OrderSimulation.cpp
@@ -24,6 +24,8 @@
     constexpr int minimumRestartMilliseconds = 150;
     constexpr int callTimeoutMilliseconds = 700;
     constexpr int listMarginMilliseconds = 900;
+    /// The longest delay of a message to or from a side that is reachable and not slow.
+    constexpr int ordinaryDelayMilliseconds = 8;
     constexpr int unlimitedMilliseconds = 1'000'000'000;
 
     std::string describe(const RunRecord& record)
@@ -164,6 +166,7 @@
     Actions actions;
     model.owner->onCall(
         at(m_now), CallOrigin { noLink, m_jobs.size() }, makeCall(Wire::JobCallKind::Submit, job), actions);
+    m_answerCheck.onSubmit(m_jobs.size(), job);
     m_jobs.push_back(job);
     performOwner(model.term, std::move(actions));
 }
@@ -231,10 +234,12 @@
     stepUntil(m_now + intervalMilliseconds);
     Wire::StepDefinition lasting = makeStep(static_cast<int>(m_sides.size()), 500, 300);
     lasting.longRunning = true;
+    const std::uint64_t number = m_jobs.size();
     m_jobs.push_back(makeJob("lasting-0", { lasting }));
+    m_answerCheck.onSubmit(number, m_jobs.back());
     Actions actions;
     m_owners.back().owner->onCall(
-        at(m_now), CallOrigin { noLink, 1 }, makeCall(Wire::JobCallKind::Submit, m_jobs.back()), actions);
+        at(m_now), CallOrigin { noLink, number }, makeCall(Wire::JobCallKind::Submit, m_jobs.back()), actions);
     performOwner(m_owners.back().term, std::move(actions));
     stepUntil(m_now + intervalMilliseconds);
     for (int n = 0; n < count; ++n) {
@@ -472,6 +477,32 @@
     std::erase_if(m_owners, [](const OwnerModel& model) { return model.owner->isFenced(); });
     if (m_owners.empty())
         changeOwner();
+    checkAnswers();
+}
+
+bool OrderSimulation::holdsBackMessages() const
+{
+    return std::any_of(
+        m_connections.begin(), m_connections.end(), [this](const std::pair<const LinkId, Connection>& it) {
+            const Connection& connection = it.second;
+            return !connection.closed
+                && std::max(connection.lastToOwner, connection.lastToSide) > m_now + ordinaryDelayMilliseconds;
+        });
+}
+
+void OrderSimulation::checkAnswers()
+{
+    OwnerModel& model = m_owners.back();
+    if (model.term != m_lastTerm || m_now < model.frozenUntil)
+        return;
+    OwnerConditions conditions;
+    conditions.now = m_now;
+    conditions.term = model.term;
+    conditions.isStoreAvailable = m_now >= m_storeUnavailableUntil;
+    conditions.hasListedAllHosts = m_faultFree && !holdsBackMessages()
+        && std::all_of(
+            m_sides.begin(), m_sides.end(), [this](const Side& side) { return side.hostUp && findListedHost(side); });
+    m_answerCheck.check(*model.owner, conditions);
 }
 
 OrderSimulation::OwnerModel* OrderSimulation::findOwner(std::int64_t term)
@@ -863,6 +894,8 @@
             sendToSide(send->link, std::move(send->message));
         } else if (const CloseLink* order = std::get_if<CloseLink>(&action)) {
             closeByOwner(order->link);
+        } else if (const AnswerJobCall* answer = std::get_if<AnswerJobCall>(&action)) {
+            m_answerCheck.onAnswer(*answer);
         }
     }
 }
@@ -871,7 +904,7 @@
 
 std::vector<std::string> OrderSimulation::violations() const
 {
-    std::vector<std::string> violations;
+    std::vector<std::string> violations = m_answerCheck.violations();
     for (const RunRecord& record : m_records)
         checkStart(record, violations);
     for (const Wire::JobDefinition& job : m_jobs)
--- a/Tests/Support/OrderSimulation.h
+++ b/Tests/Support/OrderSimulation.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Decision/Process/HostAgent.h"
+#include "Support/JobAnswerCheck.h"
 #include "Support/JobFixture.h"
 #include "Support/VirtualHost.h"
 #include "Support/VirtualStore.h"
@@ -47,7 +48,7 @@
     /// Simulates hand-overs without other faults. While the sides have no owner, a third of the hosts leaves by plan
     /// and others take their place. Returns the longest time for which a long-running task had no run.
     int runHandOvers(int count);
-    /// Violations of the guarantees for runs and jobs, one sentence each.
+    /// Violations of the guarantees for runs and jobs and for answers to clients, one sentence each.
     std::vector<std::string> violations() const;
     /// Hosts that the newest owner has not listed, one sentence each.
     std::vector<std::string> unlistedHosts() const;
@@ -150,6 +151,10 @@
     static HostDescription describeHost(const VirtualHost& host);
     void stepHost(std::size_t n);
     void stepOwner(OwnerModel& model);
+    /// Whether an open connection still delays messages because of a fault that is over.
+    bool holdsBackMessages() const;
+    /// Checks what the newest owner answers to clients, unless it is frozen.
+    void checkAnswers();
     OwnerModel* findOwner(std::int64_t term);
     std::vector<StoreRecord> newestRecords();
 
@@ -217,6 +222,7 @@
     std::map<LinkId, Connection> m_connections;
     std::multimap<int, std::function<void()>> m_events;
     std::vector<Wire::JobDefinition> m_jobs;
+    JobAnswerCheck m_answerCheck { m_records };
 };
 
 /// Runs histories with the seeds from 1 to defaultHistories and returns the violations, one line each. The environment
--- a/Tests/Unit/RunHistoryTest.cpp
+++ b/Tests/Unit/RunHistoryTest.cpp
@@ -1,7 +1,8 @@
 /// Tests the real JobOwner in random histories: tasks fail, owners are replaced while former owners continue, hosts
 /// crash or become unreachable, and the store becomes unavailable. The checks use the runs that the hosts
-/// carried out and the final state of the jobs.
+/// carried out, the answers to clients at every step and the final state of the jobs.
 #include "Support/HistorySeeds.h"
+#include "Support/JobAnswerCheck.h"
 #include "Support/JobFixture.h"
 #include "Support/VirtualHost.h"
 #include "Support/VirtualStore.h"
@@ -81,7 +82,7 @@
 
     std::vector<std::string> violations() const
     {
-        std::vector<std::string> violations;
+        std::vector<std::string> violations = m_answerCheck.violations();
         for (const RunRecord& record : m_records)
             checkStart(record, violations);
         for (const Wire::JobDefinition& job : m_jobs)
@@ -102,6 +103,7 @@
         Actions actions;
         m_owners.back().owner->onCall(
             at(m_now), CallOrigin { noLink, m_jobs.size() }, makeCall(Wire::JobCallKind::Submit, job), actions);
+        m_answerCheck.onSubmit(m_jobs.size(), job);
         m_jobs.push_back(job);
         perform(m_owners.back().term, actions);
     }
@@ -150,6 +152,22 @@
         const bool newestIsFenced = m_owners.back().owner->isFenced();
         CPPUNIT_ASSERT_MESSAGE("the newest owner is not fenced", !newestIsFenced);
         std::erase_if(m_owners, [](const OwnerModel& model) { return model.owner->isFenced(); });
+        OwnerConditions conditions;
+        conditions.now = m_now;
+        conditions.term = m_owners.back().term;
+        conditions.isStoreAvailable = m_now >= m_storeUnavailableUntil;
+        conditions.hasListedAllHosts = m_faultFree && hasListedAllHosts();
+        m_answerCheck.check(*m_owners.back().owner, conditions);
+    }
+
+    bool hasListedAllHosts() const
+    {
+        const std::map<std::string, Host>& known = m_owners.back().owner->state().hosts.hosts();
+        return std::all_of(m_hosts.begin(), m_hosts.end(), [&known](const std::unique_ptr<VirtualHost>& host) {
+            const std::map<std::string, Host>::const_iterator it = known.find(host->hostId());
+            return it != known.end() && it->second.incarnation == host->incarnation() && it->second.link != noLink
+                && it->second.listed;
+        });
     }
 
     void storePendingAppend(OwnerModel& model)
@@ -237,6 +255,8 @@
             for (const WriteLog& line : actionsOf<WriteLog>(actions))
                 std::cout << m_now << " term " << term << " " << line.line << "\n";
         }
+        for (const AnswerJobCall& answer : actionsOf<AnswerJobCall>(actions))
+            m_answerCheck.onAnswer(answer);
         for (const SendMessage& send : actionsOf<SendMessage>(actions)) {
             const Wire::HostOrders* orders = std::get_if<Wire::HostOrders>(&send.message);
             for (std::size_t n = 0; orders && n < m_sides.size(); ++n) {
@@ -359,6 +379,7 @@
     std::vector<SideModel> m_sides;
     std::vector<OwnerModel> m_owners;
     std::vector<Wire::JobDefinition> m_jobs;
+    JobAnswerCheck m_answerCheck { m_records };
 };
 
 } // namespace
@@ -369,7 +390,8 @@
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against ends of runs that are reported but not counted. They cause starts beyond the permitted attempts,
-    // starts after or beside a completed run, and jobs that stay open or have a wrong outcome.
+    // starts after or beside a completed run, and jobs that stay open or have a wrong outcome. Also guards against
+    // answers to clients that take a start that was ordered for one that a host has carried out.
     void attemptsAreCountedAcrossOwnerChanges()
     {
         const HistorySeeds seeds = historySeeds(300);
