Tests: Let the soak ask for the number of waiting jobs

No client of the soak asked for it, and a state "running" was not judged. RunAudit judges the answers of entries in touch: too few, if accepted jobs of which no host has started a task are missing 5 s after their acceptance; too many, from 3 s after the hosts are listed again at the end of the faults, if jobs count that started over 3 s before. A job shown as running without a start is reported at any entry. The summary states how many counts were judged.

--- a/Tests/Soak/RunAudit.cpp
+++ b/Tests/Soak/RunAudit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <utility>
 
 namespace Plantainpier {
 
@@ -101,7 +102,9 @@
 void RunAudit::onCancelAcknowledged(const std::string& jobId)
 {
     const Guard guard(m_mutex);
-    m_jobs[jobId].cancelled = true;
+    JobRecord& job = m_jobs[jobId];
+    job.cancelled = true;
+    job.stopWaiting(m_clock());
     write("cancelled " + jobId);
 }
 
@@ -138,6 +141,14 @@
 
 bool RunAudit::hadRoom(const std::optional<SteadyTime>& since) const { return since && m_clock() - *since >= roomTime; }
 
+void RunAudit::onReportedRunning(const std::string& jobId)
+{
+    const Guard guard(m_mutex);
+    JobRecord& job = m_jobs[jobId];
+    if (!job.started && !std::exchange(job.reportedTooEarly, true))
+        addViolation("MIXED: " + jobId + " is reported as running although no host has started a task of it");
+}
+
 void RunAudit::onReportedCompleted(const std::string& jobId)
 {
     const Guard guard(m_mutex);
@@ -145,6 +156,7 @@
     if (job.reportedFinished)
         return;
     job.reportedFinished = true;
+    job.stopWaiting(m_clock());
     write("completed " + jobId);
     if (job.job.longRunning)
         addViolation("MIXED: " + jobId + " is long-running and is reported as completed");
@@ -165,6 +177,7 @@
         return;
     job.reportedFinished = true;
     job.cancelled = true;
+    job.stopWaiting(m_clock());
     write("failed " + jobId);
     bool hasExhaustedTask = false;
     for (std::map<SoakTask, TaskRecord>::const_iterator it = m_tasks.lower_bound(SoakTask { jobId, 0, 0 });
@@ -180,6 +193,7 @@
     const Guard guard(m_mutex);
     JobRecord& job = m_jobs[jobId];
     job.cancelled = true;
+    job.stopWaiting(m_clock());
     if (!job.cancelRequested)
         addViolation("LOST: " + jobId + " is reported as cancelled although no client requested that");
 }
@@ -199,6 +213,8 @@
     }
     JobRecord& job = it->second;
     job.started = true;
+    if (m_hostsListedAt)
+        job.stopWaiting(m_clock());
     if (payload != job.job.payload)
         addViolation("UNASKED", task, "was started with a payload other than its job's");
     if (job.refused)
@@ -292,6 +308,41 @@
     }
 }
 
+void RunAudit::onHostsListed()
+{
+    const Guard guard(m_mutex);
+    m_hostsListedAt = m_clock();
+    for (const std::pair<const SoakTask, TaskRecord>& entry : m_tasks) {
+        if (!entry.second.running.empty())
+            m_jobs[entry.first.jobId].stopWaiting(*m_hostsListedAt);
+    }
+}
+
+void RunAudit::onWaitingCount(const std::string& entry, SteadyTime sentAt, std::int64_t waiting)
+{
+    const Guard guard(m_mutex);
+    std::int64_t mustWait = 0;
+    std::int64_t mayWait = 0;
+    for (const std::pair<const std::string, JobRecord>& pair : m_jobs) {
+        const JobRecord& job = pair.second;
+        const bool hasEnded = job.cancelRequested || job.cancelled || job.reportedFinished;
+        const bool isVisible = job.accepted && sentAt - job.acceptedAt > visibleTime + waitingCountAge;
+        const bool isKnownNotToWait
+            = job.notWaitingSince && sentAt - *job.notWaitingSince > waitingCountAge + reportTime;
+        mustWait += isVisible && !job.started && !hasEnded ? 1 : 0;
+        mayWait += !job.refused && !isKnownNotToWait ? 1 : 0;
+    }
+    const std::string text = entry + " says that " + std::to_string(waiting) + " jobs wait; ";
+    ++m_waitingCounts;
+    if (waiting < mustWait)
+        addViolation("MIXED: " + text + "no task of " + std::to_string(mustWait) + " has been started");
+    if (!m_hostsListedAt || sentAt - *m_hostsListedAt <= waitingCountAge + reportTime)
+        return;
+    ++m_waitingCountsAfterFaults;
+    if (waiting > mayWait)
+        addViolation("MIXED: " + text + "all but " + std::to_string(mayWait) + " have been started or have ended");
+}
+
 std::vector<std::string> RunAudit::violations() const
 {
     const Guard guard(m_mutex);
@@ -313,6 +364,18 @@
     return count;
 }
 
+std::size_t RunAudit::waitingCounts() const
+{
+    const Guard guard(m_mutex);
+    return m_waitingCounts;
+}
+
+std::size_t RunAudit::waitingCountsAfterFaults() const
+{
+    const Guard guard(m_mutex);
+    return m_waitingCountsAfterFaults;
+}
+
 std::vector<std::string> RunAudit::unfinishedJobs() const
 {
     const Guard guard(m_mutex);
--- a/Tests/Soak/RunAudit.h
+++ b/Tests/Soak/RunAudit.h
@@ -58,6 +58,9 @@
     /// Time after its acceptance from which every entry must know a job, and time for which it must.
     static constexpr std::chrono::seconds visibleTime { 3 };
     static constexpr std::chrono::seconds statusTime { 120 };
+    /// Age that a count of waiting jobs may have, and time in which a start is reported and an answer delivered.
+    static constexpr std::chrono::seconds waitingCountAge { 2 };
+    static constexpr std::chrono::seconds reportTime { 1 };
     /// Time after its acceptance, or after the end of the traffic, from which a job must not stand still.
     static constexpr std::chrono::seconds finishTime { 14 };
 
@@ -80,9 +83,14 @@
     void onRefused(const std::string& jobId);
     void onCancelRequested(const std::string& jobId);
     void onCancelAcknowledged(const std::string& jobId);
+    void onReportedRunning(const std::string& jobId);
     void onReportedCompleted(const std::string& jobId);
     void onReportedFailed(const std::string& jobId);
     void onReportedCancelled(const std::string& jobId);
+    /// The faults are over: the owner of the jobs has listed every host and gets reports of all starts.
+    void onHostsListed();
+    /// An entry in touch answered a request, sent at this time, for the number of waiting jobs.
+    void onWaitingCount(const std::string& entry, SteadyTime sentAt, std::int64_t waiting);
 
     /// A host started the run. The incarnation is that of the host; the origin describes an order that was executed
     /// without an answer or late, and is empty otherwise.
@@ -100,6 +108,9 @@
     std::vector<std::string> violations() const;
     std::size_t startCount() const;
     std::size_t acceptedCount() const;
+    std::size_t waitingCounts() const;
+    /// Those that were also checked for jobs that no longer wait.
+    std::size_t waitingCountsAfterFaults() const;
     /// Accepted jobs that are neither cancelled nor reported as completed or failed; without long-running jobs.
     std::vector<std::string> unfinishedJobs() const;
     /// Accepted long-running jobs whose cancellation has not been requested.
@@ -154,6 +165,10 @@
         bool reportedFinished = false;
         bool started = false;
         bool missed = false;
+        bool reportedTooEarly = false;
+        /// Since when the owner of the jobs can know that the job does not wait.
+        std::optional<SteadyTime> notWaitingSince;
+        void stopWaiting(SteadyTime now) { notWaitingSince = notWaitingSince.value_or(now); }
         bool mustKeepRunning() const { return job.longRunning && accepted && !cancelRequested && !cancelled; }
     };
 
@@ -183,6 +198,10 @@
     std::map<SoakTask, TaskRecord> m_tasks;
     std::vector<std::string> m_violations;
     std::size_t m_startCount = 0;
+    /// Since when every start is reported to the owner of the jobs.
+    std::optional<SteadyTime> m_hostsListedAt;
+    std::size_t m_waitingCounts = 0;
+    std::size_t m_waitingCountsAfterFaults = 0;
     std::size_t m_lastSequenceNumber = 0;
 };
 
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -669,9 +669,26 @@
         const std::vector<std::string> jobs = m_audit.knownJobs();
         if (!jobs.empty())
             pollJobStatus(entry, jobs[random() % jobs.size()]);
+        pollWaitingCount(entry);
     }
 }
 
+void Soak::pollWaitingCount(int entry)
+{
+    if (m_stopping)
+        return;
+    const SteadyTime sentAt = SteadyClock::now();
+    const HttpResponse response = call(entry, "GET", {}, {});
+    if (response.kind != HttpResponse::Kind::Answered || response.status != 200 || !isInTouch(entry))
+        return;
+    const std::string name = "entry-" + std::to_string(entry);
+    const Json body = Json::parse(response.body, nullptr, false);
+    if (!body.is_object() || !body.contains("waiting") || !body["waiting"].is_number_integer())
+        m_audit.reportViolation("MIXED: the count of " + name + " cannot be read: " + response.body);
+    else
+        m_audit.onWaitingCount(name, sentAt, body["waiting"].get<std::int64_t>());
+}
+
 void Soak::pollJobStatus(int entry, const std::string& jobId)
 {
     if (m_stopping)
@@ -692,7 +709,9 @@
     }
     const Json body = Json::parse(response.body, nullptr, false);
     const std::string state = body.is_object() ? body.value("state", std::string()) : std::string();
-    if (state == "completed")
+    if (state == "running")
+        m_audit.onReportedRunning(jobId);
+    else if (state == "completed")
         m_audit.onReportedCompleted(jobId);
     else if (state == "failed")
         m_audit.onReportedFailed(jobId);
@@ -802,9 +821,14 @@
         / (m_hosts.size() * static_cast<std::size_t>(RunAudit::placesPerHost));
     const SteadyTime latestEnd = startedAt + work + 2 * m_options.settleLimit;
     SteadyClock::duration timeWithRoom {};
+    bool hostsListed = false;
     for (SteadyTime now = startedAt; timeWithRoom < m_options.settleLimit && now < latestEnd;) {
         const bool isCalm = now >= startedAt + minimumSettleTime + calmTime;
         m_audit.checkLongRunningTasks(isCalm);
+        if (!hostsListed && now >= startedAt + calmTime) {
+            m_audit.onHostsListed();
+            hostsListed = true;
+        }
         if (now >= startedAt + minimumSettleTime && isSettled())
             break;
         if (isCalm)
@@ -835,8 +859,10 @@
     std::string text = "seed " + std::to_string(m_options.seed) + ": " + std::to_string(m_audit.acceptedCount())
         + " jobs accepted, " + std::to_string(m_audit.startCount()) + " starts, long-running tasks: "
         + std::to_string(m_longRunningTasks.first) + " judged, " + std::to_string(m_longRunningTasks.second)
-        + " not judged, states asked under traffic: " + std::to_string(m_statesInTouch) + " of entries in touch, "
-        + std::to_string(m_statesOutOfTouch) + " of others, ";
+        + " not judged, waiting counts: " + std::to_string(m_audit.waitingCounts()) + " judged, "
+        + std::to_string(m_audit.waitingCountsAfterFaults())
+        + " of them after the faults, states asked under traffic: " + std::to_string(m_statesInTouch)
+        + " of entries in touch, " + std::to_string(m_statesOutOfTouch) + " of others, ";
     if (m_plannedStopCount > 0)
         text += std::to_string(m_plannedStopCount) + " planned stops: " + std::to_string(m_answeredAroundStops)
             + " requests answered, " + std::to_string(m_cutUnreadAroundStops) + " cut unread, ";
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -108,6 +108,7 @@
     void cancelJob(std::mt19937& random, const std::string& jobId);
     void pollJobStatus(std::mt19937& random);
     void pollJobStatus(int entry, const std::string& jobId);
+    void pollWaitingCount(int entry);
     /// An entry is in touch while, for contactTime, neither its process, its connection to the store nor the store has
     /// been disrupted.
     bool isInTouch(int entry) const;
@@ -115,7 +116,7 @@
     void endDisruption(const Node& node);
     Contact& storeContact() { return m_contacts.back(); }
     void changeDisruptions(Contact& contact, int change);
-    /// Asks one entry for the states of accepted jobs, at any time of the run.
+    /// Asks one entry for the states of accepted jobs and the number of waiting ones, at any time of the run.
     void statusLoop(int entry);
     bool isSettled() const;
     /// Stops entries as planned, with nothing else near, while clients submit jobs and ask for them.
--- a/Tests/Unit/RunAuditTest.cpp
+++ b/Tests/Unit/RunAuditTest.cpp
@@ -1,5 +1,5 @@
-/// Tests RunAudit, the soak's judge: what it reports as lost, and that it does not ask for what the hosts have no room
-/// for.
+/// Tests RunAudit, the soak's judge: what it reports as lost, that it does not ask for what the hosts have no room for,
+/// and which counts and states of jobs it takes for wrong.
 #include "Soak/RunAudit.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -18,6 +18,11 @@
     CPPUNIT_TEST(aJobThatStandsStillIsReported);
     CPPUNIT_TEST(aJobOnBusyHostsIsNotJudged);
     CPPUNIT_TEST(aJobThatFailsWithoutCauseIsReported);
+    CPPUNIT_TEST(aCountMustHoldJobsWithoutStart);
+    CPPUNIT_TEST(aCountNeedNotHoldNewOrEndedJobs);
+    CPPUNIT_TEST(aCountMustNotHoldStartedJobsAfterTheFaults);
+    CPPUNIT_TEST(aCountMayHoldJobsWhoseStartIsNotKnown);
+    CPPUNIT_TEST(aJobWithoutStartMustNotBeReportedAsRunning);
     CPPUNIT_TEST_SUITE_END();
 
     const std::string m_longRunning = "long-running";
@@ -228,5 +233,123 @@
         }
         assertCounts(1, 0, 0);
     }
+
+    /// An entry answers at once that this number of jobs waits.
+    void answerWaiting(std::int64_t waiting) { m_audit.onWaitingCount("entry-0", m_now, waiting); }
+    void assertMixed(std::size_t mixed) const
+    {
+        CPPUNIT_ASSERT_EQUAL(mixed, violations("MIXED"));
+        CPPUNIT_ASSERT_EQUAL(mixed, m_audit.violations().size());
+    }
+    static constexpr std::chrono::milliseconds lowerBoundTime = RunAudit::visibleTime + RunAudit::waitingCountAge;
+    static constexpr std::chrono::milliseconds upperBoundTime = RunAudit::waitingCountAge + RunAudit::reportTime;
+    static constexpr std::chrono::milliseconds moment { 1 };
+
+    // Guards against counts without jobs whose start was ordered and not carried out.
+    void aCountMustHoldJobsWithoutStart()
+    {
+        m_audit.onIncarnationStarted(m_host);
+        for (const std::string& jobId : { std::string("a"), std::string("b"), std::string("c") })
+            accept(jobId);
+        start("c");
+        wait(lowerBoundTime + moment);
+        answerWaiting(2);
+        answerWaiting(3);
+        assertMixed(0);
+        answerWaiting(1);
+        assertMixed(1);
+        start("a");
+        answerWaiting(1);
+        assertMixed(1);
+        answerWaiting(0);
+        assertMixed(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), m_audit.waitingCounts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_audit.waitingCountsAfterFaults());
+    }
+
+    // Guards against reports of counts that are as old as they may be, or without jobs that have ended or were refused.
+    void aCountNeedNotHoldNewOrEndedJobs()
+    {
+        for (const std::string& jobId :
+            { std::string("cancelled"), std::string("being cancelled"), std::string("shown as cancelled") })
+            accept(jobId);
+        m_audit.onSubmit("unanswered", SoakJob { { 1 }, "unanswered" });
+        m_audit.onSubmit("refused", SoakJob { { 1 }, "refused" });
+        m_audit.onRefused("refused");
+        wait(std::chrono::seconds(1));
+        m_audit.onCancelRequested("cancelled");
+        m_audit.onCancelAcknowledged("cancelled");
+        m_audit.onCancelRequested("being cancelled");
+        m_audit.onCancelRequested("shown as cancelled");
+        m_audit.onReportedCancelled("shown as cancelled");
+        accept("new");
+        wait(lowerBoundTime);
+        answerWaiting(0);
+        assertMixed(0);
+        wait(moment);
+        answerWaiting(0);
+        assertMixed(1);
+    }
+
+    // Guards against counts that hold jobs after their first task has been started, and jobs that have ended.
+    void aCountMustNotHoldStartedJobsAfterTheFaults()
+    {
+        m_audit.onIncarnationStarted(m_host);
+        for (const std::string& jobId : { std::string("before"), std::string("after"), std::string("cancelled") })
+            accept(jobId);
+        start("before");
+        m_audit.onHostsListed();
+        start("after");
+        m_audit.onCancelRequested("cancelled");
+        m_audit.onCancelAcknowledged("cancelled");
+        accept("waiting");
+        m_audit.onSubmit("unanswered", SoakJob { { 1 }, "unanswered" });
+        wait(upperBoundTime);
+        answerWaiting(5);
+        assertMixed(0);
+        wait(moment);
+        answerWaiting(2);
+        assertMixed(0);
+        answerWaiting(3);
+        assertMixed(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_audit.waitingCounts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_audit.waitingCountsAfterFaults());
+    }
+
+    // Guards against reports of jobs whose host ended before it could list their runs, and of counts among faults.
+    void aCountMayHoldJobsWhoseStartIsNotKnown()
+    {
+        m_audit.onIncarnationStarted(m_host);
+        accept(m_ordinary);
+        start(m_ordinary);
+        wait(upperBoundTime + moment);
+        answerWaiting(1);
+        m_audit.onIncarnationEnded(m_host);
+        m_audit.onHostsListed();
+        wait(upperBoundTime + moment);
+        answerWaiting(1);
+        assertMixed(0);
+        m_audit.onIncarnationStarted(m_host);
+        start(m_ordinary, 2);
+        wait(upperBoundTime + moment);
+        answerWaiting(1);
+        assertMixed(1);
+    }
+
+    // Guards against states of jobs whose start was ordered and not carried out.
+    void aJobWithoutStartMustNotBeReportedAsRunning()
+    {
+        m_audit.onIncarnationStarted(m_host);
+        accept("started");
+        start("started");
+        m_audit.onReportedRunning("started");
+        end("started", "done");
+        m_audit.onReportedRunning("started");
+        assertMixed(0);
+        accept(m_ordinary);
+        m_audit.onReportedRunning(m_ordinary);
+        m_audit.onReportedRunning(m_ordinary);
+        assertMixed(1);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RunAuditTest);
