Job: Start a recorded attempt whose start was lost

Callers saw a job as "running" for good, and its side kept the resources: the attempt is in the log before its start is sent, and the start was sent once. When it was lost with its connection, when there was no connection, or when the leader ended in between, each hold extended the reservation at the side, and the leader took the side's report "reserved" for a running attempt. Nothing ended the attempt: neither its reservation nor its hold lapsed.

The report "reserved" in answer to a hold is the evidence that the attempt has not begun, so the leader sends the start again. It is the recorded attempt, the side starts an attempt once, and a cancelled job gets a stop instead. Without a connection nothing counts as sent, so the first hold over the next connection asks at once.

Three of the four new cases of CellSchedulerTest failed before, each with 0 starts where 1 is expected (startsAnAttemptWhoseStartWasLost, startsAnAttemptRecordedWithoutAConnection, startsAnAttemptThatThePreviousLeaderRecorded). stopsACancelledAttemptWhoseStartWasLost passed before and guards the fix.

--- a/Source/Decision/Job/CellScheduler.cpp
+++ b/Source/Decision/Job/CellScheduler.cpp
@@ -250,12 +250,19 @@
         heldAttempt.basisAt = it->second.basisAt;
         m_placements.erase(it);
     }
-    heldAttempt.lastSentAt = now;
+    // Without a connection, the first hold over the next one shows whether the side has started the attempt.
     if (!side || !side->isLinkUp())
         return;
+    heldAttempt.lastSentAt = now;
     ++m_totals.startedAttempts;
+    sendStart(job, heldAttempt, *side, actions);
+}
+
+void CellScheduler::sendStart(
+    const Job& job, const HeldAttempt& heldAttempt, const SideView& side, Actions& actions) const
+{
     Wire::StartRequest message;
-    message.taskId = jobId;
+    message.taskId = job.record.jobId;
     message.attempt = job.attempt;
     message.term = m_term;
     message.demand = job.record.demand;
@@ -263,7 +270,18 @@
     message.basisMicroseconds = heldAttempt.basisMicroseconds;
     message.payload = job.record.payload;
     message.checkpoint = job.checkpoint;
-    actions.push_back(SendMessage { side->dataLink, std::move(message) });
+    actions.push_back(SendMessage { side.dataLink, std::move(message) });
+}
+
+void CellScheduler::repeatStart(Instant now, const Job& job, const HeldAttempt& heldAttempt, Actions& actions) const
+{
+    const SideView* side = m_membership.find(job.sideId);
+    if (job.cancelRequested || !side || !side->isLinkUp() || !maySendToSides(now))
+        return;
+    LogLine line("start_repeated");
+    line.add("job", job.record.jobId).add("attempt", job.attempt).add("side", job.sideId).add("term", m_term);
+    actions.push_back(WriteLog { line.text() });
+    sendStart(job, heldAttempt, *side, actions);
 }
 
 // Running attempts: extend their holds, record their ends, and record as lost those that can no longer be running.
@@ -341,6 +359,12 @@
         ++m_totals.lostAttempts;
         recordAttemptEnd(*job, heldAttempt, AttemptEnd::Lost, report, actions);
         break;
+    case Wire::AttemptState::Reserved:
+        heldAttempt.basisMicroseconds = report.sideClockMicroseconds;
+        heldAttempt.basisAt = now;
+        // The recorded attempt was never started: the start was lost, or a previous leader ended before sending it.
+        repeatStart(now, *job, heldAttempt, actions);
+        break;
     default:
         heldAttempt.basisMicroseconds = report.sideClockMicroseconds;
         heldAttempt.basisAt = now;
--- a/Source/Decision/Job/CellScheduler.h
+++ b/Source/Decision/Job/CellScheduler.h
@@ -84,6 +84,9 @@
     const SideView* findBestSide(Instant now, const Job& job) const;
     void dropExpiredPlacements(Instant now);
     void startRecordedAttempt(Instant now, const Job& job, Actions& actions);
+    void sendStart(const Job& job, const HeldAttempt& heldAttempt, const SideView& side, Actions& actions) const;
+    /// Sends the start of a recorded attempt again, unless the job is to be cancelled. The side starts an attempt once.
+    void repeatStart(Instant now, const Job& job, const HeldAttempt& heldAttempt, Actions& actions) const;
     void holdRunningAttempts(Instant now, const JobStateMachine& stateMachine, Actions& actions);
     void recordAttemptEnd(
         const Job& job, HeldAttempt& heldAttempt, AttemptEnd end, const Wire::AttemptReport& report, Actions& actions);
--- a/Tests/Unit/CellSchedulerTest.cpp
+++ b/Tests/Unit/CellSchedulerTest.cpp
@@ -1,6 +1,7 @@
 /// The cell scheduler: an attempt is reserved, recorded and then started; it is recorded as lost only when it must have
 /// ended; the log decides which entry is the leader.
 #include "Decision/Job/CellScheduler.h"
+#include "Decision/Job/AttemptManager.h"
 #include "Support/TestBundle.h"
 #include "Support/VirtualTime.h"
 
@@ -14,6 +15,10 @@
     CPPUNIT_TEST(waitsForTheHoldOfASilentSideToExpire);
     CPPUNIT_TEST(waitsLongerWhileThePreviousLeaderMayBeRunning);
     CPPUNIT_TEST(staysAStandbyWhileTheLeaderSendsHeartbeats);
+    CPPUNIT_TEST(startsAnAttemptWhoseStartWasLost);
+    CPPUNIT_TEST(startsAnAttemptRecordedWithoutAConnection);
+    CPPUNIT_TEST(startsAnAttemptThatThePreviousLeaderRecorded);
+    CPPUNIT_TEST(stopsACancelledAttemptWhoseStartWasLost);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr LinkId link = 9;
@@ -21,6 +26,8 @@
     BundleRegistry m_bundles = makeTestRegistry(1);
     JobStateMachine m_jobStateMachine { "cell" };
     std::optional<CellScheduler> m_scheduler;
+    /// Starts do not reach the side.
+    bool m_losesStarts = false;
 
 public:
     void setUp() override
@@ -95,6 +102,132 @@
         return -1;
     }
 
+    /// A side whose worker has listed no task.
+    static AttemptManager makeSide()
+    {
+        AttemptManager side("side-1", 1, LeaseTiming {});
+        side.setLimit(makeResources(8000, 8000, 0));
+        Actions actions;
+        side.onListing(at(0), WorkerListing {}, actions);
+        return side;
+    }
+    /// Hands the scheduler's messages to the side and the side's answers to the scheduler, and applies the records of
+    /// both. Returns the starts that the side sends to its worker.
+    std::size_t exchange(long long now, AttemptManager& side, Actions actions)
+    {
+        std::size_t starts = 0;
+        while (!actions.empty()) {
+            Actions answers;
+            for (const Wire::ReserveRequest& request : messagesOf<Wire::ReserveRequest>(actions))
+                side.onReserve(at(now), link, request, answers);
+            for (const Wire::StartRequest& request : messagesOf<Wire::StartRequest>(actions)) {
+                if (!m_losesStarts)
+                    side.onStart(at(now), link, request, answers);
+            }
+            for (const Wire::HoldRequest& request : messagesOf<Wire::HoldRequest>(actions))
+                side.onHold(at(now), link, request, answers);
+            for (const Wire::StopRequest& request : messagesOf<Wire::StopRequest>(actions))
+                side.onStop(at(now), link, request, answers);
+            starts += actionsOf<StartTask>(answers).size();
+            const std::vector<LogRecord> records = recordsOf(actions);
+            actions.clear();
+            for (const Wire::ReserveAnswer& answer : messagesOf<Wire::ReserveAnswer>(answers))
+                m_scheduler->onReserveAnswer(at(now), "side-1", answer, m_jobStateMachine, actions);
+            for (const Wire::AttemptReport& report : messagesOf<Wire::AttemptReport>(answers))
+                m_scheduler->onReport(at(now), report, m_jobStateMachine, actions);
+            for (const LogRecord& record : records) {
+                const Actions more = apply(now, record);
+                actions.insert(actions.end(), more.begin(), more.end());
+            }
+        }
+        return starts;
+    }
+    /// Ticks the scheduler and the side, which lists what it has started, and returns the number of starts.
+    std::size_t runBoth(long long from, long long until, AttemptManager& side)
+    {
+        std::size_t starts = 0;
+        for (long long n = from; n < until; n += 100) {
+            starts += exchange(n, side, tick(n));
+            Actions actions;
+            side.tick(at(n), actions);
+            for (const Wire::AttemptReport& report : messagesOf<Wire::AttemptReport>(actions)) {
+                Actions more;
+                m_scheduler->onReport(at(n), report, m_jobStateMachine, more);
+                starts += exchange(n, side, more);
+            }
+        }
+        return starts;
+    }
+
+    // Guards against a job that is shown as running for good: the start of its recorded attempt was lost, and each hold
+    // keeps the reservation at the side.
+    void startsAnAttemptWhoseStartWasLost()
+    {
+        AttemptManager side = makeSide();
+        apply(0, LeaderRecord { "cell", 1, "entry-1", 10 });
+        apply(0, job());
+        m_losesStarts = true;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), runBoth(0, 500, side));
+        CPPUNIT_ASSERT(m_jobStateMachine.find("a")->status == JobStatus::Running);
+        m_losesStarts = false;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), runBoth(500, 6000, side));
+        CPPUNIT_ASSERT_EQUAL(1, m_jobStateMachine.find("a")->attempt);
+    }
+
+    // Guards against the same when the connection to the side is down while the attempt is recorded.
+    void startsAnAttemptRecordedWithoutAConnection()
+    {
+        AttemptManager side = makeSide();
+        apply(0, LeaderRecord { "cell", 1, "entry-1", 10 });
+        apply(0, job());
+        Actions granted;
+        for (const Wire::ReserveRequest& request : messagesOf<Wire::ReserveRequest>(tick(0))) {
+            Actions answers;
+            side.onReserve(at(0), link, request, answers);
+            for (const Wire::ReserveAnswer& answer : messagesOf<Wire::ReserveAnswer>(answers))
+                m_scheduler->onReserveAnswer(at(0), "side-1", answer, m_jobStateMachine, granted);
+        }
+        m_membership.find("side-1")->dataLink = noLink;
+        m_membership.find("side-1")->dataLinkMonitor.reset();
+        for (const LogRecord& record : recordsOf(granted))
+            apply(10, record);
+        CPPUNIT_ASSERT(m_jobStateMachine.find("a")->status == JobStatus::Running);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), runBoth(500, 1000, side));
+    }
+
+    // Guards against the same when a leader ends between the record of an attempt and its start.
+    void startsAnAttemptThatThePreviousLeaderRecorded()
+    {
+        AttemptManager side = makeSide();
+        apply(0, LeaderRecord { "cell", 1, "entry-2", 5 });
+        apply(0, job());
+        Wire::ReserveRequest request;
+        request.taskId = "a";
+        request.attempt = 1;
+        request.term = 1;
+        request.demand = job().demand;
+        request.validMicroseconds = SchedulerTiming {}.reservationTimeout.count();
+        Actions answers;
+        side.onReserve(at(0), link, request, answers);
+        apply(0, AttemptRecord { "cell", 1, "a", 1, "side-1" });
+        apply(7000, LeaderRecord { "cell", 2, "entry-1", 10 });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), runBoth(7000, 8000, side));
+    }
+
+    // Guards against a start after a cancellation: the side still waits for the first one.
+    void stopsACancelledAttemptWhoseStartWasLost()
+    {
+        AttemptManager side = makeSide();
+        apply(0, LeaderRecord { "cell", 1, "entry-1", 10 });
+        apply(0, job());
+        m_losesStarts = true;
+        runBoth(0, 500, side);
+        m_losesStarts = false;
+        apply(500, CancelRecord { "cell", "a" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), runBoth(500, 6000, side));
+        CPPUNIT_ASSERT(m_jobStateMachine.find("a")->status == JobStatus::Cancelled);
+    }
+
     void startsOnlyRecordedAttempts()
     {
         apply(0, LeaderRecord { "cell", 1, "entry-1", 10 });
