Ownership: Count a pulse from its first sending when a repeat is answered

The store answers a repeated append like the first one and stores nothing. The owner took the answer to a repeat for a new pulse: it counted as certain for 0.7 s from the repeat, and the next pulse was due 0.5 s after it. Other entries count the silence from the stored record. After an answer that was lost they claim 1.3 s after it, while the former owner, certain of itself, may deny jobs that its successor has accepted (410) and restart tasks that the successor goes on with; and an owner that is well was replaced.

The age of a confirmed pulse is now that of its first sending under this number, both for the certainty and for when the next one is due. That the store refuses a repeat after a later epoch still confirms the ownership at the repeat, so the time for which leases may be granted is as before.

Both new cases of OwnershipTest failed before: the owner was certain while the other entry took over, and the term went from 1 to 2 although entries and store were well.

--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -327,10 +327,11 @@
     acknowledgePersistedEnds();
 }
 
-void JobOwner::onPulseConfirmed(Instant sent)
+void JobOwner::onPulseConfirmed(Instant firstSent, Instant sent)
 {
+    // The store refuses a repeat once it has seen a later epoch.
     m_state.ownershipConfirmedAt = std::max(m_state.ownershipConfirmedAt, sent);
-    m_state.pulseConfirmedAt = std::max(m_state.pulseConfirmedAt, sent);
+    m_state.pulseConfirmedAt = std::max(m_state.pulseConfirmedAt, firstSent);
 }
 
 void JobOwner::handOver()
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -31,8 +31,10 @@
     void onLinkDown(Instant now, LinkId link);
     /// Handles the store's answer to the append that nextAppend() returned.
     void onAppendResponse(Instant now, const AppendResponse& response, Actions& actions);
-    /// The store confirmed a pulse, the owner's heartbeat record, that was sent at this time.
-    void onPulseConfirmed(Instant sent);
+    /// The store confirmed a pulse, the owner's heartbeat record, that was first sent at the one time and newly at the
+    /// other. It may have been stored at any time since the first.
+    void onPulseConfirmed(Instant firstSent, Instant sent);
+    void onPulseConfirmed(Instant sent) { onPulseConfirmed(sent, sent); }
     /// Returns the next append to the store, if one is due.
     std::optional<AppendToStore> nextAppend(Instant now) { return m_state.storeWriter.nextAppend(now); }
     void tick(Instant now, std::int64_t unixMilliseconds, Actions& actions);
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -120,8 +120,8 @@
     /// Last time at which no other entry can have owned the jobs: when the newest append or pulse that the store
     /// confirmed was sent.
     Instant ownershipConfirmedAt;
-    /// The same for pulses alone. A pulse is the owner's heartbeat record in the store; other entries claim ownership
-    /// when pulses stop, even if other records still arrive.
+    /// When the newest pulse in the store was first sent. A pulse is the owner's heartbeat record in the store; other
+    /// entries claim ownership when pulses stop, even if other records still arrive.
     Instant pulseConfirmedAt;
     /// This owner has handed over. From then on the store may show its resignation, and a successor waits only until
     /// this owner's leases have ended.
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -149,6 +149,8 @@
     append.appendNumber = m_pulseNumber + 1;
     append.timeout = m_timing.appendTimeout;
     m_pulseSentAt = now;
+    if (!m_pulseUncertain)
+        m_pulseFirstSentAt = now;
     m_pulseInFlight = true;
     if (resigning && !m_resignationSent) {
         m_resignationSent = true;
@@ -173,7 +175,9 @@
         m_pulseUncertain = false;
         m_pulseConfirmed = true;
         if (m_owner)
-            m_owner->onPulseConfirmed(m_pulseSentAt);
+            m_owner->onPulseConfirmed(m_pulseFirstSentAt, m_pulseSentAt);
+        // Other entries have read no newer pulse than the stored one, so the next is due by its age.
+        m_pulseSentAt = m_pulseFirstSentAt;
         if (m_resignationSent)
             stepDown(now, "resigned", actions);
         return;
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -158,6 +158,9 @@
     Instant m_nextStoreCallAt;
     std::int64_t m_pulseNumber = 0;
     Instant m_pulseSentAt;
+    /// When the newest pulse was first sent. A repeat is answered like the first append and stores nothing if that was
+    /// stored.
+    Instant m_pulseFirstSentAt;
     bool m_pulseInFlight = false;
     /// A pulse with an unknown outcome may be stored under the next pulse's number.
     bool m_pulseUncertain = false;
--- a/Tests/Support/VirtualStore.h
+++ b/Tests/Support/VirtualStore.h
@@ -90,6 +90,13 @@
         return response;
     }
 
+    /// Number of records that the topic has received.
+    std::int64_t endOffset(StoreTopic topic) const
+    {
+        std::map<StoreTopic, Topic>::const_iterator it = m_topics.find(topic);
+        return it == m_topics.end() ? 0 : static_cast<std::int64_t>(it->second.records.size());
+    }
+
     /// Drops all records up to now from the topics' logs. The newest record of each key can still be read by key.
     void compact()
     {
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(aPageReadForAnEarlierTermIsNotLoaded);
     CPPUNIT_TEST(aPageWithoutRecordsThatIsNotTheLastIsReadAgain);
     CPPUNIT_TEST(anOwnerWithoutPulsesIsNotCertainWhenItIsReplaced);
+    CPPUNIT_TEST(anOwnerWhoseRepeatedPulseIsAnsweredIsNotCertainWhenItIsReplaced);
+    CPPUNIT_TEST(anOwnerWhoseRepeatedPulseIsAnsweredStaysOwner);
     CPPUNIT_TEST(pulseSilenceFromBeforeASuspensionCausesNoClaim);
     CPPUNIT_TEST(aPlannedClaimFromBeforeASuspensionIsDropped);
     CPPUNIT_TEST_SUITE_END();
@@ -668,6 +670,54 @@
         CPPUNIT_ASSERT(other.owner());
     }
 
+    /// Loses the responses to one pulse of the owner and its repeats, until that pulse was stored this long ago.
+    static void losePulseResponses(Simulation& simulation, std::size_t owner, int lossMilliseconds)
+    {
+        Node& node = *simulation.nodes[owner];
+        const std::int64_t stored = simulation.store.endOffset(StoreTopic::Pulses);
+        node.losesAppendResponses = true;
+        while (simulation.store.endOffset(StoreTopic::Pulses) == stored && simulation.now < 10'000)
+            simulation.run(simulation.now + stepMilliseconds);
+        simulation.run(simulation.now + lossMilliseconds);
+        node.losesAppendResponses = false;
+    }
+
+    // Guards against an owner that counts the answer to a repeated pulse as a new pulse. It denied jobs that its
+    // successor had accepted, and restarted tasks that the successor had adopted.
+    void anOwnerWhoseRepeatedPulseIsAnsweredIsNotCertainWhenItIsReplaced()
+    {
+        Simulation simulation(2);
+        simulation.run(3000);
+        const std::size_t owner = simulation.owners().at(0);
+        Node& node = *simulation.nodes[owner];
+        const Ownership& other = simulation.nodes[1 - owner]->ownership;
+        losePulseResponses(simulation, owner, 800);
+        // The repeat is answered, and no later call of this owner reaches the store.
+        simulation.run(simulation.now + 250);
+        node.storeUnreachable = true;
+        for (int n = 0; n < 400 && !other.owner(); ++n) {
+            simulation.run(simulation.now + stepMilliseconds);
+            const JobOwner* former = node.ownership.owner();
+            const bool certain = former && former->state().isOwnershipCertain(at(simulation.now));
+            CPPUNIT_ASSERT(!certain || (!other.isTakingOver() && !other.owner()));
+        }
+        CPPUNIT_ASSERT(other.owner());
+    }
+
+    // Guards against a change of owner while the owner and the store are well: after lost responses the next pulse came
+    // too late for the other entries.
+    void anOwnerWhoseRepeatedPulseIsAnsweredStaysOwner()
+    {
+        Simulation simulation(2);
+        simulation.run(3000);
+        const std::size_t owner = simulation.owners().at(0);
+        const std::int64_t term = simulation.nodes[owner]->ownership.currentOwner().term;
+        losePulseResponses(simulation, owner, 800);
+        simulation.run(simulation.now + 3000);
+        CPPUNIT_ASSERT_EQUAL(term, simulation.nodes[owner]->ownership.currentOwner().term);
+        CPPUNIT_ASSERT(simulation.nodes[owner]->ownership.owner());
+    }
+
     /// A follower reads from the store that the owner's pulses have stopped. The follower is suspended before or after
     /// it handles that response, while the pulses resume.
     static void checkFollowerSuspension(bool responseHandled)
