Job: Keep a finished job for its retention after its outcome is stored

The retention of a finished job counted from the moment at which the write of its outcome was queued, but the outcome is shown once it is stored. While the store was away for longer than the retention, the job was removed before any client could be told the outcome; after a shorter absence it was shown for less than promised.

The retention now begins once the outcome is stored.

JobOwnerTest::showsAnOutcomeForItsRetentionOnceItIsStored failed before: the first query after the store was back got no state.

--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -453,12 +453,22 @@
     }
 }
 
+bool JobOwner::isOutcomeStored(const JobState& job) const
+{
+    return job.progressSequenceNumber <= m_state.storeWriter.storedSequenceNumber()
+        && !m_state.dirtyJobs.contains(job.definition().jobId);
+}
+
 void JobOwner::removeExpiredJobs(Instant now)
 {
     if (now - m_lastJobCleanup < jobCleanupInterval)
         return;
     m_lastJobCleanup = now;
     for (std::map<std::string, Instant>::iterator it = m_finishedAt.begin(); it != m_finishedAt.end();) {
+        // Clients are shown the outcome once it is stored.
+        const JobState* job = m_state.findJob(it->first);
+        if (job && !isOutcomeStored(*job))
+            it->second = now;
         if (now - it->second < m_state.rules.finishedJobRetention + jobCleanupInterval) {
             ++it;
             continue;
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -93,6 +93,8 @@
     void acknowledgePersistedEnds();
     void grantLeases(Instant now);
     void sendOrders(Actions& actions);
+    /// Whether the progress of the job is stored, so that no later owner can revert its outcome.
+    bool isOutcomeStored(const JobState& job) const;
     /// Removes finished jobs whose retention period is over.
     void removeExpiredJobs(Instant now);
 
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(startsAStepAfterItsPredecessors);
     CPPUNIT_TEST(acknowledgesARunEndOnceItIsStored);
     CPPUNIT_TEST(reportsCompletedOnceTheEndIsStored);
+    CPPUNIT_TEST(showsAnOutcomeForItsRetentionOnceItIsStored);
     CPPUNIT_TEST(aCancelledJobStaysCancelled);
     CPPUNIT_TEST(restartsTasksElsewhereAfterTheLeaseExpires);
     CPPUNIT_TEST(keepsTheRunsOfAHostThatRefusesConnections);
@@ -201,6 +202,31 @@
         CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Completed, harness.sendCall(450, Wire::JobCallKind::Status, job).phase);
     }
 
+    // Guards against a finished job that is denied before its outcome was shown: the store is away for longer than
+    // outcomes are kept.
+    void showsAnOutcomeForItsRetentionOnceItIsStored()
+    {
+        const Wire::JobDefinition job = makeJob("00000000000000aa", { makeStep(1, 1000, 300) });
+        OwnerHarness harness;
+        acceptJobWithOneHost(harness, job);
+        harness.storeUnavailable = true;
+        harness.announceAndReport(200,
+            listing(300, {}, { makeEndedTask(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Completed) }));
+        const int retention = static_cast<int>(toMilliseconds(OwnerRules {}.finishedJobRetention));
+        const int storedAt = retention + 10'000;
+        for (int now = 300; now < storedAt; now += 500)
+            harness.tick(now);
+        harness.storeUnavailable = false;
+        for (int now = storedAt; now < storedAt + retention; now += 500) {
+            harness.tick(now);
+            CPPUNIT_ASSERT_EQUAL(
+                Wire::JobPhase::Completed, harness.sendCall(now + 100, Wire::JobCallKind::Status, job).phase);
+        }
+        harness.settle(storedAt + retention + 11'000);
+        CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::NoSuchJob,
+            harness.sendCall(storedAt + retention + 11'060, Wire::JobCallKind::Status, job).kind);
+    }
+
     void aCancelledJobStaysCancelled()
     {
         const Wire::JobDefinition job = makeJob("00000000000000aa", { makeStep(1, 1000, 300) });
