Ownership: Resign a claim that is in flight when the process is stopped

A process that was stopped while its claim was in flight counted as one that owns nothing, and ended. When the claim was stored, the term had no owner, and the other entries waited for the silence of pulses; calls found no owner.

The process has resigned only when its last claim is known not to be stored: by the store's answer or by a newer claim that it reads. A claim that wins is taken over and resigned as before. Without either it waits for the hand-over's timeout.

OwnershipTest::aProcessThatEndsWhileItsClaimIsInFlightResigns failed before: the third entry owned after 1325 ms, bound 500.

--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -97,6 +97,8 @@
     }
     if (m_stage == Stage::Owning)
         runOwner(now, actions);
+    if (m_resigning && m_stage == Stage::Following && (!m_claimUncertain || now >= m_resignBy))
+        m_resigned = true;
 }
 
 void Ownership::sendDuePulse(Instant now, Actions& actions)
@@ -233,6 +235,7 @@
         return;
     m_claimReason = nullptr;
     m_formerTerm = m_current.term;
+    m_claimUncertain = true;
     Wire::OwnerClaim claim;
     claim.nodeId = m_identity.nodeId;
     claim.incarnation = m_identity.incarnation;
@@ -276,6 +279,8 @@
     m_loadAfterKey.clear();
     m_loadInFlight = false;
     m_owner = std::make_unique<JobOwner>(m_identity.nodeId, term, m_rules, now);
+    if (m_resigning)
+        m_owner->stopScheduling();
 }
 
 void Ownership::stepDown(Instant now, const char* reason, Actions& actions)
@@ -307,6 +312,7 @@
         // The connection to the former owner says nothing about this one.
         setLinkBroken(false);
         m_claimReason = nullptr;
+        m_claimUncertain = false;
         m_lastPulseReadAt = now;
         m_formerOwnerEnded = false;
         const bool isOwnClaim = claim->nodeId == m_identity.nodeId && claim->incarnation == m_identity.incarnation;
@@ -452,6 +458,7 @@
 {
     if (callId == m_claimCall) {
         m_claimCall = 0;
+        m_claimUncertain = m_claimUncertain && response.outcome == AppendOutcome::Uncertain;
         if (m_stage != Stage::Claiming)
             return true;
         if (response.outcome == AppendOutcome::Stored) {
@@ -502,7 +509,7 @@
         m_owner->stopScheduling();
         actions.push_back(WriteLog { LogLine("resigning").add("term", m_current.term).text() });
     } else {
-        m_resigned = true;
+        m_resigned = !m_claimUncertain;
     }
 }
 
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -144,6 +144,9 @@
     bool m_resignationSent = false;
     bool m_formerOwnerEnded = false;
     PredecessorHold m_predecessorHold;
+    /// The last claim may be stored, or may be stored later: the store has not answered it, and no newer claim was
+    /// read.
+    bool m_claimUncertain = false;
     /// The newest term at the time of this process's last claim.
     std::int64_t m_formerTerm = 0;
     /// Time at which all leases of earlier owners have ended.
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(aRestartedOwnerWaitsOneLeaseWithoutAnActivePredecessor);
     CPPUNIT_TEST(aResignationWhoseResponseIsLostIsNotRevoked);
     CPPUNIT_TEST(aResignationAfterAnUnansweredPulseIsRead);
+    CPPUNIT_TEST(aProcessThatEndsWhileItsClaimIsInFlightResigns);
     CPPUNIT_TEST(aResponseToAPulseOfAnEarlierTermDoesNotCount);
     CPPUNIT_TEST(aPageReadForAnEarlierTermIsNotLoaded);
     CPPUNIT_TEST(aPageWithoutRecordsThatIsNotTheLastIsReadAgain);
@@ -580,6 +581,41 @@
         CPPUNIT_ASSERT(simulation.newestPulse().term > 1);
     }
 
+    // Guards against a term without an owner: a process that is stopped while its claim is in flight ended as one that
+    // owns nothing, and the claim won.
+    void aProcessThatEndsWhileItsClaimIsInFlightResigns()
+    {
+        Simulation simulation(3);
+        simulation.run(3000);
+        const std::size_t owner = simulation.owners().at(0);
+        const std::size_t second = owner == 0 ? 1 : 0;
+        const std::size_t third = 3 - owner - second;
+        Node& claimant = *simulation.nodes[second];
+        claimant.delaysResponseTo = [](const Action& action) {
+            const AppendToStore* append = std::get_if<AppendToStore>(&action);
+            return append && append->topic == StoreTopic::Owners;
+        };
+        Actions actions;
+        simulation.nodes[owner]->ownership.resign(at(simulation.now), actions);
+        while (claimant.lateResponses.empty() && simulation.now < 10'000)
+            simulation.run(simulation.now + stepMilliseconds);
+        claimant.ownership.resign(at(simulation.now), actions);
+        // A process that has resigned ends.
+        claimant.frozen = claimant.ownership.hasResigned();
+        const int resignedAt = simulation.now;
+        simulation.run(simulation.now + 50);
+        if (!claimant.frozen)
+            simulation.deliverLateResponses(second);
+        while (!simulation.nodes[third]->ownership.owner() && simulation.now < resignedAt + 5000) {
+            simulation.run(simulation.now + stepMilliseconds);
+            claimant.frozen = claimant.ownership.hasResigned();
+        }
+        CPPUNIT_ASSERT(claimant.ownership.hasResigned());
+        CPPUNIT_ASSERT(simulation.nodes[third]->ownership.owner());
+        CPPUNIT_ASSERT_MESSAGE("replaced after " + std::to_string(simulation.now - resignedAt) + " ms",
+            simulation.now - resignedAt <= 500);
+    }
+
     // Guards against an owner that starts while the store has no pulse of its term: it takes the response to a pulse of
     // an earlier term as a confirmation.
     void aResponseToAPulseOfAnEarlierTermDoesNotCount()
