Tests: Check that a lease whose order was lost is sent again

The owner counts a lease as extended when the order is queued, and holds back the next extension for a second. Each order carries the whole lease, and a new connection makes an order due, so a lost extension comes again with the first order over the next connection.

--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(keepsTheRunsOfAHostThatRefusesConnections);
     CPPUNIT_TEST(restartsNoRunThatASuccessorMayHaveAdopted);
     CPPUNIT_TEST(stopsGrantingLeasesWhenTheStoreStaysUnavailable);
+    CPPUNIT_TEST(sendsALeaseAgainWhoseOrderWasLost);
     CPPUNIT_TEST(doesNotReportAJobAsMissingWhenItMayHaveBeenReplaced);
     CPPUNIT_TEST(aLaterOwnerWaitsForHostsThatHaveNotReported);
     CPPUNIT_TEST(aLaterOwnerAdoptsRunningTasks);
@@ -314,6 +315,25 @@
         CPPUNIT_ASSERT(longest > 8000);
     }
 
+    // Guards against a lease that lapses while its owner counts it as extended: the order is lost with its connection,
+    // and the next extension is not due for a second.
+    void sendsALeaseAgainWhoseOrderWasLost()
+    {
+        OwnerHarness harness;
+        acceptJobWithOneHost(harness, makeJob("00000000000000aa", { makeStep(1, 1000, 60'000) }));
+        const Wire::RunningTask run = makeRunningTask(harness.startOrders.at(0).task, 1);
+        harness.announceAndReport(1500, listing(1600, { run }));
+        harness.settle(1510);
+        const std::int64_t lease = harness.sentOrders.back().leaseUntilMilliseconds;
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1600 + 5000), lease);
+        harness.owner.onLinkDown(at(1570), testLink);
+        harness.sentOrders.clear();
+        harness.announceAndReport(1700, listing(1800, { run }), testLink + 1);
+        harness.settle(1710);
+        CPPUNIT_ASSERT(!harness.sentOrders.empty());
+        CPPUNIT_ASSERT_EQUAL(lease, harness.sentOrders.front().leaseUntilMilliseconds);
+    }
+
     void doesNotReportAJobAsMissingWhenItMayHaveBeenReplaced()
     {
         OwnerHarness harness;
