--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -327,10 +327,11 @@
     acknowledgePersistedEnds();
 }
 
-void JobOwner::onPulseConfirmed(Instant sent)
+void JobOwner::onPulseConfirmed(Instant firstSent, Instant sent)
 {
+    // The store refuses a repeat once it has seen a later epoch.
     m_state.ownershipConfirmedAt = std::max(m_state.ownershipConfirmedAt, sent);
-    m_state.pulseConfirmedAt = std::max(m_state.pulseConfirmedAt, sent);
+    m_state.pulseConfirmedAt = std::max(m_state.pulseConfirmedAt, firstSent);
 }
 
 void JobOwner::handOver()
@@ -452,12 +453,22 @@
     }
 }
 
+bool JobOwner::isOutcomeStored(const JobState& job) const
+{
+    return job.progressSequenceNumber <= m_state.storeWriter.storedSequenceNumber()
+        && !m_state.dirtyJobs.contains(job.definition().jobId);
+}
+
 void JobOwner::removeExpiredJobs(Instant now)
 {
     if (now - m_lastJobCleanup < jobCleanupInterval)
         return;
     m_lastJobCleanup = now;
     for (std::map<std::string, Instant>::iterator it = m_finishedAt.begin(); it != m_finishedAt.end();) {
+        // Clients are shown the outcome once it is stored.
+        const JobState* job = m_state.findJob(it->first);
+        if (job && !isOutcomeStored(*job))
+            it->second = now;
         if (now - it->second < m_state.rules.finishedJobRetention + jobCleanupInterval) {
             ++it;
             continue;
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -144,6 +144,9 @@
     bool m_resignationSent = false;
     bool m_formerOwnerEnded = false;
     PredecessorHold m_predecessorHold;
+    /// The last claim may be stored, or may be stored later: the store has not answered it, and no newer claim was
+    /// read.
+    bool m_claimUncertain = false;
     /// The newest term at the time of this process's last claim.
     std::int64_t m_formerTerm = 0;
     /// Time at which all leases of earlier owners have ended.
@@ -158,6 +161,9 @@
     Instant m_nextStoreCallAt;
     std::int64_t m_pulseNumber = 0;
     Instant m_pulseSentAt;
+    /// When the newest pulse was first sent. A repeat is answered like the first append and stores nothing if that was
+    /// stored.
+    Instant m_pulseFirstSentAt;
     bool m_pulseInFlight = false;
     /// A pulse with an unknown outcome may be stored under the next pulse's number.
     bool m_pulseUncertain = false;
--- a/Tests/Unit/JobOwnerTest.cpp
+++ b/Tests/Unit/JobOwnerTest.cpp
@@ -15,11 +15,13 @@
     CPPUNIT_TEST(startsAStepAfterItsPredecessors);
     CPPUNIT_TEST(acknowledgesARunEndOnceItIsStored);
     CPPUNIT_TEST(reportsCompletedOnceTheEndIsStored);
+    CPPUNIT_TEST(showsAnOutcomeForItsRetentionOnceItIsStored);
     CPPUNIT_TEST(aCancelledJobStaysCancelled);
     CPPUNIT_TEST(restartsTasksElsewhereAfterTheLeaseExpires);
     CPPUNIT_TEST(keepsTheRunsOfAHostThatRefusesConnections);
     CPPUNIT_TEST(restartsNoRunThatASuccessorMayHaveAdopted);
     CPPUNIT_TEST(stopsGrantingLeasesWhenTheStoreStaysUnavailable);
+    CPPUNIT_TEST(sendsALeaseAgainWhoseOrderWasLost);
     CPPUNIT_TEST(doesNotReportAJobAsMissingWhenItMayHaveBeenReplaced);
     CPPUNIT_TEST(aLaterOwnerWaitsForHostsThatHaveNotReported);
     CPPUNIT_TEST(aLaterOwnerAdoptsRunningTasks);
@@ -201,6 +203,31 @@
         CPPUNIT_ASSERT_EQUAL(Wire::JobPhase::Completed, harness.sendCall(450, Wire::JobCallKind::Status, job).phase);
     }
 
+    // Guards against a finished job that is denied before its outcome was shown: the store is away for longer than
+    // outcomes are kept.
+    void showsAnOutcomeForItsRetentionOnceItIsStored()
+    {
+        const Wire::JobDefinition job = makeJob("00000000000000aa", { makeStep(1, 1000, 300) });
+        OwnerHarness harness;
+        acceptJobWithOneHost(harness, job);
+        harness.storeUnavailable = true;
+        harness.announceAndReport(200,
+            listing(300, {}, { makeEndedTask(1, makeTask("00000000000000aa", 0, 0), 1, Wire::RunEnd::Completed) }));
+        const int retention = static_cast<int>(toMilliseconds(OwnerRules {}.finishedJobRetention));
+        const int storedAt = retention + 10'000;
+        for (int now = 300; now < storedAt; now += 500)
+            harness.tick(now);
+        harness.storeUnavailable = false;
+        for (int now = storedAt; now < storedAt + retention; now += 500) {
+            harness.tick(now);
+            CPPUNIT_ASSERT_EQUAL(
+                Wire::JobPhase::Completed, harness.sendCall(now + 100, Wire::JobCallKind::Status, job).phase);
+        }
+        harness.settle(storedAt + retention + 11'000);
+        CPPUNIT_ASSERT_EQUAL(Wire::JobReplyKind::NoSuchJob,
+            harness.sendCall(storedAt + retention + 11'060, Wire::JobCallKind::Status, job).kind);
+    }
+
     void aCancelledJobStaysCancelled()
     {
         const Wire::JobDefinition job = makeJob("00000000000000aa", { makeStep(1, 1000, 300) });
@@ -288,6 +315,25 @@
         CPPUNIT_ASSERT(longest > 8000);
     }
 
+    // Guards against a lease that lapses while its owner counts it as extended: the order is lost with its connection,
+    // and the next extension is not due for a second.
+    void sendsALeaseAgainWhoseOrderWasLost()
+    {
+        OwnerHarness harness;
+        acceptJobWithOneHost(harness, makeJob("00000000000000aa", { makeStep(1, 1000, 60'000) }));
+        const Wire::RunningTask run = makeRunningTask(harness.startOrders.at(0).task, 1);
+        harness.announceAndReport(1500, listing(1600, { run }));
+        harness.settle(1510);
+        const std::int64_t lease = harness.sentOrders.back().leaseUntilMilliseconds;
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1600 + 5000), lease);
+        harness.owner.onLinkDown(at(1570), testLink);
+        harness.sentOrders.clear();
+        harness.announceAndReport(1700, listing(1800, { run }), testLink + 1);
+        harness.settle(1710);
+        CPPUNIT_ASSERT(!harness.sentOrders.empty());
+        CPPUNIT_ASSERT_EQUAL(lease, harness.sentOrders.front().leaseUntilMilliseconds);
+    }
+
     void doesNotReportAJobAsMissingWhenItMayHaveBeenReplaced()
     {
         OwnerHarness harness;
--- a/Tests/Unit/OwnershipTest.cpp
+++ b/Tests/Unit/OwnershipTest.cpp
@@ -28,10 +28,13 @@
     CPPUNIT_TEST(aRestartedOwnerWaitsOneLeaseWithoutAnActivePredecessor);
     CPPUNIT_TEST(aResignationWhoseResponseIsLostIsNotRevoked);
     CPPUNIT_TEST(aResignationAfterAnUnansweredPulseIsRead);
+    CPPUNIT_TEST(aProcessThatEndsWhileItsClaimIsInFlightResigns);
     CPPUNIT_TEST(aResponseToAPulseOfAnEarlierTermDoesNotCount);
     CPPUNIT_TEST(aPageReadForAnEarlierTermIsNotLoaded);
     CPPUNIT_TEST(aPageWithoutRecordsThatIsNotTheLastIsReadAgain);
     CPPUNIT_TEST(anOwnerWithoutPulsesIsNotCertainWhenItIsReplaced);
+    CPPUNIT_TEST(anOwnerWhoseRepeatedPulseIsAnsweredIsNotCertainWhenItIsReplaced);
+    CPPUNIT_TEST(anOwnerWhoseRepeatedPulseIsAnsweredStaysOwner);
     CPPUNIT_TEST(pulseSilenceFromBeforeASuspensionCausesNoClaim);
     CPPUNIT_TEST(aPlannedClaimFromBeforeASuspensionIsDropped);
     CPPUNIT_TEST_SUITE_END();
@@ -578,6 +581,41 @@
         CPPUNIT_ASSERT(simulation.newestPulse().term > 1);
     }
 
+    // Guards against a term without an owner: a process that is stopped while its claim is in flight ended as one that
+    // owns nothing, and the claim won.
+    void aProcessThatEndsWhileItsClaimIsInFlightResigns()
+    {
+        Simulation simulation(3);
+        simulation.run(3000);
+        const std::size_t owner = simulation.owners().at(0);
+        const std::size_t second = owner == 0 ? 1 : 0;
+        const std::size_t third = 3 - owner - second;
+        Node& claimant = *simulation.nodes[second];
+        claimant.delaysResponseTo = [](const Action& action) {
+            const AppendToStore* append = std::get_if<AppendToStore>(&action);
+            return append && append->topic == StoreTopic::Owners;
+        };
+        Actions actions;
+        simulation.nodes[owner]->ownership.resign(at(simulation.now), actions);
+        while (claimant.lateResponses.empty() && simulation.now < 10'000)
+            simulation.run(simulation.now + stepMilliseconds);
+        claimant.ownership.resign(at(simulation.now), actions);
+        // A process that has resigned ends.
+        claimant.frozen = claimant.ownership.hasResigned();
+        const int resignedAt = simulation.now;
+        simulation.run(simulation.now + 50);
+        if (!claimant.frozen)
+            simulation.deliverLateResponses(second);
+        while (!simulation.nodes[third]->ownership.owner() && simulation.now < resignedAt + 5000) {
+            simulation.run(simulation.now + stepMilliseconds);
+            claimant.frozen = claimant.ownership.hasResigned();
+        }
+        CPPUNIT_ASSERT(claimant.ownership.hasResigned());
+        CPPUNIT_ASSERT(simulation.nodes[third]->ownership.owner());
+        CPPUNIT_ASSERT_MESSAGE("replaced after " + std::to_string(simulation.now - resignedAt) + " ms",
+            simulation.now - resignedAt <= 500);
+    }
+
     // Guards against an owner that starts while the store has no pulse of its term: it takes the response to a pulse of
     // an earlier term as a confirmation.
     void aResponseToAPulseOfAnEarlierTermDoesNotCount()
@@ -668,6 +706,54 @@
         CPPUNIT_ASSERT(other.owner());
     }
 
+    /// Loses the responses to one pulse of the owner and its repeats, until that pulse was stored this long ago.
+    static void losePulseResponses(Simulation& simulation, std::size_t owner, int lossMilliseconds)
+    {
+        Node& node = *simulation.nodes[owner];
+        const std::int64_t stored = simulation.store.endOffset(StoreTopic::Pulses);
+        node.losesAppendResponses = true;
+        while (simulation.store.endOffset(StoreTopic::Pulses) == stored && simulation.now < 10'000)
+            simulation.run(simulation.now + stepMilliseconds);
+        simulation.run(simulation.now + lossMilliseconds);
+        node.losesAppendResponses = false;
+    }
+
+    // Guards against an owner that counts the answer to a repeated pulse as a new pulse. It denied jobs that its
+    // successor had accepted, and restarted tasks that the successor had adopted.
+    void anOwnerWhoseRepeatedPulseIsAnsweredIsNotCertainWhenItIsReplaced()
+    {
+        Simulation simulation(2);
+        simulation.run(3000);
+        const std::size_t owner = simulation.owners().at(0);
+        Node& node = *simulation.nodes[owner];
+        const Ownership& other = simulation.nodes[1 - owner]->ownership;
+        losePulseResponses(simulation, owner, 800);
+        // The repeat is answered, and no later call of this owner reaches the store.
+        simulation.run(simulation.now + 250);
+        node.storeUnreachable = true;
+        for (int n = 0; n < 400 && !other.owner(); ++n) {
+            simulation.run(simulation.now + stepMilliseconds);
+            const JobOwner* former = node.ownership.owner();
+            const bool certain = former && former->state().isOwnershipCertain(at(simulation.now));
+            CPPUNIT_ASSERT(!certain || (!other.isTakingOver() && !other.owner()));
+        }
+        CPPUNIT_ASSERT(other.owner());
+    }
+
+    // Guards against a change of owner while the owner and the store are well: after lost responses the next pulse came
+    // too late for the other entries.
+    void anOwnerWhoseRepeatedPulseIsAnsweredStaysOwner()
+    {
+        Simulation simulation(2);
+        simulation.run(3000);
+        const std::size_t owner = simulation.owners().at(0);
+        const std::int64_t term = simulation.nodes[owner]->ownership.currentOwner().term;
+        losePulseResponses(simulation, owner, 800);
+        simulation.run(simulation.now + 3000);
+        CPPUNIT_ASSERT_EQUAL(term, simulation.nodes[owner]->ownership.currentOwner().term);
+        CPPUNIT_ASSERT(simulation.nodes[owner]->ownership.owner());
+    }
+
     /// A follower reads from the store that the owner's pulses have stopped. The follower is suspended before or after
     /// it handles that response, while the pulses resume.
     static void checkFollowerSuspension(bool responseHandled)
