Job, Process: Count a pace as in force once the host has acknowledged it

Cause: the pace of the newest order counted as in force from the order on, and nothing was sent while the computed pace stayed the same. An order that was lost with a connection or with a process of the side was never sent again; the side dropped an order that the host refused (503, 429), that found no listener or that another incarnation answered; of two overlapping orders the answer of the later one was taken for the last word; a late answer to a start set the pace of the start order over a later one; the unknown pace of an adopted filler counted as no processors.

Now the side keeps the pace that the host acknowledged, by run, and reports it with rows of lists and, on its next tick, between lists. The owner keeps ordered and acknowledged pace apart and counts the higher one, full pace if unknown, for room and headroom; raises go on from the ordered pace. The side repeats an order until it is acknowledged, 150 to 600 ms apart, while lists show the run, and not while the host accepts no connection. A new fence makes all paces of the host unknown until its next list. The owner orders again what is not acknowledged within a second. Sides that report no paces are treated as before, but for the new connection.

Left: a call that the host did not answer may be carried out after a later one that it did answer. Headroom that a refused, lower pace would free is still given to other fillers by a raise in the same pass; the listed figures correct that.

--- a/Source/Decision/Job/CapacityLogger.cpp
+++ b/Source/Decision/Job/CapacityLogger.cpp
@@ -7,7 +7,6 @@
 namespace {
 
     constexpr Duration loggingInterval = seconds(1);
-    constexpr int fullPace = 100;
     /// A tail latency above this share of the target leaves little room for a rise of the load.
     constexpr double nearTargetShare = 0.75;
 
@@ -26,8 +25,9 @@
         ++totals.fillers;
         totals.fillerDemand += run.demand.milliProcessors;
         totals.fillerUsage += run.usage;
-        totals.stoppedFillers += run.orderedPacePercent == 0 ? 1 : 0;
-        totals.slowedFillers += run.orderedPacePercent > 0 && run.orderedPacePercent < fullPace ? 1 : 0;
+        const int percent = run.highestPacePercent();
+        totals.stoppedFillers += percent == 0 ? 1 : 0;
+        totals.slowedFillers += percent > 0 && percent < fullPacePercent ? 1 : 0;
     }
 
     void addStep(CapacityTotals& totals, const JobState& job, const StepState& step, Instant now)
--- a/Source/Decision/Job/CapacityLogger.h
+++ b/Source/Decision/Job/CapacityLogger.h
@@ -17,7 +17,8 @@
     std::int64_t halting = 0;
     std::int64_t unlisted = 0;
     int fillers = 0;
-    /// Requested by fillers at full pace, at the ordered paces, and used according to the newest lists.
+    /// Requested by fillers at full pace, at the highest paces that may be in force, and used according to the newest
+    /// lists.
     std::int64_t fillerDemand = 0;
     std::int64_t fillerPaced = 0;
     std::int64_t fillerUsage = 0;
--- a/Source/Decision/Job/FillerRelocator.cpp
+++ b/Source/Decision/Job/FillerRelocator.cpp
@@ -136,6 +136,7 @@
         }
         HostRun reservation = *candidate.run;
         ++reservation.run;
+        reservation.acknowledgedPacePercent.reset();
         reservation.orderedPacePercent
             = m_paceController.tolerablePace(*destination, reservation.image, reservation.demand.milliProcessors);
         m_pendingMoves.push_back(PendingMove { destination->hostId, std::move(reservation), now + reservationTime });
--- a/Source/Decision/Job/HostRegistry.cpp
+++ b/Source/Decision/Job/HostRegistry.cpp
@@ -9,8 +9,7 @@
 
     std::int64_t pacedMilliCores(const HostRun& run)
     {
-        constexpr int fullPace = 100;
-        return run.demand.milliProcessors * std::max(0, run.orderedPacePercent) / fullPace;
+        return run.demand.milliProcessors * run.highestPacePercent() / fullPacePercent;
     }
 
     void addToCommitted(Host& host, const HostRun& run, std::int64_t sign)
@@ -28,6 +27,14 @@
 
 } // namespace
 
+int HostRun::highestPacePercent() const
+{
+    const int known = knownPacePercent();
+    if (known == unknownPacePercent || orderedPacePercent == unknownPacePercent)
+        return fullPacePercent;
+    return std::max(orderedPacePercent, known);
+}
+
 Host* HostRegistry::find(const std::string& hostId)
 {
     std::map<std::string, Host>::iterator it = m_hosts.find(hostId);
@@ -52,15 +59,36 @@
     return run;
 }
 
-void HostRegistry::setOrderedPace(Host& host, HostRun& run, int percent)
+void HostRegistry::changePace(Host& host, HostRun& run, int orderedPercent, std::optional<int> acknowledgedPercent)
 {
     if (run.filler)
         host.processorUse.fillers -= pacedMilliCores(run);
-    run.orderedPacePercent = percent;
+    run.orderedPacePercent = orderedPercent;
+    run.acknowledgedPacePercent = acknowledgedPercent;
     if (run.filler)
         host.processorUse.fillers += pacedMilliCores(run);
 }
 
+void HostRegistry::setOrderedPace(Host& host, HostRun& run, int percent)
+{
+    changePace(host, run, percent, run.acknowledgedPacePercent);
+}
+
+void HostRegistry::setAcknowledgedPace(Host& host, HostRun& run, std::optional<int> percent)
+{
+    const bool isOrdered = run.orderedPacePercent != unknownPacePercent;
+    changePace(host, run, isOrdered ? run.orderedPacePercent : percent.value_or(unknownPacePercent), percent);
+}
+
+void HostRegistry::forgetPaces(Host& host)
+{
+    for (std::pair<const RunKey, HostRun>& entry : host.runs) {
+        HostRun& run = entry.second;
+        const bool isReported = run.acknowledgedPacePercent.has_value();
+        changePace(host, run, unknownPacePercent, isReported ? std::optional<int>(unknownPacePercent) : std::nullopt);
+    }
+}
+
 int HostRegistry::countRunsOfStep(const Host& host, const std::string& jobId, int occurrence, int step)
 {
     int count = 0;
--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -24,6 +24,9 @@
 /// when the side loses contact with the host.
 constexpr std::int64_t fencesPerOwnerFence = 1 << 8;
 
+constexpr int fullPacePercent = 100;
+constexpr int unknownPacePercent = -1;
+
 enum class RunPhase {
     /// The start was ordered but has not been confirmed.
     Ordered,
@@ -58,8 +61,12 @@
     Instant startConfirmedAt;
     /// Progress of the run. A serving task reports 100 while it is ready to serve.
     int progressPercent = 0;
-    /// Pace of the newest order, or -1 when an earlier owner ordered it: hosts do not list paces.
-    int orderedPacePercent = 100;
+    /// Pace of the newest order over the current connection. Before the first one, the acknowledged pace.
+    int orderedPacePercent = fullPacePercent;
+    /// Pace that the host acknowledged last, as its side reports it. Sides of earlier versions report none; the ordered
+    /// pace then counts as in force.
+    std::optional<int> acknowledgedPacePercent;
+    Instant paceOrderedAt;
     /// Smoothed pace of a filler, from 0 to 1, without probes; see PaceController::adjustPaces().
     double recentPace = 1;
     Instant paceSampledAt;
@@ -78,13 +85,17 @@
 
     /// The run has not been reported as started, but may have started or may still start.
     bool isStartUnconfirmed() const { return startConfirmedAt == Instant(); }
+    /// The pace at which the run works as far as known, or unknownPacePercent.
+    int knownPacePercent() const { return acknowledgedPacePercent.value_or(orderedPacePercent); }
+    /// The highest pace at which the run may be working, whether or not the newest order is in force.
+    int highestPacePercent() const;
 };
 
 /// Processors that the runs of a host request, in thousandths of a core.
 struct ProcessorUse {
     std::int64_t longRunning = 0;
     std::int64_t batch = 0;
-    /// At the ordered paces.
+    /// At the highest paces that may be in force.
     std::int64_t fillers = 0;
 };
 
@@ -95,7 +106,7 @@
     double headroom = 0;
     /// Headroom that fillers use now, derived from their processor usage.
     double headroomUsed = 0;
-    /// Headroom that fillers will use once the ordered paces take effect.
+    /// Headroom that fillers may use at the highest paces that may be in force.
     double headroomOrdered = 0;
     /// Headroom still available to fillers; see PaceController::adjustPaces().
     double headroomLeft = 0;
@@ -204,6 +215,10 @@
     static std::optional<HostRun> removeRun(Host& host, const RunKey& key);
     /// Records the ordered pace of a run of the host.
     static void setOrderedPace(Host& host, HostRun& run, int percent);
+    /// Records what the side of the host reports of a run's pace.
+    static void setAcknowledgedPace(Host& host, HostRun& run, std::optional<int> percent);
+    /// Makes the paces of all runs unknown: orders of an earlier connection may be lost, or may still be carried out.
+    static void forgetPaces(Host& host);
     /// Whether the end of the run may stay unknown although the task must not run twice.
     static bool mayLoseEndOf(const Host& host, const HostRun& run) { return host.mayForgetEnds && !run.mayRunTwice; }
     /// Long-running tasks start again however they end.
@@ -212,6 +227,8 @@
     static int countRunsOfStep(const Host& host, const std::string& jobId, int occurrence, int step);
 
 private:
+    static void changePace(Host& host, HostRun& run, int orderedPercent, std::optional<int> acknowledgedPercent);
+
     std::map<std::string, Host> m_hosts;
 };
 
--- a/Source/Decision/Job/InterferenceModel.cpp
+++ b/Source/Decision/Job/InterferenceModel.cpp
@@ -20,7 +20,6 @@
     constexpr double decayFactor = 0.99;
     constexpr std::size_t maximumFillerImages = 64;
     constexpr double maximumHeadroom = 8;
-    constexpr int fullPace = 100;
     /// Reported tail latencies are capped: a headroom below this is only an upper bound of the true headroom.
     constexpr double censoredHeadroom = 0.3;
 
@@ -96,7 +95,7 @@
             const HostRun& run = entry.second;
             if (!run.filler)
                 continue;
-            const double pace = static_cast<double>(std::max(0, run.orderedPacePercent)) / fullPace;
+            const double pace = static_cast<double>(run.highestPacePercent()) / fullPacePercent;
             group.headroomUsed += headroomCost(host, group.image, run.image, run.usage);
             group.headroomOrdered += headroomCost(host, group.image, run.image, run.demand.milliProcessors) * pace;
         }
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -274,8 +274,7 @@
     sendReply(origin, answer, actions);
 }
 
-void JobOwner::replyWaitingCount(
-    Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
+void JobOwner::replyWaitingCount(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
 {
     Wire::JobReply answer;
     answer.kind = Wire::JobReplyKind::WaitingCount;
@@ -300,10 +299,11 @@
 {
     m_runTracker.onReport(now, link, report, actions);
     Host* host = m_state.hosts.find(report.hostId);
-    if (!host || (!report.listed && report.results.empty()))
+    if (!host || (!report.listed && report.results.empty() && report.running.empty()))
         return;
     // A filler may start at full pace. Its pace is adjusted as soon as its start is reported, not with the next list.
-    m_state.counters.pacesSent += m_paceController.adjustPaces(now, *host, actions);
+    if (report.listed || !report.results.empty())
+        m_state.counters.pacesSent += m_paceController.adjustPaces(now, *host, actions);
     m_paceController.refreshServingGroups(now, *host);
 }
 
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -150,6 +150,7 @@
         host.orders.starts.clear();
         host.orders.halts.clear();
         host.orders.paces.clear();
+        HostRegistry::forgetPaces(host);
     }
 
     JobState* findJob(const std::string& jobId)
--- a/Source/Decision/Job/PaceController.cpp
+++ b/Source/Decision/Job/PaceController.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-    constexpr int fullPace = 100;
-
     constexpr double initialHeadroom = 99;
 
     struct PacedFiller {
@@ -35,18 +33,38 @@
     return rules;
 }
 
-int PaceController::orderPace(Host& host, HostRun& run, int percent) const
+bool PaceController::isOrderOverdue(Instant now, const HostRun& run) const
+{
+    return run.orderedPacePercent != unknownPacePercent && run.knownPacePercent() != run.orderedPacePercent
+        && now - std::max(run.paceOrderedAt, run.startConfirmedAt) >= m_rules.acknowledgementTimeout;
+}
+
+void PaceController::addPaceOrder(Instant now, Host& host, HostRun& run, int percent)
 {
-    const int change = std::abs(percent - run.orderedPacePercent);
-    const bool isExtreme = percent == 0 || percent == fullPace;
-    if (change == 0 || (change < m_rules.minimumPaceChangePercent && !isExtreme))
-        return 0;
     Wire::PaceOrder order;
     order.task = run.task;
     order.run = run.run;
     order.percent = percent;
     host.orders.paces.push_back(std::move(order));
+    run.paceOrderedAt = now;
     HostRegistry::setOrderedPace(host, run, percent);
+}
+
+int PaceController::orderPace(Instant now, Host& host, HostRun& run, int percent) const
+{
+    const int change = std::abs(percent - run.orderedPacePercent);
+    const bool isExtreme = percent == 0 || percent == fullPacePercent;
+    if (change == 0 || (change < m_rules.minimumPaceChangePercent && !isExtreme))
+        return 0;
+    addPaceOrder(now, host, run, percent);
+    return 1;
+}
+
+int PaceController::repeatPaceOrder(Instant now, Host& host, HostRun& run) const
+{
+    if (!isOrderOverdue(now, run))
+        return 0;
+    addPaceOrder(now, host, run, run.orderedPacePercent);
     return 1;
 }
 
@@ -62,7 +80,7 @@
 {
     for (ServingGroup& group : host.servingGroups)
         group.headroomOrdered += m_model.headroomCost(host, group.image, run.image, run.demand.milliProcessors)
-            * run.orderedPacePercent / fullPace;
+            * run.orderedPacePercent / fullPacePercent;
 }
 
 int PaceController::tolerablePace(const Host& host, const std::string& image, std::int64_t milliCores) const
@@ -70,7 +88,7 @@
     double share = 1;
     const std::vector<ServingGroup>& groups = host.servingGroups;
     if (maximumPressure(groups, image) < m_rules.highPressureThreshold)
-        return fullPace;
+        return fullPacePercent;
     for (const ServingGroup& group : groups) {
         // An ordered pace counts in full even if the usage figures do not show it yet.
         const double availableHeadroom = group.headroom + group.headroomUsed
@@ -79,7 +97,7 @@
         if (cost > 0)
             share = std::min(share, std::max(0.0, availableHeadroom) / cost);
     }
-    return static_cast<int>(share * fullPace);
+    return static_cast<int>(share * fullPacePercent);
 }
 
 double PaceController::expectedHeadroom(const Host& host, const std::string& image, std::int64_t milliCores) const
@@ -128,10 +146,10 @@
     const Instant since = run.paceSampledAt == Instant() ? run.placedAt : run.paceSampledAt;
     run.paceSampledAt = now;
     // A probe ends soon, so the pace during it says nothing about the time that the run will take.
-    if (probing || run.orderedPacePercent < 0)
+    if (probing || run.knownPacePercent() == unknownPacePercent)
         return;
     const double elapsed = std::chrono::duration<double>(now - since) / m_rules.paceSmoothingTime;
-    const double pace = static_cast<double>(run.orderedPacePercent) / fullPace;
+    const double pace = static_cast<double>(run.knownPacePercent()) / fullPacePercent;
     run.recentPace = pace + (run.recentPace - pace) * std::exp(-elapsed);
 }
 
@@ -145,7 +163,7 @@
         if (group.headroomLeft < cost)
             share = std::min(share, std::max(0.0, group.headroomLeft) / cost);
     }
-    const int percent = static_cast<int>(share * fullPace);
+    const int percent = static_cast<int>(share * fullPacePercent);
     return percent < m_rules.minimumPacePercent ? 0 : percent;
 }
 
@@ -185,6 +203,7 @@
     const bool raiseAllowed = now - host.paceRaisedAt >= m_rules.raiseInterval;
     bool raised = false;
     int ordersAdded = 0;
+    int ordersRepeated = 0;
     for (const PacedFiller& filler : fillers) {
         HostRun& run = *filler.run;
         int percent = probing ? 0 : allottedPace(host, run, groups);
@@ -193,9 +212,12 @@
                                    : run.orderedPacePercent;
         raised = raised || percent > run.orderedPacePercent;
         for (ServingGroup& group : groups)
-            group.headroomLeft
-                -= m_model.headroomCost(host, group.image, run.image, run.demand.milliProcessors) * percent / fullPace;
-        ordersAdded += orderPace(host, run, percent);
+            group.headroomLeft -= m_model.headroomCost(host, group.image, run.image, run.demand.milliProcessors)
+                * percent / fullPacePercent;
+        const int changed = orderPace(now, host, run, percent);
+        const int repeated = changed > 0 ? 0 : repeatPaceOrder(now, host, run);
+        ordersAdded += changed + repeated;
+        ordersRepeated += repeated;
     }
     if (raised)
         host.paceRaisedAt = now;
@@ -204,6 +226,7 @@
             WriteLog { LogLine("pace")
                            .add("host", host.hostId)
                            .add("orders", ordersAdded)
+                           .add("repeated", ordersRepeated)
                            .add("fillers", fillers.size())
                            .add("headroom_percent", groups.empty() ? -1 : static_cast<int>(lowestHeadroom * 100))
                            .add("probing", probing)
--- a/Source/Decision/Job/PaceController.h
+++ b/Source/Decision/Job/PaceController.h
@@ -37,6 +37,9 @@
     Duration raiseInterval = milliseconds(650);
     /// Largest single raise of the pace of one filler, in percentage points.
     int maximumRaisePercent = 50;
+    /// A pace that the host has not acknowledged for this long is ordered again. The side repeats an order that the
+    /// host refused or did not answer, so this covers an order that the side does not have.
+    Duration acknowledgementTimeout = seconds(1);
     /// Time constant of the smoothed pace of a filler.
     Duration paceSmoothingTime = milliseconds(700);
 };
@@ -64,7 +67,12 @@
 
 private:
     /// Orders the pace unless the change is too small. Returns the number of orders added, 0 or 1.
-    int orderPace(Host& host, HostRun& run, int percent) const;
+    int orderPace(Instant now, Host& host, HostRun& run, int percent) const;
+    /// Repeats the newest order if it is overdue. Returns the number of orders added, 0 or 1.
+    int repeatPaceOrder(Instant now, Host& host, HostRun& run) const;
+    static void addPaceOrder(Instant now, Host& host, HostRun& run, int percent);
+    /// The host has not acknowledged the newest order in time.
+    bool isOrderOverdue(Instant now, const HostRun& run) const;
     /// Adds the pace that was in effect since the last call to the smoothed pace of the filler.
     void samplePace(Instant now, HostRun& run, bool probing) const;
     /// Tracks how long tasks have been over their target, and begins and ends probes. True while a probe is in
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -62,6 +62,11 @@
         NamedValue { Evidence::End, "end" },
     };
 
+    std::optional<int> acknowledgedPace(const Wire::RunningTask& row)
+    {
+        return row.__isset.acknowledgedPacePercent ? std::optional<int>(row.acknowledgedPacePercent) : std::nullopt;
+    }
+
     LogLine& addTaskFields(LogLine& line, const Wire::TaskName& task)
     {
         return line.add("job", task.jobId)
@@ -228,6 +233,8 @@
         onOrderResult(now, host, result, actions);
     if (report.listed)
         processRunList(now, host, report, actions);
+    else
+        recordAcknowledgedPaces(host, report);
     const bool draining = report.state == Wire::HostState::Draining;
     if (draining && !host.draining)
         actions.push_back(WriteLog { LogLine("host_draining")
@@ -278,6 +285,15 @@
     host.listedInTerm = true;
 }
 
+void RunTracker::recordAcknowledgedPaces(Host& host, const Wire::HostReport& report)
+{
+    for (const Wire::RunningTask& row : report.running) {
+        const std::map<RunKey, HostRun>::iterator it = host.runs.find(runKey(row.task, row.run));
+        if (it != host.runs.end())
+            HostRegistry::setAcknowledgedPace(host, it->second, acknowledgedPace(row));
+    }
+}
+
 void RunTracker::addListedOccurrences(Instant now, const Wire::HostReport& report)
 {
     const auto addOccurrences = [this, now](const Wire::TaskName& task) {
@@ -291,8 +307,8 @@
         addOccurrences(listedRun.task);
 }
 
-void RunTracker::recordStart(Instant now, const Host& host, const Wire::TaskName& task, HostRun* run,
-    StartEvidence evidence, Actions& actions)
+void RunTracker::recordStart(
+    Instant now, const Host& host, const Wire::TaskName& task, HostRun* run, StartEvidence evidence, Actions& actions)
 {
     JobState* job = m_state.findJob(task.jobId);
     if (job)
@@ -367,6 +383,7 @@
     run.listed = true;
     run.ofEarlierIncarnation = false;
     run.listNumber = host.listNumber;
+    HostRegistry::setAcknowledgedPace(host, run, acknowledgedPace(listedRun));
     run.usage = listedRun.usage;
     run.progressPercent = listedRun.progressPercent;
     if (!listedRun.checkpoint.empty())
@@ -408,8 +425,8 @@
     run.usage = listedRun.usage;
     run.progressPercent = listedRun.progressPercent;
     run.checkpoint = listedRun.checkpoint;
-    // The pace ordered by an earlier owner is not listed. It is unknown until the next pace order.
-    run.orderedPacePercent = -1;
+    run.acknowledgedPacePercent = acknowledgedPace(listedRun);
+    run.orderedPacePercent = run.acknowledgedPacePercent.value_or(unknownPacePercent);
     JobState* job = m_state.findJob(listedRun.task.jobId);
     StepState* step = job ? job->findStep(listedRun.task.occurrence, listedRun.task.step) : nullptr;
     TaskState* task = job ? job->findTask(listedRun.task) : nullptr;
--- a/Source/Decision/Job/RunTracker.h
+++ b/Source/Decision/Job/RunTracker.h
@@ -47,7 +47,6 @@
         SupersededRun,
     };
 
-
     /// How a host shows that a run started.
     enum class StartEvidence {
         /// The answer to the order.
@@ -79,6 +78,8 @@
     /// Adds the occurrences of the listed runs. An earlier owner may have seen an occurrence due before this owner
     /// does.
     void addListedOccurrences(Instant now, const Wire::HostReport& report);
+    /// Records the acknowledged paces in a report without a list.
+    static void recordAcknowledgedPaces(Host& host, const Wire::HostReport& report);
     void onOrderResult(Instant now, Host& host, const Wire::OrderResult& result, Actions& actions);
     /// Records that the host has shown the start of a run. This is the only place where a run or its job becomes
     /// started: the order alone may be lost, refused or never carried out. run is null for a run that is not tracked.
--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -73,6 +73,7 @@
         return;
     Wire::HostReport report = makeReport(now);
     report.results.push_back(makeResult(task, run, outcome, reason));
+    addAcknowledgedPaces(report);
     sendReport(std::move(report), actions);
 }
 
@@ -140,6 +141,8 @@
     raiseLocalFence();
     m_halts.clear();
     m_paces.clear();
+    m_acknowledgedPaces.clear();
+    m_pacesToReport.clear();
     m_leaseUntilMilliseconds = 0;
     m_acknowledgedNumber = 0;
     m_listWanted = false;
@@ -316,6 +319,7 @@
     actions.push_back(
         WriteLog { LogLine("owner_link_up").add("owner", m_owner.claim.nodeId).add("term", m_owner.term).text() });
     m_reportedRuns.reset();
+    m_pacesToReport.clear();
     m_ownerAcceptsChanges = false;
     reportToNextOwner(now, actions);
 }
@@ -384,7 +388,7 @@
     for (const Wire::HaltOrder& halt : orders.halts)
         addHalt(now, halt.task, halt.run, "stopped_before_it_ran");
     for (const Wire::PaceOrder& pace : orders.paces)
-        m_paces.insert_or_assign(runKey(pace.task, pace.run), PendingPace { pace, false, now });
+        addPace(now, pace);
     sendPaces(now, actions);
 }
 
@@ -393,6 +397,7 @@
     m_ownerFence = fence;
     m_localFenceRaises = 0;
     m_fencedSince.reset();
+    abandonPaces();
     // A list sent under a lower fence does not show which orders may still be carried out. The list is abandoned, so
     // whether the host has restarted meanwhile is unconfirmed.
     m_incarnationUnconfirmed = m_incarnationUnconfirmed || m_listInFlight;
@@ -423,6 +428,13 @@
     }
     switch (response.answer) {
     case HostAnswer::Done:
+        if (m_acknowledgedPaces.contains(runKey(start.task, start.run))) {
+            // A list has shown the run before this answer, and a later pace order is in force.
+            sendResult(now, start.task, start.run, Wire::OrderOutcome::Started, {}, actions);
+            return;
+        }
+        // Hosts start every task at full pace.
+        acknowledgePace(now, start.task, start.run, fullPacePercent);
         sendResult(now, start.task, start.run, Wire::OrderOutcome::Started, {}, actions);
         addStartPace(now, start, actions);
         return;
@@ -459,16 +471,14 @@
 
 void HostAgent::addStartPace(Instant now, const Wire::StartOrder& start, Actions& actions)
 {
-    constexpr int fullPace = 100;
-    const RunKey key = runKey(start.task, start.run);
-    // Hosts start every task at full pace. A newer pace order overrides the pace of the start order.
-    if (start.percent >= fullPace || m_paces.contains(key))
+    // A newer pace order overrides the pace of the start order.
+    if (start.percent >= fullPacePercent || m_paces.contains(runKey(start.task, start.run)))
         return;
     Wire::PaceOrder pace;
     pace.task = start.task;
     pace.run = start.run;
     pace.percent = start.percent;
-    m_paces.emplace(key, PendingPace { std::move(pace), false, now });
+    addPace(now, pace);
     sendPaces(now, actions);
 }
 
@@ -486,31 +496,135 @@
         m_listWanted = true;
 }
 
+void HostAgent::addPace(Instant now, const Wire::PaceOrder& order)
+{
+    PendingPace& pace = m_paces[runKey(order.task, order.run)];
+    if (pace.newestCall != 0 && pace.order.percent == order.percent)
+        return;
+    pace.order = order;
+    pace.receivedAt = now;
+    pace.newestCall = 0;
+    pace.failedCalls = 0;
+    pace.nextSendAt = now;
+}
+
 void HostAgent::sendPaces(Instant now, Actions& actions)
 {
+    // The side lists the host while it is connected to the owner, so a list finds out when the host listens again.
+    if (m_refusesConnections && m_ownerLink.isUp())
+        return;
     for (std::pair<const RunKey, PendingPace>& entry : m_paces) {
         PendingPace& pace = entry.second;
-        if (pace.inFlight || now < pace.nextSendAt)
+        if (pace.callsInFlight.contains(pace.newestCall) || now < pace.nextSendAt)
             continue;
-        pace.inFlight = true;
-        actions.push_back(SetPaceOnHost { m_host->hostId, m_host->incarnation, fence(), pace.order });
+        pace.overlapped = !pace.callsInFlight.empty();
+        pace.newestCall = ++m_lastPaceCall;
+        pace.callsInFlight.insert(pace.newestCall);
+        actions.push_back(SetPaceOnHost {
+            m_host->hostId, m_host->incarnation, fence(), m_clockMilliseconds, pace.newestCall, pace.order });
     }
 }
 
 void HostAgent::onPaceResponse(Instant now, const SetPaceOnHost& order, const HostResponse& response, Actions& actions)
 {
     std::map<RunKey, PendingPace>::iterator it = m_paces.find(runKey(order.order.task, order.order.run));
-    if (!isForCurrentIncarnation(order) || it == m_paces.end() || it->second.order.percent != order.order.percent)
+    if (!isForCurrentIncarnation(order) || it == m_paces.end() || it->second.callsInFlight.erase(order.callNumber) == 0)
+        return;
+    PendingPace& pace = it->second;
+    const bool isNewest = order.callNumber == pace.newestCall;
+    const bool isDone = response.answer == HostAnswer::Done && !isOtherIncarnation(response, order.clockMilliseconds);
+    if (isNewest && !isDone) {
+        onPaceNotSet(now, pace, response, actions);
         return;
-    const bool isFenceOutdated = response.answer == HostAnswer::Refused && order.fence < fence();
-    if (response.answer != HostAnswer::Uncertain && !isFenceOutdated) {
+    }
+    if (isNewest && !pace.overlapped) {
+        acknowledgePace(now, order.order.task, order.order.run, order.order.percent);
         m_paces.erase(it);
         return;
     }
-    it->second.inFlight = false;
-    it->second.nextSendAt = now + m_timing.orderRetryDelay;
-    actions.push_back(WriteLog {
-        LogLine("pace_unanswered").add("job", order.order.task.jobId).add("percent", order.order.percent).text() });
+    // The newest order is repeated once all earlier calls have been answered.
+    pace.nextSendAt = pace.callsInFlight.empty() ? now : now + m_timing.longestPaceRetryDelay;
+    sendPaces(now, actions);
+}
+
+void HostAgent::onPaceNotSet(Instant now, PendingPace& pace, const HostResponse& response, Actions& actions)
+{
+    const bool isUnanswered = response.answer == HostAnswer::Uncertain;
+    if (isUnanswered || pace.failedCalls == 0) {
+        LogLine line(isUnanswered ? "pace_unanswered" : "pace_refused");
+        line.add("job", pace.order.task.jobId).add("percent", pace.order.percent);
+        if (!isUnanswered) {
+            line.add("reason",
+                response.answer == HostAnswer::Refused            ? response.reason
+                    : response.answer == HostAnswer::NotListening ? "not_listening"
+                                                                  : "other_incarnation");
+        }
+        actions.push_back(WriteLog { line.text() });
+    }
+    Duration delay = m_timing.orderRetryDelay;
+    for (int n = 0; n < pace.failedCalls && delay < m_timing.longestPaceRetryDelay; ++n)
+        delay *= 2;
+    pace.nextSendAt = now + std::min(delay, m_timing.longestPaceRetryDelay);
+    ++pace.failedCalls;
+    // A list shows whether the host has restarted and whether the run is over.
+    m_listWanted = m_listWanted || !isUnanswered;
+}
+
+void HostAgent::acknowledgePace(Instant now, const Wire::TaskName& task, int run, int percent)
+{
+    m_acknowledgedPaces.insert_or_assign(runKey(task, run), AcknowledgedPace { percent, now });
+    Wire::RunningTask row;
+    row.task = task;
+    row.run = run;
+    row.__set_acknowledgedPacePercent(percent);
+    m_pacesToReport.push_back(std::move(row));
+}
+
+void HostAgent::addAcknowledgedPaces(Wire::HostReport& report)
+{
+    for (const Wire::RunningTask& row : m_pacesToReport)
+        m_reportedRuns.recordPace(runKey(row.task, row.run), row.acknowledgedPacePercent);
+    report.running = std::move(m_pacesToReport);
+    m_pacesToReport.clear();
+}
+
+void HostAgent::reportAcknowledgedPaces(Instant now, Actions& actions)
+{
+    if (m_pacesToReport.empty() || !m_ownerLink.isUp())
+        return;
+    Wire::HostReport report = makeReport(now);
+    if (m_ownerAcceptsChanges)
+        ReportedRuns::omitDescription(report);
+    addAcknowledgedPaces(report);
+    sendReport(std::move(report), actions);
+}
+
+void HostAgent::resolvePaces(const HostResponse& response, Wire::HostReport& report)
+{
+    std::set<RunKey> running;
+    for (Wire::RunningTask& row : report.running) {
+        const RunKey key = runKey(row.task, row.run);
+        running.insert(key);
+        const std::map<RunKey, AcknowledgedPace>::const_iterator it = m_acknowledgedPaces.find(key);
+        row.__set_acknowledgedPacePercent(it == m_acknowledgedPaces.end() ? unknownPacePercent : it->second.percent);
+    }
+    if (response.isIncomplete)
+        return;
+    // A list that was requested earlier may have been made before the run began.
+    std::erase_if(m_paces, [this, &running](const std::pair<const RunKey, PendingPace>& entry) {
+        return entry.second.receivedAt <= m_listSentAt && !running.contains(entry.first);
+    });
+    std::erase_if(m_acknowledgedPaces, [this, &running](const std::pair<const RunKey, AcknowledgedPace>& entry) {
+        return entry.second.acknowledgedAt <= m_listSentAt && !running.contains(entry.first);
+    });
+}
+
+void HostAgent::abandonPaces()
+{
+    for (const std::pair<const RunKey, PendingPace>& entry : m_paces)
+        m_acknowledgedPaces.erase(entry.first);
+    m_paces.clear();
+    m_pacesToReport.clear();
 }
 
 void HostAgent::resolveHalts(const HostResponse& response, Wire::HostReport& report)
@@ -567,6 +681,7 @@
         report.running = response.running;
         report.ended = response.ended;
         resolveHalts(response, report);
+        resolvePaces(response, report);
         sendListReport(now, std::move(report), actions);
         const bool unacknowledged = std::any_of(response.ended.begin(), response.ended.end(),
             [this](const Wire::EndedTask& row) { return row.number > m_acknowledgedNumber; });
@@ -712,6 +827,7 @@
         actions.push_back(HaltOnHost { m_host->hostId, m_host->incarnation, fence(), halt.order });
     }
     sendPaces(now, actions);
+    reportAcknowledgedPaces(now, actions);
     // Without an owner there is no recipient for a report and no fence for a list.
     const bool due = m_listWanted || m_ownerLink.isUp();
     if (m_ownerFence == 0 || m_listInFlight || !due || now < m_nextListAt)
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -12,6 +12,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 
 namespace Plantainpier {
 
@@ -43,6 +44,8 @@
     Duration fenceRefusalTolerance = seconds(1);
     /// Delay before a halt or pace order is sent again.
     Duration orderRetryDelay = milliseconds(150);
+    /// The delay of a pace order doubles with each attempt up to this one.
+    Duration longestPaceRetryDelay = milliseconds(600);
     /// Longest wait of a read of the owner claims while this side is not connected to an owner. Bounds how late a new
     /// owner is found.
     Duration ownerReadWait = milliseconds(700);
@@ -89,12 +92,25 @@
         Instant nextSendAt;
     };
 
+    /// The newest pace order of a run, kept until the host has acknowledged it.
     struct PendingPace {
         Wire::PaceOrder order;
-        bool inFlight = false;
+        Instant receivedAt;
+        /// Calls for this order and earlier ones that are not yet answered.
+        std::set<std::uint64_t> callsInFlight;
+        /// The newest call for this order; 0 before the first.
+        std::uint64_t newestCall = 0;
+        /// A call for an earlier order was in flight beside the newest one, so either may be carried out last.
+        bool overlapped = false;
+        int failedCalls = 0;
         Instant nextSendAt;
     };
 
+    struct AcknowledgedPace {
+        int percent = fullPacePercent;
+        Instant acknowledgedAt;
+    };
+
     /// A host other than the known one was announced.
     bool onCandidateAnnounced(Instant now, const HostDescription& host, Actions& actions);
     /// A list that only the announced candidate answers.
@@ -109,7 +125,18 @@
     void applyClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
     void onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions);
     void addStartPace(Instant now, const Wire::StartOrder& start, Actions& actions);
+    void addPace(Instant now, const Wire::PaceOrder& order);
     void sendPaces(Instant now, Actions& actions);
+    void onPaceNotSet(Instant now, PendingPace& pace, const HostResponse& response, Actions& actions);
+    /// Records what the host has acknowledged, to report it with the next message to the owner.
+    void acknowledgePace(Instant now, const Wire::TaskName& task, int run, int percent);
+    /// Moves the acknowledged paces that are not yet reported into a report without a list.
+    void addAcknowledgedPaces(Wire::HostReport& report);
+    void reportAcknowledgedPaces(Instant now, Actions& actions);
+    /// Sets the acknowledged paces of listed runs, and forgets the paces of runs that the list shows to be over.
+    void resolvePaces(const HostResponse& response, Wire::HostReport& report);
+    /// Gives up the pending orders of an earlier fence. Whether the host has carried them out is unknown.
+    void abandonPaces();
     /// Whether the order was meant for the current incarnation of this side's host.
     template <typename Order> bool isForCurrentIncarnation(const Order& order) const
     {
@@ -206,9 +233,14 @@
     Instant m_lastListAnswerAt;
     Instant m_nextListAt;
     std::map<RunKey, Halt> m_halts;
-    /// The newest unconfirmed pace order of each run. Only this one is repeated, so that an older order cannot override
-    /// it.
+    /// The newest unacknowledged pace order of each run. Only this one is repeated, so that an older order cannot
+    /// override it.
     std::map<RunKey, PendingPace> m_paces;
+    std::uint64_t m_lastPaceCall = 0;
+    /// The pace that the host acknowledged last, by run. A run without an entry has an unknown pace.
+    std::map<RunKey, AcknowledgedPace> m_acknowledgedPaces;
+    /// Acknowledged paces to report with the next message to the owner.
+    std::vector<Wire::RunningTask> m_pacesToReport;
 };
 
 } // namespace Plantainpier
--- a/Source/Decision/Process/Message.h
+++ b/Source/Decision/Process/Message.h
@@ -219,6 +219,10 @@
     std::string hostId;
     std::int64_t incarnation = 0;
     std::int64_t fence = 0;
+    /// The newest reading of the host's clock when the order was sent.
+    std::int64_t clockMilliseconds = 0;
+    /// Sequence number of the call within this process.
+    std::uint64_t callNumber = 0;
     Wire::PaceOrder order;
 };
 
--- a/Source/Decision/Process/ReportedRuns.cpp
+++ b/Source/Decision/Process/ReportedRuns.cpp
@@ -43,6 +43,30 @@
     return static_cast<double>(row.usage) > (1 + usageRiseShare) * static_cast<double>(reported.row.usage);
 }
 
+bool ReportedRuns::isAtOtherPace(const ReportedRow& reported, const Wire::RunningTask& row)
+{
+    return row.__isset.acknowledgedPacePercent != reported.row.__isset.acknowledgedPacePercent
+        || row.acknowledgedPacePercent != reported.row.acknowledgedPacePercent;
+}
+
+void ReportedRuns::recordPace(const RunKey& key, int percent)
+{
+    const std::map<RunKey, ReportedRow>::iterator it = m_rows.find(key);
+    if (it != m_rows.end())
+        it->second.row.__set_acknowledgedPacePercent(percent);
+}
+
+void ReportedRuns::omitDescription(Wire::HostReport& report)
+{
+    report.changesOnly = true;
+    report.sideId.clear();
+    report.serviceName.clear();
+    report.zone.clear();
+    report.rack.clear();
+    report.labels.clear();
+    report.capacity = Wire::Resources();
+}
+
 void ReportedRuns::reportCompletely(Instant now, const Wire::HostReport& report)
 {
     reset();
@@ -70,7 +94,8 @@
         const bool isNew = it == m_rows.end();
         if (!isNew)
             it->second.listNumber = m_listNumber;
-        const bool isNeeded = isNew || hasRisen(it->second, row) || (figuresDue && hasChanged(now, it->second, row));
+        const bool isNeeded = isNew || isAtOtherPace(it->second, row) || hasRisen(it->second, row)
+            || (figuresDue && hasChanged(now, it->second, row));
         if (!isNeeded)
             continue;
         m_rows.insert_or_assign(key, ReportedRow { row, now, m_listNumber });
@@ -91,13 +116,7 @@
     std::erase_if(report.ended, [this](const Wire::EndedTask& row) { return row.number <= m_lastEndNumber; });
     for (const Wire::EndedTask& row : report.ended)
         m_lastEndNumber = std::max(m_lastEndNumber, row.number);
-    report.changesOnly = true;
-    report.sideId.clear();
-    report.serviceName.clear();
-    report.zone.clear();
-    report.rack.clear();
-    report.labels.clear();
-    report.capacity = Wire::Resources();
+    omitDescription(report);
     if (figuresDue)
         m_lastFiguresAt = now;
     return figuresDue || !report.running.empty() || !report.removed.empty() || !report.ended.empty()
--- a/Source/Decision/Process/ReportedRuns.h
+++ b/Source/Decision/Process/ReportedRuns.h
@@ -14,6 +14,10 @@
     void reset();
     /// Removes from the report what the owner knows. Returns false if nothing is left to report and no report is due.
     bool reduce(Instant now, Wire::HostReport& report);
+    /// The acknowledged pace of a run has been reported without a list.
+    void recordPace(const RunKey& key, int percent);
+    /// Makes the report one of changes, which has no description of the host.
+    static void omitDescription(Wire::HostReport& report);
 
 private:
     /// The newest reported row of a run.
@@ -27,6 +31,8 @@
     void reportCompletely(Instant now, const Wire::HostReport& report);
     /// Whether the figures of a run have changed so much that the owner needs them with the next report of figures.
     static bool hasChanged(Instant now, const ReportedRow& reported, const Wire::RunningTask& row);
+    /// Whether the owner has another acknowledged pace of the run. The room of the host depends on it.
+    static bool isAtOtherPace(const ReportedRow& reported, const Wire::RunningTask& row);
     /// Whether the figures of a run have to be reported at once.
     static bool hasRisen(const ReportedRow& reported, const Wire::RunningTask& row);
 
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -304,7 +304,8 @@
   3: string checkpoint
   4: i32 progressPercent
   5: i64 usage
-  // For a filler: the newest pace that the host has acknowledged to this process of its side. Absent if there is none.
+  // The newest pace that the host has acknowledged to this process of its side, or -1 if there is none. Absent in reports
+  // of earlier versions. A report without a list has rows with task, run and this field only.
   6: optional i32 acknowledgedPacePercent
 }
 
