--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -300,10 +300,11 @@
 {
     m_runTracker.onReport(now, link, report, actions);
     Host* host = m_state.hosts.find(report.hostId);
-    if (!host || (!report.listed && report.results.empty()))
+    if (!host || (!report.listed && report.results.empty() && report.running.empty()))
         return;
     // A filler may start at full pace. Its pace is adjusted as soon as its start is reported, not with the next list.
-    m_state.counters.pacesSent += m_paceController.adjustPaces(now, *host, actions);
+    if (report.listed || !report.results.empty())
+        m_state.counters.pacesSent += m_paceController.adjustPaces(now, *host, actions);
     m_paceController.refreshServingGroups(now, *host);
 }
 
