--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "Decision/Job/OwnerState.h"
-#include "Decision/Job/PaceController.h"
 #include "Decision/Job/RunTracker.h"
 #include "Decision/Job/TaskScheduler.h"
+#include "Decision/Placement/PaceController.h"
 
 namespace Plantainpier {
 
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -2,15 +2,15 @@
 #pragma once
 
 #include "Decision/Job/CapacityLogger.h"
-#include "Decision/Job/FailedPlacements.h"
-#include "Decision/Job/FailedPreemptions.h"
-#include "Decision/Job/FillerRelocator.h"
 #include "Decision/Job/OwnerState.h"
-#include "Decision/Job/PaceController.h"
-#include "Decision/Job/Placement.h"
 #include "Decision/Job/RunTracker.h"
 #include "Decision/Job/WaitLogger.h"
 #include "Decision/Job/WorkPriority.h"
+#include "Decision/Placement/FailedPlacements.h"
+#include "Decision/Placement/FailedPreemptions.h"
+#include "Decision/Placement/FillerRelocator.h"
+#include "Decision/Placement/PaceController.h"
+#include "Decision/Placement/Placement.h"
 
 namespace Plantainpier {
 
--- a/Source/Decision/Job/WaitLogger.cpp
+++ b/Source/Decision/Job/WaitLogger.cpp
@@ -1,6 +1,6 @@
 #include "Decision/Job/WaitLogger.h"
 
-#include "Decision/Job/HostRoom.h"
+#include "Decision/Placement/HostRoom.h"
 
 #include <algorithm>
 #include <functional>
--- a/Source/Decision/Job/WaitLogger.h
+++ b/Source/Decision/Job/WaitLogger.h
@@ -2,8 +2,8 @@
 /// step grows, so that other steps are logged too.
 #pragma once
 
-#include "Decision/Job/HostEligibility.h"
 #include "Decision/Job/OwnerState.h"
+#include "Decision/Placement/HostEligibility.h"
 
 #include <map>
 #include <string>
--- a/Source/Decision/Job/FailedPlacements.cpp
+++ b/Source/Decision/Placement/FailedPlacements.cpp
@@ -1,4 +1,4 @@
-#include "Decision/Job/FailedPlacements.h"
+#include "Decision/Placement/FailedPlacements.h"
 
 #include <algorithm>
 
--- a/Source/Decision/Job/FailedPlacements.h
+++ b/Source/Decision/Placement/FailedPlacements.h
@@ -3,7 +3,7 @@
 /// nearly all steps wait for the same reason.
 #pragma once
 
-#include "Decision/Job/Placement.h"
+#include "Decision/Placement/Placement.h"
 
 #include <vector>
 
--- a/Source/Decision/Job/FailedPreemptions.cpp
+++ b/Source/Decision/Placement/FailedPreemptions.cpp
@@ -1,4 +1,4 @@
-#include "Decision/Job/FailedPreemptions.h"
+#include "Decision/Placement/FailedPreemptions.h"
 
 #include <algorithm>
 
--- a/Source/Decision/Job/FillerRelocator.cpp
+++ b/Source/Decision/Placement/FillerRelocator.cpp
@@ -1,4 +1,4 @@
-#include "Decision/Job/FillerRelocator.h"
+#include "Decision/Placement/FillerRelocator.h"
 
 #include <algorithm>
 
--- a/Source/Decision/Job/FillerRelocator.h
+++ b/Source/Decision/Placement/FillerRelocator.h
@@ -2,11 +2,11 @@
 /// them included. A step ends with its last task, so one filler that stands nearly still holds up a whole job.
 #pragma once
 
-#include "Decision/Job/FailedPlacements.h"
 #include "Decision/Job/OwnerState.h"
-#include "Decision/Job/PaceController.h"
-#include "Decision/Job/Placement.h"
 #include "Decision/Job/RunTracker.h"
+#include "Decision/Placement/FailedPlacements.h"
+#include "Decision/Placement/PaceController.h"
+#include "Decision/Placement/Placement.h"
 
 namespace Plantainpier {
 
--- a/Source/Decision/Job/HostRoom.cpp
+++ b/Source/Decision/Placement/HostRoom.cpp
@@ -1,4 +1,4 @@
-#include "Decision/Job/HostRoom.h"
+#include "Decision/Placement/HostRoom.h"
 
 #include "Decision/Job/ResourceMath.h"
 
--- a/Source/Decision/Job/InterferenceModel.cpp
+++ b/Source/Decision/Placement/InterferenceModel.cpp
@@ -1,4 +1,4 @@
-#include "Decision/Job/InterferenceModel.h"
+#include "Decision/Placement/InterferenceModel.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/Decision/Job/OpenHosts.cpp
+++ b/Source/Decision/Placement/OpenHosts.cpp
@@ -1,4 +1,4 @@
-#include "Decision/Job/OpenHosts.h"
+#include "Decision/Placement/OpenHosts.h"
 
 namespace Plantainpier {
 
--- a/Source/Decision/Job/OpenHosts.h
+++ b/Source/Decision/Placement/OpenHosts.h
@@ -2,8 +2,8 @@
 /// searches, so that a search spends nothing on hosts that are gone.
 #pragma once
 
-#include "Decision/Job/HostEligibility.h"
 #include "Decision/Job/HostRegistry.h"
+#include "Decision/Placement/HostEligibility.h"
 
 #include <map>
 #include <string>
--- a/Source/Decision/Job/PaceController.cpp
+++ b/Source/Decision/Placement/PaceController.cpp
@@ -1,4 +1,4 @@
-#include "Decision/Job/PaceController.h"
+#include "Decision/Placement/PaceController.h"
 
 #include "Base/LogLine.h"
 
--- a/Source/Decision/Job/PaceController.h
+++ b/Source/Decision/Placement/PaceController.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "Decision/Job/HostRegistry.h"
-#include "Decision/Job/InterferenceModel.h"
+#include "Decision/Placement/InterferenceModel.h"
 
 namespace Plantainpier {
 
--- a/Source/Decision/Job/Placement.cpp
+++ b/Source/Decision/Placement/Placement.cpp
@@ -1,4 +1,4 @@
-#include "Decision/Job/Placement.h"
+#include "Decision/Placement/Placement.h"
 
 #include <algorithm>
 
--- a/Source/Decision/Job/Placement.h
+++ b/Source/Decision/Placement/Placement.h
@@ -3,11 +3,11 @@
 /// avoided.
 #pragma once
 
-#include "Decision/Job/HostEligibility.h"
 #include "Decision/Job/HostRegistry.h"
 #include "Decision/Job/JobState.h"
-#include "Decision/Job/OpenHosts.h"
-#include "Decision/Job/PaceController.h"
+#include "Decision/Placement/HostEligibility.h"
+#include "Decision/Placement/OpenHosts.h"
+#include "Decision/Placement/PaceController.h"
 
 namespace Plantainpier {
 
--- a/Tests/Unit/FailedPlacementsTest.cpp
+++ b/Tests/Unit/FailedPlacementsTest.cpp
@@ -1,6 +1,6 @@
 /// Tests FailedPlacements and how TaskScheduler uses it. The load pattern: hosts are full, and many steps of a few
 /// kinds wait, so that a search over all hosts for each of them would take most of the owner's processor.
-#include "Decision/Job/FailedPlacements.h"
+#include "Decision/Placement/FailedPlacements.h"
 #include "Support/JobFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/Tests/Unit/FillerRelocatorTest.cpp
+++ b/Tests/Unit/FillerRelocatorTest.cpp
@@ -1,6 +1,6 @@
 /// Tests FillerRelocator: fillers that stand nearly still move to hosts that run them at full pace, from every host of
 /// the fleet, and no more of them than the destinations have room for.
-#include "Decision/Job/FillerRelocator.h"
+#include "Decision/Placement/FillerRelocator.h"
 #include "Support/JobFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/Tests/Unit/PaceControllerTest.cpp
+++ b/Tests/Unit/PaceControllerTest.cpp
@@ -1,7 +1,7 @@
 /// Tests PaceController and InterferenceModel with fillers beside serving tasks: the pressure of a filler image on a
 /// serving image is learned within seconds, and only high-pressure fillers are slowed down.
-#include "Decision/Job/PaceController.h"
-#include "Decision/Job/Placement.h"
+#include "Decision/Placement/PaceController.h"
+#include "Decision/Placement/Placement.h"
 #include "Support/JobFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/Tests/Unit/WaitLoggerTest.cpp
+++ b/Tests/Unit/WaitLoggerTest.cpp
@@ -1,5 +1,5 @@
 /// Tests WaitLogger in virtual time: the log states why a task waits, in a limited number of lines.
-#include "Decision/Job/HostRoom.h"
+#include "Decision/Placement/HostRoom.h"
 #include "Support/JobFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
