Zone: Start nothing in availability zones that operators have closed

Change: entries read the requests beside the configuration (ZoneClosures), the owner marks the hosts of closed zones, and OpenHosts rules them out on every path that starts a task. With zone_closure_ms an owner starts nothing while its knowledge is older than the bound less one second. Complete reads of the operators' topic repeat for 11 s after the store dropped its history, and the log is read on from the first page of a read of several pages. Ruled out: reads by sides (docs/design/0009).

--- a/Source/Decision/Job/HostRegistry.cpp
+++ b/Source/Decision/Job/HostRegistry.cpp
@@ -41,6 +41,12 @@
     return it == m_hosts.end() ? nullptr : &it->second;
 }
 
+std::size_t HostRegistry::countInClosedZones() const
+{
+    return static_cast<std::size_t>(std::count_if(m_hosts.begin(), m_hosts.end(),
+        [](const std::pair<const std::string, Host>& entry) { return entry.second.zoneClosed; }));
+}
+
 HostRun& HostRegistry::addRun(Host& host, HostRun run)
 {
     addToCommitted(host, run, 1);
--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -137,6 +137,8 @@
     std::string sideId;
     std::string service;
     std::string zone;
+    /// Operators have closed the zone, so nothing is started on the host; see ZoneClosures.
+    bool zoneClosed = false;
     std::string rack;
     std::vector<std::string> labels;
     Wire::Resources capacity;
@@ -208,6 +210,7 @@
     std::map<std::string, Host>& hosts() { return m_hosts; }
     const std::map<std::string, Host>& hosts() const { return m_hosts; }
     Host* find(const std::string& hostId);
+    std::size_t countInClosedZones() const;
 
     /// Adds a run and commits the run's demand.
     static HostRun& addRun(Host& host, HostRun run);
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -135,6 +135,35 @@
     m_loadedDepartures.clear();
 }
 
+void JobOwner::setZoneClosures(const ZoneClosures& closures)
+{
+    m_state.zoneClosures = closures;
+    for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
+        Host& host = entry.second;
+        const bool closed = closures.isClosed(host.zone);
+        if (closed == host.zoneClosed)
+            continue;
+        host.zoneClosed = closed;
+        m_state.scheduleDue = true;
+    }
+}
+
+bool JobOwner::mayStartTasks(Instant now, Actions& actions)
+{
+    if (m_schedulingStopped || !m_state.mayGrantLeases(now))
+        return false;
+    const bool known = m_state.areZoneClosuresKnown(now);
+    if (known == m_startsPaused) {
+        m_startsPaused = !known;
+        const std::optional<Instant> asOf = m_state.zoneClosures.knownAsOf();
+        actions.push_back(WriteLog { LogLine(known ? "starts_resumed" : "starts_paused")
+                                         .add("why", "zones_unknown")
+                                         .add("age_ms", asOf ? toMilliseconds(now - *asOf) : -1)
+                                         .text() });
+    }
+    return known;
+}
+
 bool JobOwner::isStoreUnavailable(Instant now) const
 {
     return m_state.storeWriter.stalledFor(now) > m_state.rules.storeUnavailableAfter;
@@ -488,9 +517,9 @@
     m_runTracker.tick(now, actions);
     m_interference.updatePressures(now, m_state.hosts);
     const Duration sinceLastPass = now - m_lastSchedulingPass;
-    if (!m_schedulingStopped && m_state.mayGrantLeases(now)
-        && ((m_state.scheduleDue && sinceLastPass >= passInterval(m_state.hosts.hosts().size()))
-            || sinceLastPass >= idlePassInterval)) {
+    const bool isPassDue = (m_state.scheduleDue && sinceLastPass >= passInterval(m_state.hosts.hosts().size()))
+        || sinceLastPass >= idlePassInterval;
+    if (isPassDue && mayStartTasks(now, actions)) {
         m_state.scheduleDue = false;
         m_lastSchedulingPass = now;
         m_scheduler.schedule(now, actions);
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -26,6 +26,9 @@
     void finishLoad(Instant now, std::int64_t unixMilliseconds, Instant leasesEnd, Actions& actions);
     void setPolicy(std::shared_ptr<const PolicySnapshot> policy) { m_state.policy = std::move(policy); }
 
+    /// Passes on the closed zones after each answered read. Starts in newly closed zones end with this call.
+    void setZoneClosures(const ZoneClosures& closures);
+
     void onCall(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     void onReport(Instant now, LinkId link, const Wire::HostReport& report, Actions& actions);
     void onLinkDown(Instant now, LinkId link);
@@ -96,6 +99,8 @@
     void sendOrders(Actions& actions);
     /// Whether the progress of the job is stored, so that no later owner can revert its outcome.
     bool isOutcomeStored(const JobState& job) const;
+    /// Whether tasks may be started now. Logs when starts are held back, and when they go on.
+    bool mayStartTasks(Instant now, Actions& actions);
     /// Removes finished jobs whose retention period is over.
     void removeExpiredJobs(Instant now);
 
@@ -116,6 +121,7 @@
     Instant m_lastJobCleanup;
     bool m_fenced = false;
     bool m_schedulingStopped = false;
+    bool m_startsPaused = false;
     /// Sequence number of the newest write when scheduling stopped; set by the next tick.
     std::optional<std::uint64_t> m_lastWriteBeforeHandOver;
 };
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -7,6 +7,7 @@
 #include "Decision/Job/JobState.h"
 #include "Decision/Job/StoreWriter.h"
 #include "Decision/Version/QueuePolicy.h"
+#include "Decision/Zone/ZoneClosures.h"
 
 #include <functional>
 #include <memory>
@@ -36,6 +37,10 @@
     Duration ownershipCertainFor = milliseconds(700);
     /// Retry delay sent to callers that are refused, such as while the store is unavailable or ownership is uncertain.
     Duration storeRetryAfter = seconds(1);
+    /// An owner starts nothing if it has not learned of closed zones for this time. Unset: no start is held back.
+    std::optional<Duration> zoneClosureBound;
+    /// Part of the bound that is left for the delivery of an order to its host.
+    Duration startDeliveryMargin = seconds(1);
     /// Delay before a task is retried after a failure or a refused start, so that a broken host does not use up the
     /// task's attempts.
     Duration retryDelayAfterFailure = milliseconds(50);
@@ -103,6 +108,7 @@
     /// Wall-clock time of the last tick.
     std::int64_t unixMilliseconds = 0;
     std::shared_ptr<const PolicySnapshot> policy;
+    ZoneClosures zoneClosures;
     std::map<std::string, std::unique_ptr<JobState>> jobs;
     /// Unfinished jobs whose acceptance is persisted.
     std::map<std::string, JobState*> openJobs;
@@ -135,6 +141,15 @@
     }
     bool mayGrantLeases(Instant now) const { return !handedOver && now < ownershipConfirmedAt + rules.ownershipHold; }
 
+    /// Whether the closed zones are known as of a time that is recent enough for starts.
+    bool areZoneClosuresKnown(Instant now) const
+    {
+        if (!rules.zoneClosureBound)
+            return true;
+        const std::optional<Instant> asOf = zoneClosures.knownAsOf();
+        return asOf && now - *asOf <= *rules.zoneClosureBound - rules.startDeliveryMargin;
+    }
+
     /// Raises the host's fence. Once the host has been listed under the new fence, the host refuses every earlier
     /// order. Such an order could otherwise be carried out late, over another connection or by a later incarnation. No
     /// run is started on the host until that list is received.
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -152,6 +152,7 @@
         }
         host.service = report.serviceName;
         host.zone = report.zone;
+        host.zoneClosed = m_state.zoneClosures.isClosed(host.zone);
         host.rack = report.rack;
         host.labels = report.labels;
         host.capacity = report.capacity;
--- a/Source/Decision/Placement/HostEligibility.h
+++ b/Source/Decision/Placement/HostEligibility.h
@@ -16,6 +16,8 @@
     /// The host has not listed its runs since this owner took over or last raised the host's fence.
     NotListed,
     Draining,
+    /// Operators have closed the host's availability zone.
+    ZoneClosed,
     NoLink,
     /// The host accepted no new connection when its side last tried.
     RefusesConnections,
@@ -48,6 +50,7 @@
     NamedValue { HostEligibility::OtherService, "other_service" },
     NamedValue { HostEligibility::NotListed, "not_listed" },
     NamedValue { HostEligibility::Draining, "draining" },
+    NamedValue { HostEligibility::ZoneClosed, "zone_closed" },
     NamedValue { HostEligibility::NoLink, "no_link" },
     NamedValue { HostEligibility::RefusesConnections, "refuses_connections" },
     NamedValue { HostEligibility::Silent, "silent" },
--- a/Source/Decision/Placement/OpenHosts.cpp
+++ b/Source/Decision/Placement/OpenHosts.cpp
@@ -8,6 +8,8 @@
         return HostEligibility::NotListed;
     if (host.draining)
         return HostEligibility::Draining;
+    if (host.zoneClosed)
+        return HostEligibility::ZoneClosed;
     if (host.link == noLink)
         return HostEligibility::NoLink;
     return host.refusesConnections ? HostEligibility::RefusesConnections : HostEligibility::Eligible;
--- a/Source/Decision/Process/JobEntryCore.cpp
+++ b/Source/Decision/Process/JobEntryCore.cpp
@@ -39,6 +39,16 @@
         NamedValue { Wire::JobReplyKind::Invalid, "invalid" },
     };
 
+    WatchTiming operatorTopicTiming(const JobEntryTiming& timing)
+    {
+        WatchTiming result;
+        result.readWait = timing.policyReadWait;
+        // A complete read that starts later than this shows all records that were dropped. One second more for the last
+        // repetition.
+        result.repeatAfterTruncation = ZoneClosures::maximumAnswerAge + seconds(1);
+        return result;
+    }
+
     void applyQueuePolicy(Wire::JobDefinition& job, const QueuePolicy& queue, const std::string& jobId)
     {
         job.jobId = jobId;
@@ -53,13 +63,14 @@
 
 } // namespace
 
-JobEntryCore::JobEntryCore(
-    NodeIdentity identity, const OwnerRules& rules, const JobEntryTiming& timing, DecodePolicy decode)
+JobEntryCore::JobEntryCore(NodeIdentity identity, const OwnerRules& rules, const JobEntryTiming& timing,
+    DecodePolicy decode, DecodeClosedZone decodeClosedZone)
     : m_identity(identity)
     , m_timing(timing)
     , m_decodePolicy(std::move(decode))
+    , m_decodeClosedZone(std::move(decodeClosedZone))
     , m_ownership(std::move(identity), rules, OwnershipTiming {})
-    , m_policyWatcher(StoreTopic::Policy, WatchTiming { timing.policyReadWait })
+    , m_policyWatcher(StoreTopic::Policy, operatorTopicTiming(timing))
     , m_lastPolicyCallId(firstPolicyCallId)
 {
     m_ownership.onChange = [this](Instant now, bool owns, Actions& actions) { onOwnershipChange(now, owns, actions); };
@@ -70,6 +81,7 @@
     if (owns) {
         m_ownerLink.disconnect(actions);
         m_ownership.owner()->setPolicy(m_policy);
+        m_ownership.owner()->setZoneClosures(m_zoneClosures);
         // A greeting makes peers that connected during the take-over send their reports and calls again.
         for (const LinkId link : m_followers)
             actions.push_back(SendMessage { link, makeHello() });
@@ -320,30 +332,78 @@
     completeAnsweredCalls(now, firstAction, actions);
 }
 
-void JobEntryCore::applyPolicy(const std::vector<StoreRecord>& records, Actions& actions)
+void JobEntryCore::applyOperatorRecords(Instant now, const std::vector<StoreRecord>& records, Actions& actions)
 {
     for (const StoreRecord& record : records) {
-        if (record.key != policyKey)
-            continue;
-        Result<PolicySnapshot> decoded = m_decodePolicy(record.value);
-        if (!isOk(decoded)) {
-            actions.push_back(WriteLog { LogLine("policy_unreadable")
-                                             .add("offset", record.offset)
-                                             .add("why", errorOf(decoded).message)
-                                             .text() });
-            continue;
-        }
-        if (m_policy && valueOf(decoded).version <= m_policy->version)
-            continue;
-        m_policy = std::make_shared<const PolicySnapshot>(takeValue(std::move(decoded)));
-        actions.push_back(WriteLog { LogLine("policy")
-                                         .add("version", m_policy->version)
-                                         .add("queues", m_policy->queues.size())
+        if (record.key == policyKey)
+            applyPolicy(record, actions);
+        else if (const std::optional<std::string> zone = m_decodeClosedZone(record.key))
+            applyZoneClosure(now, *zone, record, actions);
+    }
+    if (const std::optional<Instant> startedAt = m_policyWatcher.takeCompleteRead()) {
+        for (const ZoneChange& change : m_zoneClosures.applyCompleteRead(*startedAt))
+            logZoneChange(change, actions);
+    }
+    if (m_policyWatcher.hasReadWholeTopic())
+        m_zoneClosures.setKnownAsOf(m_policyWatcher.knownAsOf());
+    if (JobOwner* owner = m_ownership.owner())
+        owner->setZoneClosures(m_zoneClosures);
+}
+
+void JobEntryCore::applyPolicy(const StoreRecord& record, Actions& actions)
+{
+    Result<PolicySnapshot> decoded = m_decodePolicy(record.value);
+    if (!isOk(decoded)) {
+        actions.push_back(WriteLog {
+            LogLine("policy_unreadable").add("offset", record.offset).add("why", errorOf(decoded).message).text() });
+        return;
+    }
+    if (m_policy && valueOf(decoded).version <= m_policy->version)
+        return;
+    m_policy = std::make_shared<const PolicySnapshot>(takeValue(std::move(decoded)));
+    actions.push_back(WriteLog { LogLine("policy")
+                                     .add("version", m_policy->version)
+                                     .add("queues", m_policy->queues.size())
+                                     .add("offset", record.offset)
+                                     .text() });
+    if (JobOwner* owner = m_ownership.owner())
+        owner->setPolicy(m_policy);
+}
+
+void JobEntryCore::applyZoneClosure(Instant now, const std::string& zone, const StoreRecord& record, Actions& actions)
+{
+    if (zone.empty()) {
+        actions.push_back(WriteLog { LogLine("zone_request_unreadable")
+                                         .add("key", record.key)
                                          .add("offset", record.offset)
+                                         .add("why", "the key names no zone")
                                          .text() });
-        if (JobOwner* owner = m_ownership.owner())
-            owner->setPolicy(m_policy);
+        return;
+    }
+    // Any value closes the zone: the key alone says what the operator asks for. A record without a value removes the
+    // request.
+    const std::optional<ZoneChange> change
+        = m_zoneClosures.applyRecord(now, zone, !record.value.empty(), record.offset);
+    if (change)
+        logZoneChange(*change, actions);
+}
+
+void JobEntryCore::logZoneChange(const ZoneChange& change, Actions& actions) const
+{
+    LogLine line(change.closed ? "zone_closed" : "zone_reopened");
+    line.add("zone", change.zone).add("offset", change.offset);
+    if (const JobOwner* owner = m_ownership.owner()) {
+        std::size_t hosts = 0;
+        std::size_t runs = 0;
+        for (const std::pair<const std::string, Host>& entry : owner->state().hosts.hosts()) {
+            if (entry.second.zone != change.zone)
+                continue;
+            ++hosts;
+            runs += entry.second.runs.size();
+        }
+        line.add("hosts", hosts).add("runs", runs);
     }
+    actions.push_back(WriteLog { line.text() });
 }
 
 void JobEntryCore::onAppendResponse(Instant now, std::uint64_t callId, const AppendResponse& response, Actions& actions)
@@ -356,7 +416,7 @@
 void JobEntryCore::onReadResponse(Instant now, std::uint64_t callId, const ReadResponse& response, Actions& actions)
 {
     if (callId == m_policyReadCall)
-        applyPolicy(m_policyWatcher.onReadResponse(now, response), actions);
+        applyOperatorRecords(now, m_policyWatcher.onReadResponse(now, response), actions);
     else
         m_ownership.onReadResponse(now, callId, response, actions);
 }
@@ -365,7 +425,7 @@
 {
     const std::size_t firstAction = actions.size();
     if (callId == m_policyReadCall)
-        applyPolicy(m_policyWatcher.onNewestResponse(now, response), actions);
+        applyOperatorRecords(now, m_policyWatcher.onNewestResponse(now, response), actions);
     else
         m_ownership.onNewestResponse(now, callId, response, actions);
     completeAnsweredCalls(now, firstAction, actions);
--- a/Source/Decision/Process/JobEntryCore.h
+++ b/Source/Decision/Process/JobEntryCore.h
@@ -43,8 +43,11 @@
 public:
     /// Decodes the operator's configuration from a record's value.
     using DecodePolicy = std::function<Result<PolicySnapshot>(const std::string& value)>;
+    /// Returns the zone that records with this key close; nothing for other keys.
+    using DecodeClosedZone = std::function<std::optional<std::string>(const std::string& key)>;
 
-    JobEntryCore(NodeIdentity identity, const OwnerRules& rules, const JobEntryTiming& timing, DecodePolicy decode);
+    JobEntryCore(NodeIdentity identity, const OwnerRules& rules, const JobEntryTiming& timing, DecodePolicy decode,
+        DecodeClosedZone decodeClosedZone);
 
     void onClientCall(Instant now, CallerToken token, ClientCall call, Actions& actions);
     void onLinkUp(Instant now, LinkId link, Actions& actions);
@@ -65,6 +68,7 @@
     bool isReady(Instant now) const;
 
     const Ownership& ownership() const { return m_ownership; }
+    const ZoneClosures& zoneClosures() const { return m_zoneClosures; }
     std::int64_t policyVersion() const { return m_policy ? m_policy->version : 0; }
     std::size_t pendingCalls() const { return m_pending.size(); }
 
@@ -87,7 +91,11 @@
     void sendAnswer(CallerToken token, Wire::JobReply reply, Actions& actions);
     void refuseCall(CallerToken token, const Wire::JobCall& call, const char* reason, Actions& actions);
     void expirePendingCalls(Instant now, Actions& actions);
-    void applyPolicy(const std::vector<StoreRecord>& records, Actions& actions);
+    /// Applies records of the operator's topic.
+    void applyOperatorRecords(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
+    void applyPolicy(const StoreRecord& record, Actions& actions);
+    void applyZoneClosure(Instant now, const std::string& zone, const StoreRecord& record, Actions& actions);
+    void logZoneChange(const ZoneChange& change, Actions& actions) const;
     void onOwnershipChange(Instant now, bool owns, Actions& actions);
     /// Completes the pending calls that are answered by the actions from index firstAction on.
     void completeAnsweredCalls(Instant now, std::size_t firstAction, Actions& actions);
@@ -95,12 +103,14 @@
     NodeIdentity m_identity;
     JobEntryTiming m_timing;
     DecodePolicy m_decodePolicy;
+    DecodeClosedZone m_decodeClosedZone;
     Ownership m_ownership;
     PeerLink m_ownerLink;
     StoreTopicWatcher m_policyWatcher;
     std::uint64_t m_policyReadCall = 0;
     std::uint64_t m_lastPolicyCallId;
     std::shared_ptr<const PolicySnapshot> m_policy;
+    ZoneClosures m_zoneClosures;
     std::unordered_map<CallerToken, PendingCall> m_pending;
     /// The calls whose copies were forwarded, by the copy's call id.
     std::unordered_map<std::int64_t, CallerToken> m_forwardedCopies;
--- a/Source/Decision/Process/StoreTopicWatcher.cpp
+++ b/Source/Decision/Process/StoreTopicWatcher.cpp
@@ -4,11 +4,22 @@
 
 namespace Plantainpier {
 
+namespace {
+
+    /// Time between the complete reads that follow a loss of history.
+    constexpr Duration completeReadInterval = seconds(1);
+
+} // namespace
+
 std::optional<Action> StoreTopicWatcher::nextRead(Instant now, std::uint64_t callId)
 {
     if (m_readInFlight || now < m_nextReadAt)
         return std::nullopt;
     m_readInFlight = true;
+    if (now >= m_nextRepeatAt && now < m_repeatUntil)
+        m_needsNewest = true;
+    if (!m_needsNewest || m_afterKey.empty())
+        m_readStartedAt = now;
     if (m_needsNewest)
         return ReadNewest { callId, m_topic, m_afterKey };
     const Duration wait = m_nextOffset == 0 ? std::min(m_timing.initialReadWait, m_timing.readWait) : m_timing.readWait;
@@ -22,6 +33,7 @@
         m_needsNewest = true;
         m_oldestOffset = response.oldestOffset;
         m_afterKey.clear();
+        m_repeatUntil = now + m_timing.repeatAfterTruncation;
         return {};
     }
     if (!response.answered) {
@@ -29,6 +41,7 @@
         return {};
     }
     m_lastAnswerAt = now;
+    m_knownAsOf = m_readStartedAt;
     if (!response.records.empty())
         m_nextOffset = response.records.back().offset + 1;
     return response.records;
@@ -42,10 +55,12 @@
         return {};
     }
     m_lastAnswerAt = now;
-    // Pages are not a snapshot and may lag behind the end of the topic, so only the records that they contain count as
-    // read.
-    for (const StoreRecord& record : response.records)
-        m_nextOffset = std::max(m_nextOffset, record.offset + 1);
+    // Pages are not a snapshot and may lag behind the end of the topic, so only the records that the first page
+    // contains count as read. A record that was stored while later pages were read is then read from the log.
+    if (m_afterKey.empty()) {
+        for (const StoreRecord& record : response.records)
+            m_nextOffset = std::max(m_nextOffset, record.offset + 1);
+    }
     if (response.more && !response.records.empty()) {
         m_afterKey = response.records.back().key;
         return response.records;
@@ -54,7 +69,17 @@
     m_hasReadWholeTopic = true;
     m_afterKey.clear();
     m_nextOffset = std::max(m_nextOffset, m_oldestOffset);
+    m_knownAsOf = m_readStartedAt;
+    m_completeRead = m_readStartedAt;
+    m_nextRepeatAt = now + completeReadInterval;
     return response.records;
 }
 
+std::optional<Instant> StoreTopicWatcher::takeCompleteRead()
+{
+    const std::optional<Instant> startedAt = m_completeRead;
+    m_completeRead.reset();
+    return startedAt;
+}
+
 } // namespace Plantainpier
--- a/Source/Decision/Process/StoreTopicWatcher.h
+++ b/Source/Decision/Process/StoreTopicWatcher.h
@@ -18,6 +18,9 @@
     /// Longest wait of one read until the first record has been read: a waiting read does not notice that its topic is
     /// created.
     Duration initialReadWait = milliseconds(500);
+    /// How long complete reads are repeated after the store has dropped its history, because their answers may be older
+    /// than the dropped records. Zero for topics whose readers do not depend on such a record.
+    Duration repeatAfterTruncation = Duration::zero();
 };
 
 /// Makes the reads of one topic, one at a time.
@@ -41,6 +44,11 @@
     bool hasReadWholeTopic() const { return m_hasReadWholeTopic; }
     /// All records before this offset have been read or are covered by newer ones.
     std::int64_t nextOffset() const { return m_nextOffset; }
+    /// Returns the start of the complete read that has just ended, once.
+    std::optional<Instant> takeCompleteRead();
+    /// When the newest answered read was sent, or the first page of the newest complete one. The epoch until the whole
+    /// topic has been read.
+    Instant knownAsOf() const { return m_knownAsOf; }
     Instant lastAnswerAt() const { return m_lastAnswerAt; }
     void setReadWait(Duration wait) { m_timing.readWait = wait; }
 
@@ -56,6 +64,12 @@
     std::int64_t m_oldestOffset = 0;
     Instant m_nextReadAt;
     Instant m_lastAnswerAt;
+    /// When the read in flight was sent; for a complete read, its first page.
+    Instant m_readStartedAt;
+    Instant m_knownAsOf;
+    std::optional<Instant> m_completeRead;
+    Instant m_repeatUntil;
+    Instant m_nextRepeatAt;
 };
 
 } // namespace Plantainpier
--- a/Source/Shell/Process/NodeSettings.cpp
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -14,6 +14,9 @@
     constexpr std::size_t maximumNameBytes = 256;
     constexpr int maximumPort = 65'535;
     constexpr double millisecondsPerSecond = 1000;
+    /// Below this, an owner that reads the operator's topic without a fault would still hold back starts: its reads
+    /// wait for 0.7 s, and one second is left for the delivery of an order.
+    constexpr Duration minimumZoneClosureBound = milliseconds(2500);
 
     Endpoint readEndpoint(JsonReader& reader, const std::string& key, bool required)
     {
@@ -84,6 +87,11 @@
     settings.longestLease = readMilliseconds("longest_lease_ms", settings.longestLease);
     settings.interferenceBound = readMilliseconds("harm_ms", settings.interferenceBound);
     settings.longestHalt = readMilliseconds("halt_ms", settings.longestHalt);
+    if (object.contains("zone_closure_ms"))
+        settings.zoneClosureBound = readMilliseconds("zone_closure_ms", minimumZoneClosureBound);
+    if (settings.zoneClosureBound && *settings.zoneClosureBound < minimumZoneClosureBound)
+        reader.addError(ErrorCode::InvalidField, "zone_closure_ms",
+            "must be at least " + std::to_string(toMilliseconds(minimumZoneClosureBound)));
     settings.finishedJobRetention = readSeconds("status_memory_s", settings.finishedJobRetention);
     settings.shutdownTimeout = readSeconds("shutdown_s", settings.shutdownTimeout);
     if (!reader.errors().empty()) {
@@ -111,7 +119,8 @@
 {
     static const std::vector<std::string> keys { "id", "zone", "address", "peer_port", "store_address",
         "client_address", "health_address", "announce_address", "host_address", "advice_address", "machines_address",
-        "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "status_memory_s", "shutdown_s" };
+        "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "zone_closure_ms", "status_memory_s",
+        "shutdown_s" };
     return keys;
 }
 
--- a/Source/Shell/Process/NodeSettings.h
+++ b/Source/Shell/Process/NodeSettings.h
@@ -5,6 +5,7 @@
 #include "Base/Result.h"
 #include "Base/Time.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
     Duration longestLease = seconds(10);
     Duration interferenceBound = seconds(4);
     Duration longestHalt = milliseconds(900);
+    /// Time after which nothing starts in a zone that operators have closed. Unset: no bound is kept.
+    std::optional<Duration> zoneClosureBound;
     Duration finishedJobRetention = seconds(120);
     /// Time between the request to shut down and the forced end of the process.
     Duration shutdownTimeout = seconds(6);
--- a/Tests/Support/CallSimulation.cpp
+++ b/Tests/Support/CallSimulation.cpp
@@ -96,7 +96,7 @@
     entry.unanswered.clear();
     entry.core = std::make_unique<JobEntryCore>(
         NodeIdentity { "entry-" + std::to_string(n), entry.process, "127.0.0.1", static_cast<int>(n) + 1 },
-        OwnerRules {}, JobEntryTiming {}, decodeTestPolicy);
+        OwnerRules {}, JobEntryTiming {}, decodeTestPolicy, closedZoneOfTestKey);
 }
 
 void CallSimulation::deliver(std::size_t n, int delay, std::function<void(JobEntryCore&, Actions&)> handle)
--- a/Tests/Support/JobFixture.h
+++ b/Tests/Support/JobFixture.h
@@ -95,8 +95,8 @@
 /// Drives a JobOwner whose appends succeed at once, and collects the actions of the owner.
 class OwnerHarness {
 public:
-    explicit OwnerHarness(std::int64_t term = 1)
-        : owner("entry-1", term, OwnerRules {}, at(0))
+    explicit OwnerHarness(std::int64_t term = 1, const OwnerRules& rules = OwnerRules {})
+        : owner("entry-1", term, rules, at(0))
     {
         Actions actions;
         owner.finishLoad(at(0), 0, at(0), actions);
--- a/Tests/Support/TestPolicy.h
+++ b/Tests/Support/TestPolicy.h
@@ -4,6 +4,7 @@
 #include "Base/Result.h"
 #include "Decision/Version/QueuePolicy.h"
 
+#include <optional>
 #include <string>
 
 namespace Plantainpier {
@@ -22,4 +23,11 @@
     return policy;
 }
 
+/// Returns the zone of a key such as closed/north.
+inline std::optional<std::string> closedZoneOfTestKey(const std::string& key)
+{
+    const std::string prefix = "closed/";
+    return key.starts_with(prefix) ? std::optional<std::string>(key.substr(prefix.size())) : std::nullopt;
+}
+
 } // namespace Plantainpier
--- a/Tests/Unit/JobEntryCoreTest.cpp
+++ b/Tests/Unit/JobEntryCoreTest.cpp
@@ -27,6 +27,10 @@
     CPPUNIT_TEST(aSlowOwnerIsNotReplacedSooner);
     CPPUNIT_TEST(aLostConnectionSaysNothingAboutTheNextOwner);
     CPPUNIT_TEST(anOwnerThatIsCutOffIsReplacedInTime);
+    CPPUNIT_TEST(aZoneClosesAndReopensWithTheOperatorsRecords);
+    CPPUNIT_TEST(aRemovalWhoseRecordWasDroppedReopensTheZone);
+    CPPUNIT_TEST(aRequestStoredWhilePagesAreReadIsNotLost);
+    CPPUNIT_TEST(anEmptyZoneNameIsPassedOver);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int stepMilliseconds = 5;
@@ -37,7 +41,8 @@
     /// One entry with a store that responds at once; a read that finds no records waits for one.
     struct Entry {
         Entry()
-            : core(NodeIdentity { "entry-1", 101, "127.0.0.1", 1 }, OwnerRules {}, JobEntryTiming {}, decodeTestPolicy)
+            : core(NodeIdentity { "entry-1", 101, "127.0.0.1", 1 }, OwnerRules {}, JobEntryTiming {}, decodeTestPolicy,
+                closedZoneOfTestKey)
         {
             AppendToStore append;
             append.topic = StoreTopic::Policy;
@@ -117,6 +122,15 @@
             store.append(append);
         }
 
+        /// Stores a record of the operator; one without a value removes the key.
+        void storeOperatorRecord(const std::string& key, const std::string& value)
+        {
+            AppendToStore append;
+            append.topic = StoreTopic::Policy;
+            append.records.push_back(StoreRecord { key, value });
+            store.append(append);
+        }
+
         /// Stores a pulse of the owner that this entry has found.
         void storePulse()
         {
@@ -468,5 +482,75 @@
         const int silent = entry.now - lastPulseAt;
         CPPUNIT_ASSERT_MESSAGE("replaced after " + std::to_string(silent) + " ms", silent <= 1400);
     }
+
+    // Guards against a request that an entry does not read, or whose value decides about it.
+    void aZoneClosesAndReopensWithTheOperatorsRecords()
+    {
+        Entry entry;
+        entry.run(100);
+        CPPUNIT_ASSERT(entry.core.zoneClosures().knownAsOf());
+        entry.storeOperatorRecord("closed/north", "not JSON");
+        entry.run(200);
+        CPPUNIT_ASSERT(entry.core.zoneClosures().isClosed("north"));
+        entry.storeOperatorRecord("closed/north", "");
+        entry.run(300);
+        CPPUNIT_ASSERT(!entry.core.zoneClosures().isClosed("north"));
+    }
+
+    // Guards against a zone that stays closed after the store has dropped the record of its removal.
+    void aRemovalWhoseRecordWasDroppedReopensTheZone()
+    {
+        Entry entry;
+        entry.readsEnd = true;
+        entry.storeOperatorRecord("closed/north", "{}");
+        entry.storeOperatorRecord("closed/south", "{}");
+        entry.run(100);
+        CPPUNIT_ASSERT(entry.core.zoneClosures().isClosed("north"));
+        entry.storeOperatorRecord("closed/north", "");
+        entry.store.compact();
+        entry.run(static_cast<int>(toMilliseconds(ZoneClosures::maximumAnswerAge)) + 5000);
+        CPPUNIT_ASSERT(!entry.core.zoneClosures().isClosed("north"));
+        CPPUNIT_ASSERT(entry.core.zoneClosures().isClosed("south"));
+    }
+
+    // Guards against a read that goes on after the highest offset of the last page and passes over a request that was
+    // stored before it.
+    void aRequestStoredWhilePagesAreReadIsNotLost()
+    {
+        Entry entry;
+        entry.store.setPageSize(1);
+        entry.storeOperatorRecord("closed/south", "{}");
+        Actions reads;
+        entry.core.tick(at(0), 0, reads);
+        Actions others;
+        for (std::size_t n = 0; n < reads.size(); ++n) {
+            const ReadNewest* newest = std::get_if<ReadNewest>(&reads[n]);
+            if (!newest || newest->topic != StoreTopic::Policy) {
+                others.push_back(reads[n]);
+                continue;
+            }
+            const bool isFirstPage = newest->afterKey.empty();
+            Actions more;
+            entry.core.onNewestResponse(at(0), newest->callId, entry.store.newest(*newest), more);
+            if (isFirstPage) {
+                entry.storeOperatorRecord("closed/a-north", "{}");
+                entry.storeOperatorRecord("closed/south", "{}");
+            }
+            entry.core.tick(at(0), 0, more);
+            reads.insert(reads.end(), more.begin(), more.end());
+        }
+        entry.perform(others);
+        entry.run(500);
+        CPPUNIT_ASSERT(entry.core.zoneClosures().isClosed("a-north"));
+    }
+
+    // Guards against a key without a zone that closes the zone of hosts that announce none.
+    void anEmptyZoneNameIsPassedOver()
+    {
+        Entry entry;
+        entry.storeOperatorRecord("closed/", "{}");
+        entry.run(100);
+        CPPUNIT_ASSERT(entry.core.zoneClosures().closedZones().empty());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(JobEntryCoreTest);
