Zone: Take old pages neither for knowledge nor for requests that hold

Cause: while the store drops its history, complete reads may show pages from before it. A zone stayed closed for good if such pages showed its removed request for some seconds, because each showing counted as a new one and complete reads ended after 11 s. Such a read also renewed the age of an owner's knowledge, so starts in a zone whose request was dropped before it was read could go on until the pages were new, longer than zone_closure_ms allows. Change: the first showing of a record dates it, complete reads repeat for 21 s, and knowledge is renewed only by a read of the log after pages that show the last dropped record or were read 10 s after the loss. Watchers of other topics are unchanged.

--- a/Source/Decision/Process/JobEntryCore.cpp
+++ b/Source/Decision/Process/JobEntryCore.cpp
@@ -43,9 +43,7 @@
     {
         WatchTiming result;
         result.readWait = timing.policyReadWait;
-        // A complete read that starts later than this shows all records that were dropped. One second more for the last
-        // repetition.
-        result.repeatAfterTruncation = ZoneClosures::maximumAnswerAge + seconds(1);
+        result.maximumPageAge = ZoneClosures::maximumAnswerAge;
         return result;
     }
 
@@ -344,8 +342,8 @@
         for (const ZoneChange& change : m_zoneClosures.applyCompleteRead(*startedAt))
             logZoneChange(change, actions);
     }
-    if (m_policyWatcher.hasReadWholeTopic())
-        m_zoneClosures.setKnownAsOf(m_policyWatcher.knownAsOf());
+    if (const std::optional<Instant> asOf = m_policyWatcher.knownAsOf())
+        m_zoneClosures.setKnownAsOf(*asOf);
     if (JobOwner* owner = m_ownership.owner())
         owner->setZoneClosures(m_zoneClosures);
 }
--- a/Source/Decision/Process/StoreTopicWatcher.cpp
+++ b/Source/Decision/Process/StoreTopicWatcher.cpp
@@ -1,6 +1,7 @@
 #include "Decision/Process/StoreTopicWatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Plantainpier {
 
@@ -22,6 +23,8 @@
         m_readStartedAt = now;
     if (m_needsNewest)
         return ReadNewest { callId, m_topic, m_afterKey };
+    if (std::exchange(m_confirmsPages, false))
+        return ReadStore { callId, m_topic, m_nextOffset, Duration::zero() };
     const Duration wait = m_nextOffset == 0 ? std::min(m_timing.initialReadWait, m_timing.readWait) : m_timing.readWait;
     return ReadStore { callId, m_topic, m_nextOffset, wait };
 }
@@ -33,7 +36,12 @@
         m_needsNewest = true;
         m_oldestOffset = response.oldestOffset;
         m_afterKey.clear();
-        m_repeatUntil = now + m_timing.repeatAfterTruncation;
+        m_mayMissRecords = true;
+        m_truncatedAt = now;
+        // A page may show a removed record for the first time at the end of its age. Only pages that are read that much
+        // later are sure to lack the record.
+        if (m_timing.maximumPageAge > Duration::zero())
+            m_repeatUntil = now + 2 * m_timing.maximumPageAge + completeReadInterval;
         return {};
     }
     if (!response.answered) {
@@ -41,7 +49,8 @@
         return {};
     }
     m_lastAnswerAt = now;
-    m_knownAsOf = m_readStartedAt;
+    if (!m_mayMissRecords)
+        m_knownAsOf = m_readStartedAt;
     if (!response.records.empty())
         m_nextOffset = response.records.back().offset + 1;
     return response.records;
@@ -57,10 +66,11 @@
     m_lastAnswerAt = now;
     // Pages are not a snapshot and may lag behind the end of the topic, so only the records that the first page
     // contains count as read. A record that was stored while later pages were read is then read from the log.
-    if (m_afterKey.empty()) {
-        for (const StoreRecord& record : response.records)
-            m_nextOffset = std::max(m_nextOffset, record.offset + 1);
-    }
+    const bool isFirstPage = m_afterKey.empty();
+    std::int64_t firstPageEnd = 0;
+    for (std::size_t n = 0; isFirstPage && n < response.records.size(); ++n)
+        firstPageEnd = std::max(firstPageEnd, response.records[n].offset + 1);
+    m_nextOffset = std::max(m_nextOffset, firstPageEnd);
     if (response.more && !response.records.empty()) {
         m_afterKey = response.records.back().key;
         return response.records;
@@ -69,12 +79,22 @@
     m_hasReadWholeTopic = true;
     m_afterKey.clear();
     m_nextOffset = std::max(m_nextOffset, m_oldestOffset);
-    m_knownAsOf = m_readStartedAt;
+    m_mayMissRecords = m_mayMissRecords && !coversDroppedRecords(firstPageEnd, isFirstPage);
+    m_confirmsPages = m_timing.maximumPageAge > Duration::zero();
     m_completeRead = m_readStartedAt;
     m_nextRepeatAt = now + completeReadInterval;
     return response.records;
 }
 
+bool StoreTopicWatcher::coversDroppedRecords(std::int64_t firstPageEnd, bool isSinglePage) const
+{
+    // Without a dropped record, the log contains whatever the pages lack.
+    if (m_oldestOffset == 0)
+        return true;
+    const bool showsLastDroppedRecord = isSinglePage && firstPageEnd >= m_oldestOffset;
+    return showsLastDroppedRecord || m_readStartedAt - m_truncatedAt >= m_timing.maximumPageAge;
+}
+
 std::optional<Instant> StoreTopicWatcher::takeCompleteRead()
 {
     const std::optional<Instant> startedAt = m_completeRead;
--- a/Source/Decision/Process/StoreTopicWatcher.h
+++ b/Source/Decision/Process/StoreTopicWatcher.h
@@ -18,9 +18,9 @@
     /// Longest wait of one read until the first record has been read: a waiting read does not notice that its topic is
     /// created.
     Duration initialReadWait = milliseconds(500);
-    /// How long complete reads are repeated after the store has dropped its history, because their answers may be older
-    /// than the dropped records. Zero for topics whose readers do not depend on such a record.
-    Duration repeatAfterTruncation = Duration::zero();
+    /// Age that the pages of a complete read may have after the store has dropped its history. Complete reads are then
+    /// repeated until their pages show everything that was dropped. Zero for topics whose readers do not depend on it.
+    Duration maximumPageAge = Duration::zero();
 };
 
 /// Makes the reads of one topic, one at a time.
@@ -46,13 +46,16 @@
     std::int64_t nextOffset() const { return m_nextOffset; }
     /// Returns the start of the complete read that has just ended, once.
     std::optional<Instant> takeCompleteRead();
-    /// When the newest answered read was sent, or the first page of the newest complete one. The epoch until the whole
-    /// topic has been read.
-    Instant knownAsOf() const { return m_knownAsOf; }
+    /// All records that were stored before this time have been read or are covered by newer ones. Nothing until the
+    /// log has been read on from a complete read.
+    std::optional<Instant> knownAsOf() const { return m_knownAsOf; }
     Instant lastAnswerAt() const { return m_lastAnswerAt; }
     void setReadWait(Duration wait) { m_timing.readWait = wait; }
 
 private:
+    /// Whether the complete read that has just ended shows everything that the store has dropped from the log.
+    bool coversDroppedRecords(std::int64_t firstPageEnd, bool isSinglePage) const;
+
     StoreTopic m_topic;
     WatchTiming m_timing;
     bool m_readInFlight = false;
@@ -66,8 +69,13 @@
     Instant m_lastAnswerAt;
     /// When the read in flight was sent; for a complete read, its first page.
     Instant m_readStartedAt;
-    Instant m_knownAsOf;
+    std::optional<Instant> m_knownAsOf;
     std::optional<Instant> m_completeRead;
+    /// Records may be missing that are in none of the pages and no longer in the log.
+    bool m_mayMissRecords = true;
+    /// The next read of the log does not wait, because it decides whether the topic is known.
+    bool m_confirmsPages = false;
+    Instant m_truncatedAt;
     Instant m_repeatUntil;
     Instant m_nextRepeatAt;
 };
--- a/Source/Decision/Zone/ZoneClosures.cpp
+++ b/Source/Decision/Zone/ZoneClosures.cpp
@@ -7,12 +7,14 @@
 {
     std::map<std::string, Request>::iterator it = m_requests.find(zone);
     if (it == m_requests.end())
-        it = m_requests.emplace(zone, Request { false, -1, now }).first;
+        it = m_requests.emplace(zone, Request { false, -1, now, now }).first;
     Request& request = it->second;
     if (offset < request.offset)
         return std::nullopt;
+    if (offset > request.offset)
+        request.firstShownAt = now;
     request.offset = offset;
-    request.shownAt = now;
+    request.lastShownAt = now;
     if (request.closed == closed)
         return std::nullopt;
     request.closed = closed;
@@ -24,7 +26,9 @@
     std::vector<ZoneChange> reopened;
     for (std::pair<const std::string, Request>& entry : m_requests) {
         Request& request = entry.second;
-        if (!request.closed || startedAt - request.shownAt < maximumAnswerAge)
+        const bool isShown = request.lastShownAt >= startedAt;
+        // The record was stored by the time of the first answer that contained it, which later answers do not change.
+        if (!request.closed || isShown || startedAt - request.firstShownAt < maximumAnswerAge)
             continue;
         request.closed = false;
         reopened.push_back(ZoneChange { entry.first, false, request.offset });
--- a/Source/Decision/Zone/ZoneClosures.h
+++ b/Source/Decision/Zone/ZoneClosures.h
@@ -32,7 +32,7 @@
     /// The newest records of all keys have been read in a read that started at the given time. A closed zone without a
     /// record there has been reopened, unless the read may be older than the record. Returns the reopened zones.
     std::vector<ZoneChange> applyCompleteRead(Instant startedAt);
-    /// Sets the time as of which the closures are known: the newest answered read was sent then.
+    /// Sets the time as of which the closures are known: all requests stored before it have been read.
     void setKnownAsOf(Instant asOf) { m_knownAsOf = asOf; }
 
     bool isClosed(const std::string& zone) const;
@@ -44,8 +44,9 @@
     struct Request {
         bool closed = false;
         std::int64_t offset = 0;
-        /// When an answer of the store contained the record.
-        Instant shownAt;
+        /// When an answer of the store contained the newest record for the first and for the last time.
+        Instant firstShownAt;
+        Instant lastShownAt;
     };
 
     /// Reopened zones stay in the map, so that an answer that is older than the removal does not close them again.
--- a/Tests/Support/VirtualStore.h
+++ b/Tests/Support/VirtualStore.h
@@ -6,6 +6,7 @@
 
 #include <limits>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Plantainpier {
@@ -76,8 +77,12 @@
         if (it == m_topics.end())
             return response;
         std::map<std::string, StoreRecord> byKey;
-        for (const StoreRecord& record : it->second.records)
-            byKey[record.key] = record;
+        const bool isOld = m_pagesFrom && m_pagesFrom->contains(call.topic);
+        const std::int64_t shown = isOld ? m_pagesFrom->at(call.topic) : endOffset(call.topic);
+        for (const StoreRecord& record : it->second.records) {
+            if (record.offset < shown)
+                byKey[record.key] = record;
+        }
         for (const std::pair<const std::string, StoreRecord>& entry : byKey) {
             if (entry.second.value.empty() || entry.first <= call.afterKey)
                 continue;
@@ -104,6 +109,15 @@
             entry.second.oldestOffset = static_cast<std::int64_t>(entry.second.records.size());
     }
 
+    /// The pages of newest records stay as they are now until thawPages() is called.
+    void freezePages()
+    {
+        m_pagesFrom.emplace();
+        for (const std::pair<const StoreTopic, Topic>& entry : m_topics)
+            m_pagesFrom->emplace(entry.first, endOffset(entry.first));
+    }
+    void thawPages() { m_pagesFrom.reset(); }
+
     /// Limits the number of records in one page of the newest records.
     void setPageSize(std::size_t size) { m_pageSize = size; }
 
@@ -118,6 +132,8 @@
     };
 
     std::map<StoreTopic, Topic> m_topics;
+    /// The ends of the topics when their pages were frozen.
+    std::optional<std::map<StoreTopic, std::int64_t>> m_pagesFrom;
     std::size_t m_pageSize = std::numeric_limits<std::size_t>::max();
 };
 
--- a/Tests/Unit/JobEntryCoreTest.cpp
+++ b/Tests/Unit/JobEntryCoreTest.cpp
@@ -29,6 +29,10 @@
     CPPUNIT_TEST(anOwnerThatIsCutOffIsReplacedInTime);
     CPPUNIT_TEST(aZoneClosesAndReopensWithTheOperatorsRecords);
     CPPUNIT_TEST(aRemovalWhoseRecordWasDroppedReopensTheZone);
+    CPPUNIT_TEST(aRemovalThatOldPagesHideReopensTheZone);
+    CPPUNIT_TEST(aRemovedRequestThatOnlyOldPagesShowIsNotKept);
+    CPPUNIT_TEST(oldPagesDoNotCountAsKnowledgeOfTheZones);
+    CPPUNIT_TEST(aDroppedRequestThatThePagesShowCountsAtOnce);
     CPPUNIT_TEST(aRequestStoredWhilePagesAreReadIsNotLost);
     CPPUNIT_TEST(anEmptyZoneNameIsPassedOver);
     CPPUNIT_TEST_SUITE_END();
@@ -487,6 +491,7 @@
     void aZoneClosesAndReopensWithTheOperatorsRecords()
     {
         Entry entry;
+        entry.readsEnd = true;
         entry.run(100);
         CPPUNIT_ASSERT(entry.core.zoneClosures().knownAsOf());
         entry.storeOperatorRecord("closed/north", "not JSON");
@@ -513,6 +518,72 @@
         CPPUNIT_ASSERT(entry.core.zoneClosures().isClosed("south"));
     }
 
+    // Guards against a zone that stays closed because pages from before its removal were shown for some time after it.
+    void aRemovalThatOldPagesHideReopensTheZone()
+    {
+        Entry entry;
+        entry.readsEnd = true;
+        entry.storeOperatorRecord("closed/north", "{}");
+        entry.run(100);
+        entry.store.freezePages();
+        entry.storeOperatorRecord("closed/north", "");
+        entry.store.compact();
+        entry.run(6000);
+        CPPUNIT_ASSERT(entry.core.zoneClosures().isClosed("north"));
+        entry.store.thawPages();
+        entry.run(3 * static_cast<int>(toMilliseconds(ZoneClosures::maximumAnswerAge)));
+        CPPUNIT_ASSERT(!entry.core.zoneClosures().isClosed("north"));
+    }
+
+    // Guards against a zone that stays closed because the entry has read the request only after its removal.
+    void aRemovedRequestThatOnlyOldPagesShowIsNotKept()
+    {
+        Entry entry;
+        entry.readsEnd = true;
+        entry.storeOperatorRecord("closed/north", "{}");
+        entry.store.freezePages();
+        entry.storeOperatorRecord("closed/north", "");
+        entry.store.compact();
+        entry.run(100);
+        CPPUNIT_ASSERT(entry.core.zoneClosures().isClosed("north"));
+        entry.run(6000);
+        entry.store.thawPages();
+        entry.run(3 * static_cast<int>(toMilliseconds(ZoneClosures::maximumAnswerAge)));
+        CPPUNIT_ASSERT(!entry.core.zoneClosures().isClosed("north"));
+    }
+
+    // Guards against an owner that starts tasks in a closed zone because pages from before the request count as
+    // knowledge as of the time when they were read.
+    void oldPagesDoNotCountAsKnowledgeOfTheZones()
+    {
+        Entry entry;
+        entry.readsEnd = true;
+        entry.run(1000);
+        entry.store.freezePages();
+        entry.storeOperatorRecord("closed/north", "{}");
+        entry.store.compact();
+        entry.run(7000);
+        CPPUNIT_ASSERT(!entry.core.zoneClosures().isClosed("north"));
+        CPPUNIT_ASSERT(entry.core.zoneClosures().knownAsOf() <= at(1000));
+        entry.store.thawPages();
+        entry.run(9500);
+        CPPUNIT_ASSERT(entry.core.zoneClosures().isClosed("north"));
+        CPPUNIT_ASSERT(entry.core.zoneClosures().knownAsOf() >= at(8000));
+    }
+
+    // Guards against starts that are held back longer than needed after each loss of history.
+    void aDroppedRequestThatThePagesShowCountsAtOnce()
+    {
+        Entry entry;
+        entry.readsEnd = true;
+        entry.run(1000);
+        entry.storeOperatorRecord("closed/north", "{}");
+        entry.store.compact();
+        entry.run(3000);
+        CPPUNIT_ASSERT(entry.core.zoneClosures().isClosed("north"));
+        CPPUNIT_ASSERT(entry.core.zoneClosures().knownAsOf() >= at(2000));
+    }
+
     // Guards against a read that goes on after the highest offset of the last page and passes over a request that was
     // stored before it.
     void aRequestStoredWhilePagesAreReadIsNotLost()
--- a/Tests/Unit/ZoneClosuresTest.cpp
+++ b/Tests/Unit/ZoneClosuresTest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(anOldAnswerDoesNotCloseAReopenedZone);
     CPPUNIT_TEST(anOldAnswerDoesNotReopenAClosedZone);
     CPPUNIT_TEST(aZoneThatIsGoneFromTheTopicIsReopened);
+    CPPUNIT_TEST(answersThatShowARemovedRequestAgainDoNotDelayTheReopening);
+    CPPUNIT_TEST(aReadThatShowsTheRequestReopensNothing);
     CPPUNIT_TEST(aReadThatMayBeOlderThanTheRequestReopensNothing);
     CPPUNIT_TEST(endsWithTheNewestRequestsForAnyOrderOfAnswers);
     CPPUNIT_TEST_SUITE_END();
@@ -83,6 +85,26 @@
         CPPUNIT_ASSERT(closures.isClosed("south"));
     }
 
+    // Guards against a zone that stays closed because old answers show the removed request until complete reads end.
+    void answersThatShowARemovedRequestAgainDoNotDelayTheReopening()
+    {
+        ZoneClosures closures;
+        closures.applyRecord(at(0), "north", true, 4);
+        closures.applyRecord(at(answerAgeMilliseconds - 1), "north", true, 4);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), closures.applyCompleteRead(at(answerAgeMilliseconds)).size());
+        CPPUNIT_ASSERT(!closures.isClosed("north"));
+    }
+
+    // Guards against a zone that a complete read reopens although it contains the request.
+    void aReadThatShowsTheRequestReopensNothing()
+    {
+        ZoneClosures closures;
+        closures.applyRecord(at(0), "north", true, 4);
+        closures.applyRecord(at(answerAgeMilliseconds + 5), "north", true, 4);
+        CPPUNIT_ASSERT(closures.applyCompleteRead(at(answerAgeMilliseconds)).empty());
+        CPPUNIT_ASSERT(closures.isClosed("north"));
+    }
+
     // Guards against a request that is lost because the store answered a complete read from before it.
     void aReadThatMayBeOlderThanTheRequestReopensNothing()
     {
