Side: Report a host that announces another availability zone

Cause: a side reported a further announcement of the same incarnation only if the host began to drain, and lists of changes omit the zone. An owner kept the former zone until the connection was made anew, and started tasks on a host whose present zone was closed. Change: a change of the zone is reported like the beginning of a drain.

--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -181,7 +181,8 @@
     // The host continues to announce itself, so the departure notice came from an earlier incarnation.
     if (!host.draining)
         m_departureNoticeReceived = false;
-    const bool isChanged = m_host->draining != host.draining;
+    // Lists of changes omit the zone, and owners rule out hosts by it.
+    const bool isChanged = m_host->draining != host.draining || m_host->zone != host.zone;
     m_host = host;
     m_shutdownAt = now + milliseconds(host.remainingMilliseconds);
     if (isChanged)
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(aListThatOmitsEndsDoesNotMakeARunAbsent);
     CPPUNIT_TEST(startsNothingOnADrainingHost);
     CPPUNIT_TEST(reportsTheTimeLeftUntilTheHostShutsDown);
+    CPPUNIT_TEST(reportsAChangeOfZone);
     CPPUNIT_TEST(ignoresOrdersOfAnEarlierTerm);
     CPPUNIT_TEST(ignoresALateAnnouncement);
     CPPUNIT_TEST(refusedConnectionsDoNotEndTheHost);
@@ -205,6 +206,19 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), messagesOf<Wire::HostReport>(late).at(0).remainingMilliseconds);
     }
 
+    // Guards against an owner that starts tasks on a host by the zone that it had before: later lists omit the zone.
+    void reportsAChangeOfZone()
+    {
+        Harness harness;
+        HostDescription moved = describeHost(1, 2);
+        moved.zone = "north";
+        Actions announced;
+        harness.agent.onAnnouncement(at(100), moved, announced);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), messagesOf<Wire::HostReport>(announced).size());
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), messagesOf<Wire::HostReport>(announced).at(0).zone);
+        CPPUNIT_ASSERT(!messagesOf<Wire::HostReport>(announced).at(0).changesOnly);
+    }
+
     void ignoresOrdersOfAnEarlierTerm()
     {
         Harness harness;
