Tests: Close and reopen availability zones in the random histories

Cause: closed zones were tested by single cases only, not across changes of owner, cut-off owners and late orders. Change: ZoneHistory closes and reopens zones, drops the history of the operators' topic and shows pages up to 6 s old, all from a generator of its own; each owner reads them with the real StoreTopicWatcher and ZoneClosures, also while its calls are lost. Checked: no owner orders a start in a zone that was closed longer ago than the bound less the delivery margin, and no host starts one after the bound, unless its order was delayed beyond the margin, which nothing recalls.

--- a/Tests/Support/OrderSimulation.cpp
+++ b/Tests/Support/OrderSimulation.cpp
@@ -43,6 +43,7 @@
     , m_departureRandom(seed + 3)
     , m_fleetRandom(seed + 4)
     , m_slowRandom(seed + 5)
+    , m_zones(seed + 6)
     , m_options(options)
     , m_trace(std::getenv("PLANTAINPIER_TRACE") != nullptr)
     , m_sides(options.largeFleet ? largeHostCount : ordinaryHostCount)
@@ -64,6 +65,7 @@
         step();
     }
     m_faultFree = true;
+    m_zones.endFaults(m_now);
     m_storeUnavailableUntil = m_now;
     m_ordersLateUntil = m_now;
     for (OwnerModel& model : m_owners)
@@ -140,6 +142,7 @@
     description.hostId = host.hostId();
     description.incarnation = host.incarnation();
     description.service = "desk";
+    description.zone = ZoneHistory::zoneOfHost(host.hostId());
     description.rack = "rack-1";
     description.capacity.milliProcessors = milliCoresPerHost;
     description.capacity.memoryMegabytes = 10'000;
@@ -194,7 +197,10 @@
     m_store.append(fence);
     OwnerModel next;
     next.term = term;
-    next.owner = std::make_unique<JobOwner>("entry", term, OwnerRules {}, at(m_now));
+    const OwnerRules rules = m_options.zoneClosures ? ZoneHistory::ownerRules() : OwnerRules {};
+    next.owner = std::make_unique<JobOwner>("entry", term, rules, at(m_now));
+    if (m_options.zoneClosures)
+        next.zoneReader = std::make_unique<ZoneReader>(m_zones);
     next.owner->loadRecords(newestRecords());
     Actions actions;
     next.owner->finishLoad(at(m_now), m_now, at(m_now) + withClockMargin(leasesHeld), actions);
@@ -441,6 +447,8 @@
             model.backlog.erase(it);
         deliver();
     }
+    if (model.zoneReader)
+        model.zoneReader->step(m_now, m_now >= m_storeUnavailableUntil, *model.owner);
     Actions actions;
     model.owner->tick(at(m_now), m_now, actions);
     const std::optional<AppendToStore> append
@@ -460,6 +468,8 @@
 void OrderSimulation::step()
 {
     m_now += stepMilliseconds;
+    if (m_options.zoneClosures)
+        m_zones.step(m_now);
     while (!m_events.empty() && m_events.begin()->first <= m_now) {
         const std::function<void()> event = std::move(m_events.begin()->second);
         m_events.erase(m_events.begin());
@@ -891,6 +901,8 @@
             if (m_trace)
                 std::cout << m_now << " term " << term << " " << line->line << "\n";
         } else if (SendMessage* send = std::get_if<SendMessage>(&action)) {
+            if (const Wire::HostOrders* orders = std::get_if<Wire::HostOrders>(&send->message))
+                m_zones.onOrders(m_now, *orders);
             sendToSide(send->link, std::move(send->message));
         } else if (const CloseLink* order = std::get_if<CloseLink>(&action)) {
             closeByOwner(order->link);
@@ -905,8 +917,11 @@
 std::vector<std::string> OrderSimulation::violations() const
 {
     std::vector<std::string> violations = m_answerCheck.violations();
-    for (const RunRecord& record : m_records)
+    violations.insert(violations.end(), m_zones.orderViolations().begin(), m_zones.orderViolations().end());
+    for (const RunRecord& record : m_records) {
         checkStart(record, violations);
+        m_zones.checkStart(record, violations);
+    }
     for (const Wire::JobDefinition& job : m_jobs)
         checkOutcome(job, violations);
     for (const Side& side : m_sides)
@@ -995,13 +1010,17 @@
     const HistorySeeds seeds = historySeeds(defaultHistories);
     std::string violations;
     std::size_t startedRunCount = 0;
+    std::size_t startsInClosingZones = 0;
     for (unsigned seed = seeds.first; seed <= seeds.last; ++seed) {
         OrderSimulation simulation(seed, options);
         simulation.run(milliseconds);
         startedRunCount += simulation.startedRunCount();
         for (const std::string& violation : simulation.violations())
             violations += "seed " + std::to_string(seed) + ": " + violation + "\n";
+        startsInClosingZones += simulation.startsInClosingZones();
     }
+    if (options.zoneClosures && startsInClosingZones == 0)
+        violations += "no zone was closed while tasks started there\n";
     if (startedRunCount < minimumStartsPerHistory * seeds.count())
         violations += "only " + std::to_string(startedRunCount) + " runs were started in all histories\n";
     return violations;
--- a/Tests/Support/OrderSimulation.h
+++ b/Tests/Support/OrderSimulation.h
@@ -7,6 +7,7 @@
 #include "Support/JobFixture.h"
 #include "Support/VirtualHost.h"
 #include "Support/VirtualStore.h"
+#include "Support/ZoneHistory.h"
 
 #include <deque>
 #include <functional>
@@ -36,6 +37,8 @@
     bool largeFleet = false;
     /// Calls, answers and messages wait for hundreds of milliseconds.
     bool slowAnswers = false;
+    /// Operators close and reopen availability zones.
+    bool zoneClosures = false;
 };
 
 /// Simulates the history of one seed.
@@ -53,6 +56,8 @@
     /// Hosts that the newest owner has not listed, one sentence each.
     std::vector<std::string> unlistedHosts() const;
     std::size_t startedRunCount() const { return m_records.size(); }
+    /// Starts in zones that were closed within the bound.
+    std::size_t startsInClosingZones() const { return m_zones.countStartsWithinBound(m_records); }
 
 private:
     /// The newest owner, or a former one that has not noticed its replacement yet.
@@ -63,6 +68,7 @@
         /// each connection, in random order between connections.
         int frozenUntil = 0;
         std::map<LinkId, std::deque<std::function<void()>>> backlog;
+        std::unique_ptr<ZoneReader> zoneReader;
     };
 
     /// One connection of a side to an owner.
@@ -202,6 +208,8 @@
     std::mt19937 m_departureRandom;
     std::mt19937 m_fleetRandom;
     std::mt19937 m_slowRandom;
+    /// Draws closures of zones and the reads of owners, for the same reason.
+    ZoneHistory m_zones;
     const HistoryOptions m_options;
     /// Prints the log lines of owners and sides.
     const bool m_trace;
--- a/Tests/Support/VirtualHost.h
+++ b/Tests/Support/VirtualHost.h
@@ -27,6 +27,7 @@
     bool lapsedUnacknowledged = false;
     /// Millicores in use on the host when the run started, those of the run included.
     std::int64_t milliCoresInUse = 0;
+    std::string hostId;
 };
 
 /// The tasks of one incarnation of a host.
@@ -60,6 +61,7 @@
             return "late";
         highestRun = order.run;
         m_records.push_back(RunRecord { order.task, order.run, now });
+        m_records.back().hostId = m_hostId;
         m_running.emplace(runKey(order.task, order.run),
             ActiveRun { m_records.size() - 1, now + durationMilliseconds, how, milliCores, durationMilliseconds, now });
         for (const std::pair<const RunKey, ActiveRun>& entry : m_running)
--- a/Tests/Unit/OrderHistoryAtOnceTest.cpp
+++ b/Tests/Unit/OrderHistoryAtOnceTest.cpp
@@ -4,11 +4,14 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <sstream>
+
 using namespace Plantainpier;
 
 class OrderHistoryAtOnceTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(OrderHistoryAtOnceTest);
     CPPUNIT_TEST(tasksRunOnceAndFitTheirHosts);
+    CPPUNIT_TEST(nothingStartsInClosedZones);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against two concurrent runs of a task and against ends that are never reported: an order or an
@@ -17,5 +20,18 @@
     {
         CPPUNIT_ASSERT_EQUAL(std::string(), runOrderHistories(60, { .restarts = HostRestarts::Immediate }));
     }
+
+    // Guards against starts in closed zones by orders that the next incarnation of a host carries out. Only these
+    // violations count here: the others of these histories are those of the test above.
+    void nothingStartsInClosedZones()
+    {
+        std::istringstream lines(runOrderHistories(20, { .restarts = HostRestarts::Immediate, .zoneClosures = true }));
+        std::string violations;
+        for (std::string line; std::getline(lines, line);) {
+            if (line.find(" in a zone closed for ") != std::string::npos || line.starts_with("no zone"))
+                violations += line + "\n";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), violations);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OrderHistoryAtOnceTest);
--- a/Tests/Unit/OrderHistoryTest.cpp
+++ b/Tests/Unit/OrderHistoryTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(tasksRunOnceInALargeFleet);
     CPPUNIT_TEST(tasksRunOnceBesideSlowSides);
     CPPUNIT_TEST(tasksRunOnceWithAllFaults);
+    CPPUNIT_TEST(nothingStartsInClosedZones);
     CPPUNIT_TEST(lastingTasksRunAgainSoonAfterHandOvers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -58,6 +59,13 @@
                 5, { .overlappingSides = true, .plannedDepartures = true, .largeFleet = true, .slowAnswers = true }));
     }
 
+    // Guards against starts in a zone that an operator has closed, by an owner that has just taken over, is cut off
+    // from the store or reads old pages, and against zones that stay out of use.
+    void nothingStartsInClosedZones()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), runOrderHistories(20, { .zoneClosures = true }));
+    }
+
     // Guards against long-running tasks that wait for the leases of hosts that have left: a host that leaves while its
     // side has no owner is never reported as gone, and each hand-over waits for its leases again.
     void lastingTasksRunAgainSoonAfterHandOvers()
--- a/Tests/Unit/RunHistoryTest.cpp
+++ b/Tests/Unit/RunHistoryTest.cpp
@@ -6,6 +6,7 @@
 #include "Support/JobFixture.h"
 #include "Support/VirtualHost.h"
 #include "Support/VirtualStore.h"
+#include "Support/ZoneHistory.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <iostream>
@@ -42,13 +43,16 @@
 struct OwnerModel {
     std::int64_t term;
     std::unique_ptr<JobOwner> owner;
+    std::unique_ptr<ZoneReader> zoneReader;
 };
 
 /// Simulates the history of one seed.
 class RunHistory {
 public:
-    explicit RunHistory(unsigned seed)
+    explicit RunHistory(unsigned seed, bool closesZones = false)
         : m_random(seed)
+        , m_closesZones(closesZones)
+        , m_zones(seed + 1)
         , m_sides(hostCount)
     {
         for (int n = 0; n < hostCount; ++n)
@@ -73,6 +77,7 @@
             step();
         }
         m_faultFree = true;
+        m_zones.endFaults(m_now);
         m_storeUnavailableUntil = m_now;
         for (SideModel& side : m_sides)
             side.unreachableUntil = m_now;
@@ -83,13 +88,17 @@
     std::vector<std::string> violations() const
     {
         std::vector<std::string> violations = m_answerCheck.violations();
-        for (const RunRecord& record : m_records)
+        violations.insert(violations.end(), m_zones.orderViolations().begin(), m_zones.orderViolations().end());
+        for (const RunRecord& record : m_records) {
             checkStart(record, violations);
+            m_zones.checkStart(record, violations);
+        }
         for (const Wire::JobDefinition& job : m_jobs)
             checkOutcome(job, violations);
         return violations;
     }
     std::size_t starts() const { return m_records.size(); }
+    std::size_t startsInClosingZones() const { return m_zones.countStartsWithinBound(m_records); }
 
 private:
     bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
@@ -118,7 +127,9 @@
         fence.topic = StoreTopic::Jobs;
         fence.epoch = term;
         m_store.append(fence);
-        OwnerModel next { term, std::make_unique<JobOwner>("entry", term, OwnerRules {}, at(m_now)) };
+        const OwnerRules rules = m_closesZones ? ZoneHistory::ownerRules() : OwnerRules {};
+        OwnerModel next { term, std::make_unique<JobOwner>("entry", term, rules, at(m_now)),
+            m_closesZones ? std::make_unique<ZoneReader>(m_zones) : nullptr };
         next.owner->loadRecords(newestRecords());
         Actions actions;
         const Duration hold = withClockMargin(OwnerRules {}.ownershipHold);
@@ -139,15 +150,22 @@
     void step()
     {
         m_now += stepMilliseconds;
+        if (m_closesZones)
+            m_zones.step(m_now);
         for (std::unique_ptr<VirtualHost>& host : m_hosts)
             host->tick(m_now);
         for (std::size_t n = 0; n < m_sides.size(); ++n)
             stepSide(n);
         for (OwnerModel& model : m_owners) {
+            if (model.zoneReader)
+                model.zoneReader->step(m_now, m_now >= m_storeUnavailableUntil, *model.owner);
             Actions actions;
             model.owner->tick(at(m_now), m_now, actions);
             perform(model.term, actions);
             storePendingAppend(model);
+            // An owner that holds back all starts appends nothing that could confirm its ownership.
+            if (m_closesZones && m_now >= m_storeUnavailableUntil && model.term == m_owners.back().term)
+                model.owner->onPulseConfirmed(at(m_now));
         }
         const bool newestIsFenced = m_owners.back().owner->isFenced();
         CPPUNIT_ASSERT_MESSAGE("the newest owner is not fenced", !newestIsFenced);
@@ -222,6 +240,7 @@
             return;
         side.nextListAt = m_now + 10 + static_cast<int>(randomBelow(60));
         Wire::HostReport report = makeReport(host.hostId(), host.incarnation(), m_now);
+        report.zone = ZoneHistory::zoneOfHost(host.hostId());
         report.highestTerm = std::min(host.fence() / fencesPerTerm, side.term);
         report.listFence = side.fence;
         host.addListing(report);
@@ -259,6 +278,8 @@
             m_answerCheck.onAnswer(answer);
         for (const SendMessage& send : actionsOf<SendMessage>(actions)) {
             const Wire::HostOrders* orders = std::get_if<Wire::HostOrders>(&send.message);
+            if (orders)
+                m_zones.onOrders(m_now, *orders);
             for (std::size_t n = 0; orders && n < m_sides.size(); ++n) {
                 if (m_sides[n].link == send.link && m_sides[n].term == term)
                     carryOut(n, *orders);
@@ -367,6 +388,9 @@
     }
 
     std::mt19937 m_random;
+    const bool m_closesZones;
+    /// Draws from a generator of its own, so that the other faults of a seed stay as they are.
+    ZoneHistory m_zones;
     /// Prints the log lines of the owners.
     const bool m_trace = std::getenv("PLANTAINPIER_TRACE") != nullptr;
     int m_now = 0;
@@ -387,6 +411,7 @@
 class RunHistoryTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(RunHistoryTest);
     CPPUNIT_TEST(attemptsAreCountedAcrossOwnerChanges);
+    CPPUNIT_TEST(nothingStartsInClosedZones);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against ends of runs that are reported but not counted. They cause starts beyond the permitted attempts,
@@ -406,5 +431,24 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), violations);
     }
+
+    // Guards against starts in a zone that an operator has closed, across changes of the owner and by owners that are
+    // cut off from the store.
+    void nothingStartsInClosedZones()
+    {
+        const HistorySeeds seeds = historySeeds(100);
+        constexpr int milliseconds = 20'000;
+        std::string violations;
+        std::size_t startsInClosingZones = 0;
+        for (unsigned seed = seeds.first; seed <= seeds.last; ++seed) {
+            RunHistory history(seed, true);
+            history.run(milliseconds);
+            startsInClosingZones += history.startsInClosingZones();
+            for (const std::string& violation : history.violations())
+                violations += "seed " + std::to_string(seed) + ": " + violation + "\n";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), violations);
+        CPPUNIT_ASSERT_MESSAGE("a zone was closed while tasks started there", startsInClosingZones > 0);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RunHistoryTest);
