--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -47,6 +47,8 @@
     /// A best-effort task that uses idle processors. Its processor demand is not committed on the host.
     bool filler = false;
     bool longRunning = false;
+    /// The run began under an earlier owner; placedAt is when this owner learned of it.
+    bool adopted = false;
     /// Nothing is wrong if the task starts again after an end that nobody has read.
     bool mayRunTwice = false;
     /// The run was ordered on an earlier incarnation, and this one has not listed it.
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -67,6 +67,12 @@
                 m_loadErrors.emplace_back(record.key, errorOf(unreadable).message);
         } else if (isKeyOfKind(record.key, 'c')) {
             m_loadedCancellations.insert(id);
+        } else if (record.key == StoreKey::interference()) {
+            const std::optional<Wire::InterferenceRecord> stored = Wire::decode<Wire::InterferenceRecord>(record.value);
+            if (stored)
+                m_interference.restore(*stored);
+            else
+                m_loadErrors.emplace_back(record.key, errorOf(unreadable).message);
         } else if (isKeyOfKind(record.key, 'h')) {
             const std::optional<Wire::HostRecord> stored = Wire::decode<Wire::HostRecord>(record.value);
             if (stored && stored->departed) {
@@ -409,6 +415,22 @@
     m_state.flushNow = false;
 }
 
+void JobOwner::writeInterference(Instant now)
+{
+    const bool isHandOver = m_schedulingStopped && !m_lastWriteBeforeHandOver;
+    if (!m_state.rules.interferenceRecordInterval
+        || (!isHandOver && now - m_interferenceWrittenAt < *m_state.rules.interferenceRecordInterval))
+        return;
+    m_interferenceWrittenAt = now;
+    const Wire::InterferenceRecord record = m_interference.record();
+    std::string value = Wire::encode(record);
+    if (record.serving.empty() || value == m_writtenInterference)
+        return;
+    m_writtenInterference = value;
+    m_state.storeWriter.enqueue(now, StoreRecord { StoreKey::interference(), std::move(value) },
+        isHandOver ? Urgency::Immediate : Urgency::Lazy);
+}
+
 void JobOwner::assignWritesToEnds()
 {
     // Once no progress is left to write, the effects of all processed run ends are stored with the writes so far.
@@ -525,6 +547,7 @@
         m_scheduler.schedule(now, actions);
     }
     writeProgress(now);
+    writeInterference(now);
     if (m_schedulingStopped && !m_lastWriteBeforeHandOver)
         m_lastWriteBeforeHandOver = m_state.storeWriter.lastSequenceNumber();
     assignWritesToEnds();
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -92,6 +92,8 @@
     void sendRepliesOfStoredWrites(Actions& actions);
     /// Writes the progress of changed jobs to the store.
     void writeProgress(Instant now);
+    /// Stores the interference that was learned, at its interval and before a hand-over.
+    void writeInterference(Instant now);
     /// Assigns to each unpersisted run end the write after which the end may be acknowledged.
     void assignWritesToEnds();
     void acknowledgePersistedEnds();
@@ -118,6 +120,8 @@
     std::vector<std::pair<std::string, std::string>> m_loadErrors;
     std::map<std::string, Instant> m_finishedAt;
     Instant m_lastSchedulingPass;
+    Instant m_interferenceWrittenAt;
+    std::string m_writtenInterference;
     Instant m_lastJobCleanup;
     bool m_fenced = false;
     bool m_schedulingStopped = false;
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -41,6 +41,8 @@
     std::optional<Duration> zoneClosureBound;
     /// Part of the bound that is left for the delivery of an order to its host.
     Duration startDeliveryMargin = seconds(1);
+    /// Interval at which the owner stores the interference that it has learned, for its successors. Unset: not stored.
+    std::optional<Duration> interferenceRecordInterval;
     /// Delay before a task is retried after a failure or a refused start, so that a broken host does not use up the
     /// task's attempts.
     Duration retryDelayAfterFailure = milliseconds(50);
@@ -212,6 +214,7 @@
     inline std::string progress(const std::string& jobId) { return "p/" + jobId; }
     inline std::string cancellation(const std::string& jobId) { return "c/" + jobId; }
     inline std::string host(const std::string& hostId) { return "h/" + hostId; }
+    inline std::string interference() { return "i/pressures"; }
 }
 
 } // namespace Plantainpier
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -429,6 +429,7 @@
     // No recorded lease covers the run, so the host is assumed to hold the longest lease.
     if (now >= host.leaseExpiresAt)
         host.leaseExpiresAt = now + withClockMargin(m_state.rules.longestLease);
+    run.adopted = true;
     run.placedAt = now;
     run.startConfirmedAt = now;
     run.listed = true;
--- a/Source/Decision/Placement/InterferenceModel.cpp
+++ b/Source/Decision/Placement/InterferenceModel.cpp
@@ -12,6 +12,8 @@
     constexpr Duration maximumReportAge = milliseconds(700);
     /// The tail latency of a serving task is not representative right after the task has started.
     constexpr Duration warmUpTime = milliseconds(2500);
+    /// Progress of a serving task that is ready to serve.
+    constexpr int readyPercent = 100;
     /// Assumed pressure of a pair of images without samples: between low-pressure and high-pressure pairs.
     constexpr double priorPressure = 2.0;
     /// Weight of the prior in the normal equations, in squared shares of a host.
@@ -23,9 +25,20 @@
     /// Reported tail latencies are capped: a headroom below this is only an upper bound of the true headroom.
     constexpr double censoredHeadroom = 0.3;
 
+    constexpr double thousandths = 1000;
+    /// Highest weight of an inherited pressure: what about ten seconds of samples weigh, so that a change of the images
+    /// since shows soon.
+    constexpr double maximumInheritedWeight = 3;
+    /// Pressures of a record beyond this are not plausible.
+    constexpr double maximumInheritedPressure = 100;
+
     bool isServing(Instant now, const HostRun& run)
     {
-        return run.targetMilliseconds > 0 && run.listed && run.usage > 0 && now - run.placedAt >= warmUpTime;
+        // When a run that an earlier owner placed began is not known. One that is ready has most likely served for
+        // long: if all were taken as new, no filler would be slowed down after a change of owner until the warm-up is
+        // over.
+        const bool isWarm = run.adopted ? run.progressPercent >= readyPercent : now - run.placedAt >= warmUpTime;
+        return run.targetMilliseconds > 0 && run.listed && run.usage > 0 && isWarm;
     }
 
     double headroomOf(const HostRun& run)
@@ -61,6 +74,53 @@
     regression.normalMatrix.resize(count, std::vector<double>(count, 0.0));
     regression.normalVector.resize(count, 0.0);
     regression.pressures.resize(count, priorPressure);
+    regression.inheritedPressures.resize(count, 0.0);
+    regression.inheritedWeights.resize(count, 0.0);
+}
+
+Wire::InterferenceRecord InterferenceModel::record() const
+{
+    Wire::InterferenceRecord record;
+    record.fillers.resize(m_fillerIndexes.size());
+    for (const std::pair<const std::string, std::size_t>& filler : m_fillerIndexes)
+        record.fillers[filler.second] = filler.first;
+    for (const std::pair<const std::string, Regression>& entry : m_regressions) {
+        const Regression& regression = entry.second;
+        Wire::ServingPressures serving;
+        serving.image = entry.first;
+        for (std::size_t n = 0; n < regression.pressures.size(); ++n) {
+            const double weight
+                = std::min(maximumInheritedWeight, regression.normalMatrix[n][n] + regression.inheritedWeights[n]);
+            const double pressure
+                = std::clamp(regression.pressures[n], -maximumInheritedPressure, maximumInheritedPressure);
+            serving.pressures.push_back(static_cast<std::int32_t>(pressure * thousandths));
+            serving.weights.push_back(static_cast<std::int32_t>(weight * thousandths));
+        }
+        record.serving.push_back(std::move(serving));
+    }
+    return record;
+}
+
+void InterferenceModel::restore(const Wire::InterferenceRecord& record)
+{
+    std::vector<std::size_t> indexes;
+    for (const std::string& filler : record.fillers)
+        indexes.push_back(fillerIndex(filler));
+    for (const Wire::ServingPressures& serving : record.serving) {
+        if (serving.pressures.size() != serving.weights.size() || serving.pressures.size() > indexes.size())
+            continue;
+        Regression& regression = m_regressions[serving.image];
+        extend(regression);
+        for (std::size_t n = 0; n < serving.pressures.size(); ++n) {
+            const double pressure = serving.pressures[n] / thousandths;
+            if (indexes[n] >= regression.pressures.size() || std::abs(pressure) > maximumInheritedPressure)
+                continue;
+            regression.inheritedPressures[indexes[n]] = pressure;
+            regression.inheritedWeights[indexes[n]]
+                = std::clamp(serving.weights[n] / thousandths, 0.0, maximumInheritedWeight);
+        }
+        solve(regression);
+    }
 }
 
 double InterferenceModel::pressure(const std::string& serving, const std::string& filler) const
@@ -155,6 +215,8 @@
         }
         for (double& value : entry.second.normalVector)
             value *= decayFactor;
+        for (double& value : entry.second.inheritedWeights)
+            value *= decayFactor;
     }
     for (std::pair<const std::pair<std::string, std::string>, std::vector<Sample>>& job : samplesByJob) {
         Regression& regression = m_regressions[job.first.first];
@@ -214,8 +276,8 @@
     std::vector<std::vector<double>> rows = regression.normalMatrix;
     std::vector<double> values = regression.normalVector;
     for (std::size_t n = 0; n < count; ++n) {
-        rows[n][n] += priorWeight;
-        values[n] += priorWeight * priorPressure;
+        rows[n][n] += priorWeight + regression.inheritedWeights[n];
+        values[n] += priorWeight * priorPressure + regression.inheritedWeights[n] * regression.inheritedPressures[n];
     }
     // Gaussian elimination without pivoting: the prior makes the symmetric matrix positive definite.
     for (std::size_t n = 0; n < count; ++n) {
--- a/Source/Decision/Placement/InterferenceModel.h
+++ b/Source/Decision/Placement/InterferenceModel.h
@@ -14,6 +14,11 @@
 /// JobOwner, read by PaceController.
 class InterferenceModel {
 public:
+    /// What the model has learned, for a later owner.
+    Wire::InterferenceRecord record() const;
+    /// Begins with what an earlier owner has learned. Samples of this owner replace it within seconds. Ignores parts of
+    /// the record that do not fit together.
+    void restore(const Wire::InterferenceRecord& record);
     /// Updates the model from the newest lists of all hosts.
     void updatePressures(Instant now, const HostRegistry& hosts);
     /// The pressure of a filler image on a serving image; never below zero.
@@ -35,6 +40,9 @@
         std::vector<std::vector<double>> normalMatrix;
         std::vector<double> normalVector;
         std::vector<double> pressures;
+        /// Pressures that an earlier owner has learned, and their weights in the normal equations.
+        std::vector<double> inheritedPressures;
+        std::vector<double> inheritedWeights;
     };
 
     std::size_t fillerIndex(const std::string& filler);
--- a/Source/Shell/Process/NodeSettings.cpp
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -92,6 +92,8 @@
     if (settings.zoneClosureBound && *settings.zoneClosureBound < minimumZoneClosureBound)
         reader.addError(ErrorCode::InvalidField, "zone_closure_ms",
             "must be at least " + std::to_string(toMilliseconds(minimumZoneClosureBound)));
+    if (object.contains("interference_record_s"))
+        settings.interferenceRecordInterval = readSeconds("interference_record_s", seconds(1));
     settings.finishedJobRetention = readSeconds("status_memory_s", settings.finishedJobRetention);
     settings.shutdownTimeout = readSeconds("shutdown_s", settings.shutdownTimeout);
     if (!reader.errors().empty()) {
@@ -119,8 +121,8 @@
 {
     static const std::vector<std::string> keys { "id", "zone", "address", "peer_port", "store_address",
         "client_address", "health_address", "announce_address", "host_address", "advice_address", "machines_address",
-        "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "zone_closure_ms", "status_memory_s",
-        "shutdown_s" };
+        "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "zone_closure_ms",
+        "interference_record_s", "status_memory_s", "shutdown_s" };
     return keys;
 }
 
--- a/Source/Shell/Process/NodeSettings.h
+++ b/Source/Shell/Process/NodeSettings.h
@@ -42,6 +42,8 @@
     Duration longestHalt = milliseconds(900);
     /// Time after which nothing starts in a zone that operators have closed. Unset: no bound is kept.
     std::optional<Duration> zoneClosureBound;
+    /// Interval at which an owner stores the interference between images that it has learned. Unset: not stored.
+    std::optional<Duration> interferenceRecordInterval;
     Duration finishedJobRetention = seconds(120);
     /// Time between the request to shut down and the forced end of the process.
     Duration shutdownTimeout = seconds(6);
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -5875,6 +5875,354 @@
 }
 
 
+ServingPressures::~ServingPressures() noexcept {
+}
+
+
+void ServingPressures::__set_image(const std::string& val) {
+  this->image = val;
+}
+
+void ServingPressures::__set_pressures(const std::vector<int32_t> & val) {
+  this->pressures = val;
+}
+
+void ServingPressures::__set_weights(const std::vector<int32_t> & val) {
+  this->weights = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServingPressures& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServingPressures::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->image);
+          this->__isset.image = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pressures.clear();
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->pressures.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
+            {
+              xfer += iprot->readI32(this->pressures[_i135]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pressures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->weights.clear();
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->weights.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
+            {
+              xfer += iprot->readI32(this->weights[_i140]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.weights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServingPressures::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServingPressures");
+
+  xfer += oprot->writeFieldBegin("image", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->image);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pressures", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->pressures.size()));
+    std::vector<int32_t> ::const_iterator _iter141;
+    for (_iter141 = this->pressures.begin(); _iter141 != this->pressures.end(); ++_iter141)
+    {
+      xfer += oprot->writeI32((*_iter141));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->weights.size()));
+    std::vector<int32_t> ::const_iterator _iter142;
+    for (_iter142 = this->weights.begin(); _iter142 != this->weights.end(); ++_iter142)
+    {
+      xfer += oprot->writeI32((*_iter142));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServingPressures &a, ServingPressures &b) {
+  using ::std::swap;
+  swap(a.image, b.image);
+  swap(a.pressures, b.pressures);
+  swap(a.weights, b.weights);
+  swap(a.__isset, b.__isset);
+}
+
+ServingPressures::ServingPressures(const ServingPressures& other143) {
+  image = other143.image;
+  pressures = other143.pressures;
+  weights = other143.weights;
+  __isset = other143.__isset;
+}
+ServingPressures::ServingPressures(ServingPressures&& other144) noexcept {
+  image = std::move(other144.image);
+  pressures = std::move(other144.pressures);
+  weights = std::move(other144.weights);
+  __isset = other144.__isset;
+}
+ServingPressures& ServingPressures::operator=(const ServingPressures& other145) {
+  image = other145.image;
+  pressures = other145.pressures;
+  weights = other145.weights;
+  __isset = other145.__isset;
+  return *this;
+}
+ServingPressures& ServingPressures::operator=(ServingPressures&& other146) noexcept {
+  image = std::move(other146.image);
+  pressures = std::move(other146.pressures);
+  weights = std::move(other146.weights);
+  __isset = other146.__isset;
+  return *this;
+}
+void ServingPressures::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServingPressures(";
+  out << "image=" << to_string(image);
+  out << ", " << "pressures=" << to_string(pressures);
+  out << ", " << "weights=" << to_string(weights);
+  out << ")";
+}
+
+
+InterferenceRecord::~InterferenceRecord() noexcept {
+}
+
+
+void InterferenceRecord::__set_fillers(const std::vector<std::string> & val) {
+  this->fillers = val;
+}
+
+void InterferenceRecord::__set_serving(const std::vector<ServingPressures> & val) {
+  this->serving = val;
+}
+std::ostream& operator<<(std::ostream& out, const InterferenceRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t InterferenceRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->fillers.clear();
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->fillers.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
+            {
+              xfer += iprot->readString(this->fillers[_i151]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.fillers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->serving.clear();
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->serving.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
+            {
+              xfer += this->serving[_i156].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.serving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t InterferenceRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("InterferenceRecord");
+
+  xfer += oprot->writeFieldBegin("fillers", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->fillers.size()));
+    std::vector<std::string> ::const_iterator _iter157;
+    for (_iter157 = this->fillers.begin(); _iter157 != this->fillers.end(); ++_iter157)
+    {
+      xfer += oprot->writeString((*_iter157));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serving", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->serving.size()));
+    std::vector<ServingPressures> ::const_iterator _iter158;
+    for (_iter158 = this->serving.begin(); _iter158 != this->serving.end(); ++_iter158)
+    {
+      xfer += (*_iter158).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(InterferenceRecord &a, InterferenceRecord &b) {
+  using ::std::swap;
+  swap(a.fillers, b.fillers);
+  swap(a.serving, b.serving);
+  swap(a.__isset, b.__isset);
+}
+
+InterferenceRecord::InterferenceRecord(const InterferenceRecord& other159) {
+  fillers = other159.fillers;
+  serving = other159.serving;
+  __isset = other159.__isset;
+}
+InterferenceRecord::InterferenceRecord(InterferenceRecord&& other160) noexcept {
+  fillers = std::move(other160.fillers);
+  serving = std::move(other160.serving);
+  __isset = other160.__isset;
+}
+InterferenceRecord& InterferenceRecord::operator=(const InterferenceRecord& other161) {
+  fillers = other161.fillers;
+  serving = other161.serving;
+  __isset = other161.__isset;
+  return *this;
+}
+InterferenceRecord& InterferenceRecord::operator=(InterferenceRecord&& other162) noexcept {
+  fillers = std::move(other162.fillers);
+  serving = std::move(other162.serving);
+  __isset = other162.__isset;
+  return *this;
+}
+void InterferenceRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "InterferenceRecord(";
+  out << "fillers=" << to_string(fillers);
+  out << ", " << "serving=" << to_string(serving);
+  out << ")";
+}
+
+
 OwnerClaim::~OwnerClaim() noexcept {
 }
 
@@ -6018,38 +6366,38 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnerClaim::OwnerClaim(const OwnerClaim& other131) {
-  nodeId = other131.nodeId;
-  incarnation = other131.incarnation;
-  address = other131.address;
-  port = other131.port;
-  largestMilliProcessors = other131.largestMilliProcessors;
-  __isset = other131.__isset;
-}
-OwnerClaim::OwnerClaim(OwnerClaim&& other132) noexcept {
-  nodeId = std::move(other132.nodeId);
-  incarnation = other132.incarnation;
-  address = std::move(other132.address);
-  port = other132.port;
-  largestMilliProcessors = other132.largestMilliProcessors;
-  __isset = other132.__isset;
-}
-OwnerClaim& OwnerClaim::operator=(const OwnerClaim& other133) {
-  nodeId = other133.nodeId;
-  incarnation = other133.incarnation;
-  address = other133.address;
-  port = other133.port;
-  largestMilliProcessors = other133.largestMilliProcessors;
-  __isset = other133.__isset;
+OwnerClaim::OwnerClaim(const OwnerClaim& other163) {
+  nodeId = other163.nodeId;
+  incarnation = other163.incarnation;
+  address = other163.address;
+  port = other163.port;
+  largestMilliProcessors = other163.largestMilliProcessors;
+  __isset = other163.__isset;
+}
+OwnerClaim::OwnerClaim(OwnerClaim&& other164) noexcept {
+  nodeId = std::move(other164.nodeId);
+  incarnation = other164.incarnation;
+  address = std::move(other164.address);
+  port = other164.port;
+  largestMilliProcessors = other164.largestMilliProcessors;
+  __isset = other164.__isset;
+}
+OwnerClaim& OwnerClaim::operator=(const OwnerClaim& other165) {
+  nodeId = other165.nodeId;
+  incarnation = other165.incarnation;
+  address = other165.address;
+  port = other165.port;
+  largestMilliProcessors = other165.largestMilliProcessors;
+  __isset = other165.__isset;
   return *this;
 }
-OwnerClaim& OwnerClaim::operator=(OwnerClaim&& other134) noexcept {
-  nodeId = std::move(other134.nodeId);
-  incarnation = other134.incarnation;
-  address = std::move(other134.address);
-  port = other134.port;
-  largestMilliProcessors = other134.largestMilliProcessors;
-  __isset = other134.__isset;
+OwnerClaim& OwnerClaim::operator=(OwnerClaim&& other166) noexcept {
+  nodeId = std::move(other166.nodeId);
+  incarnation = other166.incarnation;
+  address = std::move(other166.address);
+  port = other166.port;
+  largestMilliProcessors = other166.largestMilliProcessors;
+  __isset = other166.__isset;
   return *this;
 }
 void OwnerClaim::printTo(std::ostream& out) const {
@@ -6173,30 +6521,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnerPulse::OwnerPulse(const OwnerPulse& other135) noexcept {
-  term = other135.term;
-  resigning = other135.resigning;
-  predecessorsHoldMilliseconds = other135.predecessorsHoldMilliseconds;
-  __isset = other135.__isset;
+OwnerPulse::OwnerPulse(const OwnerPulse& other167) noexcept {
+  term = other167.term;
+  resigning = other167.resigning;
+  predecessorsHoldMilliseconds = other167.predecessorsHoldMilliseconds;
+  __isset = other167.__isset;
 }
-OwnerPulse::OwnerPulse(OwnerPulse&& other136) noexcept {
-  term = other136.term;
-  resigning = other136.resigning;
-  predecessorsHoldMilliseconds = other136.predecessorsHoldMilliseconds;
-  __isset = other136.__isset;
+OwnerPulse::OwnerPulse(OwnerPulse&& other168) noexcept {
+  term = other168.term;
+  resigning = other168.resigning;
+  predecessorsHoldMilliseconds = other168.predecessorsHoldMilliseconds;
+  __isset = other168.__isset;
 }
-OwnerPulse& OwnerPulse::operator=(const OwnerPulse& other137) noexcept {
-  term = other137.term;
-  resigning = other137.resigning;
-  predecessorsHoldMilliseconds = other137.predecessorsHoldMilliseconds;
-  __isset = other137.__isset;
+OwnerPulse& OwnerPulse::operator=(const OwnerPulse& other169) noexcept {
+  term = other169.term;
+  resigning = other169.resigning;
+  predecessorsHoldMilliseconds = other169.predecessorsHoldMilliseconds;
+  __isset = other169.__isset;
   return *this;
 }
-OwnerPulse& OwnerPulse::operator=(OwnerPulse&& other138) noexcept {
-  term = other138.term;
-  resigning = other138.resigning;
-  predecessorsHoldMilliseconds = other138.predecessorsHoldMilliseconds;
-  __isset = other138.__isset;
+OwnerPulse& OwnerPulse::operator=(OwnerPulse&& other170) noexcept {
+  term = other170.term;
+  resigning = other170.resigning;
+  predecessorsHoldMilliseconds = other170.predecessorsHoldMilliseconds;
+  __isset = other170.__isset;
   return *this;
 }
 void OwnerPulse::printTo(std::ostream& out) const {
@@ -6371,42 +6719,42 @@
   swap(a.__isset, b.__isset);
 }
 
-RunningTask::RunningTask(const RunningTask& other139) {
-  task = other139.task;
-  run = other139.run;
-  checkpoint = other139.checkpoint;
-  progressPercent = other139.progressPercent;
-  usage = other139.usage;
-  acknowledgedPacePercent = other139.acknowledgedPacePercent;
-  __isset = other139.__isset;
-}
-RunningTask::RunningTask(RunningTask&& other140) noexcept {
-  task = std::move(other140.task);
-  run = other140.run;
-  checkpoint = std::move(other140.checkpoint);
-  progressPercent = other140.progressPercent;
-  usage = other140.usage;
-  acknowledgedPacePercent = other140.acknowledgedPacePercent;
-  __isset = other140.__isset;
-}
-RunningTask& RunningTask::operator=(const RunningTask& other141) {
-  task = other141.task;
-  run = other141.run;
-  checkpoint = other141.checkpoint;
-  progressPercent = other141.progressPercent;
-  usage = other141.usage;
-  acknowledgedPacePercent = other141.acknowledgedPacePercent;
-  __isset = other141.__isset;
+RunningTask::RunningTask(const RunningTask& other171) {
+  task = other171.task;
+  run = other171.run;
+  checkpoint = other171.checkpoint;
+  progressPercent = other171.progressPercent;
+  usage = other171.usage;
+  acknowledgedPacePercent = other171.acknowledgedPacePercent;
+  __isset = other171.__isset;
+}
+RunningTask::RunningTask(RunningTask&& other172) noexcept {
+  task = std::move(other172.task);
+  run = other172.run;
+  checkpoint = std::move(other172.checkpoint);
+  progressPercent = other172.progressPercent;
+  usage = other172.usage;
+  acknowledgedPacePercent = other172.acknowledgedPacePercent;
+  __isset = other172.__isset;
+}
+RunningTask& RunningTask::operator=(const RunningTask& other173) {
+  task = other173.task;
+  run = other173.run;
+  checkpoint = other173.checkpoint;
+  progressPercent = other173.progressPercent;
+  usage = other173.usage;
+  acknowledgedPacePercent = other173.acknowledgedPacePercent;
+  __isset = other173.__isset;
   return *this;
 }
-RunningTask& RunningTask::operator=(RunningTask&& other142) noexcept {
-  task = std::move(other142.task);
-  run = other142.run;
-  checkpoint = std::move(other142.checkpoint);
-  progressPercent = other142.progressPercent;
-  usage = other142.usage;
-  acknowledgedPacePercent = other142.acknowledgedPacePercent;
-  __isset = other142.__isset;
+RunningTask& RunningTask::operator=(RunningTask&& other174) noexcept {
+  task = std::move(other174.task);
+  run = other174.run;
+  checkpoint = std::move(other174.checkpoint);
+  progressPercent = other174.progressPercent;
+  usage = other174.usage;
+  acknowledgedPacePercent = other174.acknowledgedPacePercent;
+  __isset = other174.__isset;
   return *this;
 }
 void RunningTask::printTo(std::ostream& out) const {
@@ -6499,9 +6847,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast143;
-          xfer += iprot->readI32(ecast143);
-          this->how = static_cast<RunEnd::type>(ecast143);
+          int32_t ecast175;
+          xfer += iprot->readI32(ecast175);
+          this->how = static_cast<RunEnd::type>(ecast175);
           this->__isset.how = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6567,38 +6915,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndedTask::EndedTask(const EndedTask& other144) {
-  number = other144.number;
-  task = other144.task;
-  run = other144.run;
-  how = other144.how;
-  checkpoint = other144.checkpoint;
-  __isset = other144.__isset;
-}
-EndedTask::EndedTask(EndedTask&& other145) noexcept {
-  number = other145.number;
-  task = std::move(other145.task);
-  run = other145.run;
-  how = other145.how;
-  checkpoint = std::move(other145.checkpoint);
-  __isset = other145.__isset;
-}
-EndedTask& EndedTask::operator=(const EndedTask& other146) {
-  number = other146.number;
-  task = other146.task;
-  run = other146.run;
-  how = other146.how;
-  checkpoint = other146.checkpoint;
-  __isset = other146.__isset;
+EndedTask::EndedTask(const EndedTask& other176) {
+  number = other176.number;
+  task = other176.task;
+  run = other176.run;
+  how = other176.how;
+  checkpoint = other176.checkpoint;
+  __isset = other176.__isset;
+}
+EndedTask::EndedTask(EndedTask&& other177) noexcept {
+  number = other177.number;
+  task = std::move(other177.task);
+  run = other177.run;
+  how = other177.how;
+  checkpoint = std::move(other177.checkpoint);
+  __isset = other177.__isset;
+}
+EndedTask& EndedTask::operator=(const EndedTask& other178) {
+  number = other178.number;
+  task = other178.task;
+  run = other178.run;
+  how = other178.how;
+  checkpoint = other178.checkpoint;
+  __isset = other178.__isset;
   return *this;
 }
-EndedTask& EndedTask::operator=(EndedTask&& other147) noexcept {
-  number = other147.number;
-  task = std::move(other147.task);
-  run = other147.run;
-  how = other147.how;
-  checkpoint = std::move(other147.checkpoint);
-  __isset = other147.__isset;
+EndedTask& EndedTask::operator=(EndedTask&& other179) noexcept {
+  number = other179.number;
+  task = std::move(other179.task);
+  run = other179.run;
+  how = other179.how;
+  checkpoint = std::move(other179.checkpoint);
+  __isset = other179.__isset;
   return *this;
 }
 void EndedTask::printTo(std::ostream& out) const {
@@ -6678,9 +7026,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast148;
-          xfer += iprot->readI32(ecast148);
-          this->outcome = static_cast<OrderOutcome::type>(ecast148);
+          int32_t ecast180;
+          xfer += iprot->readI32(ecast180);
+          this->outcome = static_cast<OrderOutcome::type>(ecast180);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6741,34 +7089,34 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderResult::OrderResult(const OrderResult& other149) {
-  task = other149.task;
-  run = other149.run;
-  outcome = other149.outcome;
-  reason = other149.reason;
-  __isset = other149.__isset;
-}
-OrderResult::OrderResult(OrderResult&& other150) noexcept {
-  task = std::move(other150.task);
-  run = other150.run;
-  outcome = other150.outcome;
-  reason = std::move(other150.reason);
-  __isset = other150.__isset;
-}
-OrderResult& OrderResult::operator=(const OrderResult& other151) {
-  task = other151.task;
-  run = other151.run;
-  outcome = other151.outcome;
-  reason = other151.reason;
-  __isset = other151.__isset;
+OrderResult::OrderResult(const OrderResult& other181) {
+  task = other181.task;
+  run = other181.run;
+  outcome = other181.outcome;
+  reason = other181.reason;
+  __isset = other181.__isset;
+}
+OrderResult::OrderResult(OrderResult&& other182) noexcept {
+  task = std::move(other182.task);
+  run = other182.run;
+  outcome = other182.outcome;
+  reason = std::move(other182.reason);
+  __isset = other182.__isset;
+}
+OrderResult& OrderResult::operator=(const OrderResult& other183) {
+  task = other183.task;
+  run = other183.run;
+  outcome = other183.outcome;
+  reason = other183.reason;
+  __isset = other183.__isset;
   return *this;
 }
-OrderResult& OrderResult::operator=(OrderResult&& other152) noexcept {
-  task = std::move(other152.task);
-  run = other152.run;
-  outcome = other152.outcome;
-  reason = std::move(other152.reason);
-  __isset = other152.__isset;
+OrderResult& OrderResult::operator=(OrderResult&& other184) noexcept {
+  task = std::move(other184.task);
+  run = other184.run;
+  outcome = other184.outcome;
+  reason = std::move(other184.reason);
+  __isset = other184.__isset;
   return *this;
 }
 void OrderResult::printTo(std::ostream& out) const {
@@ -6874,26 +7222,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RunName::RunName(const RunName& other153) {
-  task = other153.task;
-  run = other153.run;
-  __isset = other153.__isset;
+RunName::RunName(const RunName& other185) {
+  task = other185.task;
+  run = other185.run;
+  __isset = other185.__isset;
 }
-RunName::RunName(RunName&& other154) noexcept {
-  task = std::move(other154.task);
-  run = other154.run;
-  __isset = other154.__isset;
+RunName::RunName(RunName&& other186) noexcept {
+  task = std::move(other186.task);
+  run = other186.run;
+  __isset = other186.__isset;
 }
-RunName& RunName::operator=(const RunName& other155) {
-  task = other155.task;
-  run = other155.run;
-  __isset = other155.__isset;
+RunName& RunName::operator=(const RunName& other187) {
+  task = other187.task;
+  run = other187.run;
+  __isset = other187.__isset;
   return *this;
 }
-RunName& RunName::operator=(RunName&& other156) noexcept {
-  task = std::move(other156.task);
-  run = other156.run;
-  __isset = other156.__isset;
+RunName& RunName::operator=(RunName&& other188) noexcept {
+  task = std::move(other188.task);
+  run = other188.run;
+  __isset = other188.__isset;
   return *this;
 }
 void RunName::printTo(std::ostream& out) const {
@@ -7064,14 +7412,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->labels.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->labels.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
             {
-              xfer += iprot->readString(this->labels[_i161]);
+              xfer += iprot->readString(this->labels[_i193]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7090,9 +7438,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast162;
-          xfer += iprot->readI32(ecast162);
-          this->state = static_cast<HostState::type>(ecast162);
+          int32_t ecast194;
+          xfer += iprot->readI32(ecast194);
+          this->state = static_cast<HostState::type>(ecast194);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7126,14 +7474,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size163;
-            ::apache::thrift::protocol::TType _etype166;
-            xfer += iprot->readListBegin(_etype166, _size163);
-            this->running.resize(_size163);
-            uint32_t _i167;
-            for (_i167 = 0; _i167 < _size163; ++_i167)
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _etype198;
+            xfer += iprot->readListBegin(_etype198, _size195);
+            this->running.resize(_size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
             {
-              xfer += this->running[_i167].read(iprot);
+              xfer += this->running[_i199].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7146,14 +7494,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->ended.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size200;
+            ::apache::thrift::protocol::TType _etype203;
+            xfer += iprot->readListBegin(_etype203, _size200);
+            this->ended.resize(_size200);
+            uint32_t _i204;
+            for (_i204 = 0; _i204 < _size200; ++_i204)
             {
-              xfer += this->ended[_i172].read(iprot);
+              xfer += this->ended[_i204].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7166,14 +7514,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size173;
-            ::apache::thrift::protocol::TType _etype176;
-            xfer += iprot->readListBegin(_etype176, _size173);
-            this->results.resize(_size173);
-            uint32_t _i177;
-            for (_i177 = 0; _i177 < _size173; ++_i177)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->results.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += this->results[_i177].read(iprot);
+              xfer += this->results[_i209].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7226,14 +7574,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->removed.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size210;
+            ::apache::thrift::protocol::TType _etype213;
+            xfer += iprot->readListBegin(_etype213, _size210);
+            this->removed.resize(_size210);
+            uint32_t _i214;
+            for (_i214 = 0; _i214 < _size210; ++_i214)
             {
-              xfer += this->removed[_i182].read(iprot);
+              xfer += this->removed[_i214].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7290,10 +7638,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter183;
-    for (_iter183 = this->labels.begin(); _iter183 != this->labels.end(); ++_iter183)
+    std::vector<std::string> ::const_iterator _iter215;
+    for (_iter215 = this->labels.begin(); _iter215 != this->labels.end(); ++_iter215)
     {
-      xfer += oprot->writeString((*_iter183));
+      xfer += oprot->writeString((*_iter215));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7322,10 +7670,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunningTask> ::const_iterator _iter184;
-    for (_iter184 = this->running.begin(); _iter184 != this->running.end(); ++_iter184)
+    std::vector<RunningTask> ::const_iterator _iter216;
+    for (_iter216 = this->running.begin(); _iter216 != this->running.end(); ++_iter216)
     {
-      xfer += (*_iter184).write(oprot);
+      xfer += (*_iter216).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7334,10 +7682,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndedTask> ::const_iterator _iter185;
-    for (_iter185 = this->ended.begin(); _iter185 != this->ended.end(); ++_iter185)
+    std::vector<EndedTask> ::const_iterator _iter217;
+    for (_iter217 = this->ended.begin(); _iter217 != this->ended.end(); ++_iter217)
     {
-      xfer += (*_iter185).write(oprot);
+      xfer += (*_iter217).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7346,10 +7694,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<OrderResult> ::const_iterator _iter186;
-    for (_iter186 = this->results.begin(); _iter186 != this->results.end(); ++_iter186)
+    std::vector<OrderResult> ::const_iterator _iter218;
+    for (_iter218 = this->results.begin(); _iter218 != this->results.end(); ++_iter218)
     {
-      xfer += (*_iter186).write(oprot);
+      xfer += (*_iter218).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7378,10 +7726,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removed.size()));
-    std::vector<RunName> ::const_iterator _iter187;
-    for (_iter187 = this->removed.begin(); _iter187 != this->removed.end(); ++_iter187)
+    std::vector<RunName> ::const_iterator _iter219;
+    for (_iter219 = this->removed.begin(); _iter219 != this->removed.end(); ++_iter219)
     {
-      xfer += (*_iter187).write(oprot);
+      xfer += (*_iter219).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7422,102 +7770,102 @@
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other188) {
-  hostId = other188.hostId;
-  incarnation = other188.incarnation;
-  serviceName = other188.serviceName;
-  zone = other188.zone;
-  rack = other188.rack;
-  labels = other188.labels;
-  capacity = other188.capacity;
-  state = other188.state;
-  remainingMilliseconds = other188.remainingMilliseconds;
-  listed = other188.listed;
-  clockMilliseconds = other188.clockMilliseconds;
-  running = other188.running;
-  ended = other188.ended;
-  results = other188.results;
-  highestTerm = other188.highestTerm;
-  listFence = other188.listFence;
-  endsOmitted = other188.endsOmitted;
-  refusesConnections = other188.refusesConnections;
-  changesOnly = other188.changesOnly;
-  removed = other188.removed;
-  sideId = other188.sideId;
-  __isset = other188.__isset;
-}
-HostReport::HostReport(HostReport&& other189) noexcept {
-  hostId = std::move(other189.hostId);
-  incarnation = other189.incarnation;
-  serviceName = std::move(other189.serviceName);
-  zone = std::move(other189.zone);
-  rack = std::move(other189.rack);
-  labels = std::move(other189.labels);
-  capacity = std::move(other189.capacity);
-  state = other189.state;
-  remainingMilliseconds = other189.remainingMilliseconds;
-  listed = other189.listed;
-  clockMilliseconds = other189.clockMilliseconds;
-  running = std::move(other189.running);
-  ended = std::move(other189.ended);
-  results = std::move(other189.results);
-  highestTerm = other189.highestTerm;
-  listFence = other189.listFence;
-  endsOmitted = other189.endsOmitted;
-  refusesConnections = other189.refusesConnections;
-  changesOnly = other189.changesOnly;
-  removed = std::move(other189.removed);
-  sideId = std::move(other189.sideId);
-  __isset = other189.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other190) {
-  hostId = other190.hostId;
-  incarnation = other190.incarnation;
-  serviceName = other190.serviceName;
-  zone = other190.zone;
-  rack = other190.rack;
-  labels = other190.labels;
-  capacity = other190.capacity;
-  state = other190.state;
-  remainingMilliseconds = other190.remainingMilliseconds;
-  listed = other190.listed;
-  clockMilliseconds = other190.clockMilliseconds;
-  running = other190.running;
-  ended = other190.ended;
-  results = other190.results;
-  highestTerm = other190.highestTerm;
-  listFence = other190.listFence;
-  endsOmitted = other190.endsOmitted;
-  refusesConnections = other190.refusesConnections;
-  changesOnly = other190.changesOnly;
-  removed = other190.removed;
-  sideId = other190.sideId;
-  __isset = other190.__isset;
+HostReport::HostReport(const HostReport& other220) {
+  hostId = other220.hostId;
+  incarnation = other220.incarnation;
+  serviceName = other220.serviceName;
+  zone = other220.zone;
+  rack = other220.rack;
+  labels = other220.labels;
+  capacity = other220.capacity;
+  state = other220.state;
+  remainingMilliseconds = other220.remainingMilliseconds;
+  listed = other220.listed;
+  clockMilliseconds = other220.clockMilliseconds;
+  running = other220.running;
+  ended = other220.ended;
+  results = other220.results;
+  highestTerm = other220.highestTerm;
+  listFence = other220.listFence;
+  endsOmitted = other220.endsOmitted;
+  refusesConnections = other220.refusesConnections;
+  changesOnly = other220.changesOnly;
+  removed = other220.removed;
+  sideId = other220.sideId;
+  __isset = other220.__isset;
+}
+HostReport::HostReport(HostReport&& other221) noexcept {
+  hostId = std::move(other221.hostId);
+  incarnation = other221.incarnation;
+  serviceName = std::move(other221.serviceName);
+  zone = std::move(other221.zone);
+  rack = std::move(other221.rack);
+  labels = std::move(other221.labels);
+  capacity = std::move(other221.capacity);
+  state = other221.state;
+  remainingMilliseconds = other221.remainingMilliseconds;
+  listed = other221.listed;
+  clockMilliseconds = other221.clockMilliseconds;
+  running = std::move(other221.running);
+  ended = std::move(other221.ended);
+  results = std::move(other221.results);
+  highestTerm = other221.highestTerm;
+  listFence = other221.listFence;
+  endsOmitted = other221.endsOmitted;
+  refusesConnections = other221.refusesConnections;
+  changesOnly = other221.changesOnly;
+  removed = std::move(other221.removed);
+  sideId = std::move(other221.sideId);
+  __isset = other221.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other222) {
+  hostId = other222.hostId;
+  incarnation = other222.incarnation;
+  serviceName = other222.serviceName;
+  zone = other222.zone;
+  rack = other222.rack;
+  labels = other222.labels;
+  capacity = other222.capacity;
+  state = other222.state;
+  remainingMilliseconds = other222.remainingMilliseconds;
+  listed = other222.listed;
+  clockMilliseconds = other222.clockMilliseconds;
+  running = other222.running;
+  ended = other222.ended;
+  results = other222.results;
+  highestTerm = other222.highestTerm;
+  listFence = other222.listFence;
+  endsOmitted = other222.endsOmitted;
+  refusesConnections = other222.refusesConnections;
+  changesOnly = other222.changesOnly;
+  removed = other222.removed;
+  sideId = other222.sideId;
+  __isset = other222.__isset;
   return *this;
 }
-HostReport& HostReport::operator=(HostReport&& other191) noexcept {
-  hostId = std::move(other191.hostId);
-  incarnation = other191.incarnation;
-  serviceName = std::move(other191.serviceName);
-  zone = std::move(other191.zone);
-  rack = std::move(other191.rack);
-  labels = std::move(other191.labels);
-  capacity = std::move(other191.capacity);
-  state = other191.state;
-  remainingMilliseconds = other191.remainingMilliseconds;
-  listed = other191.listed;
-  clockMilliseconds = other191.clockMilliseconds;
-  running = std::move(other191.running);
-  ended = std::move(other191.ended);
-  results = std::move(other191.results);
-  highestTerm = other191.highestTerm;
-  listFence = other191.listFence;
-  endsOmitted = other191.endsOmitted;
-  refusesConnections = other191.refusesConnections;
-  changesOnly = other191.changesOnly;
-  removed = std::move(other191.removed);
-  sideId = std::move(other191.sideId);
-  __isset = other191.__isset;
+HostReport& HostReport::operator=(HostReport&& other223) noexcept {
+  hostId = std::move(other223.hostId);
+  incarnation = other223.incarnation;
+  serviceName = std::move(other223.serviceName);
+  zone = std::move(other223.zone);
+  rack = std::move(other223.rack);
+  labels = std::move(other223.labels);
+  capacity = std::move(other223.capacity);
+  state = other223.state;
+  remainingMilliseconds = other223.remainingMilliseconds;
+  listed = other223.listed;
+  clockMilliseconds = other223.clockMilliseconds;
+  running = std::move(other223.running);
+  ended = std::move(other223.ended);
+  results = std::move(other223.results);
+  highestTerm = other223.highestTerm;
+  listFence = other223.listFence;
+  endsOmitted = other223.endsOmitted;
+  refusesConnections = other223.refusesConnections;
+  changesOnly = other223.changesOnly;
+  removed = std::move(other223.removed);
+  sideId = std::move(other223.sideId);
+  __isset = other223.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -7708,42 +8056,42 @@
   swap(a.__isset, b.__isset);
 }
 
-StartOrder::StartOrder(const StartOrder& other192) {
-  task = other192.task;
-  run = other192.run;
-  payload = other192.payload;
-  checkpoint = other192.checkpoint;
-  ticket = other192.ticket;
-  percent = other192.percent;
-  __isset = other192.__isset;
-}
-StartOrder::StartOrder(StartOrder&& other193) noexcept {
-  task = std::move(other193.task);
-  run = other193.run;
-  payload = std::move(other193.payload);
-  checkpoint = std::move(other193.checkpoint);
-  ticket = std::move(other193.ticket);
-  percent = other193.percent;
-  __isset = other193.__isset;
-}
-StartOrder& StartOrder::operator=(const StartOrder& other194) {
-  task = other194.task;
-  run = other194.run;
-  payload = other194.payload;
-  checkpoint = other194.checkpoint;
-  ticket = other194.ticket;
-  percent = other194.percent;
-  __isset = other194.__isset;
+StartOrder::StartOrder(const StartOrder& other224) {
+  task = other224.task;
+  run = other224.run;
+  payload = other224.payload;
+  checkpoint = other224.checkpoint;
+  ticket = other224.ticket;
+  percent = other224.percent;
+  __isset = other224.__isset;
+}
+StartOrder::StartOrder(StartOrder&& other225) noexcept {
+  task = std::move(other225.task);
+  run = other225.run;
+  payload = std::move(other225.payload);
+  checkpoint = std::move(other225.checkpoint);
+  ticket = std::move(other225.ticket);
+  percent = other225.percent;
+  __isset = other225.__isset;
+}
+StartOrder& StartOrder::operator=(const StartOrder& other226) {
+  task = other226.task;
+  run = other226.run;
+  payload = other226.payload;
+  checkpoint = other226.checkpoint;
+  ticket = other226.ticket;
+  percent = other226.percent;
+  __isset = other226.__isset;
   return *this;
 }
-StartOrder& StartOrder::operator=(StartOrder&& other195) noexcept {
-  task = std::move(other195.task);
-  run = other195.run;
-  payload = std::move(other195.payload);
-  checkpoint = std::move(other195.checkpoint);
-  ticket = std::move(other195.ticket);
-  percent = other195.percent;
-  __isset = other195.__isset;
+StartOrder& StartOrder::operator=(StartOrder&& other227) noexcept {
+  task = std::move(other227.task);
+  run = other227.run;
+  payload = std::move(other227.payload);
+  checkpoint = std::move(other227.checkpoint);
+  ticket = std::move(other227.ticket);
+  percent = other227.percent;
+  __isset = other227.__isset;
   return *this;
 }
 void StartOrder::printTo(std::ostream& out) const {
@@ -7851,26 +8199,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HaltOrder::HaltOrder(const HaltOrder& other196) {
-  task = other196.task;
-  run = other196.run;
-  __isset = other196.__isset;
+HaltOrder::HaltOrder(const HaltOrder& other228) {
+  task = other228.task;
+  run = other228.run;
+  __isset = other228.__isset;
 }
-HaltOrder::HaltOrder(HaltOrder&& other197) noexcept {
-  task = std::move(other197.task);
-  run = other197.run;
-  __isset = other197.__isset;
+HaltOrder::HaltOrder(HaltOrder&& other229) noexcept {
+  task = std::move(other229.task);
+  run = other229.run;
+  __isset = other229.__isset;
 }
-HaltOrder& HaltOrder::operator=(const HaltOrder& other198) {
-  task = other198.task;
-  run = other198.run;
-  __isset = other198.__isset;
+HaltOrder& HaltOrder::operator=(const HaltOrder& other230) {
+  task = other230.task;
+  run = other230.run;
+  __isset = other230.__isset;
   return *this;
 }
-HaltOrder& HaltOrder::operator=(HaltOrder&& other199) noexcept {
-  task = std::move(other199.task);
-  run = other199.run;
-  __isset = other199.__isset;
+HaltOrder& HaltOrder::operator=(HaltOrder&& other231) noexcept {
+  task = std::move(other231.task);
+  run = other231.run;
+  __isset = other231.__isset;
   return *this;
 }
 void HaltOrder::printTo(std::ostream& out) const {
@@ -7991,30 +8339,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PaceOrder::PaceOrder(const PaceOrder& other200) {
-  task = other200.task;
-  run = other200.run;
-  percent = other200.percent;
-  __isset = other200.__isset;
+PaceOrder::PaceOrder(const PaceOrder& other232) {
+  task = other232.task;
+  run = other232.run;
+  percent = other232.percent;
+  __isset = other232.__isset;
 }
-PaceOrder::PaceOrder(PaceOrder&& other201) noexcept {
-  task = std::move(other201.task);
-  run = other201.run;
-  percent = other201.percent;
-  __isset = other201.__isset;
+PaceOrder::PaceOrder(PaceOrder&& other233) noexcept {
+  task = std::move(other233.task);
+  run = other233.run;
+  percent = other233.percent;
+  __isset = other233.__isset;
 }
-PaceOrder& PaceOrder::operator=(const PaceOrder& other202) {
-  task = other202.task;
-  run = other202.run;
-  percent = other202.percent;
-  __isset = other202.__isset;
+PaceOrder& PaceOrder::operator=(const PaceOrder& other234) {
+  task = other234.task;
+  run = other234.run;
+  percent = other234.percent;
+  __isset = other234.__isset;
   return *this;
 }
-PaceOrder& PaceOrder::operator=(PaceOrder&& other203) noexcept {
-  task = std::move(other203.task);
-  run = other203.run;
-  percent = other203.percent;
-  __isset = other203.__isset;
+PaceOrder& PaceOrder::operator=(PaceOrder&& other235) noexcept {
+  task = std::move(other235.task);
+  run = other235.run;
+  percent = other235.percent;
+  __isset = other235.__isset;
   return *this;
 }
 void PaceOrder::printTo(std::ostream& out) const {
@@ -8142,14 +8490,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->starts.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->starts.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
             {
-              xfer += this->starts[_i208].read(iprot);
+              xfer += this->starts[_i240].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8162,14 +8510,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->halts.clear();
-            uint32_t _size209;
-            ::apache::thrift::protocol::TType _etype212;
-            xfer += iprot->readListBegin(_etype212, _size209);
-            this->halts.resize(_size209);
-            uint32_t _i213;
-            for (_i213 = 0; _i213 < _size209; ++_i213)
+            uint32_t _size241;
+            ::apache::thrift::protocol::TType _etype244;
+            xfer += iprot->readListBegin(_etype244, _size241);
+            this->halts.resize(_size241);
+            uint32_t _i245;
+            for (_i245 = 0; _i245 < _size241; ++_i245)
             {
-              xfer += this->halts[_i213].read(iprot);
+              xfer += this->halts[_i245].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8182,14 +8530,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->paces.clear();
-            uint32_t _size214;
-            ::apache::thrift::protocol::TType _etype217;
-            xfer += iprot->readListBegin(_etype217, _size214);
-            this->paces.resize(_size214);
-            uint32_t _i218;
-            for (_i218 = 0; _i218 < _size214; ++_i218)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            this->paces.resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              xfer += this->paces[_i218].read(iprot);
+              xfer += this->paces[_i250].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8254,10 +8602,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<StartOrder> ::const_iterator _iter219;
-    for (_iter219 = this->starts.begin(); _iter219 != this->starts.end(); ++_iter219)
+    std::vector<StartOrder> ::const_iterator _iter251;
+    for (_iter251 = this->starts.begin(); _iter251 != this->starts.end(); ++_iter251)
     {
-      xfer += (*_iter219).write(oprot);
+      xfer += (*_iter251).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8266,10 +8614,10 @@
   xfer += oprot->writeFieldBegin("halts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->halts.size()));
-    std::vector<HaltOrder> ::const_iterator _iter220;
-    for (_iter220 = this->halts.begin(); _iter220 != this->halts.end(); ++_iter220)
+    std::vector<HaltOrder> ::const_iterator _iter252;
+    for (_iter252 = this->halts.begin(); _iter252 != this->halts.end(); ++_iter252)
     {
-      xfer += (*_iter220).write(oprot);
+      xfer += (*_iter252).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8278,10 +8626,10 @@
   xfer += oprot->writeFieldBegin("paces", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->paces.size()));
-    std::vector<PaceOrder> ::const_iterator _iter221;
-    for (_iter221 = this->paces.begin(); _iter221 != this->paces.end(); ++_iter221)
+    std::vector<PaceOrder> ::const_iterator _iter253;
+    for (_iter253 = this->paces.begin(); _iter253 != this->paces.end(); ++_iter253)
     {
-      xfer += (*_iter221).write(oprot);
+      xfer += (*_iter253).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8315,58 +8663,58 @@
   swap(a.__isset, b.__isset);
 }
 
-HostOrders::HostOrders(const HostOrders& other222) {
-  term = other222.term;
-  hostId = other222.hostId;
-  incarnation = other222.incarnation;
-  leaseUntilMilliseconds = other222.leaseUntilMilliseconds;
-  acknowledgedNumber = other222.acknowledgedNumber;
-  starts = other222.starts;
-  halts = other222.halts;
-  paces = other222.paces;
-  fence = other222.fence;
-  acceptsChanges = other222.acceptsChanges;
-  __isset = other222.__isset;
-}
-HostOrders::HostOrders(HostOrders&& other223) noexcept {
-  term = other223.term;
-  hostId = std::move(other223.hostId);
-  incarnation = other223.incarnation;
-  leaseUntilMilliseconds = other223.leaseUntilMilliseconds;
-  acknowledgedNumber = other223.acknowledgedNumber;
-  starts = std::move(other223.starts);
-  halts = std::move(other223.halts);
-  paces = std::move(other223.paces);
-  fence = other223.fence;
-  acceptsChanges = other223.acceptsChanges;
-  __isset = other223.__isset;
-}
-HostOrders& HostOrders::operator=(const HostOrders& other224) {
-  term = other224.term;
-  hostId = other224.hostId;
-  incarnation = other224.incarnation;
-  leaseUntilMilliseconds = other224.leaseUntilMilliseconds;
-  acknowledgedNumber = other224.acknowledgedNumber;
-  starts = other224.starts;
-  halts = other224.halts;
-  paces = other224.paces;
-  fence = other224.fence;
-  acceptsChanges = other224.acceptsChanges;
-  __isset = other224.__isset;
+HostOrders::HostOrders(const HostOrders& other254) {
+  term = other254.term;
+  hostId = other254.hostId;
+  incarnation = other254.incarnation;
+  leaseUntilMilliseconds = other254.leaseUntilMilliseconds;
+  acknowledgedNumber = other254.acknowledgedNumber;
+  starts = other254.starts;
+  halts = other254.halts;
+  paces = other254.paces;
+  fence = other254.fence;
+  acceptsChanges = other254.acceptsChanges;
+  __isset = other254.__isset;
+}
+HostOrders::HostOrders(HostOrders&& other255) noexcept {
+  term = other255.term;
+  hostId = std::move(other255.hostId);
+  incarnation = other255.incarnation;
+  leaseUntilMilliseconds = other255.leaseUntilMilliseconds;
+  acknowledgedNumber = other255.acknowledgedNumber;
+  starts = std::move(other255.starts);
+  halts = std::move(other255.halts);
+  paces = std::move(other255.paces);
+  fence = other255.fence;
+  acceptsChanges = other255.acceptsChanges;
+  __isset = other255.__isset;
+}
+HostOrders& HostOrders::operator=(const HostOrders& other256) {
+  term = other256.term;
+  hostId = other256.hostId;
+  incarnation = other256.incarnation;
+  leaseUntilMilliseconds = other256.leaseUntilMilliseconds;
+  acknowledgedNumber = other256.acknowledgedNumber;
+  starts = other256.starts;
+  halts = other256.halts;
+  paces = other256.paces;
+  fence = other256.fence;
+  acceptsChanges = other256.acceptsChanges;
+  __isset = other256.__isset;
   return *this;
 }
-HostOrders& HostOrders::operator=(HostOrders&& other225) noexcept {
-  term = other225.term;
-  hostId = std::move(other225.hostId);
-  incarnation = other225.incarnation;
-  leaseUntilMilliseconds = other225.leaseUntilMilliseconds;
-  acknowledgedNumber = other225.acknowledgedNumber;
-  starts = std::move(other225.starts);
-  halts = std::move(other225.halts);
-  paces = std::move(other225.paces);
-  fence = other225.fence;
-  acceptsChanges = other225.acceptsChanges;
-  __isset = other225.__isset;
+HostOrders& HostOrders::operator=(HostOrders&& other257) noexcept {
+  term = other257.term;
+  hostId = std::move(other257.hostId);
+  incarnation = other257.incarnation;
+  leaseUntilMilliseconds = other257.leaseUntilMilliseconds;
+  acknowledgedNumber = other257.acknowledgedNumber;
+  starts = std::move(other257.starts);
+  halts = std::move(other257.halts);
+  paces = std::move(other257.paces);
+  fence = other257.fence;
+  acceptsChanges = other257.acceptsChanges;
+  __isset = other257.__isset;
   return *this;
 }
 void HostOrders::printTo(std::ostream& out) const {
@@ -8529,38 +8877,38 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeHello::NodeHello(const NodeHello& other226) {
-  nodeId = other226.nodeId;
-  incarnation = other226.incarnation;
-  isSide = other226.isSide;
-  term = other226.term;
-  isOwner = other226.isOwner;
-  __isset = other226.__isset;
-}
-NodeHello::NodeHello(NodeHello&& other227) noexcept {
-  nodeId = std::move(other227.nodeId);
-  incarnation = other227.incarnation;
-  isSide = other227.isSide;
-  term = other227.term;
-  isOwner = other227.isOwner;
-  __isset = other227.__isset;
-}
-NodeHello& NodeHello::operator=(const NodeHello& other228) {
-  nodeId = other228.nodeId;
-  incarnation = other228.incarnation;
-  isSide = other228.isSide;
-  term = other228.term;
-  isOwner = other228.isOwner;
-  __isset = other228.__isset;
+NodeHello::NodeHello(const NodeHello& other258) {
+  nodeId = other258.nodeId;
+  incarnation = other258.incarnation;
+  isSide = other258.isSide;
+  term = other258.term;
+  isOwner = other258.isOwner;
+  __isset = other258.__isset;
+}
+NodeHello::NodeHello(NodeHello&& other259) noexcept {
+  nodeId = std::move(other259.nodeId);
+  incarnation = other259.incarnation;
+  isSide = other259.isSide;
+  term = other259.term;
+  isOwner = other259.isOwner;
+  __isset = other259.__isset;
+}
+NodeHello& NodeHello::operator=(const NodeHello& other260) {
+  nodeId = other260.nodeId;
+  incarnation = other260.incarnation;
+  isSide = other260.isSide;
+  term = other260.term;
+  isOwner = other260.isOwner;
+  __isset = other260.__isset;
   return *this;
 }
-NodeHello& NodeHello::operator=(NodeHello&& other229) noexcept {
-  nodeId = std::move(other229.nodeId);
-  incarnation = other229.incarnation;
-  isSide = other229.isSide;
-  term = other229.term;
-  isOwner = other229.isOwner;
-  __isset = other229.__isset;
+NodeHello& NodeHello::operator=(NodeHello&& other261) noexcept {
+  nodeId = std::move(other261.nodeId);
+  incarnation = other261.incarnation;
+  isSide = other261.isSide;
+  term = other261.term;
+  isOwner = other261.isOwner;
+  __isset = other261.__isset;
   return *this;
 }
 void NodeHello::printTo(std::ostream& out) const {
@@ -8644,9 +8992,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast230;
-          xfer += iprot->readI32(ecast230);
-          this->kind = static_cast<JobCallKind::type>(ecast230);
+          int32_t ecast262;
+          xfer += iprot->readI32(ecast262);
+          this->kind = static_cast<JobCallKind::type>(ecast262);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8754,46 +9102,46 @@
   swap(a.__isset, b.__isset);
 }
 
-JobCall::JobCall(const JobCall& other231) {
-  callId = other231.callId;
-  kind = other231.kind;
-  jobId = other231.jobId;
-  queue = other231.queue;
-  job = other231.job;
-  policyVersion = other231.policyVersion;
-  budgetMilliseconds = other231.budgetMilliseconds;
-  __isset = other231.__isset;
-}
-JobCall::JobCall(JobCall&& other232) noexcept {
-  callId = other232.callId;
-  kind = other232.kind;
-  jobId = std::move(other232.jobId);
-  queue = std::move(other232.queue);
-  job = std::move(other232.job);
-  policyVersion = other232.policyVersion;
-  budgetMilliseconds = other232.budgetMilliseconds;
-  __isset = other232.__isset;
-}
-JobCall& JobCall::operator=(const JobCall& other233) {
-  callId = other233.callId;
-  kind = other233.kind;
-  jobId = other233.jobId;
-  queue = other233.queue;
-  job = other233.job;
-  policyVersion = other233.policyVersion;
-  budgetMilliseconds = other233.budgetMilliseconds;
-  __isset = other233.__isset;
+JobCall::JobCall(const JobCall& other263) {
+  callId = other263.callId;
+  kind = other263.kind;
+  jobId = other263.jobId;
+  queue = other263.queue;
+  job = other263.job;
+  policyVersion = other263.policyVersion;
+  budgetMilliseconds = other263.budgetMilliseconds;
+  __isset = other263.__isset;
+}
+JobCall::JobCall(JobCall&& other264) noexcept {
+  callId = other264.callId;
+  kind = other264.kind;
+  jobId = std::move(other264.jobId);
+  queue = std::move(other264.queue);
+  job = std::move(other264.job);
+  policyVersion = other264.policyVersion;
+  budgetMilliseconds = other264.budgetMilliseconds;
+  __isset = other264.__isset;
+}
+JobCall& JobCall::operator=(const JobCall& other265) {
+  callId = other265.callId;
+  kind = other265.kind;
+  jobId = other265.jobId;
+  queue = other265.queue;
+  job = other265.job;
+  policyVersion = other265.policyVersion;
+  budgetMilliseconds = other265.budgetMilliseconds;
+  __isset = other265.__isset;
   return *this;
 }
-JobCall& JobCall::operator=(JobCall&& other234) noexcept {
-  callId = other234.callId;
-  kind = other234.kind;
-  jobId = std::move(other234.jobId);
-  queue = std::move(other234.queue);
-  job = std::move(other234.job);
-  policyVersion = other234.policyVersion;
-  budgetMilliseconds = other234.budgetMilliseconds;
-  __isset = other234.__isset;
+JobCall& JobCall::operator=(JobCall&& other266) noexcept {
+  callId = other266.callId;
+  kind = other266.kind;
+  jobId = std::move(other266.jobId);
+  queue = std::move(other266.queue);
+  job = std::move(other266.job);
+  policyVersion = other266.policyVersion;
+  budgetMilliseconds = other266.budgetMilliseconds;
+  __isset = other266.__isset;
   return *this;
 }
 void JobCall::printTo(std::ostream& out) const {
@@ -8875,9 +9223,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast235;
-          xfer += iprot->readI32(ecast235);
-          this->kind = static_cast<JobReplyKind::type>(ecast235);
+          int32_t ecast267;
+          xfer += iprot->readI32(ecast267);
+          this->kind = static_cast<JobReplyKind::type>(ecast267);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8885,9 +9233,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast236;
-          xfer += iprot->readI32(ecast236);
-          this->phase = static_cast<JobPhase::type>(ecast236);
+          int32_t ecast268;
+          xfer += iprot->readI32(ecast268);
+          this->phase = static_cast<JobPhase::type>(ecast268);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8974,42 +9322,42 @@
   swap(a.__isset, b.__isset);
 }
 
-JobReply::JobReply(const JobReply& other237) {
-  callId = other237.callId;
-  kind = other237.kind;
-  phase = other237.phase;
-  waiting = other237.waiting;
-  retryAfterMilliseconds = other237.retryAfterMilliseconds;
-  reason = other237.reason;
-  __isset = other237.__isset;
-}
-JobReply::JobReply(JobReply&& other238) noexcept {
-  callId = other238.callId;
-  kind = other238.kind;
-  phase = other238.phase;
-  waiting = other238.waiting;
-  retryAfterMilliseconds = other238.retryAfterMilliseconds;
-  reason = std::move(other238.reason);
-  __isset = other238.__isset;
-}
-JobReply& JobReply::operator=(const JobReply& other239) {
-  callId = other239.callId;
-  kind = other239.kind;
-  phase = other239.phase;
-  waiting = other239.waiting;
-  retryAfterMilliseconds = other239.retryAfterMilliseconds;
-  reason = other239.reason;
-  __isset = other239.__isset;
+JobReply::JobReply(const JobReply& other269) {
+  callId = other269.callId;
+  kind = other269.kind;
+  phase = other269.phase;
+  waiting = other269.waiting;
+  retryAfterMilliseconds = other269.retryAfterMilliseconds;
+  reason = other269.reason;
+  __isset = other269.__isset;
+}
+JobReply::JobReply(JobReply&& other270) noexcept {
+  callId = other270.callId;
+  kind = other270.kind;
+  phase = other270.phase;
+  waiting = other270.waiting;
+  retryAfterMilliseconds = other270.retryAfterMilliseconds;
+  reason = std::move(other270.reason);
+  __isset = other270.__isset;
+}
+JobReply& JobReply::operator=(const JobReply& other271) {
+  callId = other271.callId;
+  kind = other271.kind;
+  phase = other271.phase;
+  waiting = other271.waiting;
+  retryAfterMilliseconds = other271.retryAfterMilliseconds;
+  reason = other271.reason;
+  __isset = other271.__isset;
   return *this;
 }
-JobReply& JobReply::operator=(JobReply&& other240) noexcept {
-  callId = other240.callId;
-  kind = other240.kind;
-  phase = other240.phase;
-  waiting = other240.waiting;
-  retryAfterMilliseconds = other240.retryAfterMilliseconds;
-  reason = std::move(other240.reason);
-  __isset = other240.__isset;
+JobReply& JobReply::operator=(JobReply&& other272) noexcept {
+  callId = other272.callId;
+  kind = other272.kind;
+  phase = other272.phase;
+  waiting = other272.waiting;
+  retryAfterMilliseconds = other272.retryAfterMilliseconds;
+  reason = std::move(other272.reason);
+  __isset = other272.__isset;
   return *this;
 }
 void JobReply::printTo(std::ostream& out) const {
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -215,6 +215,10 @@
 
 class HostRecord;
 
+class ServingPressures;
+
+class InterferenceRecord;
+
 class OwnerClaim;
 
 class OwnerPulse;
@@ -2316,6 +2320,113 @@
 
 std::ostream& operator<<(std::ostream& out, const HostRecord& obj);
 
+typedef struct _ServingPressures__isset {
+  _ServingPressures__isset() : image(false), pressures(false), weights(false) {}
+  bool image :1;
+  bool pressures :1;
+  bool weights :1;
+} _ServingPressures__isset;
+
+class ServingPressures : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServingPressures(const ServingPressures&);
+  ServingPressures(ServingPressures&&) noexcept;
+  ServingPressures& operator=(const ServingPressures&);
+  ServingPressures& operator=(ServingPressures&&) noexcept;
+  ServingPressures() noexcept
+                   : image() {
+  }
+
+  virtual ~ServingPressures() noexcept;
+  std::string image;
+  std::vector<int32_t>  pressures;
+  std::vector<int32_t>  weights;
+
+  _ServingPressures__isset __isset;
+
+  void __set_image(const std::string& val);
+
+  void __set_pressures(const std::vector<int32_t> & val);
+
+  void __set_weights(const std::vector<int32_t> & val);
+
+  bool operator == (const ServingPressures & rhs) const
+  {
+    if (!(image == rhs.image))
+      return false;
+    if (!(pressures == rhs.pressures))
+      return false;
+    if (!(weights == rhs.weights))
+      return false;
+    return true;
+  }
+  bool operator != (const ServingPressures &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServingPressures & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServingPressures &a, ServingPressures &b);
+
+std::ostream& operator<<(std::ostream& out, const ServingPressures& obj);
+
+typedef struct _InterferenceRecord__isset {
+  _InterferenceRecord__isset() : fillers(false), serving(false) {}
+  bool fillers :1;
+  bool serving :1;
+} _InterferenceRecord__isset;
+
+class InterferenceRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  InterferenceRecord(const InterferenceRecord&);
+  InterferenceRecord(InterferenceRecord&&) noexcept;
+  InterferenceRecord& operator=(const InterferenceRecord&);
+  InterferenceRecord& operator=(InterferenceRecord&&) noexcept;
+  InterferenceRecord() noexcept {
+  }
+
+  virtual ~InterferenceRecord() noexcept;
+  std::vector<std::string>  fillers;
+  std::vector<ServingPressures>  serving;
+
+  _InterferenceRecord__isset __isset;
+
+  void __set_fillers(const std::vector<std::string> & val);
+
+  void __set_serving(const std::vector<ServingPressures> & val);
+
+  bool operator == (const InterferenceRecord & rhs) const
+  {
+    if (!(fillers == rhs.fillers))
+      return false;
+    if (!(serving == rhs.serving))
+      return false;
+    return true;
+  }
+  bool operator != (const InterferenceRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const InterferenceRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(InterferenceRecord &a, InterferenceRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const InterferenceRecord& obj);
+
 typedef struct _OwnerClaim__isset {
   _OwnerClaim__isset() : nodeId(false), incarnation(false), address(false), port(false), largestMilliProcessors(false) {}
   bool nodeId :1;
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -273,6 +273,20 @@
   5: string sideId
 }
 
+// What fillers take from the serving tasks of one image: for each filler image of the record the headroom that it takes
+// when it uses a whole host, and the weight of the samples behind this figure, both in thousandths.
+struct ServingPressures {
+  1: string image
+  2: list<i32> pressures
+  3: list<i32> weights
+}
+
+// The interference that an owner has learned, for its successors.
+struct InterferenceRecord {
+  1: list<string> fillers
+  2: list<ServingPressures> serving
+}
+
 // Identifies the owner of the jobs. The term of the owner is the offset of this record plus one.
 struct OwnerClaim {
   1: string nodeId
