Locality: Wait for a place near data or group while that pays off

Cause: a task was started outside the rack of its data, and a gang over several racks, as soon as the rack was full, whatever the longer run cost. Change: TaskScheduler asks LocalityWait before such a start. It compares the time that a run near the data or group saves, by the durations of earlier runs, with the time until a place becomes free (PlaceTurnover) and the delay of later tasks, and bounds the wait by the gain and the objective. FillerRelocator does not ask yet. Ruled out: a rate of ends that counts from the first second on; tasks gave up just before runs that started together ended. Tests: LocalityWaitTest (18), LocalityLoadTest (3), and 18 other suites of the owner, settings and pages pass, PassCostTest and DocumentationTest among them.

--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -57,6 +57,8 @@
     std::int64_t estimateMilliseconds = 0;
     /// When the run was ordered or adopted.
     Instant placedAt;
+    /// Whether the run is away from the data of its step or from its gang; unset if another owner ordered it.
+    std::optional<bool> isAway;
     /// When the host first reported the run as started; the epoch before that.
     Instant startConfirmedAt;
     /// Progress of the run. A serving task reports 100 while it is ready to serve.
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -70,6 +70,8 @@
     /// When the step became open or this term began, and when the newest of its confirmed starts was ordered.
     Instant openedAt;
     Instant lastStartedAt;
+    /// The gang was started over several racks although its step asks for one.
+    bool isSpread = false;
     /// Number of runs of this term whose start was confirmed.
     int startedRuns = 0;
     /// For each waiting task for which less urgent runs were stopped: until when these are expected to end.
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -6,6 +6,7 @@
 #include "Decision/Job/HostRegistry.h"
 #include "Decision/Job/JobState.h"
 #include "Decision/Job/StoreWriter.h"
+#include "Decision/Locality/LocalityWait.h"
 #include "Decision/Version/QueuePolicy.h"
 #include "Decision/Zone/ZoneClosures.h"
 
@@ -44,6 +45,8 @@
     /// Delay before a task is retried after a failure or a refused start, so that a broken host does not use up the
     /// task's attempts.
     Duration retryDelayAfterFailure = milliseconds(50);
+    /// Waits of tasks for a place near their data or group.
+    LocalityRules locality;
 };
 
 /// Counters of the owner. The shell publishes them as metrics.
@@ -91,6 +94,7 @@
         , rules(ownRules)
         , ownedSince(now)
         , highestFence(ownTerm * fencesPerTerm)
+        , locality(rules.locality)
         , storeWriter(StoreTopic::Jobs, ownTerm, StoreWriterTiming {})
     {
     }
@@ -113,6 +117,7 @@
     /// Unfinished jobs whose acceptance is persisted.
     std::map<std::string, JobState*> openJobs;
     HostRegistry hosts;
+    LocalityWait locality;
     /// Hosts that departed recently, and when.
     std::map<std::string, Instant> departedHosts;
     StoreWriter storeWriter;
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -588,8 +588,12 @@
     if (run)
         line.add("after_ms", toMilliseconds(now - run->placedAt));
     actions.push_back(WriteLog { line.text() });
-    if (run)
+    if (run) {
         updateHostHealth(now, host, *run, listedRun.how, actions);
+        const bool isFullRun = listedRun.how == Wire::RunEnd::Completed && task && task->formerRun.fate == RunFate::None
+            && task->checkpoint.empty();
+        m_state.locality.recordEnd(now, host, *run, isFullRun);
+    }
     switch (effect) {
     case RunEndEffect::UnknownTask:
     case RunEndEffect::SupersededRun:
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -29,6 +29,14 @@
         return hostCounts.count(HostEligibility::NotPersisted) > 0 ? WaitReason::HostNotPersisted : WaitReason::NoHost;
     }
 
+    /// Whether the hosts of a gang that asks for one rack are in several.
+    bool isSpread(const Wire::StepDefinition& step, const std::vector<Host*>& hosts)
+    {
+        return step.sameRack && std::any_of(hosts.begin(), hosts.end(), [&hosts](const Host* host) {
+            return host->rack != hosts.front()->rack;
+        });
+    }
+
 } // namespace
 
 std::vector<TaskScheduler::Candidate> TaskScheduler::collectCandidates(Instant now)
@@ -56,6 +64,10 @@
         entry.second.isRecordPersisted
             = m_state.storeWriter.storedSequenceNumber() >= entry.second.recordSequenceNumber;
     m_openHosts = OpenHosts(m_state.hosts);
+    m_fullRacks.clear();
+    m_state.locality.beginPass(now, m_state.hosts, [this](const Host& host, bool filler) {
+        return filler ? m_placement.idleMilliCores(host) : host.freeMilliCores();
+    });
     m_unlistedHosts = m_state.countUnlistedHosts(now);
     const bool earlierRunsKnown = m_unlistedHosts == 0;
     // Until the earlier owner's runs are known, a halted task could not be placed again.
@@ -163,6 +175,23 @@
     return m_placement.chooseHost(m_openHosts, request, now, &hostCounts);
 }
 
+bool TaskScheduler::waitsForData(Instant now, const LocalityRequest& locality, const PlacementRequest& request,
+    const Host* host, const HostEligibilityCounts& hostCounts, Actions& actions)
+{
+    const std::string& rack = request.definition.dataRack;
+    if (!m_state.locality.isEnabled() || rack.empty())
+        return false;
+    if (host) {
+        if (!LocalityWait::isAwayFromData(request.definition, *host))
+            return false;
+        if (!m_fullRacks[rack].find(request))
+            m_fullRacks[rack].add(request, hostCounts);
+    } else if (!m_fullRacks[rack].find(request)) {
+        return false;
+    }
+    return m_state.locality.shouldWait(now, locality, actions);
+}
+
 bool TaskScheduler::placeStep(Instant now, JobState& job, StepState& step, bool earlierRunsKnown, Actions& actions)
 {
     const bool inherited = job.definition().acceptedTerm != m_state.term;
@@ -200,12 +229,23 @@
             recordWait(task, WaitReason::NoRunNumber);
             continue;
         }
-        Host* host = findHost(now, makePlacementRequest(job, step, task), hostCounts);
+        const PlacementRequest request = makePlacementRequest(job, step, task);
+        const LocalityRequest locality { job, step, n };
+        if (waitsForData(now, locality, request, nullptr, hostCounts, actions)) {
+            recordWait(task, WaitReason::LocalPlace);
+            continue;
+        }
+        Host* host = findHost(now, request, hostCounts);
+        if (host && waitsForData(now, locality, request, host, hostCounts, actions)) {
+            recordWait(task, WaitReason::LocalPlace);
+            continue;
+        }
         if (!host) {
             lacksRoom = true;
             recordWait(task, reasonWithoutHost(hostCounts));
             break;
         }
+        m_state.locality.recordStart(now, locality, LocalityWait::isAwayFromData(request.definition, *host), actions);
         startRun(now, job, step, n, *run, *host, actions);
     }
     if (longestWaiting)
@@ -283,6 +323,11 @@
         }
         if (chosen.size() < step.tasks.size())
             continue;
+        step.isSpread = isSpread(job.stepDefinition(step), chosen);
+        const LocalityRequest locality { job, step, 0 };
+        if (step.isSpread && m_state.locality.shouldWait(now, locality, actions))
+            return WaitReason::LocalPlace;
+        m_state.locality.recordStart(now, locality, step.isSpread, actions);
         std::string checkpoint;
         for (const TaskState& task : step.tasks)
             checkpoint = std::max(checkpoint, task.checkpoint);
@@ -344,7 +389,9 @@
             processors += victim->filler ? 0 : victim->demand.milliProcessors;
             chosen.push_back(victim);
         }
-        if (isEnough() && !chosen.empty() && (!bestHost || chosen.size() < bestRuns.size())) {
+        const bool isNearer = bestHost && m_state.locality.isEnabled() && chosen.size() == bestRuns.size()
+            && LocalityWait::isAwayFromData(definition, *bestHost) && !LocalityWait::isAwayFromData(definition, host);
+        if (isEnough() && !chosen.empty() && (!bestHost || isNearer || chosen.size() < bestRuns.size())) {
             bestHost = &host;
             bestRuns = chosen;
         }
@@ -375,6 +422,7 @@
     RunTracker::setRunRequirements(hostRun, job, step);
     hostRun.fence = host.fence;
     hostRun.placedAt = now;
+    hostRun.isAway = LocalityWait::isAwayFromData(definition, host) || step.isSpread;
     hostRun.checkpoint = task.checkpoint;
     Wire::StartOrder order;
     order.task = hostRun.task;
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -64,6 +64,10 @@
     /// Returns the host for the request, or null. Requests that a failed one of the same pass rules out are not
     /// searched for.
     Host* findHost(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts);
+    /// Whether the task waits for a host of its data's rack. host is the best one of any rack, or null before the
+    /// search, which is saved where an earlier one of the pass has shown that the rack is full.
+    bool waitsForData(Instant now, const LocalityRequest& locality, const PlacementRequest& request, const Host* host,
+        const HostEligibilityCounts& hostCounts, Actions& actions);
     Host* searchHosts(Instant now, const PlacementRequest& request, HostEligibilityCounts& hostCounts);
 
     OwnerState& m_state;
@@ -73,6 +77,8 @@
     FillerRelocator m_fillerRelocator;
     FailedPlacements m_failedPlacements;
     FailedPreemptions m_failedPreemptions;
+    /// By rack, requests for which the pass has found a host elsewhere only.
+    std::map<std::string, FailedPlacements> m_fullRacks;
     WaitLogger m_waitLogger;
     CapacityLogger m_capacityLogger;
     /// As of the start of the pass.
--- a/Source/Decision/Job/WaitLogger.cpp
+++ b/Source/Decision/Job/WaitLogger.cpp
@@ -29,6 +29,7 @@
         NamedValue { WaitReason::HostNotPersisted, "host_not_stored" },
         NamedValue { WaitReason::GangIncomplete, "gang_not_whole" },
         NamedValue { WaitReason::NoRunNumber, "no_run_number" },
+        NamedValue { WaitReason::LocalPlace, "local_place" },
     };
 
     /// Returns the values with a count above 0, each with its name and count.
--- a/Source/Decision/Job/WaitLogger.h
+++ b/Source/Decision/Job/WaitLogger.h
@@ -27,6 +27,8 @@
     GangIncomplete,
     /// The task has no further run number within the term.
     NoRunNumber,
+    /// The task waits for a place near its data or group; see LocalityWait.
+    LocalPlace,
 };
 
 /// A task that a scheduling pass did not start.
--- a/Source/Shell/Process/NodeSettings.cpp
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -52,6 +52,16 @@
         return defaultValue;
     }
 
+    LocalityWaitMode readLocalityWait(JsonReader& reader)
+    {
+        const std::string name = reader.optionalString(
+            "locality_wait", maximumNameBytes, std::string(nameIn(localityWaitModeNames, LocalityWaitMode::Off)));
+        if (const LocalityWaitMode* mode = valueIn(localityWaitModeNames, name))
+            return *mode;
+        reader.addError(ErrorCode::InvalidField, "locality_wait", "must be off or expected_cost");
+        return LocalityWaitMode::Off;
+    }
+
 } // namespace
 
 Result<NodeSettings> parseNodeSettings(const std::string& text)
@@ -92,6 +102,12 @@
     if (settings.zoneClosureBound && *settings.zoneClosureBound < minimumZoneClosureBound)
         reader.addError(ErrorCode::InvalidField, "zone_closure_ms",
             "must be at least " + std::to_string(toMilliseconds(minimumZoneClosureBound)));
+    if (object.contains("remote_factor"))
+        settings.remoteFactor = readNumber(reader, object, "remote_factor", 1);
+    if (settings.remoteFactor && *settings.remoteFactor < 1)
+        reader.addError(ErrorCode::InvalidField, "remote_factor",
+            "must be at least 1; leave it out where the place of a task makes no difference");
+    settings.localityWait = readLocalityWait(reader);
     settings.finishedJobRetention = readSeconds("status_memory_s", settings.finishedJobRetention);
     settings.shutdownTimeout = readSeconds("shutdown_s", settings.shutdownTimeout);
     if (!reader.errors().empty()) {
@@ -119,8 +135,8 @@
 {
     static const std::vector<std::string> keys { "id", "zone", "address", "peer_port", "store_address",
         "client_address", "health_address", "announce_address", "host_address", "advice_address", "machines_address",
-        "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "zone_closure_ms", "status_memory_s",
-        "shutdown_s" };
+        "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "zone_closure_ms", "remote_factor",
+        "locality_wait", "status_memory_s", "shutdown_s" };
     return keys;
 }
 
--- a/Source/Shell/Process/NodeSettings.h
+++ b/Source/Shell/Process/NodeSettings.h
@@ -4,6 +4,7 @@
 
 #include "Base/Result.h"
 #include "Base/Time.h"
+#include "Decision/Locality/LocalityWait.h"
 
 #include <optional>
 #include <string>
@@ -42,6 +43,9 @@
     Duration longestHalt = milliseconds(900);
     /// Time after which nothing starts in a zone that operators have closed. Unset: no bound is kept.
     std::optional<Duration> zoneClosureBound;
+    /// A run away from its data or group takes this many times as long. Unset: not known, and no task waits.
+    std::optional<double> remoteFactor;
+    LocalityWaitMode localityWait = LocalityWaitMode::Off;
     Duration finishedJobRetention = seconds(120);
     /// Time between the request to shut down and the forced end of the process.
     Duration shutdownTimeout = seconds(6);
