Locality: Prefer the rack of a gang's data, collect open hosts only when asked

Cause: with same_rack and data_rack a gang took the first rack in order of name, and a gang with data_rack alone never waited. Each pass also went through all hosts by rack although most passes ask for none. Change: where waits are on, the rack of the data is tried first and a gang away from it asks as well. PlaceTurnover collects the open hosts on the first question of a pass, and for its samples every 100 ms.

--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -37,6 +37,13 @@
         });
     }
 
+    /// Whether a member of a gang would be away from the data of the step.
+    bool isAwayFromData(const Wire::StepDefinition& step, const std::vector<Host*>& hosts)
+    {
+        return std::any_of(hosts.begin(), hosts.end(),
+            [&step](const Host* host) { return LocalityWait::isAwayFromData(step, *host); });
+    }
+
 } // namespace
 
 std::vector<TaskScheduler::Candidate> TaskScheduler::collectCandidates(Instant now)
@@ -296,6 +303,9 @@
         for (const std::pair<const std::string, Host>& entry : m_state.hosts.hosts())
             rackNames.insert(entry.second.rack);
         racks.insert(racks.begin(), rackNames.begin(), rackNames.end());
+        const std::string& dataRack = job.stepDefinition(step).dataRack;
+        if (m_state.locality.isEnabled() && rackNames.contains(dataRack))
+            racks.insert(racks.begin(), dataRack);
     }
     // A gang starts as a whole or not at all. Each chosen host gets a tentative run, so that the next choice accounts
     // for its demand; all tentative runs are removed again before the gang starts.
@@ -325,9 +335,10 @@
             continue;
         step.isSpread = isSpread(job.stepDefinition(step), chosen);
         const LocalityRequest locality { job, step, 0 };
-        if (step.isSpread && m_state.locality.shouldWait(now, locality, actions))
+        const bool isAway = step.isSpread || isAwayFromData(job.stepDefinition(step), chosen);
+        if (isAway && m_state.locality.shouldWait(now, locality, actions))
             return WaitReason::LocalPlace;
-        m_state.locality.recordStart(now, locality, step.isSpread, actions);
+        m_state.locality.recordStart(now, locality, isAway, actions);
         std::string checkpoint;
         for (const TaskState& task : step.tasks)
             checkpoint = std::max(checkpoint, task.checkpoint);
--- a/Source/Decision/Locality/LocalityWait.cpp
+++ b/Source/Decision/Locality/LocalityWait.cpp
@@ -91,7 +91,7 @@
     });
 }
 
-bool LocalityWait::hasOpenRack(const LocalityRequest& request) const
+bool LocalityWait::hasOpenRack(const LocalityRequest& request)
 {
     const Wire::StepDefinition& step = request.job.stepDefinition(request.step);
     const std::string& service = request.job.definition().serviceName;
--- a/Source/Decision/Locality/LocalityWait.h
+++ b/Source/Decision/Locality/LocalityWait.h
@@ -126,7 +126,7 @@
     std::optional<PlaceForecast> forecast(Instant now, const LocalityRequest& request);
     /// Whether recent waits for the rack cost more than they gained.
     bool isUnprofitable(Instant now, const RackKey& rack, Duration gain);
-    bool hasOpenRack(const LocalityRequest& request) const;
+    bool hasOpenRack(const LocalityRequest& request);
     void endWait(Instant now, const LocalityRequest& request, Wait& wait, LocalityOutcome outcome, Actions& actions);
     static TaskKey taskKey(const LocalityRequest& request);
     static RackKey rackKey(const LocalityRequest& request);
--- a/Source/Decision/Locality/PlaceTurnover.cpp
+++ b/Source/Decision/Locality/PlaceTurnover.cpp
@@ -57,20 +57,31 @@
 void PlaceTurnover::observe(Instant now, const HostRegistry& hosts, const RoomOfHost& room)
 {
     m_room = room;
+    m_hosts = &hosts;
+    m_passAt = now;
+    m_openHostsCollected = false;
     m_openHosts.clear();
     m_expectedPlaces.clear();
-    for (const std::pair<const std::string, Host>& entry : hosts.hosts()) {
+    if (now - m_sampledAt >= sampleInterval)
+        addSamples(now);
+}
+
+void PlaceTurnover::collectOpenHosts()
+{
+    if (m_openHostsCollected || !m_hosts)
+        return;
+    m_openHostsCollected = true;
+    for (const std::pair<const std::string, Host>& entry : m_hosts->hosts()) {
         const Host& host = entry.second;
-        if (isOpen(now, host))
+        if (isOpen(m_passAt, host))
             m_openHosts[Rack { host.service, host.rack }].push_back(&host);
     }
-    if (now - m_sampledAt >= sampleInterval)
-        addSamples(now);
 }
 
 void PlaceTurnover::addSamples(Instant now)
 {
     m_sampledAt = now;
+    collectOpenHosts();
     for (const std::pair<const Rack, std::vector<const Host*>>& rack : m_openHosts) {
         for (const bool filler : { false, true }) {
             Sample sample { now };
@@ -101,13 +112,15 @@
         it->second.ends.push_back(End { now, run.demand.milliProcessors });
 }
 
-bool PlaceTurnover::isOpen(const std::string& service, const std::string& rack) const
+bool PlaceTurnover::isOpen(const std::string& service, const std::string& rack)
 {
+    collectOpenHosts();
     return m_openHosts.contains(Rack { service, rack });
 }
 
-std::vector<std::string> PlaceTurnover::openRacks(const std::string& service) const
+std::vector<std::string> PlaceTurnover::openRacks(const std::string& service)
 {
+    collectOpenHosts();
     std::vector<std::string> racks;
     for (const std::pair<const Rack, std::vector<const Host*>>& entry : m_openHosts) {
         if (entry.first.first == service)
@@ -127,6 +140,7 @@
     if (!entry.second)
         return places;
     std::vector<Duration>& times = places.times;
+    collectOpenHosts();
     const std::vector<const Host*>& hosts = m_openHosts[Rack { demand.service, demand.rack }];
     const std::int64_t perPlace = std::max<std::int64_t>(1, demand.milliCores);
     std::vector<std::int64_t> free;
--- a/Source/Decision/Locality/PlaceTurnover.h
+++ b/Source/Decision/Locality/PlaceTurnover.h
@@ -40,14 +40,14 @@
     /// Returns the processors of a host that are free for fillers or for tasks with reserved processors.
     using RoomOfHost = std::function<std::int64_t(const Host& host, bool filler)>;
 
-    /// Takes note of the open hosts and their room. Called at the start of each pass; pointers to hosts are used until
-    /// the next call.
+    /// Takes note of the hosts and from time to time of their room. Called at the start of each pass; the hosts must
+    /// stay until the last question of the pass.
     void observe(Instant now, const HostRegistry& hosts, const RoomOfHost& room);
     void recordEnd(Instant now, const Host& host, const HostRun& run);
     /// Whether the rack has a host that may take tasks: not gone, draining, quarantined or in a closed zone.
-    bool isOpen(const std::string& service, const std::string& rack) const;
+    bool isOpen(const std::string& service, const std::string& rack);
     /// The open racks of a service.
-    std::vector<std::string> openRacks(const std::string& service) const;
+    std::vector<std::string> openRacks(const std::string& service);
     /// Returns nothing if the rack has not been observed for long enough, or never has so many places.
     std::optional<PlaceForecast> forecast(Instant now, const PlaceDemand& demand, const RunDurations& durations);
 
@@ -77,6 +77,8 @@
     };
 
     static bool isOpen(Instant now, const Host& host);
+    /// Collects the open hosts, once a pass and only if a question needs them.
+    void collectOpenHosts();
     void addSamples(Instant now);
     const ExpectedPlaces& expectedPlaces(Instant now, const PlaceDemand& demand, const RunDurations& durations);
     /// The wait by the rate of ends since the rack became full; zero if that is too recent to tell.
@@ -84,6 +86,10 @@
         Instant now, const RackHistory& history, const PlaceDemand& demand, Duration meanDuration);
 
     RoomOfHost m_room;
+    /// All hosts and the time of the pass.
+    const HostRegistry* m_hosts = nullptr;
+    Instant m_passAt;
+    bool m_openHostsCollected = false;
     std::map<Rack, std::vector<const Host*>> m_openHosts;
     std::map<RoomKey, RackHistory> m_histories;
     Instant m_sampledAt;
--- a/Tests/Unit/LocalityLoadTest.cpp
+++ b/Tests/Unit/LocalityLoadTest.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cmath>
 #include <iostream>
 
 using namespace Plantainpier;
--- a/Tests/Unit/LocalityWaitTest.cpp
+++ b/Tests/Unit/LocalityWaitTest.cpp
@@ -77,6 +77,9 @@
     CPPUNIT_TEST(aTaskThatGaveUpDoesNotWaitAgain);
     CPPUNIT_TEST(aWaitingGangHoldsNoRoom);
     CPPUNIT_TEST(aGangLargerThanARackStartsAtOnce);
+    CPPUNIT_TEST(aGangStartsInTheRackOfItsData);
+    CPPUNIT_TEST(aGangWaitsForTheRackOfItsData);
+    CPPUNIT_TEST(aClosedZoneOrQuarantineEndsTheWait);
     CPPUNIT_TEST(aPlaceMadeByPreemptionIsUsed);
     CPPUNIT_TEST(aMovedFillerTakesTheHostItIsOffered);
     CPPUNIT_TEST(waitingStepsOfOneKindCostOneSearch);
@@ -314,6 +317,53 @@
 
     static std::int64_t freeRoom(const Host& host, bool /*filler*/) { return host.freeMilliCores(); }
 
+    // Guards against a gang that gets one rack, but not the one of its data.
+    void aGangStartsInTheRackOfItsData()
+    {
+        Fleet fleet;
+        RackedJob gang = gangJob("gang", knownAt, 6);
+        gang.definition.steps.front().dataRack = "rack-1";
+        fleet.play({ gang });
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.describe(), std::int64_t(0), fleet.counters().startsAway);
+    }
+
+    void aGangWaitsForTheRackOfItsData()
+    {
+        Fleet fleet;
+        RackedJob gang = gangJob("gang", knownAt + 500, 6);
+        gang.definition.steps.front().dataRack = "rack-0";
+        fleet.play({ dataJob("first", knownAt, 8), gang });
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.describe(), std::size_t(1), fleet.outcomes("got_place"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.describe(), std::int64_t(0), fleet.counters().startsAway);
+    }
+
+    // Guards against waits for a rack in which nothing may start.
+    void aClosedZoneOrQuarantineEndsTheWait()
+    {
+        const std::vector<std::function<void(Host&)>> changes { [](Host& host) { host.zoneClosed = true; },
+            [](Host& host) { host.health.quarantinedUntil = at(5000); },
+            [](Host& host) { host.health.onProbation = true; }, [](Host& host) { host.draining = true; },
+            [](Host& host) { host.link = noLink; } };
+        for (const std::function<void(Host&)>& change : changes) {
+            LocalityWait locality(patientRules().locality);
+            JobState job = makeJobState(false);
+            HostRegistry hosts = makeHosts();
+            locality.beginPass(at(10), hosts, freeRoom);
+            const LocalityRequest request { job, job.steps().front(), 0 };
+            Actions actions;
+            CPPUNIT_ASSERT(locality.shouldWait(at(10), request, actions));
+            CPPUNIT_ASSERT(actions.empty());
+            change(hosts.hosts().begin()->second);
+            locality.beginPass(at(20), hosts, freeRoom);
+            CPPUNIT_ASSERT(!locality.shouldWait(at(20), request, actions));
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(1), locality.counters().placeGone);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), actionsOf<WriteLog>(actions).size());
+            locality.recordStart(at(20), request, true, actions);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), locality.waitingTasks());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("one line a wait", std::size_t(1), actionsOf<WriteLog>(actions).size());
+        }
+    }
+
     // Guards against fillers that are stopped for a move and then wait for another place.
     void aMovedFillerTakesTheHostItIsOffered()
     {
