--- a/Source/Shell/Process/NodeSettings.h
+++ b/Source/Shell/Process/NodeSettings.h
@@ -4,6 +4,7 @@
 
 #include "Base/Result.h"
 #include "Base/Time.h"
+#include "Decision/Locality/LocalityWait.h"
 
 #include <optional>
 #include <string>
@@ -44,6 +45,9 @@
     std::optional<Duration> zoneClosureBound;
     /// Interval at which an owner stores the interference between images that it has learned. Unset: not stored.
     std::optional<Duration> interferenceRecordInterval;
+    /// A run away from its data or group takes this many times as long. Unset: not known, and no task waits.
+    std::optional<double> remoteFactor;
+    LocalityWaitMode localityWait = LocalityWaitMode::Off;
     Duration finishedJobRetention = seconds(120);
     /// Time between the request to shut down and the forced end of the process.
     Duration shutdownTimeout = seconds(6);
