Soak: Close and reopen availability zones under faults

Cause: the bound on starts in closed zones was not tested on the real programs. Hosts are in two zones. RunAudit reports starts later than the bound (ZONE); it allows starts by orders that a stand-in or a suspended process held back. Without the option no number is drawn.

--- a/Tests/Soak/HostStandIn.cpp
+++ b/Tests/Soak/HostStandIn.cpp
@@ -94,7 +94,7 @@
     m_lastEndNumber = 0;
     m_acknowledgedUpTo = 0;
     m_relay.setListening(true);
-    m_audit.onIncarnationStarted(m_incarnation);
+    m_audit.onIncarnationStarted(m_incarnation, zoneOf(m_number));
 }
 
 void HostStandIn::crash(std::chrono::milliseconds pause, bool reusesId)
@@ -359,8 +359,8 @@
     request.timeout = seconds(1);
     request.mayResend = true;
     request.body = Json {
-        { "service", "desk" }, { "address", "127.0.0.1:1" }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", 4 },
-        { "state", "ready" }, { "born", born }, { "seq", ++m_sequence },
+        { "service", "desk" }, { "address", "127.0.0.1:1" }, { "zone", zoneOf(m_number) }, { "version", "v1" },
+        { "slots", 4 }, { "state", "ready" }, { "born", born }, { "seq", ++m_sequence },
         { "capacity", { { "cpu", capacityMilliCores }, { "mem_mb", capacityMegabytes }, { "gpu", 0 } } },
         { "labels", { "a", "rack-1" } }, { "clock_ms", clockMilliseconds(now) }
     }.dump();
--- a/Tests/Soak/HostStandIn.h
+++ b/Tests/Soak/HostStandIn.h
@@ -33,6 +33,9 @@
     HostStandIn(const HostStandIn&) = delete;
     HostStandIn& operator=(const HostStandIn&) = delete;
 
+    /// The availability zone of the host with this number; there are two.
+    static std::string zoneOf(int number) { return number % 2 == 0 ? "zone-a" : "zone-b"; }
+
     /// Ends all tasks of the current incarnation; the next incarnation starts after the pause.
     void crash(std::chrono::milliseconds pause, bool reusesId);
     /// Sends further announcements to another port of the host's side.
--- a/Tests/Soak/RunAudit.cpp
+++ b/Tests/Soak/RunAudit.cpp
@@ -206,6 +206,7 @@
     const std::string start
         = "run " + std::to_string(run) + " on " + incarnation + (origin.empty() ? "" : " by " + origin);
     write("start " + task.text() + " " + start);
+    checkZone(incarnation, task, start, origin.starts_with("a late order"));
     std::map<std::string, JobRecord>::iterator it = m_jobs.find(task.jobId);
     if (it == m_jobs.end()) {
         addViolation("UNASKED", task, "belongs to no job that a client submitted");
@@ -238,6 +239,42 @@
     checkNewestStart(task, record);
 }
 
+void RunAudit::checkZone(
+    const std::string& incarnation, const SoakTask& task, const std::string& start, bool isLateOrder)
+{
+    const std::map<std::string, SteadyTime>::const_iterator it = m_closedZones.find(m_hostZones[incarnation]);
+    if (it == m_closedZones.end())
+        return;
+    const SteadyTime::duration closed = m_clock() - it->second;
+    if (closed <= zoneClosureBound) {
+        ++m_startsInClosingZones;
+        return;
+    }
+    if (isLateOrder || m_clock() - m_resumedAt <= deliveryMargin)
+        return;
+    const std::int64_t milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(closed).count();
+    addViolation("ZONE", task,
+        start + " in " + it->first + ", which had been closed for " + std::to_string(milliseconds) + " ms");
+}
+
+void RunAudit::onZoneClosed(const std::string& zone)
+{
+    const Guard guard(m_mutex);
+    m_closedZones.emplace(zone, m_clock());
+}
+
+void RunAudit::onZoneReopened(const std::string& zone)
+{
+    const Guard guard(m_mutex);
+    m_closedZones.erase(zone);
+}
+
+void RunAudit::onProcessResumed()
+{
+    const Guard guard(m_mutex);
+    m_resumedAt = m_clock();
+}
+
 void RunAudit::checkNewestStart(const SoakTask& task, TaskRecord& record)
 {
     if (m_jobs[task.jobId].job.longRunning)
@@ -281,9 +318,10 @@
     checkNewestStart(task, record);
 }
 
-void RunAudit::onIncarnationStarted(const std::string& incarnation)
+void RunAudit::onIncarnationStarted(const std::string& incarnation, const std::string& zone)
 {
     const Guard guard(m_mutex);
+    m_hostZones[incarnation] = zone;
     write("born " + incarnation);
     m_hostRuns[incarnation] = 0;
     updateRoom();
@@ -294,6 +332,7 @@
     const Guard guard(m_mutex);
     write("gone " + incarnation);
     m_hostRuns.erase(incarnation);
+    m_hostZones.erase(incarnation);
     updateRoom();
     for (std::pair<const SoakTask, TaskRecord>& entry : m_tasks) {
         std::map<std::pair<std::string, int>, std::string>& running = entry.second.running;
@@ -355,6 +394,12 @@
     return m_startCount;
 }
 
+std::size_t RunAudit::startsInClosingZones() const
+{
+    const Guard guard(m_mutex);
+    return m_startsInClosingZones;
+}
+
 std::size_t RunAudit::acceptedCount() const
 {
     const Guard guard(m_mutex);
--- a/Tests/Soak/RunAudit.h
+++ b/Tests/Soak/RunAudit.h
@@ -64,6 +64,11 @@
     /// Time after its acceptance, or after the end of the traffic, from which a job must not stand still.
     static constexpr std::chrono::seconds finishTime { 14 };
 
+    /// Time after an operator's request within which starts in a closed zone must end, and the part of it that an order
+    /// may take to its host. The settings of the entries set the same bound.
+    static constexpr std::chrono::seconds zoneClosureBound { 5 };
+    static constexpr std::chrono::seconds deliveryMargin { 1 };
+
     /// Hook: the present time.
     using Clock = std::function<SteadyTime()>;
 
@@ -100,13 +105,21 @@
     /// The acknowledgement of the host's list covers this end.
     void onAcknowledged(const std::string& incarnation, const SoakTask& task, int run);
     /// A host has room for tasks from now on.
-    void onIncarnationStarted(const std::string& incarnation);
+    void onIncarnationStarted(const std::string& incarnation, const std::string& zone = {});
     /// The incarnation ended, and all its runs with it.
     void onIncarnationEnded(const std::string& incarnation);
+    /// The store has acknowledged a request to close the availability zone.
+    void onZoneClosed(const std::string& zone);
+    /// The request is about to be removed.
+    void onZoneReopened(const std::string& zone);
+    /// A process that was suspended goes on, and may now deliver orders from before.
+    void onProcessResumed();
     void reportViolation(const std::string& violation);
 
     std::vector<std::string> violations() const;
     std::size_t startCount() const;
+    /// Starts in zones that were closed within the bound.
+    std::size_t startsInClosingZones() const;
     std::size_t acceptedCount() const;
     std::size_t waitingCounts() const;
     /// Those that were also checked for jobs that no longer wait.
@@ -185,11 +198,21 @@
     /// Checks the newest start against the acknowledged ends before it. Called for each start and each acknowledgement.
     void checkNewestStart(const SoakTask& task, TaskRecord& record);
 
+    /// Checks a start against the closed zones. Starts by orders that the stand-ins or a suspended process held back
+    /// are allowed: nothing recalls an order, and the bound covers a delivery within deliveryMargin only.
+    void checkZone(const std::string& incarnation, const SoakTask& task, const std::string& start, bool isLateOrder);
+
     Clock m_clock;
     mutable std::mutex m_mutex;
     std::ofstream m_log;
     /// Runs by incarnation, of the hosts that are up.
     std::map<std::string, int> m_hostRuns;
+    /// Zones of the hosts that are up, by incarnation.
+    std::map<std::string, std::string> m_hostZones;
+    /// When the requests for the closed zones were acknowledged.
+    std::map<std::string, SteadyTime> m_closedZones;
+    SteadyTime m_resumedAt;
+    std::size_t m_startsInClosingZones = 0;
     /// Since when the hosts have room for one task twice over.
     std::optional<SteadyTime> m_roomSince;
     /// Since when less than half of their room is used.
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -33,6 +33,11 @@
     constexpr unsigned foreignAnnouncementPeriod = 4;
     /// Every such number of faults, on average, is accompanied by a machine fault.
     constexpr unsigned machineFaultPeriod = 3;
+    /// Every such number of faults, on average, is accompanied by a request of an operator: zones stay closed for some
+    /// seconds longer than the bound.
+    constexpr unsigned zoneRequestPeriod = 8;
+    constexpr unsigned zoneCount = 2;
+    constexpr unsigned compactionFault = 3;
     /// Orders that got no answer may still be executed this long after the last fault: 12 s is the longest delay of a
     /// host stand-in.
     constexpr std::chrono::seconds minimumSettleTime(13);
@@ -114,6 +119,7 @@
     , m_random(m_options.seed)
     , m_foreignRandom(m_options.seed + 1)
     , m_machineRandom(m_options.seed + 2)
+    , m_zoneRandom(m_options.seed + 3)
     , m_hostFaultWeight(3 + draw(12))
 {
 }
@@ -137,6 +143,8 @@
         { "peer_port", portOf(peerPortOffset, nodeIndex + ports) },
         { "store_address", loopbackAddress + ":" + std::to_string(portOf(storeRelayPortOffset, nodeIndex)) },
         { "service", "desk" }, { "processor_share", 0.5 }, { "shutdown_s", 6 } };
+    if (m_options.zoneClosures)
+        settings["zone_closure_ms"] = std::chrono::milliseconds(RunAudit::zoneClosureBound).count();
     if (node.role == Role::Entry) {
         settings["client_address"] = loopbackAddress + ":" + std::to_string(portOf(clientPortOffset, number));
         settings["health_address"] = loopbackAddress + ":" + std::to_string(portOf(healthPortOffset, number));
@@ -295,6 +303,7 @@
         beginDisruption(node);
         scheduleRecovery(500, 8000, [this, &node] {
             m_audit.note("awake " + node.name);
+            m_audit.onProcessResumed();
             node.process->resume();
             node.unavailable = false;
             endDisruption(node);
@@ -348,6 +357,28 @@
         portOf(announcePortOffset, static_cast<int>(side) + (node.usesOtherPorts ? otherPortsOffset : 0)), exists);
 }
 
+void Soak::requestZoneChange(const std::string& zone)
+{
+    const std::string key = "evacuate/" + zone;
+    if (m_closedZones.erase(zone) > 0) {
+        noteFault("reopen:" + zone);
+        m_audit.onZoneReopened(zone);
+        m_store->put("keyed.op", key, "");
+        return;
+    }
+    noteFault("close:" + zone);
+    m_store->put("keyed.op", key, "{}");
+    m_audit.onZoneClosed(zone);
+    m_closedZones.insert(zone);
+}
+
+void Soak::injectZoneRequest()
+{
+    requestZoneChange(HostStandIn::zoneOf(static_cast<int>(m_zoneRandom() % zoneCount)));
+    if (m_zoneRandom() % 3 == 0)
+        injectStoreFault(compactionFault);
+}
+
 void Soak::noteFault(const std::string& fault)
 {
     m_faults.push_back(fault);
@@ -404,7 +435,7 @@
     m_faults.push_back(std::string(names[kind]) + ":store");
     m_audit.note("fault " + m_faults.back());
     changeDisruptions(storeContact(), 1);
-    if (kind == 3) {
+    if (kind == compactionFault) {
         m_store->compact();
         changeDisruptions(storeContact(), -1);
         return;
@@ -791,12 +822,16 @@
                 injectForeignAnnouncement();
             if (m_options.machineFaults && m_machineRandom() % machineFaultPeriod == 0)
                 injectMachineFault();
+            if (m_options.zoneClosures && m_zoneRandom() % zoneRequestPeriod == 0)
+                injectZoneRequest();
             pause(50 + draw(600));
         }
     } catch (const std::system_error& error) {
         m_audit.reportViolation(std::string("FAULT: ") + error.what());
     }
     runRecoveries(true);
+    while (!m_closedZones.empty())
+        requestZoneChange(std::string(*m_closedZones.begin()));
     if (m_options.plannedStopDuration > std::chrono::seconds::zero())
         runPlannedStops();
     m_submitting = false;
@@ -866,6 +901,8 @@
     if (m_plannedStopCount > 0)
         text += std::to_string(m_plannedStopCount) + " planned stops: " + std::to_string(m_answeredAroundStops)
             + " requests answered, " + std::to_string(m_cutUnreadAroundStops) + " cut unread, ";
+    if (m_options.zoneClosures)
+        text += std::to_string(m_audit.startsInClosingZones()) + " starts in zones closed within the bound, ";
     text += "faults:";
     for (const std::string& fault : m_faults)
         text += " " + fault;
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -25,6 +25,8 @@
     int jobsPerSecond = 4;
     /// Whether faults that hit a host and its side together, or only some connections of a host, are injected too.
     bool machineFaults = false;
+    /// Whether operators close and reopen availability zones.
+    bool zoneClosures = false;
     int firstPort = 21'000;
     /// Folder for settings and logs; created if it does not exist.
     std::string folder;
@@ -90,6 +92,9 @@
     void killAllNodes();
     /// Sends a side the announcement of a host that is not its own.
     void injectForeignAnnouncement();
+    /// Closes an availability zone as an operator does, or reopens it if it is closed.
+    void requestZoneChange(const std::string& zone);
+    void injectZoneRequest();
     void noteFault(const std::string& fault);
     void injectMachineFault();
     /// Breaks the connections of the host and stops its side at once; the side's successor starts while it stops.
@@ -136,6 +141,9 @@
     std::mt19937 m_foreignRandom;
     /// Draws machine faults, for the same reason.
     std::mt19937 m_machineRandom;
+    /// Draws requests of operators, for the same reason.
+    std::mt19937 m_zoneRandom;
+    std::set<std::string> m_closedZones;
     RunAudit m_audit;
     std::shared_ptr<HttpClient> m_http;
     std::unique_ptr<StoreStandIn> m_store;
--- a/Tests/Unit/RunAuditTest.cpp
+++ b/Tests/Unit/RunAuditTest.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(aCountMustNotHoldStartedJobsAfterTheFaults);
     CPPUNIT_TEST(aCountMayHoldJobsWhoseStartIsNotKnown);
     CPPUNIT_TEST(aJobWithoutStartMustNotBeReportedAsRunning);
+    CPPUNIT_TEST(aStartInAClosedZoneIsReported);
+    CPPUNIT_TEST(startsInAClosedZoneThatNothingCouldPreventAreAllowed);
     CPPUNIT_TEST_SUITE_END();
 
     const std::string m_longRunning = "long-running";
@@ -351,5 +353,44 @@
         m_audit.onReportedRunning(m_ordinary);
         assertMixed(1);
     }
+
+    // Guards against an audit that does not see starts in closed zones, or that takes those within the bound or in
+    // other zones for violations.
+    void aStartInAClosedZoneIsReported()
+    {
+        const std::string other = "host-2";
+        m_audit.onIncarnationStarted(m_host, "zone-a");
+        m_audit.onIncarnationStarted(other, "zone-b");
+        m_audit.onZoneClosed("zone-a");
+        wait(RunAudit::zoneClosureBound);
+        accept("first");
+        start("first");
+        accept("second");
+        wait(std::chrono::milliseconds(1));
+        m_audit.onStart(other, SoakTask { "second", 0, 0 }, 1, "second", {});
+        CPPUNIT_ASSERT(m_audit.violations().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_audit.startsInClosingZones());
+        m_audit.onZoneClosed("zone-a");
+        accept("third");
+        start("third");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_audit.violations().size());
+        CPPUNIT_ASSERT(m_audit.violations().front().starts_with("ZONE"));
+    }
+
+    // Guards against an audit that blames an owner for orders that were delivered late, or for a zone that is open.
+    void startsInAClosedZoneThatNothingCouldPreventAreAllowed()
+    {
+        m_audit.onIncarnationStarted(m_host, "zone-a");
+        m_audit.onZoneClosed("zone-a");
+        wait(2 * RunAudit::zoneClosureBound);
+        accept("first", { 3 });
+        m_audit.onStart(m_host, SoakTask { "first", 0, 0 }, 1, "first", "a late order");
+        m_audit.onProcessResumed();
+        start("first", 1, 0, 1);
+        wait(2 * RunAudit::deliveryMargin);
+        m_audit.onZoneReopened("zone-a");
+        start("first", 1, 0, 2);
+        CPPUNIT_ASSERT(m_audit.violations().empty());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RunAuditTest);
