Placement: Place fillers to stay, and count repeated work in moves

Cause: with the pace of the newest list as the only condition, a filler was started at 0.3 of full speed or above beside serving tasks near their target. Their load rose within seconds and the filler stood at pace 0 until it was moved. Moves counted the progress of a run as kept, although tasks of 2 to 2.7 s save their first checkpoint after 2 s of work.

With stay, a filler needs a host that runs it at 0.9 of full speed, keeps a headroom of 1.5 beside all ordered fillers and has no probe under way; pacing begins at 1.25. A host without fillers takes a single one if its target stays met. Held-back fillers count with all processors that they request. Moves count the work beyond the newest checkpoint. SharedFleet gets uneven hosts, checkpoints that a stop does not save, a burst of short tasks, and sizes of tasks as parameters.

--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -82,6 +82,8 @@
     Instant slowdownExemptUntil;
     /// Newest checkpoint that the host has listed.
     std::string checkpoint;
+    /// Progress of the run when the host first listed that checkpoint; the work after it is repeated if the run stops.
+    int checkpointPercent = 0;
 
     /// The run has not been reported as started, but may have started or may still start.
     bool isStartUnconfirmed() const { return startConfirmedAt == Instant(); }
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -34,8 +34,8 @@
 JobOwner::JobOwner(std::string nodeId, std::int64_t term, const OwnerRules& rules, Instant now)
     : m_state(std::move(nodeId), term, rules, now)
     , m_runTracker(m_state)
-    , m_paceController(PaceRules::forInterferenceBound(rules.interferenceBound), m_interference)
-    , m_scheduler(m_state, m_runTracker, m_paceController, PlacementRules {})
+    , m_paceController(PaceRules::forOwner(rules.interferenceBound, rules.fillerPlacement), m_interference)
+    , m_scheduler(m_state, m_runTracker, m_paceController, PlacementRules::forFillers(rules.fillerPlacement))
 {
     m_state.ownershipConfirmedAt = now;
     m_state.pulseConfirmedAt = now;
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -6,6 +6,7 @@
 #include "Decision/Job/HostRegistry.h"
 #include "Decision/Job/JobState.h"
 #include "Decision/Job/StoreWriter.h"
+#include "Decision/Placement/FillerPlacement.h"
 #include "Decision/Version/QueuePolicy.h"
 #include "Decision/Zone/ZoneClosures.h"
 
@@ -39,6 +40,7 @@
     Duration storeRetryAfter = seconds(1);
     /// An owner starts nothing if it has not learned of closed zones for this time. Unset: no start is held back.
     std::optional<Duration> zoneClosureBound;
+    FillerPlacement fillerPlacement = FillerPlacement::Pace;
     /// Part of the bound that is left for the delivery of an order to its host.
     Duration startDeliveryMargin = seconds(1);
     /// Delay before a task is retried after a failure or a refused start, so that a broken host does not use up the
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -391,6 +391,9 @@
         haltRun(host, run, "unresolved_order", actions);
     haltIfEndMayBeLost(host, run, actions);
     run.fence = host.fence;
+    // The first list of a restarted run shows the progress that its checkpoint restored.
+    if (!listedRun.checkpoint.empty() && (!run.listed || listedRun.checkpoint != run.checkpoint))
+        run.checkpointPercent = listedRun.progressPercent;
     run.listed = true;
     run.ofEarlierIncarnation = false;
     run.listNumber = host.listNumber;
--- a/Source/Decision/Placement/FillerRelocator.cpp
+++ b/Source/Decision/Placement/FillerRelocator.cpp
@@ -20,6 +20,13 @@
         return std::chrono::duration_cast<Duration>(milliseconds(run.estimateMilliseconds) * shareLeft);
     }
 
+    /// Work that another host would have to do at full pace, from the newest checkpoint on.
+    Duration workBeyondCheckpoint(const HostRun& run)
+    {
+        return std::chrono::duration_cast<Duration>(
+            milliseconds(run.estimateMilliseconds) * (1 - run.checkpointPercent / 100.0));
+    }
+
     /// Expected time until the run completes on its host.
     Duration remainingTime(const HostRun& run)
     {
@@ -28,6 +35,13 @@
 
 } // namespace
 
+RelocationRules RelocationRules::forFillers(FillerPlacement placement)
+{
+    RelocationRules rules;
+    rules.countsRepeatedWork = placement == FillerPlacement::Stay;
+    return rules;
+}
+
 std::optional<FillerRelocator::Candidate> FillerRelocator::makeCandidate(Instant now, Host& host, HostRun& run)
 {
     const bool isRunning = run.filler && run.phase == RunPhase::Running && run.orderedPacePercent >= 0
@@ -39,8 +53,9 @@
     const TaskState* task = step ? job->findTask(run.task) : nullptr;
     if (!task || job->stepDefinition(*step).gang)
         return std::nullopt;
-    const Duration elsewhere
-        = job->stepDefinition(*step).savesProgress ? remainingWork(run) : milliseconds(run.estimateMilliseconds);
+    const Duration elsewhere = m_rules.countsRepeatedWork ? workBeyondCheckpoint(run)
+        : job->stepDefinition(*step).savesProgress        ? remainingWork(run)
+                                                          : milliseconds(run.estimateMilliseconds);
     const Duration here = remainingTime(run);
     const std::optional<int> pacePercent = requiredPacePercent(here, elsewhere);
     if (!pacePercent)
--- a/Source/Decision/Placement/FillerRelocator.h
+++ b/Source/Decision/Placement/FillerRelocator.h
@@ -21,6 +21,9 @@
     Duration minimumGain = milliseconds(400);
     /// A destination that allows less than this pace may soon allow none.
     int minimumDestinationPacePercent = 50;
+    /// Whether the work since the newest checkpoint counts as repeated.
+    bool countsRepeatedWork = false;
+    static RelocationRules forFillers(FillerPlacement placement);
 };
 
 /// Chooses fillers to move and reserves their destinations. One instance serves one term; used by TaskScheduler.
--- a/Source/Decision/Placement/PaceController.cpp
+++ b/Source/Decision/Placement/PaceController.cpp
@@ -33,6 +33,17 @@
     return rules;
 }
 
+PaceRules PaceRules::forOwner(Duration interferenceBound, FillerPlacement placement)
+{
+    PaceRules rules = forInterferenceBound(interferenceBound);
+    // Fillers that are placed to stay start above this by the reserve of PlacementRules::forFillers(), so a rise of the
+    // serving load slows them down later.
+    constexpr double reservedHeadroomOfStayingFillers = 1.25;
+    if (placement == FillerPlacement::Stay)
+        rules.reservedHeadroom = reservedHeadroomOfStayingFillers;
+    return rules;
+}
+
 bool PaceController::isOrderOverdue(Instant now, const HostRun& run) const
 {
     return run.orderedPacePercent != unknownPacePercent && run.knownPacePercent() != run.orderedPacePercent
--- a/Source/Decision/Placement/PaceController.h
+++ b/Source/Decision/Placement/PaceController.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "Decision/Job/HostRegistry.h"
+#include "Decision/Placement/FillerPlacement.h"
 #include "Decision/Placement/InterferenceModel.h"
 
 namespace Plantainpier {
@@ -28,6 +29,7 @@
     Duration exemptionDuration = milliseconds(2800);
     /// Returns the rules under which fillers may keep a task over its target for at most this long without a break.
     static PaceRules forInterferenceBound(Duration interferenceBound);
+    static PaceRules forOwner(Duration interferenceBound, FillerPlacement placement);
 
     /// Smaller changes are not ordered, so that noise in the usage figures causes no orders.
     int minimumPaceChangePercent = 8;
--- a/Source/Decision/Placement/Placement.cpp
+++ b/Source/Decision/Placement/Placement.cpp
@@ -12,6 +12,23 @@
     /// shows neither that the host works nor that it fails.
     constexpr int trialEstimates = 2;
 
+    /// Processors that fillers of the host request beyond their paces. They use them as soon as their paces are raised.
+    std::int64_t heldBackMilliCores(const Host& host)
+    {
+        std::int64_t requested = 0;
+        for (const std::pair<const RunKey, HostRun>& entry : host.runs) {
+            if (entry.second.filler)
+                requested += entry.second.demand.milliProcessors;
+        }
+        return requested - host.processorUse.fillers;
+    }
+
+    bool hasFillers(const Host& host)
+    {
+        return std::any_of(host.runs.begin(), host.runs.end(),
+            [](const std::pair<const RunKey, HostRun>& entry) { return entry.second.filler; });
+    }
+
     bool hasLabel(const Host& host, const std::string& label)
     {
         return label.empty() || std::find(host.labels.begin(), host.labels.end(), label) != host.labels.end();
@@ -29,6 +46,22 @@
 
 } // namespace
 
+PlacementRules PlacementRules::forFillers(FillerPlacement placement)
+{
+    PlacementRules rules;
+    if (placement == FillerPlacement::Pace)
+        return rules;
+    constexpr int nearlyFullPace = 90;
+    // Above PaceRules::reservedHeadroom, because the load of serving tasks rises while the filler runs. In virtual time
+    // 1.6 leaves more processors idle and earns less; 2 earns less than the setting "pace".
+    constexpr double headroomBesideStayingFillers = 1.5;
+    rules.avoidsProbes = true;
+    rules.minimumPacePercent = nearlyFullPace;
+    rules.leastHeadroom = headroomBesideStayingFillers;
+    rules.countsHeldFillers = true;
+    return rules;
+}
+
 std::int64_t Placement::idleMilliCores(const Host& host) const
 {
     const ProcessorUse& use = host.processorUse;
@@ -64,9 +97,19 @@
     const Wire::StepDefinition& step = request.definition;
     if (host.freeMegabytes() - step.demand.memoryMegabytes < reservedMegabytes(host))
         return HostEligibility::NoMemory;
-    if (idleMilliCores(host) < step.demand.milliProcessors)
+    const std::int64_t held = m_rules.countsHeldFillers ? heldBackMilliCores(host) : 0;
+    if (idleMilliCores(host) - held < step.demand.milliProcessors)
         return HostEligibility::NoIdleProcessors;
-    if (m_paceController.tolerablePace(host, step.image, step.demand.milliProcessors) < request.minimumPacePercent)
+    if (m_rules.avoidsProbes && host.probeUntil != Instant())
+        return HostEligibility::FillerNotTolerated;
+    // Low-pressure fillers run at full pace whatever the headroom, so many of them push a task over its target
+    // together. A host without fillers gets a single one that is expected to leave the target met.
+    const double headroom = m_paceController.expectedHeadroom(host, step.image, step.demand.milliProcessors);
+    const double leastHeadroom = hasFillers(host) ? m_rules.leastHeadroom : std::min(1.0, m_rules.leastHeadroom);
+    if (headroom < leastHeadroom)
+        return HostEligibility::FillerNotTolerated;
+    if (m_paceController.tolerablePace(host, step.image, step.demand.milliProcessors)
+        < std::max(m_rules.minimumPacePercent, request.minimumPacePercent))
         return HostEligibility::FillerNotTolerated;
     return HostEligibility::Eligible;
 }
--- a/Source/Decision/Placement/Placement.h
+++ b/Source/Decision/Placement/Placement.h
@@ -24,6 +24,15 @@
     double comfortableHeadroom = 3;
     /// Score of a filler on a host with a probe in progress, where it would be stopped at once.
     double probePenalty = 3;
+    /// No filler is placed beside a probe.
+    bool avoidsProbes = false;
+    /// A filler needs a host that lets it run at this pace.
+    int minimumPacePercent = 0;
+    /// Headroom that the serving tasks of the host keep beside the filler.
+    double leastHeadroom = -100;
+    /// Fillers that a pace holds back count with all processors that they request.
+    bool countsHeldFillers = false;
+    static PlacementRules forFillers(FillerPlacement placement);
 };
 
 /// A task that needs a host.
--- a/Source/Shell/Process/NodeSettings.cpp
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -92,6 +92,12 @@
     if (settings.zoneClosureBound && *settings.zoneClosureBound < minimumZoneClosureBound)
         reader.addError(ErrorCode::InvalidField, "zone_closure_ms",
             "must be at least " + std::to_string(toMilliseconds(minimumZoneClosureBound)));
+    const std::string placement
+        = reader.optionalString("filler_placement", maximumNameBytes, std::string(fillerPlacementNames[0].name));
+    if (const FillerPlacement* value = valueIn(fillerPlacementNames, placement))
+        settings.fillerPlacement = *value;
+    else
+        reader.addError(ErrorCode::InvalidField, "filler_placement", "must be \"pace\" or \"stay\"");
     settings.finishedJobRetention = readSeconds("status_memory_s", settings.finishedJobRetention);
     settings.shutdownTimeout = readSeconds("shutdown_s", settings.shutdownTimeout);
     if (!reader.errors().empty()) {
@@ -119,8 +125,8 @@
 {
     static const std::vector<std::string> keys { "id", "zone", "address", "peer_port", "store_address",
         "client_address", "health_address", "announce_address", "host_address", "advice_address", "machines_address",
-        "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "zone_closure_ms", "status_memory_s",
-        "shutdown_s" };
+        "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "zone_closure_ms", "filler_placement",
+        "status_memory_s", "shutdown_s" };
     return keys;
 }
 
--- a/Tests/Support/SharedFleet.cpp
+++ b/Tests/Support/SharedFleet.cpp
@@ -11,15 +11,11 @@
     constexpr double secondsPerStep = stepMilliseconds / 1000.0;
     constexpr double coresPerMilliCore = 1 / 1000.0;
     constexpr std::size_t servingImages = 16;
-    constexpr std::size_t fillerImages = 30;
     /// Each filler image with a high pressure presses the serving images of one of these kinds.
     constexpr std::size_t servingKinds = 3;
-    constexpr double highPressureShare = 0.7;
     constexpr double lowestHighPressure = 5;
     constexpr double highestHighPressure = 13;
     constexpr double highestLowPressure = 2;
-    /// Share of serving images that two kinds of filler images press.
-    constexpr double twoKindsShare = 0.15;
 
     constexpr std::int64_t targetMilliseconds = 150;
     /// Share of serving jobs with at most one task on each host.
@@ -42,13 +38,18 @@
     constexpr int paceDelay = 100;
     constexpr int longestStop = 900;
     constexpr int restoreMilliseconds = 600;
-    constexpr double checkpointMilliseconds = 500;
     constexpr int figuresInterval = 200;
 
     constexpr double planStretch = 2;
     constexpr int planObjective = 1'000;
     constexpr double lateWorthShare = 0.15;
-    constexpr double planDuration = 2'700;
+
+    OwnerRules rulesOf(const FleetLoad& load)
+    {
+        OwnerRules rules;
+        rules.fillerPlacement = load.fillerPlacement;
+        return rules;
+    }
 
     Wire::Resources demandOf(double milliCores, double megabytes)
     {
@@ -64,6 +65,7 @@
     : m_load(load)
     , m_random(load.seed)
     , m_runRandom(load.seed)
+    , m_harness(1, rulesOf(load))
 {
     addHosts();
     choosePressures();
@@ -74,11 +76,11 @@
     constexpr std::size_t noKind = servingKinds;
     const auto chooseKind = [this] { return static_cast<std::size_t>(uniform(0, servingKinds)) % servingKinds; };
     std::vector<std::size_t> fillerKinds;
-    for (std::size_t filler = 0; filler < fillerImages; ++filler)
-        fillerKinds.push_back(uniform(0, 1) < highPressureShare ? chooseKind() : noKind);
+    for (std::size_t filler = 0; filler < m_load.fillerImages; ++filler)
+        fillerKinds.push_back(uniform(0, 1) < m_load.highPressureShare ? chooseKind() : noKind);
     for (std::size_t serving = 0; serving < servingImages; ++serving) {
         const std::size_t kind = chooseKind();
-        const std::size_t otherKind = uniform(0, 1) < twoKindsShare ? chooseKind() : kind;
+        const std::size_t otherKind = uniform(0, 1) < m_load.twoKindsShare ? chooseKind() : kind;
         std::vector<double> pressures;
         for (const std::size_t fillerKind : fillerKinds) {
             const bool isHigh = fillerKind == kind || fillerKind == otherKind;
@@ -98,13 +100,12 @@
 
 void SharedFleet::addHosts()
 {
-    constexpr double smallHost = 64'000;
     constexpr double memoryPerMilliCore = 4;
     for (int n = 0; n < m_load.hosts; ++n) {
         SimulatedHost host;
         host.hostId = "host-" + std::to_string(1000 + n);
-        host.milliCores = n % 3 == 2 ? 1.5 * smallHost : smallHost;
-        host.megabytes = static_cast<std::int64_t>(memoryPerMilliCore * host.milliCores);
+        host.milliCores = n % 3 == 2 ? 1.5 * m_load.smallHostMilliCores : m_load.smallHostMilliCores;
+        host.megabytes = m_load.hostMegabytes.value_or(static_cast<std::int64_t>(memoryPerMilliCore * host.milliCores));
         host.reportAt = n * stepMilliseconds % figuresInterval;
         m_hostIndexes[host.hostId] = m_hosts.size();
         m_hosts.push_back(std::move(host));
@@ -130,7 +131,8 @@
 {
     Wire::StepDefinition step;
     step.count = m_load.servingJobWidth;
-    step.demand = demandOf(spread(13'000, 0.25, 20'000), spread(26'000, 0.3, 51'000));
+    step.demand
+        = demandOf(spread(m_load.servingMilliCores, 0.25, 20'000), spread(m_load.servingMegabytes, 0.3, 51'000));
     step.estimateMilliseconds = 1000;
     step.longRunning = true;
     step.maximumPerHost = uniform(0, 1) < apartShare ? 1 : 0;
@@ -149,8 +151,8 @@
     for (int n = 0; n < steps; ++n) {
         Wire::StepDefinition step;
         step.count = static_cast<int>(std::lround(std::max(1.0, spread(m_load.shortJobWidth, 0.8, 80))));
-        step.demand = demandOf(spread(2'800, 0.45, 8'300), spread(5'600, 0.3, 11'000));
-        durations.push_back(spread(1'000, 0.5, 2'500));
+        step.demand = demandOf(spread(m_load.shortMilliCores, 0.45, 8'300), spread(5'600, 0.3, 11'000));
+        durations.push_back(spread(m_load.shortDuration, 0.5, 2'500));
         step.estimateMilliseconds = static_cast<std::int64_t>(durations.back() * uniform(0.8, 1.2));
         if (n > 0)
             step.after.push_back(n - 1);
@@ -163,7 +165,7 @@
 {
     const int steps = static_cast<int>(std::lround(std::max(1.0, spread(2, 0.4, 5))));
     const std::string image
-        = "filler-" + std::to_string(static_cast<std::size_t>(uniform(0, fillerImages)) % fillerImages);
+        = "filler-" + std::to_string(static_cast<std::size_t>(uniform(0, m_load.fillerImages)) % m_load.fillerImages);
     std::vector<Wire::StepDefinition> definitions;
     std::vector<double> durations;
     PlanOutcome plan;
@@ -171,8 +173,9 @@
     for (int n = 0; n < steps; ++n) {
         Wire::StepDefinition step;
         step.count = static_cast<int>(std::lround(std::max(1.0, spread(m_load.planWidth, 0.6, 4 * m_load.planWidth))));
-        step.demand = demandOf(spread(7'000, 0.3, 14'000), spread(13'000, 0.3, 26'000));
-        durations.push_back(spread(planDuration, 0.5, 6'800));
+        step.demand
+            = demandOf(spread(m_load.fillerMilliCores, 0.3, 14'000), spread(m_load.fillerMegabytes, 0.3, 26'000));
+        durations.push_back(spread(m_load.planDuration, 0.5, 6'800));
         step.estimateMilliseconds = static_cast<std::int64_t>(durations.back() * uniform(0.8, 1.2));
         step.savesProgress = uniform(0, 1) < 0.85;
         step.filler = true;
@@ -203,7 +206,9 @@
     const double plans = m_load.plansPerSecond * (isBurst ? m_load.burstFactor : 1) * secondsPerStep;
     if (uniform(0, 1) < plans)
         submitPlan();
-    if (uniform(0, 1) < m_load.shortJobsPerSecond * secondsPerStep)
+    const bool isShortBurst = m_now >= m_load.shortBurstFrom && m_now < m_load.shortBurstUntil;
+    const double shortJobs = m_load.shortJobsPerSecond * (isShortBurst ? m_load.shortFactor : 1) * secondsPerStep;
+    if (uniform(0, 1) < shortJobs)
         submitShortJob();
 }
 
@@ -279,7 +284,7 @@
 {
     Wire::EndedTask row = makeEndedTask(++host.lastEndNumber, run.task, run.run, how);
     if (how == Wire::RunEnd::Stopped) {
-        const double kept = run.savesProgress ? run.done : 0;
+        const double kept = run.savesProgress && m_load.savesWhenStopped ? run.done : run.saved;
         m_account.repeated += (run.done - kept) / 1000 * run.milliCores * coresPerMilliCore;
         if (kept > 0)
             row.checkpoint = std::to_string(kept);
@@ -295,7 +300,7 @@
         if (run.kind != Kind::Serving)
             continue;
         double pressed = 0;
-        for (std::size_t filler = 0; filler < fillerImages; ++filler)
+        for (std::size_t filler = 0; filler < m_load.fillerImages; ++filler)
             pressed += m_pressures[run.servingImage][filler] * fillerShares[filler];
         const double ownHeadroom = idleHeadroom * run.headroomFactor * (1 - servingLoad(run));
         const double headroom = std::max(lowestHeadroom, ownHeadroom - pressed);
@@ -336,7 +341,7 @@
     const double left = std::max(0.0, host.milliCores - inUse);
     const double granted = requested > left ? left / requested : 1;
     m_account.left += left * coresPerMilliCore * secondsPerStep;
-    std::vector<double> fillerShares(fillerImages, 0.0);
+    std::vector<double> fillerShares(m_load.fillerImages, 0.0);
     for (std::map<RunKey, SimulatedRun>::iterator it = host.runs.begin(); it != host.runs.end();) {
         SimulatedRun& run = it->second;
         if (run.kind == Kind::Serving) {
@@ -352,7 +357,7 @@
         run.usage += (milliCores - run.usage) * stepMilliseconds / figureMilliseconds;
         if (m_now >= run.restoreUntil)
             run.done += speed * stepMilliseconds;
-        if (run.savesProgress && run.done - run.saved >= checkpointMilliseconds)
+        if (run.savesProgress && run.done - run.saved >= m_load.checkpointInterval)
             run.saved = run.done;
         const bool isComplete = run.done >= run.work;
         if (isComplete || (run.stopAt >= 0 && m_now >= run.stopAt)) {
--- a/Tests/Support/SharedFleet.h
+++ b/Tests/Support/SharedFleet.h
@@ -6,6 +6,7 @@
 #include "Support/JobFixture.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -30,6 +31,30 @@
     int arrivalsUntil = 34'000;
     /// Plans that do not end by then have not ended.
     int endAt = 48'000;
+    double shortFactor = 1;
+    /// Arrivals of short jobs are multiplied by shortFactor in this period.
+    int shortBurstFrom = 13'000;
+    int shortBurstUntil = 16'000;
+    /// Processors of most hosts; every third host has half as many again.
+    double smallHostMilliCores = 64'000;
+    /// Memory of each host. Unset: in proportion to its processors.
+    std::optional<std::int64_t> hostMegabytes;
+    double servingMilliCores = 13'000;
+    double servingMegabytes = 26'000;
+    double fillerMilliCores = 7'000;
+    double fillerMegabytes = 13'000;
+    double planDuration = 2'700;
+    double shortMilliCores = 2'800;
+    double shortDuration = 1'000;
+    /// Work between two checkpoints of a run, in milliseconds.
+    double checkpointInterval = 500;
+    /// Whether a run that is stopped saves what it has done. Otherwise the work since its last checkpoint is lost.
+    bool savesWhenStopped = true;
+    std::size_t fillerImages = 30;
+    double highPressureShare = 0.7;
+    /// Share of serving images that two kinds of filler images press.
+    double twoKindsShare = 0.15;
+    FillerPlacement fillerPlacement = FillerPlacement::Pace;
 };
 
 /// What became of a plan.
--- a/Tests/Unit/FillerRelocatorTest.cpp
+++ b/Tests/Unit/FillerRelocatorTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(keepsFillersThatAreNearlyDone);
     CPPUNIT_TEST(keepsFillersOfHostsThatDoNotReport);
     CPPUNIT_TEST(repeatsWorkThatIsNotSavedOnlyIfThatIsFaster);
+    CPPUNIT_TEST(countsTheWorkSinceTheNewestCheckpoint);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::int64_t fillerMilliCores = 1000;
@@ -23,12 +24,12 @@
 
     /// Hosts with one slow filler each, and idle hosts behind or before them in the order of host ids.
     struct Fleet {
-        explicit Fleet(bool savesProgress = true)
+        explicit Fleet(bool savesProgress = true, const RelocationRules& rules = RelocationRules {})
             : state("entry-1", 1, OwnerRules {}, at(0))
             , runTracker(state)
             , controller(PaceRules {}, model)
             , placement(PlacementRules {}, controller)
-            , relocator(state, runTracker, controller, placement, RelocationRules {})
+            , relocator(state, runTracker, controller, placement, rules)
         {
             Wire::StepDefinition step = makeStep(100, fillerMilliCores, estimateMilliseconds);
             step.filler = true;
@@ -187,5 +188,18 @@
         saved.addHost("idle", 10 * fillerMilliCores);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), saved.relocate(now).size());
     }
+
+    // Guards against moves that repeat more work than they save: tasks of 2.7 s save a checkpoint after 2 s of work, so
+    // nearly all of them have none when they are moved.
+    void countsTheWorkSinceTheNewestCheckpoint()
+    {
+        // At a pace of 0.35, the half that is left takes 3.9 s. Elsewhere and with the move it takes 4 s without a
+        // checkpoint, and 2.65 s from one at half of the work.
+        Fleet fleet(true, RelocationRules::forFillers(FillerPlacement::Stay));
+        fleet.addFiller(fleet.addHost("no-checkpoint", fillerMilliCores), 0.35, 50);
+        fleet.addFiller(fleet.addHost("checkpoint", fillerMilliCores), 0.35, 50).checkpointPercent = 50;
+        fleet.addHost("idle", 10 * fillerMilliCores);
+        CPPUNIT_ASSERT(std::vector<std::string> { "checkpoint" } == fleet.relocate(now));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(FillerRelocatorTest);
--- a/Tests/Unit/PaceControllerTest.cpp
+++ b/Tests/Unit/PaceControllerTest.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(furtherImagesAreNotChargedToTheFirst);
     CPPUNIT_TEST(placesFillersWhereServingTasksKeepTheirHeadroom);
     CPPUNIT_TEST(placesNoFillerBesideAProbe);
+    CPPUNIT_TEST(placesFillersToStayOnlyWhereHeadroomIsLeft);
+    CPPUNIT_TEST(countsHeldFillersWithAllTheirProcessors);
     CPPUNIT_TEST(packsServingTasksByImage);
     CPPUNIT_TEST(avoidsASlowHostForServingTasks);
     CPPUNIT_TEST_SUITE_END();
@@ -357,6 +359,62 @@
         CPPUNIT_ASSERT_EQUAL(std::string("host-1"), hostOfQuietFiller(simulation));
     }
 
+    /// Whether a filler of the low-pressure image "quiet" may be placed on the host under the setting "stay".
+    static bool mayStay(const Simulation& simulation, const Host& host, std::int64_t milliCores)
+    {
+        const Placement placement(PlacementRules::forFillers(FillerPlacement::Stay), simulation.controller);
+        Wire::StepDefinition step = makeStep(1, milliCores, 100);
+        step.filler = true;
+        step.image = "quiet";
+        const Wire::JobDefinition job = makeJob("0000000000000008", { step });
+        const std::vector<RunPlace> noPlaces;
+        return placement.isEligible(host, PlacementRequest { job, step, 0, 0, noPlaces, {} }, at(10'000));
+    }
+
+    // Guards against fillers that are started beside serving tasks near their target, or beside a probe, where they
+    // stand still a second later. One filler may try.
+    void placesFillersToStayOnlyWhereHeadroomIsLeft()
+    {
+        constexpr std::int64_t milliCores = 500;
+        Simulation simulation;
+        for (int now = 3000; now <= 10'000; now += 500)
+            simulation.listHosts(now);
+        Host& host = simulation.hosts.hosts()["host-1"];
+        const auto mayStayAtTail = [&simulation, &host](int tailMilliseconds) {
+            for (std::pair<const RunKey, HostRun>& run : host.runs) {
+                if (run.second.targetMilliseconds > 0)
+                    run.second.usage = tailMilliseconds;
+            }
+            simulation.controller.refreshServingGroups(at(10'000), host);
+            return mayStay(simulation, host, milliCores);
+        };
+        CPPUNIT_ASSERT(mayStayAtTail(40));
+        CPPUNIT_ASSERT_MESSAGE("near the target beside a filler", !mayStayAtTail(120));
+        host.probeUntil = at(11'000);
+        CPPUNIT_ASSERT_MESSAGE("beside a probe", !mayStayAtTail(40));
+        host.probeUntil = Instant();
+        std::erase_if(
+            host.runs, [](const std::pair<const RunKey, HostRun>& run) { return run.second.targetMilliseconds == 0; });
+        host.processorUse.fillers = 0;
+        CPPUNIT_ASSERT_MESSAGE("near the target, as a single filler", mayStayAtTail(120));
+        CPPUNIT_ASSERT_MESSAGE("over the target", !mayStayAtTail(160));
+    }
+
+    // Guards against hosts that get more fillers than they can run: those at a low pace seemed to leave processors
+    // idle.
+    void countsHeldFillersWithAllTheirProcessors()
+    {
+        Simulation simulation;
+        Host& host = addHost(simulation.hosts, "host-9");
+        host.lastContactAt = at(10'000);
+        const std::int64_t idle = host.capacity.milliProcessors;
+        HostRun& held = HostRegistry::addRun(host, makeFillerRun("0000000000000005", 0, "quiet"));
+        held.acknowledgedPacePercent.reset();
+        HostRegistry::setOrderedPace(host, held, 0);
+        CPPUNIT_ASSERT(mayStay(simulation, host, idle - held.demand.milliProcessors));
+        CPPUNIT_ASSERT(!mayStay(simulation, host, idle));
+    }
+
     /// The host that a serving task of the image "desk" is placed on.
     static std::string hostOfServingTask(HostRegistry& hosts)
     {
--- a/Tests/Unit/PlatformProtocolTest.cpp
+++ b/Tests/Unit/PlatformProtocolTest.cpp
@@ -217,11 +217,17 @@
         CPPUNIT_ASSERT(!isOk(invalidSettings));
         CPPUNIT_ASSERT(errorOf(invalidSettings).message.find("/peer_port") != std::string::npos);
         CPPUNIT_ASSERT(errorOf(invalidSettings).message.find("/store_address") != std::string::npos);
+        const Result<NodeSettings> unknownPlacement = parseNodeSettings(
+            R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":7720,"store_address":"10.0.0.2:81",
+                "filler_placement":"leave"})");
+        CPPUNIT_ASSERT(!isOk(unknownPlacement));
+        CPPUNIT_ASSERT(errorOf(unknownPlacement).message.find("/filler_placement") != std::string::npos);
         const Result<NodeSettings> validSettings = parseNodeSettings(
             R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":7720,"store_address":"10.0.0.2:81","new":1,
-                "harm_ms":3000,"status_memory_s":120})");
+                "harm_ms":3000,"status_memory_s":120,"filler_placement":"stay"})");
         CPPUNIT_ASSERT(isOk(validSettings));
         CPPUNIT_ASSERT_EQUAL(81, valueOf(validSettings).store.port);
+        CPPUNIT_ASSERT(valueOf(validSettings).fillerPlacement == FillerPlacement::Stay);
     }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformProtocolTest);
