--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -23,8 +23,8 @@
         , m_runTracker(runTracker)
         , m_paceController(paceController)
         , m_placement(rules, paceController)
-        , m_fillerRelocator(state, runTracker, paceController, m_placement,
-              RelocationRules::forFillers(state.rules.fillerPlacement))
+        , m_fillerRelocator(
+              state, runTracker, paceController, m_placement, RelocationRules::forFillers(state.rules.fillerPlacement))
         , m_waitLogger(state)
         , m_capacityLogger(state)
     {
