--- a/Source/Shell/Process/NodeSettings.cpp
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -110,6 +110,12 @@
         reader.addError(ErrorCode::InvalidField, "remote_factor",
             "must be at least 1; leave it out where the place of a task makes no difference");
     settings.localityWait = readLocalityWait(reader);
+    const std::string placement
+        = reader.optionalString("filler_placement", maximumNameBytes, std::string(fillerPlacementNames[0].name));
+    if (const FillerPlacement* value = valueIn(fillerPlacementNames, placement))
+        settings.fillerPlacement = *value;
+    else
+        reader.addError(ErrorCode::InvalidField, "filler_placement", "must be \"pace\" or \"stay\"");
     settings.finishedJobRetention = readSeconds("status_memory_s", settings.finishedJobRetention);
     settings.shutdownTimeout = readSeconds("shutdown_s", settings.shutdownTimeout);
     if (!reader.errors().empty()) {
@@ -138,7 +144,8 @@
     static const std::vector<std::string> keys { "id", "zone", "address", "peer_port", "store_address",
         "client_address", "health_address", "announce_address", "host_address", "advice_address", "machines_address",
         "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "zone_closure_ms",
-        "interference_record_s", "remote_factor", "locality_wait", "status_memory_s", "shutdown_s" };
+        "interference_record_s", "remote_factor", "locality_wait", "filler_placement", "status_memory_s",
+        "shutdown_s" };
     return keys;
 }
 
--- a/Source/Shell/Process/NodeSettings.h
+++ b/Source/Shell/Process/NodeSettings.h
@@ -5,6 +5,7 @@
 #include "Base/Result.h"
 #include "Base/Time.h"
 #include "Decision/Locality/LocalityWait.h"
+#include "Decision/Placement/FillerPlacement.h"
 
 #include <optional>
 #include <string>
@@ -48,6 +49,7 @@
     /// A run away from its data or group takes this many times as long. Unset: not known, and no task waits.
     std::optional<double> remoteFactor;
     LocalityWaitMode localityWait = LocalityWaitMode::Off;
+    FillerPlacement fillerPlacement = FillerPlacement::Pace;
     Duration finishedJobRetention = seconds(120);
     /// Time between the request to shut down and the forced end of the process.
     Duration shutdownTimeout = seconds(6);
