--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -35,7 +35,8 @@
     : m_state(std::move(nodeId), term, rules, now)
     , m_runTracker(m_state)
     , m_paceController(PaceRules::forInterferenceBound(rules.interferenceBound), m_interference)
-    , m_scheduler(m_state, m_runTracker, m_paceController, PlacementRules {})
+    , m_overloadControl(rules)
+    , m_scheduler(m_state, m_runTracker, m_paceController, m_overloadControl.order(), PlacementRules {})
 {
     m_state.ownershipConfirmedAt = now;
     m_state.pulseConfirmedAt = now;
@@ -240,9 +241,16 @@
     Wire::JobDefinition definition = call.job;
     definition.acceptedTerm = m_state.term;
     definition.acceptedUnixMilliseconds = m_state.unixMilliseconds;
+    std::unique_ptr<JobState> job = std::make_unique<JobState>(definition, now, m_state.unixMilliseconds);
+    if (m_overloadControl.rejects(now, *job, answer, line)) {
+        ++m_state.counters.refused;
+        actions.push_back(WriteLog { line.text() });
+        sendReply(origin, answer, actions);
+        return;
+    }
     const std::uint64_t sequenceNumber = m_state.storeWriter.enqueue(
         now, StoreRecord { StoreKey::job(call.jobId), Wire::encode(definition) }, Urgency::Immediate);
-    m_state.jobs[call.jobId] = std::make_unique<JobState>(std::move(definition), now, m_state.unixMilliseconds);
+    m_state.jobs[call.jobId] = std::move(job);
     m_pendingReplies.push_back(PendingReply { origin, sequenceNumber, answer, call.jobId });
     actions.push_back(WriteLog { line.add("outcome", "storing").text() });
 }
@@ -515,6 +523,8 @@
 {
     m_state.unixMilliseconds = unixMilliseconds;
     m_runTracker.tick(now, actions);
+    const bool startsAllowed = !m_schedulingStopped && !m_startsPaused && m_state.mayGrantLeases(now);
+    m_overloadControl.measureIfDue(now, m_state, startsAllowed && !isStoreUnavailable(now), actions);
     m_interference.updatePressures(now, m_state.hosts);
     const Duration sinceLastPass = now - m_lastSchedulingPass;
     const bool isPassDue = (m_state.scheduleDue && sinceLastPass >= passInterval(m_state.hosts.hosts().size()))
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -2,6 +2,7 @@
 /// jobs and progress in the store, and coordinates scheduling, run tracking and pace control.
 #pragma once
 
+#include "Decision/Admission/OverloadControl.h"
 #include "Decision/Job/OwnerState.h"
 #include "Decision/Job/RunTracker.h"
 #include "Decision/Job/TaskScheduler.h"
@@ -66,6 +67,7 @@
     void handOver();
 
     const OwnerState& state() const { return m_state; }
+    const OverloadControl& overloadControl() const { return m_overloadControl; }
     std::int64_t term() const { return m_state.term; }
 
 private:
@@ -108,6 +110,7 @@
     RunTracker m_runTracker;
     InterferenceModel m_interference;
     PaceController m_paceController;
+    OverloadControl m_overloadControl;
     TaskScheduler m_scheduler;
     std::deque<PendingReply> m_pendingReplies;
     std::map<std::string, Wire::JobProgress> m_loadedProgress;
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Base/LogLine.h"
+#include "Decision/Admission/AdmissionRules.h"
 #include "Decision/Job/ClockMargin.h"
 #include "Decision/Job/HostRegistry.h"
 #include "Decision/Job/JobState.h"
@@ -44,6 +45,8 @@
     /// Delay before a task is retried after a failure or a refused start, so that a broken host does not use up the
     /// task's attempts.
     Duration retryDelayAfterFailure = milliseconds(50);
+    AdmissionMode admission = AdmissionMode::Off;
+    OverloadOrder overloadOrder = OverloadOrder::LeastSlack;
 };
 
 /// Counters of the owner. The shell publishes them as metrics.
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -39,8 +39,11 @@
         job.addDueOccurrences(now, m_state.unixMilliseconds);
         for (std::size_t n = 0; n < job.steps().size(); ++n) {
             const StepState& step = job.steps()[n];
-            if (step.open && step.waitingTasks > 0)
-                candidates.push_back(Candidate { workPriority(job, step, now), &job, n });
+            if (!step.open || step.waitingTasks == 0)
+                continue;
+            candidates.push_back(Candidate { workPriority(job, step, now), &job, n });
+            if (!job.stepDefinition(step).longRunning)
+                m_feasibleOrder.adjust(job, candidates.back().sortKey);
         }
     }
     std::sort(candidates.begin(), candidates.end(),
--- a/Source/Decision/Job/TaskScheduler.h
+++ b/Source/Decision/Job/TaskScheduler.h
@@ -1,6 +1,7 @@
 /// Starts waiting tasks on hosts. Each pass takes the waiting steps in order of priority and places their tasks.
 #pragma once
 
+#include "Decision/Admission/FeasibleOrder.h"
 #include "Decision/Job/CapacityLogger.h"
 #include "Decision/Job/OwnerState.h"
 #include "Decision/Job/RunTracker.h"
@@ -17,11 +18,12 @@
 /// The owner's scheduler; used by JobOwner. One instance serves one term.
 class TaskScheduler {
 public:
-    TaskScheduler(
-        OwnerState& state, RunTracker& runTracker, const PaceController& paceController, const PlacementRules& rules)
+    TaskScheduler(OwnerState& state, RunTracker& runTracker, const PaceController& paceController,
+        const FeasibleOrder& feasibleOrder, const PlacementRules& rules)
         : m_state(state)
         , m_runTracker(runTracker)
         , m_paceController(paceController)
+        , m_feasibleOrder(feasibleOrder)
         , m_placement(rules, paceController)
         , m_fillerRelocator(state, runTracker, paceController, m_placement, RelocationRules {})
         , m_waitLogger(state)
@@ -69,6 +71,7 @@
     OwnerState& m_state;
     RunTracker& m_runTracker;
     const PaceController& m_paceController;
+    const FeasibleOrder& m_feasibleOrder;
     Placement m_placement;
     FillerRelocator m_fillerRelocator;
     FailedPlacements m_failedPlacements;
