--- a/Source/Decision/Admission/AdmissionController.cpp
+++ b/Source/Decision/Admission/AdmissionController.cpp
@@ -13,14 +13,6 @@
     /// Clients retry four times at most, so a longer delay would not give them more attempts in time.
     constexpr Duration maximumRetryDelay = seconds(60);
 
-    /// Work that has to be done before a job, by two measures.
-    struct WorkAhead {
-        /// While the job can be on time.
-        double inTime = 0;
-        /// Once the job is late, when small jobs come before large ones.
-        double late = 0;
-    };
-
     Duration timeFor(double coreSeconds, double rate)
     {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(coreSeconds / rate));
@@ -38,45 +30,95 @@
         return std::min(work.placed, work.placedCores * std::chrono::duration<double>(criticalPath).count());
     }
 
-    /// Earlier jobs of the job's own class, in the order of their due times.
-    std::vector<const JobWork*> jobsInDueOrder(const JobWorkMap& jobs, int priority)
-    {
-        std::vector<const JobWork*> found;
-        for (const std::pair<const std::string, JobWork>& entry : jobs) {
-            if (entry.second.priority == priority)
-                found.push_back(&entry.second);
+    /// Latest time at which the waiting work of a job must have been placed if the job is to be on time.
+    Instant latestPlacement(const JobWork& work) { return work.due - work.remainingCriticalPath; }
+
+    /// Work that is served before a job if it becomes late, and whether it becomes late.
+    struct WorkAhead {
+        bool inTime = false;
+        double coreSeconds = 0;
+    };
+
+    /// The jobs of one class that wait while a job of the class is judged.
+    class ClassForecast {
+    public:
+        ClassForecast(Instant now, const JobState& job, const JobWorkMap& jobs, double rate)
+            : m_now(now)
+            , m_job(job)
+            , m_rate(rate)
+        {
+            for (const std::pair<const std::string, JobWork>& entry : jobs) {
+                const JobWork& work = entry.second;
+                if (work.priority > job.definition().priority)
+                    continue;
+                if (work.priority < job.definition().priority) {
+                    m_ahead += work.remaining;
+                    continue;
+                }
+                m_ahead += placedAhead(work, job.criticalPath());
+                if (!isOverdue(now, work) && work.waiting() > 0)
+                    m_waiting.push_back(&work);
+            }
         }
-        std::sort(
-            found.begin(), found.end(), [](const JobWork* one, const JobWork* other) { return one->due < other->due; });
-        return found;
-    }
 
-    WorkAhead workAhead(Instant now, const JobState& job, const JobWorkMap& jobs, double usualRate)
-    {
-        WorkAhead ahead;
-        double moreUrgent = 0;
-        for (const std::pair<const std::string, JobWork>& entry : jobs) {
-            if (entry.second.priority < job.definition().priority)
-                moreUrgent += entry.second.remaining;
+        /// Serves the jobs by least slack, then the late ones by size.
+        WorkAhead workAhead()
+        {
+            WorkAhead ahead;
+            ahead.inTime = serveByLeastSlack();
+            serveLateJobs();
+            ahead.coreSeconds = m_ahead;
+            return ahead;
         }
-        ahead.inTime = moreUrgent;
-        ahead.late = moreUrgent;
-        double beforeDue = moreUrgent;
-        for (const JobWork* other : jobsInDueOrder(jobs, job.definition().priority)) {
-            const double placed = placedAhead(*other, job.criticalPath());
-            ahead.inTime += placed;
-            ahead.late += placed;
-            if (isOverdue(now, *other))
-                continue;
-            // A job that cannot be on time is passed by those that can.
-            const bool canBeInTime = now + timeFor(beforeDue + other->remaining, usualRate) <= other->due;
-            const bool passes = canBeInTime && other->due <= job.due();
-            beforeDue += canBeInTime ? other->remaining : 0;
-            ahead.inTime += passes ? other->waiting() : 0;
-            ahead.late += passes || other->total <= job.workCoreSeconds() ? other->waiting() : 0;
+
+    private:
+        /// Returns whether the job can be on time. A job that cannot be takes the hosts until it is late.
+        bool serveByLeastSlack()
+        {
+            const Instant ownLatest = m_job.due() - m_job.criticalPath();
+            std::sort(m_waiting.begin(), m_waiting.end(), [](const JobWork* one, const JobWork* other) {
+                return latestPlacement(*one) < latestPlacement(*other);
+            });
+            Instant time = m_now + timeFor(m_ahead, m_rate);
+            bool judged = false;
+            bool inTime = false;
+            std::vector<const JobWork*> late;
+            for (const JobWork* work : m_waiting) {
+                if (!judged && latestPlacement(*work) > ownLatest) {
+                    judged = true;
+                    inTime = time + timeFor(m_job.workCoreSeconds(), m_rate) <= m_job.due();
+                }
+                const Instant end = time + timeFor(work->waiting(), m_rate);
+                if (end <= work->due) {
+                    m_ahead += work->waiting();
+                    time = end;
+                    continue;
+                }
+                time = std::max(time, latestPlacement(*work));
+                late.push_back(work);
+            }
+            m_waiting = std::move(late);
+            return judged ? inTime : time + timeFor(m_job.workCoreSeconds(), m_rate) <= m_job.due();
         }
-        return ahead;
-    }
+
+        /// Adds the work of smaller late jobs that are served while they are of use.
+        void serveLateJobs()
+        {
+            std::sort(m_waiting.begin(), m_waiting.end(),
+                [](const JobWork* one, const JobWork* other) { return one->total < other->total; });
+            for (const JobWork* work : m_waiting) {
+                const Instant end = m_now + timeFor(m_ahead + work->waiting(), m_rate);
+                if (work->total <= m_job.workCoreSeconds() && end <= work->accepted + lateFactor * work->allowed())
+                    m_ahead += work->waiting();
+            }
+        }
+
+        Instant m_now;
+        const JobState& m_job;
+        double m_rate;
+        double m_ahead = 0;
+        std::vector<const JobWork*> m_waiting;
+    };
 
 } // namespace
 
@@ -94,11 +136,12 @@
     if (!jobs || !rate.certain)
         return decision;
     const Duration allowed = job.due() - job.accepted();
-    const WorkAhead ahead = workAhead(now, job, *jobs, rate.usual);
     decision.rate = rateMargin * rate.highest;
     decision.limit = lateFactor * allowed;
-    const Duration inTime = timeFor(ahead.inTime + job.workCoreSeconds(), decision.rate);
-    decision.backlog = (inTime <= allowed ? ahead.inTime : ahead.late) + job.workCoreSeconds();
+    const WorkAhead ahead = ClassForecast(now, job, *jobs, decision.rate).workAhead();
+    if (ahead.inTime)
+        return decision;
+    decision.backlog = ahead.coreSeconds + job.workCoreSeconds();
     decision.expected = std::max(job.criticalPath(), timeFor(decision.backlog, decision.rate));
     decision.accepted = decision.expected <= decision.limit;
     if (!decision.accepted)
--- a/Source/Decision/Admission/FeasibleOrder.cpp
+++ b/Source/Decision/Admission/FeasibleOrder.cpp
@@ -6,23 +6,35 @@
 
 namespace {
 
-    /// Waiting work of promoted jobs, in seconds of the whole rate. The order is chosen four times a second, so
-    /// promoted jobs take all rooms that become free for a short time only.
-    constexpr double promotedSeconds = 0.25;
+    /// Share of the rate that promoted jobs may take. The rest keeps other jobs on time.
+    constexpr double promotedShare = 0.25;
+    /// After a longer pause the budget does not grow further.
+    constexpr Duration maximumInterval = seconds(1);
 
     bool isPromotable(Instant now, const JobWork& work)
     {
         return work.waiting() > 0 && now >= work.accepted + FeasibleOrder::promotionFactor * work.allowed();
     }
 
+    bool isOverdue(Instant now, const JobWork& work)
+    {
+        return now + work.remainingCriticalPath > work.accepted + lateFactor * work.allowed();
+    }
+
 } // namespace
 
 void FeasibleOrder::update(Instant now)
 {
     m_deferred.clear();
-    m_promoted.clear();
+    m_sinceLastUpdate = std::min<Duration>(now - m_updatedAt, maximumInterval);
+    m_updatedAt = now;
     if (m_order == OverloadOrder::LeastSlack)
         return;
+    std::erase_if(m_promoted, [this](const std::string& jobId) {
+        return std::none_of(m_monitor.services().begin(), m_monitor.services().end(),
+            [&jobId](
+                const std::pair<const std::string, JobWorkMap>& service) { return service.second.contains(jobId); });
+    });
     for (const std::pair<const std::string, JobWorkMap>& service : m_monitor.services()) {
         std::set<int> priorities;
         for (const Entry& entry : service.second)
@@ -50,7 +62,7 @@
     }
     std::sort(ownJobs.begin(), ownJobs.end(),
         [](const Entry* one, const Entry* other) { return one->second.due < other->second.due; });
-    work += promote(now, ownJobs, rate.usual);
+    work += promote(now, service, ownJobs, rate.usual);
     std::vector<const Entry*> chosen;
     for (const Entry* entry : ownJobs) {
         const JobWork& job = entry->second;
@@ -58,7 +70,9 @@
             continue;
         chosen.push_back(entry);
         work += job.waiting();
-        const double possibleWork = rate.usual * std::chrono::duration<double>(job.due - now).count();
+        // Waiting work must be placed in time for its runs to end in time.
+        const Instant latestPlacement = job.due - job.remainingCriticalPath;
+        const double possibleWork = rate.usual * std::chrono::duration<double>(latestPlacement - now).count();
         while (work > possibleWork && !chosen.empty()) {
             const std::vector<const Entry*>::iterator largest = std::max_element(chosen.begin(), chosen.end(),
                 [](const Entry* one, const Entry* other) { return one->second.waiting() < other->second.waiting(); });
@@ -69,18 +83,29 @@
     }
 }
 
-double FeasibleOrder::promote(Instant now, const std::vector<const Entry*>& jobs, double rate)
+double FeasibleOrder::promote(
+    Instant now, const std::string& service, const std::vector<const Entry*>& jobs, double rate)
 {
     std::vector<const Entry*> old;
     std::copy_if(jobs.begin(), jobs.end(), std::back_inserter(old),
         [now](const Entry* entry) { return isPromotable(now, entry->second); });
-    std::sort(old.begin(), old.end(),
-        [](const Entry* one, const Entry* other) { return one->second.accepted < other->second.accepted; });
+    if (old.empty())
+        return 0;
+    std::sort(old.begin(), old.end(), [now](const Entry* one, const Entry* other) {
+        return std::pair(isOverdue(now, one->second), one->second.accepted)
+            < std::pair(isOverdue(now, other->second), other->second.accepted);
+    });
+    double& budget = m_promotionBudgets[{ service, old.front()->second.priority }];
+    const double share = promotedShare * rate * std::chrono::duration<double>(m_sinceLastUpdate).count();
+    budget = std::min(budget + share, share);
     double work = 0;
     for (const Entry* entry : old) {
-        if (work > rate * promotedSeconds)
-            break;
-        m_promoted.insert(entry->first);
+        if (!m_promoted.contains(entry->first)) {
+            if (budget < 0)
+                continue;
+            m_promoted.insert(entry->first);
+            budget -= entry->second.waiting();
+        }
         work += entry->second.waiting();
     }
     return work;
--- a/Source/Shell/Process/NodeSettings.cpp
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -37,6 +37,21 @@
         return endpoint;
     }
 
+    /// Reads one of the names of a table.
+    template <typename Enum, std::size_t size>
+    Enum readName(
+        JsonReader& reader, const std::string& key, const std::array<NamedValue<Enum>, size>& table, Enum defaultValue)
+    {
+        const std::string name = reader.optionalString(key, maximumNameBytes, std::string(nameIn(table, defaultValue)));
+        if (const Enum* value = valueIn(table, name))
+            return *value;
+        std::string names;
+        for (const NamedValue<Enum>& row : table)
+            names += (names.empty() ? "" : " or ") + std::string(row.name);
+        reader.addError(ErrorCode::InvalidField, key, "must be " + names);
+        return defaultValue;
+    }
+
     /// Limit on values in milliseconds, seconds or cores; a billion milliseconds are about eleven days.
     constexpr double maximumNumber = 1'000'000'000;
 
@@ -92,6 +107,8 @@
     if (settings.zoneClosureBound && *settings.zoneClosureBound < minimumZoneClosureBound)
         reader.addError(ErrorCode::InvalidField, "zone_closure_ms",
             "must be at least " + std::to_string(toMilliseconds(minimumZoneClosureBound)));
+    settings.admission = readName(reader, "admission", admissionModeNames, settings.admission);
+    settings.overloadOrder = readName(reader, "overload_order", overloadOrderNames, settings.overloadOrder);
     settings.finishedJobRetention = readSeconds("status_memory_s", settings.finishedJobRetention);
     settings.shutdownTimeout = readSeconds("shutdown_s", settings.shutdownTimeout);
     if (!reader.errors().empty()) {
@@ -119,8 +136,8 @@
 {
     static const std::vector<std::string> keys { "id", "zone", "address", "peer_port", "store_address",
         "client_address", "health_address", "announce_address", "host_address", "advice_address", "machines_address",
-        "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "zone_closure_ms", "status_memory_s",
-        "shutdown_s" };
+        "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "zone_closure_ms", "admission",
+        "overload_order", "status_memory_s", "shutdown_s" };
     return keys;
 }
 
--- a/Source/Shell/Process/NodeSettings.h
+++ b/Source/Shell/Process/NodeSettings.h
@@ -4,6 +4,7 @@
 
 #include "Base/Result.h"
 #include "Base/Time.h"
+#include "Decision/Admission/AdmissionRules.h"
 
 #include <optional>
 #include <string>
@@ -42,6 +43,8 @@
     Duration longestHalt = milliseconds(900);
     /// Time after which nothing starts in a zone that operators have closed. Unset: no bound is kept.
     std::optional<Duration> zoneClosureBound;
+    AdmissionMode admission = AdmissionMode::Off;
+    OverloadOrder overloadOrder = OverloadOrder::LeastSlack;
     Duration finishedJobRetention = seconds(120);
     /// Time between the request to shut down and the forced end of the process.
     Duration shutdownTimeout = seconds(6);
--- a/Tests/Unit/DocumentationTest.cpp
+++ b/Tests/Unit/DocumentationTest.cpp
@@ -45,9 +45,9 @@
         std::vector<std::filesystem::path> sources;
         for (const std::filesystem::directory_entry& entry : std::filesystem::directory_iterator(root / "platform"))
             sources.push_back(entry.path());
-        for (const char* name : { "Job/CapacityLogger", "Job/JobOwner", "Job/PaceController", "Job/RunTracker",
-                 "Job/TaskScheduler", "Job/WaitLogger", "Process/HostAgent", "Process/JobEntryCore",
-                 "Process/Ownership", "Process/PeerLink" })
+        for (const char* name : { "Admission/OverloadControl", "Job/CapacityLogger", "Job/JobOwner",
+                 "Job/PaceController", "Job/RunTracker", "Job/TaskScheduler", "Job/WaitLogger", "Process/HostAgent",
+                 "Process/JobEntryCore", "Process/Ownership", "Process/PeerLink" })
             sources.push_back(root / "Source/Decision" / (std::string(name) + ".cpp"));
         const std::regex event(R"re(LogLine(?: line)?\("([a-z_]+)"\))re");
         std::size_t found = 0;
