--- a/Tests/Unit/PlatformProtocolTest.cpp
+++ b/Tests/Unit/PlatformProtocolTest.cpp
@@ -213,15 +213,20 @@
     void reportsAllErrorsOfTheSettings()
     {
         const Result<NodeSettings> invalidSettings = parseNodeSettings(
-            R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":0,"store_address":"nowhere"})");
+            R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":0,"store_address":"nowhere",
+                "admission":"sometimes","overload_order":""})");
         CPPUNIT_ASSERT(!isOk(invalidSettings));
         CPPUNIT_ASSERT(errorOf(invalidSettings).message.find("/peer_port") != std::string::npos);
         CPPUNIT_ASSERT(errorOf(invalidSettings).message.find("/store_address") != std::string::npos);
+        CPPUNIT_ASSERT(errorOf(invalidSettings).message.find("/admission") != std::string::npos);
+        CPPUNIT_ASSERT(errorOf(invalidSettings).message.find("/overload_order") != std::string::npos);
         const Result<NodeSettings> validSettings = parseNodeSettings(
             R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":7720,"store_address":"10.0.0.2:81","new":1,
-                "harm_ms":3000,"status_memory_s":120})");
+                "harm_ms":3000,"admission":"reject_unservable","status_memory_s":120})");
         CPPUNIT_ASSERT(isOk(validSettings));
         CPPUNIT_ASSERT_EQUAL(81, valueOf(validSettings).store.port);
+        CPPUNIT_ASSERT(valueOf(validSettings).admission == AdmissionMode::RejectUnservable);
+        CPPUNIT_ASSERT(valueOf(validSettings).overloadOrder == OverloadOrder::LeastSlack);
     }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformProtocolTest);
