Admission: Require a second beyond the limit for a rejection

Cause: with 24 seeds of random loads 4 of 114 judged rejections were wrong (3.5%, 2% allowed), all of jobs with limits of 3 to 6 s; the 10 seeds run before showed 0 of 43. Tests: rejectionsAreTrue plays 24 seeds. The load of aSustainedOverloadIsRejectedAtOnce lasts 110 s instead of 50 s, since with the margin fewer than 21 jobs are rejected in 50 s.

--- a/Source/Decision/Admission/AdmissionController.cpp
+++ b/Source/Decision/Admission/AdmissionController.cpp
@@ -10,6 +10,9 @@
 
     /// Hosts may become faster than they were, for example when the load of serving tasks falls.
     constexpr double rateMargin = 1.25;
+    /// Later steps of other jobs leave gaps that the estimate does not show. Without this margin 4 of 114 rejections of
+    /// random loads (24 seeds) were wrong, all of jobs with limits of 3 to 6 s.
+    constexpr Duration certaintyMargin = seconds(1);
     /// Clients retry four times at most, so a longer delay would not give them more attempts in time.
     constexpr Duration maximumRetryDelay = seconds(60);
 
@@ -143,7 +146,7 @@
         return decision;
     decision.backlog = ahead.coreSeconds + job.workCoreSeconds();
     decision.expected = std::max(job.criticalPath(), timeFor(decision.backlog, decision.rate));
-    decision.accepted = decision.expected <= decision.limit;
+    decision.accepted = decision.expected <= decision.limit + certaintyMargin;
     if (!decision.accepted)
         decision.retryAfter = chooseRetryDelay(
             now, { definition.serviceName, definition.priority }, decision, timeFor(job.workCoreSeconds(), rate.usual));
--- a/Tests/Unit/AdmissionLoadTest.cpp
+++ b/Tests/Unit/AdmissionLoadTest.cpp
@@ -40,9 +40,12 @@
     // Guards against requests that are held until they are of no use.
     void aSustainedOverloadIsRejectedAtOnce()
     {
-        OverloadedFleet fleet(makeScenario(1));
+        OverloadScenario scenario = makeScenario(1);
+        scenario.burstUntil = 120'000;
+        scenario.arrivalsUntil = 120'000;
+        OverloadedFleet fleet(scenario);
         fleet.run();
-        CPPUNIT_ASSERT(fleet.rejections() > 20);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.rejections()), fleet.rejections() > 20);
         CPPUNIT_ASSERT_EQUAL(fleet.rejections(), rejectionLines(fleet).size());
         for (const JobHistory& job : fleet.jobs())
             CPPUNIT_ASSERT_MESSAGE("each attempt is answered", job.nextAttemptAt < 0);
@@ -153,7 +156,7 @@
     static OverloadScenario makeRandomScenario(unsigned seed)
     {
         OverloadScenario scenario = makeScenario(seed);
-        std::mt19937 random(seed * 7919);
+        std::mt19937 random(7919UL * seed);
         const auto draw
             = [&random](double low, double high) { return std::uniform_real_distribution<double>(low, high)(random); };
         scenario.usualLoad = draw(0.5, 1.1);
@@ -177,7 +180,7 @@
     {
         constexpr std::size_t judgedInPlay = 6;
         constexpr double mostWrongShare = 0.02;
-        const HistorySeeds seeds = historySeeds(10);
+        const HistorySeeds seeds = historySeeds(24);
         std::size_t judged = 0;
         std::size_t wrong = 0;
         std::ostringstream failures;
