--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Base/LogLine.h"
+#include "Decision/Admission/AdmissionRules.h"
 #include "Decision/Job/ClockMargin.h"
 #include "Decision/Job/HostRegistry.h"
 #include "Decision/Job/JobState.h"
@@ -51,6 +52,8 @@
     Duration retryDelayAfterFailure = milliseconds(50);
     /// Waits of tasks for a place near their data or group.
     LocalityRules locality;
+    AdmissionMode admission = AdmissionMode::Off;
+    OverloadOrder overloadOrder = OverloadOrder::LeastSlack;
 };
 
 /// Counters of the owner. The shell publishes them as metrics.
--- a/Source/Shell/Process/NodeSettings.h
+++ b/Source/Shell/Process/NodeSettings.h
@@ -4,6 +4,7 @@
 
 #include "Base/Result.h"
 #include "Base/Time.h"
+#include "Decision/Admission/AdmissionRules.h"
 #include "Decision/Locality/LocalityWait.h"
 #include "Decision/Placement/FillerPlacement.h"
 
@@ -50,6 +51,8 @@
     std::optional<double> remoteFactor;
     LocalityWaitMode localityWait = LocalityWaitMode::Off;
     FillerPlacement fillerPlacement = FillerPlacement::Pace;
+    AdmissionMode admission = AdmissionMode::Off;
+    OverloadOrder overloadOrder = OverloadOrder::LeastSlack;
     Duration finishedJobRetention = seconds(120);
     /// Time between the request to shut down and the forced end of the process.
     Duration shutdownTimeout = seconds(6);
--- a/Tests/Unit/PlatformProtocolTest.cpp
+++ b/Tests/Unit/PlatformProtocolTest.cpp
@@ -213,10 +213,13 @@
     void reportsAllErrorsOfTheSettings()
     {
         const Result<NodeSettings> invalidSettings = parseNodeSettings(
-            R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":0,"store_address":"nowhere"})");
+            R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":0,"store_address":"nowhere",
+                "admission":"sometimes","overload_order":""})");
         CPPUNIT_ASSERT(!isOk(invalidSettings));
         CPPUNIT_ASSERT(errorOf(invalidSettings).message.find("/peer_port") != std::string::npos);
         CPPUNIT_ASSERT(errorOf(invalidSettings).message.find("/store_address") != std::string::npos);
+        CPPUNIT_ASSERT(errorOf(invalidSettings).message.find("/admission") != std::string::npos);
+        CPPUNIT_ASSERT(errorOf(invalidSettings).message.find("/overload_order") != std::string::npos);
         const Result<NodeSettings> unknownPlacement = parseNodeSettings(
             R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":7720,"store_address":"10.0.0.2:81",
                 "filler_placement":"leave"})");
@@ -224,10 +227,12 @@
         CPPUNIT_ASSERT(errorOf(unknownPlacement).message.find("/filler_placement") != std::string::npos);
         const Result<NodeSettings> validSettings = parseNodeSettings(
             R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":7720,"store_address":"10.0.0.2:81","new":1,
-                "harm_ms":3000,"status_memory_s":120,"filler_placement":"stay"})");
+                "harm_ms":3000,"admission":"reject_unservable","status_memory_s":120,"filler_placement":"stay"})");
         CPPUNIT_ASSERT(isOk(validSettings));
         CPPUNIT_ASSERT_EQUAL(81, valueOf(validSettings).store.port);
         CPPUNIT_ASSERT(valueOf(validSettings).fillerPlacement == FillerPlacement::Stay);
+        CPPUNIT_ASSERT(valueOf(validSettings).admission == AdmissionMode::RejectUnservable);
+        CPPUNIT_ASSERT(valueOf(validSettings).overloadOrder == OverloadOrder::LeastSlack);
     }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformProtocolTest);
