Process: Read all settings with names by readName; Job: Use isOutcomeStored

JobOwnerTest 46, StartEvidenceTest 16, PlatformProtocolTest 13, LocalityWaitTest and OddEntryTest pass.

--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -307,8 +307,7 @@
     answer.kind = Wire::JobReplyKind::State;
     answer.phase = job->hasStarted() ? Wire::JobPhase::Running : Wire::JobPhase::Queued;
     // An outcome is reported only once it is stored, so that a later owner cannot revert it.
-    const bool stored = job->progressSequenceNumber <= m_state.storeWriter.storedSequenceNumber()
-        && !m_state.dirtyJobs.contains(call.jobId);
+    const bool stored = isOutcomeStored(*job);
     if (job->outcome() == Wire::JobOutcome::Cancelled)
         answer.phase = Wire::JobPhase::Cancelled;
     else if (job->outcome() == Wire::JobOutcome::Completed && stored)
--- a/Source/Shell/Process/NodeSettings.cpp
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -67,16 +67,6 @@
         return defaultValue;
     }
 
-    LocalityWaitMode readLocalityWait(JsonReader& reader)
-    {
-        const std::string name = reader.optionalString(
-            "locality_wait", maximumNameBytes, std::string(nameIn(localityWaitModeNames, LocalityWaitMode::Off)));
-        if (const LocalityWaitMode* mode = valueIn(localityWaitModeNames, name))
-            return *mode;
-        reader.addError(ErrorCode::InvalidField, "locality_wait", "must be off or expected_cost");
-        return LocalityWaitMode::Off;
-    }
-
 } // namespace
 
 Result<NodeSettings> parseNodeSettings(const std::string& text)
@@ -124,13 +114,8 @@
     if (settings.remoteFactor && *settings.remoteFactor < 1)
         reader.addError(ErrorCode::InvalidField, "remote_factor",
             "must be at least 1; leave it out where the place of a task makes no difference");
-    settings.localityWait = readLocalityWait(reader);
-    const std::string placement
-        = reader.optionalString("filler_placement", maximumNameBytes, std::string(fillerPlacementNames[0].name));
-    if (const FillerPlacement* value = valueIn(fillerPlacementNames, placement))
-        settings.fillerPlacement = *value;
-    else
-        reader.addError(ErrorCode::InvalidField, "filler_placement", "must be \"pace\" or \"stay\"");
+    settings.localityWait = readName(reader, "locality_wait", localityWaitModeNames, settings.localityWait);
+    settings.fillerPlacement = readName(reader, "filler_placement", fillerPlacementNames, settings.fillerPlacement);
     settings.admission = readName(reader, "admission", admissionModeNames, settings.admission);
     settings.overloadOrder = readName(reader, "overload_order", overloadOrderNames, settings.overloadOrder);
     settings.finishedJobRetention = readSeconds("status_memory_s", settings.finishedJobRetention);
