Placement: Place a filler after 10 s where it is tolerated now

Cause: with filler_placement = stay a filler could wait for good: a host whose serving task exceeds its target by its own load is ruled out while that lasts.

--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -239,7 +239,8 @@
             recordWait(task, WaitReason::NoRunNumber);
             continue;
         }
-        const PlacementRequest request = makePlacementRequest(job, step, task);
+        PlacementRequest request = makePlacementRequest(job, step, task);
+        request.hasWaitedLong = now - task.waitingSince >= m_placement.longestWaitToStay();
         const LocalityRequest locality { job, step, n };
         if (waitsForData(now, locality, request, nullptr, hostCounts, actions)) {
             recordWait(task, WaitReason::LocalPlace);
--- a/Source/Decision/Placement/FailedPlacements.cpp
+++ b/Source/Decision/Placement/FailedPlacements.cpp
@@ -13,7 +13,7 @@
         return;
     const Wire::StepDefinition& step = request.definition;
     m_failures.push_back(Failure { request.job.serviceName, step.requiredLabel, step.image, step.filler,
-        HostRegistry::mayRunTwice(step), step.demand, request.minimumPacePercent, hostCounts });
+        HostRegistry::mayRunTwice(step), step.demand, request.minimumPacePercent, request.hasWaitedLong, hostCounts });
 }
 
 const HostEligibilityCounts* FailedPlacements::find(const PlacementRequest& request) const
@@ -26,7 +26,8 @@
             && (failure.mayRunTwice || !HostRegistry::mayRunTwice(step));
         const bool needsAsMuch = step.demand.milliProcessors >= demand.milliProcessors
             && step.demand.memoryMegabytes >= demand.memoryMegabytes && step.demand.accelerators >= demand.accelerators
-            && request.minimumPacePercent >= failure.minimumPacePercent;
+            && request.minimumPacePercent >= failure.minimumPacePercent
+            && (failure.hasWaitedLong || !request.hasWaitedLong);
         return isSameKind && needsAsMuch;
     };
     const std::vector<Failure>::const_iterator it = std::find_if(m_failures.begin(), m_failures.end(), rulesOut);
--- a/Source/Decision/Placement/FailedPlacements.h
+++ b/Source/Decision/Placement/FailedPlacements.h
@@ -27,6 +27,7 @@
         bool mayRunTwice = false;
         Wire::Resources demand;
         int minimumPacePercent = 0;
+        bool hasWaitedLong = false;
         HostEligibilityCounts hostCounts;
     };
 
--- a/Source/Decision/Placement/Placement.cpp
+++ b/Source/Decision/Placement/Placement.cpp
@@ -97,6 +97,16 @@
     const Wire::StepDefinition& step = request.definition;
     if (host.freeMegabytes() - step.demand.memoryMegabytes < reservedMegabytes(host))
         return HostEligibility::NoMemory;
+    if (idleMilliCores(host) < step.demand.milliProcessors)
+        return HostEligibility::NoIdleProcessors;
+    if (m_paceController.tolerablePace(host, step.image, step.demand.milliProcessors) < request.minimumPacePercent)
+        return HostEligibility::FillerNotTolerated;
+    return request.hasWaitedLong ? HostEligibility::Eligible : evaluateStay(host, request);
+}
+
+HostEligibility Placement::evaluateStay(const Host& host, const PlacementRequest& request) const
+{
+    const Wire::StepDefinition& step = request.definition;
     const std::int64_t held = m_rules.countsHeldFillers ? heldBackMilliCores(host) : 0;
     if (idleMilliCores(host) - held < step.demand.milliProcessors)
         return HostEligibility::NoIdleProcessors;
@@ -108,8 +118,7 @@
     const double leastHeadroom = hasFillers(host) ? m_rules.leastHeadroom : std::min(1.0, m_rules.leastHeadroom);
     if (headroom < leastHeadroom)
         return HostEligibility::FillerNotTolerated;
-    if (m_paceController.tolerablePace(host, step.image, step.demand.milliProcessors)
-        < std::max(m_rules.minimumPacePercent, request.minimumPacePercent))
+    if (m_paceController.tolerablePace(host, step.image, step.demand.milliProcessors) < m_rules.minimumPacePercent)
         return HostEligibility::FillerNotTolerated;
     return HostEligibility::Eligible;
 }
--- a/Source/Decision/Placement/Placement.h
+++ b/Source/Decision/Placement/Placement.h
@@ -26,6 +26,9 @@
     double probePenalty = 3;
     /// No filler is placed beside a probe.
     bool avoidsProbes = false;
+    /// A filler waits this long for a host where it can stay. A job is late by then, and a host may stay ruled out for
+    /// good by a serving task that exceeds its target by its own load.
+    Duration longestWaitToStay = seconds(10);
     /// A filler needs a host that lets it run at this pace.
     int minimumPacePercent = 0;
     /// Headroom that the serving tasks of the host keep beside the filler.
@@ -47,6 +50,8 @@
     std::string rack;
     /// A filler needs a host that tolerates it at this pace or above.
     int minimumPacePercent = 30;
+    /// A filler that has waited long takes any host that tolerates it now; see PlacementRules::longestWaitToStay.
+    bool hasWaitedLong = false;
     /// The run will be halted once it has started, so its end may be forgotten.
     bool isEndTrial = false;
 };
@@ -82,6 +87,7 @@
     /// Whether a registered host of the service could hold a task of the step if the host were empty.
     static bool fitsAnyEmptyHost(
         const HostRegistry& hosts, const std::string& service, const Wire::StepDefinition& step);
+    Duration longestWaitToStay() const { return m_rules.longestWaitToStay; }
     /// Estimated processors of the host that no run uses.
     std::int64_t idleMilliCores(const Host& host) const;
     /// Memory of the host that fillers must leave free.
@@ -98,6 +104,8 @@
     /// before the quarantine do not count: a long-running one never ends.
     static bool isTrialUnderWay(const Host& host, Instant now);
     HostEligibility evaluateFiller(const Host& host, const PlacementRequest& request) const;
+    /// Whether a filler that the host tolerates now can stay there.
+    HostEligibility evaluateStay(const Host& host, const PlacementRequest& request) const;
     /// Preference among eligible hosts; higher is better.
     double score(const Host& host, const PlacementRequest& request) const;
     /// What a filler's interference with the serving tasks of the host takes from the score of the host.
--- a/Tests/Unit/FailedPlacementsTest.cpp
+++ b/Tests/Unit/FailedPlacementsTest.cpp
@@ -36,6 +36,9 @@
         CPPUNIT_ASSERT(isRuledOut(failures, job));
         CPPUNIT_ASSERT_MESSAGE("a higher pace is harder to find", isRuledOut(failures, job, 90));
         CPPUNIT_ASSERT(!isRuledOut(failures, job, 20));
+        PlacementRequest waited { job, job.steps[0], 0, 0, places, {} };
+        waited.hasWaitedLong = true;
+        CPPUNIT_ASSERT_MESSAGE("more hosts will do after a long wait", !failures.find(waited));
         Wire::JobDefinition other = job;
         other.steps[0].demand.milliProcessors = 3000;
         CPPUNIT_ASSERT(isRuledOut(failures, other));
--- a/Tests/Unit/PaceControllerTest.cpp
+++ b/Tests/Unit/PaceControllerTest.cpp
@@ -360,7 +360,8 @@
     }
 
     /// Whether a filler of the low-pressure image "quiet" may be placed on the host under the setting "stay".
-    static bool mayStay(const Simulation& simulation, const Host& host, std::int64_t milliCores)
+    static bool mayStay(
+        const Simulation& simulation, const Host& host, std::int64_t milliCores, bool hasWaitedLong = false)
     {
         const Placement placement(PlacementRules::forFillers(FillerPlacement::Stay), simulation.controller);
         Wire::StepDefinition step = makeStep(1, milliCores, 100);
@@ -368,7 +369,9 @@
         step.image = "quiet";
         const Wire::JobDefinition job = makeJob("0000000000000008", { step });
         const std::vector<RunPlace> noPlaces;
-        return placement.isEligible(host, PlacementRequest { job, step, 0, 0, noPlaces, {} }, at(10'000));
+        PlacementRequest request { job, step, 0, 0, noPlaces, {} };
+        request.hasWaitedLong = hasWaitedLong;
+        return placement.isEligible(host, request, at(10'000));
     }
 
     // Guards against fillers that are started beside serving tasks near their target, or beside a probe, where they
@@ -390,6 +393,7 @@
         };
         CPPUNIT_ASSERT(mayStayAtTail(40));
         CPPUNIT_ASSERT_MESSAGE("near the target beside a filler", !mayStayAtTail(120));
+        CPPUNIT_ASSERT_MESSAGE("a filler must not wait for good", mayStay(simulation, host, milliCores, true));
         host.probeUntil = at(11'000);
         CPPUNIT_ASSERT_MESSAGE("beside a probe", !mayStayAtTail(40));
         host.probeUntil = Instant();
