--- a/Source/Decision/Placement/Placement.h
+++ b/Source/Decision/Placement/Placement.h
@@ -28,7 +28,7 @@
     bool avoidsProbes = false;
     /// A filler waits this long for a host where it can stay. A job is late by then, and a host may stay ruled out for
     /// good by a serving task that exceeds its target by its own load.
-    Duration longestWaitToStay = seconds(10);
+    Duration longestWaitToStay = seconds(20);
     /// A filler needs a host that lets it run at this pace.
     int minimumPacePercent = 0;
     /// Headroom that the serving tasks of the host keep beside the filler.
