review: Add stand-ins for the second review

Cause: the cases of the second review need a store, executors with gangs and clients beside the deployed programs.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the second review into target/review-2. Run after the build of the deploy file.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+for source in review/*/case.cpp; do
+  number="$(basename "$(dirname "$source")")"
+  "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -I review/standins-2 "$source" -o "target/review-2/case-$number" &
+  builds+=("$!")
+done
+for build in "${builds[@]}"; do wait "$build"; done
