--- a/review/standins-2/Stage.h
+++ b/review/standins-2/Stage.h
@@ -667,6 +667,8 @@
     }
     /// While set, everything that the executor starts fails soon; it goes on announcing itself and answering.
     std::atomic<bool> failsAll { false };
+    /// When the executor last answered with its lists.
+    std::int64_t lastListMs() const { return m_lastListMs; }
     std::size_t unacknowledgedEnds()
     {
         const std::lock_guard<std::recursive_mutex> guard(m_fleet.mutex);
@@ -759,6 +761,7 @@
             lock, until, [this, life] { return !m_ends.empty() || !m_isUp || m_born != life; });
         if (!m_isUp || m_born != life)
             return Response {};
+        m_lastListMs = nowMs();
         Json running = Json::array();
         for (const std::pair<const std::string, Run>& entry : m_runs)
             running.push_back({ entry.first, entry.second.run, "", 0, 500 });
@@ -904,6 +907,7 @@
     Options m_options;
     std::condition_variable_any m_changed;
     std::atomic<bool> m_stopping { false };
+    std::atomic<std::int64_t> m_lastListMs { 0 };
     bool m_isUp = false;
     std::int64_t m_born = 0;
     Clock::time_point m_startedAt;
