Connection: Close idle connections that may be silent when a request times out

Cause: a burst leaves some 37 idle connections to a host. Each list took the oldest of them, timed out after 0.9 s and ended only that one, so the outage lasted a second for each connection; the lease is 5 s. The same held for the store: all calls of a process share one pool. Ruled out: lists that are sent too seldom (0.1 s after each failure), fences and leases (nothing was refused). Change: a request that times out closes the idle connections to the same peer that have not answered since the answer was due (ConnectionTable). Requests in progress and other peers keep theirs; nothing is sent or opened while requests are answered. Why it works: the connections of one peer go silent together, so one time-out is evidence against all that have not proved to work since; the next request opens a new one.

--- a/Source/Shell/Connection/HttpClient.cpp
+++ b/Source/Shell/Connection/HttpClient.cpp
@@ -1,7 +1,13 @@
 #include "Shell/Connection/HttpClient.h"
 
+#include "Base/LogLine.h"
+#include "Shell/Process/Clock.h"
+
 #include <curl/curl.h>
 #include <future>
+#include <spdlog/spdlog.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace Plantainpier {
 
@@ -22,32 +28,62 @@
         return size * count;
     }
 
+    /// Called by libcurl when it closes a connection, which may happen long after the transfer that opened it.
+    int closeSocket(void* data, curl_socket_t descriptor)
+    {
+        static_cast<ConnectionTable*>(data)->remove(descriptor);
+        return ::close(descriptor);
+    }
+
 } // namespace
 
 struct HttpClient::Transfer {
     HttpRequest request;
     OnResponse onResponse;
     HttpResponse response;
+    ConnectionTable* connections = nullptr;
+    /// Address and port of the peer.
+    std::string peer;
     curl_slist* headers = nullptr;
     /// How many times the request has been sent, completely or in part.
     int sendCount = 0;
+    /// The connection that was opened for this transfer last, until the request is sent on it.
+    ConnectionId openedConnection = noConnection;
+    /// The connection on which the request was sent last.
+    ConnectionId connection = noConnection;
 
     ~Transfer() { curl_slist_free_all(headers); }
 
+    /// Called by libcurl to open a connection.
+    static curl_socket_t openSocket(void* data, curlsocktype, curl_sockaddr* address)
+    {
+        Transfer& transfer = *static_cast<Transfer*>(data);
+        const int descriptor = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+        if (descriptor < 0)
+            return CURL_SOCKET_BAD;
+        transfer.openedConnection = transfer.connections->add(descriptor, transfer.peer);
+        return descriptor;
+    }
+
     /// Called by libcurl when a connection is established, before any byte of the request is sent on it. Aborts the
     /// transfer instead of sending a request again that must not be repeated.
-    static int onBeforeSend(void* data, char*, char*, int, int)
+    static int onBeforeSend(void* data, char*, char*, int, int localPort)
     {
         Transfer& transfer = *static_cast<Transfer*>(data);
         if (transfer.sendCount > 0 && !transfer.request.mayResend)
             return CURL_PREREQFUNC_ABORT;
         ++transfer.sendCount;
+        transfer.connection = std::exchange(transfer.openedConnection, noConnection);
+        if (transfer.connection != noConnection)
+            transfer.connections->onEstablished(steadyNow(), transfer.connection, localPort);
+        else
+            transfer.connection = transfer.connections->onReused(transfer.peer, localPort);
         return CURL_PREREQFUNC_OK;
     }
 
     void configure(CURL* handle)
     {
-        const std::string url = "http://" + request.address + ":" + std::to_string(request.port) + request.path;
+        const std::string url = "http://" + peer + request.path;
         curl_easy_reset(handle);
         curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
         curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
@@ -64,6 +100,10 @@
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
         curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, onBeforeSend);
         curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
+        curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, openSocket);
+        curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, closeSocket);
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, connections);
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(toMilliseconds(request.timeout)));
         curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(toMilliseconds(connectTimeout)));
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
@@ -121,6 +161,8 @@
 {
     std::unique_ptr<Transfer> transfer = std::make_unique<Transfer>();
     transfer->request = std::move(request);
+    transfer->peer = transfer->request.address + ":" + std::to_string(transfer->request.port);
+    transfer->connections = &m_connections;
     transfer->onResponse = std::move(onResponse);
     {
         std::lock_guard<std::mutex> lock(m_mutex);
@@ -171,6 +213,10 @@
         const std::unique_ptr<Transfer> transfer = std::move(it->second);
         m_running.erase(it);
         transfer->finish(handle, code);
+        if (code == CURLE_OK)
+            m_connections.onAnswered(steadyNow(), transfer->connection);
+        else if (code == CURLE_OPERATION_TIMEDOUT && transfer->sendCount > 0)
+            closeIdleConnections(*transfer);
         curl_multi_remove_handle(static_cast<CURLM*>(m_multi), handle);
         if (m_idleHandles.size() < maximumIdleHandles)
             m_idleHandles.push_back(handle);
@@ -180,6 +226,27 @@
     }
 }
 
+void HttpClient::closeIdleConnections(const Transfer& timedOut)
+{
+    // If the peer lives, it has been silent on this connection at the latest since the answer was overdue. A connection
+    // that has answered since then works.
+    const Duration overdueFor = timedOut.request.timeout - timedOut.request.pollWait;
+    const std::vector<int> descriptors = m_connections.findIdleUnprovedSince(timedOut.peer, steadyNow() - overdueFor);
+    if (descriptors.empty())
+        return;
+    // libcurl finds a connection that has been shut down when it is about to use it again, and closes it.
+    for (const int descriptor : descriptors)
+        ::shutdown(descriptor, SHUT_RDWR);
+    m_idleConnectionsClosed += descriptors.size();
+    spdlog::info("{}",
+        LogLine("idle_connections_closed")
+            .add("peer", timedOut.peer)
+            .add("count", descriptors.size())
+            .add("path", timedOut.request.path.substr(0, timedOut.request.path.find('?')))
+            .add("overdue_ms", toMilliseconds(overdueFor))
+            .text());
+}
+
 void HttpClient::failAll()
 {
     for (std::pair<void* const, std::unique_ptr<Transfer>>& entry : m_running) {
--- a/Tests/Process/HttpClientTest.cpp
+++ b/Tests/Process/HttpClientTest.cpp
@@ -6,6 +6,7 @@
 #include "platform/StoreProtocol.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <future>
 #include <thread>
 
 using namespace Plantainpier;
@@ -22,10 +23,30 @@
     CPPUNIT_TEST(nothingIsSentToAClosedPort);
     CPPUNIT_TEST(ordersKeepTheirConnection);
     CPPUNIT_TEST(aLateAnswerIsNotTakenForTheNextOne);
+    CPPUNIT_TEST(listsAreAnsweredAfterOneSilentConnection);
+    CPPUNIT_TEST(listsAreAnsweredAfterSixtySilentConnections);
+    CPPUNIT_TEST(readsAreAnsweredAfterSixtySilentConnections);
+    CPPUNIT_TEST(appendsAreAnsweredAfterSixtySilentConnections);
+    CPPUNIT_TEST(connectionsToOtherServersAreKept);
     CPPUNIT_TEST_SUITE_END();
 
+    using SteadyClock = std::chrono::steady_clock;
+    using MakeRequest = std::function<HttpRequest(const HttpStandIn& standIn, int number)>;
+
+    static constexpr int manyConnections = 60;
+    /// The platform's bound contact_ms: a process counts as in touch again this long after a disruption.
+    static constexpr std::chrono::seconds contactTime { 3 };
+
     std::shared_ptr<HttpClient> m_http;
 
+    static HttpRequest listRequest(const HttpStandIn& standIn, int)
+    {
+        ListHost list;
+        list.hostId = "host-1";
+        list.wait = HostAgentTiming {}.listWait;
+        return HostProtocol("127.0.0.1", standIn.port()).encodeList(list);
+    }
+
     static HttpRequest startRequest(const HttpStandIn& standIn, int run)
     {
         StartOnHost order;
@@ -58,6 +79,39 @@
         return kind == HttpResponse::Kind::NotConnected ? "not connected" : "broken";
     }
 
+    /// Sends this many requests at the same time and waits for their answers, so that each has a connection.
+    void openConnections(const HttpStandIn& standIn, int count, const MakeRequest& makeRequest) const
+    {
+        std::vector<std::future<HttpResponse>> answers;
+        for (int n = 1; n <= count; ++n) {
+            const std::shared_ptr<std::promise<HttpResponse>> promise = std::make_shared<std::promise<HttpResponse>>();
+            answers.push_back(promise->get_future());
+            m_http->submit(makeRequest(standIn, n),
+                [promise](HttpResponse&& response) { promise->set_value(std::move(response)); });
+        }
+        for (std::future<HttpResponse>& answer : answers)
+            CPPUNIT_ASSERT_EQUAL(kindName(HttpResponse::Kind::Answered), kindName(answer.get().kind));
+        CPPUNIT_ASSERT_EQUAL(count, standIn.acceptedCount());
+    }
+
+    /// Opens idle connections, silences them, and repeats a request until it is answered.
+    void checkServiceAfterSilence(int connections, const MakeRequest& makeRequest) const
+    {
+        HttpStandIn standIn({ .requestsAtOnce = connections });
+        openConnections(standIn, connections, makeRequest);
+        standIn.silenceOpenConnections();
+        const SteadyClock::time_point silentAt = SteadyClock::now();
+        int unanswered = 0;
+        for (int n = connections + 1; SteadyClock::now() - silentAt < contactTime; ++n) {
+            if (m_http->fetch(makeRequest(standIn, n)).kind == HttpResponse::Kind::Answered)
+                break;
+            ++unanswered;
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("requests without an answer", 1, unanswered);
+        CPPUNIT_ASSERT(SteadyClock::now() - silentAt < contactTime);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("new connections", connections + 1, standIn.acceptedCount());
+    }
+
     void checkKind(const std::string& what, HttpResponse::Kind expected, HttpRequest&& request) const
     {
         const HttpResponse response = m_http->fetch(std::move(request));
@@ -175,6 +229,33 @@
         CPPUNIT_ASSERT_EQUAL(2, standIn.acceptedCount());
     }
 
+    // Guards against a client that sends each request over a further idle connection of those that have gone silent, so
+    // that a host is out of reach for a second for each connection that was open to it.
+    void listsAreAnsweredAfterSixtySilentConnections() { checkServiceAfterSilence(manyConnections, listRequest); }
+
+    // Guards against the same with the only connection.
+    void listsAreAnsweredAfterOneSilentConnection() { checkServiceAfterSilence(1, listRequest); }
+
+    // Guards against the same towards the store, with requests that may be sent twice.
+    void readsAreAnsweredAfterSixtySilentConnections() { checkServiceAfterSilence(manyConnections, readRequest); }
+
+    // Guards against the same towards the store, with requests that must not be sent twice.
+    void appendsAreAnsweredAfterSixtySilentConnections() { checkServiceAfterSilence(manyConnections, appendRequest); }
+
+    // Guards against new connections to all peers whenever one of them is slow.
+    void connectionsToOtherServersAreKept()
+    {
+        HttpStandIn silent({});
+        HttpStandIn other({ .requestsAtOnce = manyConnections });
+        openConnections(silent, 1, startRequest);
+        openConnections(other, manyConnections, startRequest);
+        silent.silenceOpenConnections();
+        checkKind("silent", HttpResponse::Kind::Broken, startRequest(silent, 2));
+        for (int n = 1; n <= manyConnections; ++n)
+            checkKind("other", HttpResponse::Kind::Answered, startRequest(other, n));
+        CPPUNIT_ASSERT_EQUAL(manyConnections, other.acceptedCount());
+    }
+
     // Guards against opening a new connection for each order.
     void ordersKeepTheirConnection()
     {
--- a/Tests/Process/HttpStandIn.cpp
+++ b/Tests/Process/HttpStandIn.cpp
@@ -62,6 +62,13 @@
         [&text](const std::string& request) { return request.find(text) != std::string::npos; }));
 }
 
+void HttpStandIn::silenceOpenConnections()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    for (Connection& connection : m_connections)
+        connection.silent = true;
+}
+
 void HttpStandIn::runServer()
 {
     while (!m_stopping)
@@ -79,13 +86,15 @@
     for (std::size_t n = m_connections.size(); n > 0; --n) {
         if (entries[n].revents == 0 || serveConnection(m_connections[n - 1]))
             continue;
+        std::lock_guard<std::mutex> lock(m_mutex);
         ::close(m_connections[n - 1].descriptor);
         m_connections.erase(m_connections.begin() + static_cast<std::ptrdiff_t>(n - 1));
         ++m_closed;
     }
     if (m_listener < 0 || entries[0].revents == 0)
         return;
-    m_connections.push_back(Connection { ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC), {} });
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_connections.push_back(Connection { ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC), {}, false });
     ++m_accepted;
 }
 
@@ -103,10 +112,34 @@
     int number = 0;
     {
         std::lock_guard<std::mutex> lock(m_mutex);
+        if (connection.silent) {
+            connection.buffer.clear();
+            return true;
+        }
         m_requests.push_back(std::move(connection.buffer));
         number = static_cast<int>(m_requests.size());
     }
     connection.buffer.clear();
+    if (number <= m_behaviour.requestsAtOnce) {
+        m_heldDescriptors.push_back(connection.descriptor);
+        return number < m_behaviour.requestsAtOnce || answerHeld();
+    }
+    return answer(connection, number);
+}
+
+/// Answers the requests that were held until all of them had arrived.
+bool HttpStandIn::answerHeld()
+{
+    bool sent = true;
+    for (const int descriptor : m_heldDescriptors)
+        sent = ::send(descriptor, cannedResponse.data(), cannedResponse.size(), MSG_NOSIGNAL) > 0 && sent;
+    m_heldDescriptors.clear();
+    return sent;
+}
+
+/// Returns false if the connection must be closed.
+bool HttpStandIn::answer(const Connection& connection, int number)
+{
     if (number == m_behaviour.unansweredRequest) {
         if (m_behaviour.closesPort) {
             ::close(m_listener);
--- a/Tests/Process/HttpStandIn.h
+++ b/Tests/Process/HttpStandIn.h
@@ -26,6 +26,8 @@
         int lateRequest = noRequest;
         /// This request is answered; its connection is closed afterwards.
         int lastBeforeClose = noRequest;
+        /// The first requests, this many, are answered once all of them have arrived, so that each needs a connection.
+        int requestsAtOnce = noRequest;
     };
 
     explicit HttpStandIn(const Behaviour& behaviour);
@@ -38,16 +40,21 @@
     int closedCount() const { return m_closed; }
     /// Number of received requests that contain the text.
     int countReceived(const std::string& text);
+    /// What arrives from now on over the connections that are open now is lost, without a reset. New connections work.
+    void silenceOpenConnections();
 
 private:
     struct Connection {
         int descriptor = -1;
         std::string buffer;
+        bool silent = false;
     };
 
     void runServer();
     void serveReadable();
     bool serveConnection(Connection& connection);
+    bool answer(const Connection& connection, int number);
+    bool answerHeld();
 
     const Behaviour m_behaviour;
     int m_listener = -1;
@@ -58,6 +65,8 @@
     std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::vector<Connection> m_connections;
+    /// Connections whose requests wait for the others of Behaviour::requestsAtOnce.
+    std::vector<int> m_heldDescriptors;
     std::thread m_thread;
 };
 
