Tests: Silence kept connections to hosts, to the store and between processes

Its stand-ins used HttpServer, which closes a connection after each answer unless the caller asks to keep it (seen with curl: Connection: Close), so the programs had no idle connections. Change: KeepAliveServer, a server for stand-ins that keeps connections; the soak's hosts and store use it.

--- a/Tests/Process/Relay.h
+++ b/Tests/Process/Relay.h
@@ -22,6 +22,8 @@
     /// Drops all further data of existing connections in the given directions; the connections stay open. New
     /// connections work.
     void silenceExisting(bool towardsTarget, bool towardsCaller);
+    /// Number of open connections, silent ones included.
+    std::size_t connectionCount() { return openConnections().size(); }
     /// Resets existing connections; new connections work.
     void resetExisting();
     /// Delays all data of all connections by this time.
--- a/Tests/Soak/HostStandIn.cpp
+++ b/Tests/Soak/HostStandIn.cpp
@@ -57,8 +57,8 @@
     int number, int port, Relay& relay, int sidePort, RunAudit& audit, std::shared_ptr<HttpClient> http, unsigned seed)
 {
     std::unique_ptr<HostStandIn> host(new HostStandIn(number, relay, sidePort, audit, std::move(http), seed));
-    Result<std::unique_ptr<HttpServer>> server = HttpServer::create("127.0.0.1", port, 1,
-        [raw = host.get()](const std::shared_ptr<HttpCall>& call) { raw->onCall(call); }, { "Target-Instance" });
+    Result<std::unique_ptr<KeepAliveServer>> server = KeepAliveServer::create(
+        port, [raw = host.get()](const std::shared_ptr<HttpCall>& call) { raw->onCall(call); });
     if (!isOk(server))
         return errorOf(server);
     host->m_server = takeValue(std::move(server));
--- a/Tests/Soak/HostStandIn.h
+++ b/Tests/Soak/HostStandIn.h
@@ -6,8 +6,8 @@
 #include "Base/Json.h"
 #include "Process/Relay.h"
 #include "Shell/Connection/HttpClient.h"
-#include "Shell/Connection/HttpServer.h"
 #include "Soak/RunAudit.h"
+#include "Support/KeepAliveServer.h"
 
 #include <deque>
 #include <random>
@@ -139,7 +139,7 @@
     std::vector<WaitingListCall> m_waitingListCalls;
     bool m_stopping = false;
     std::thread m_backgroundThread;
-    std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<KeepAliveServer> m_server;
 };
 
 } // namespace Plantainpier
--- a/Tests/Soak/StoreStandIn.cpp
+++ b/Tests/Soak/StoreStandIn.cpp
@@ -9,7 +9,6 @@
     using Guard = std::lock_guard<std::mutex>;
     using SteadyClock = std::chrono::steady_clock;
 
-    constexpr int serverThreads = 4;
     constexpr std::chrono::milliseconds backgroundInterval(5);
     constexpr std::size_t maximumRememberedAnswers = 5;
     constexpr std::size_t newestPageSize = 500;
@@ -54,8 +53,8 @@
 Result<std::unique_ptr<StoreStandIn>> StoreStandIn::create(int port, unsigned seed)
 {
     std::unique_ptr<StoreStandIn> store(new StoreStandIn(seed));
-    Result<std::unique_ptr<HttpServer>> server = HttpServer::create("127.0.0.1", port, serverThreads,
-        [raw = store.get()](const std::shared_ptr<HttpCall>& call) { raw->onCall(call); });
+    Result<std::unique_ptr<KeepAliveServer>> server = KeepAliveServer::create(
+        port, [raw = store.get()](const std::shared_ptr<HttpCall>& call) { raw->onCall(call); });
     if (!isOk(server))
         return errorOf(server);
     store->m_server = takeValue(std::move(server));
@@ -193,7 +192,7 @@
     return answer;
 }
 
-void StoreStandIn::addRecords(Topic& topic, const std::string& body)
+void StoreStandIn::addRecords(Topic& topic, const std::string& body) const
 {
     for (std::size_t at = 0; at + 4 < body.size();) {
         const std::size_t length = numberAt(body, at, 4);
@@ -201,6 +200,8 @@
         const std::size_t keyLength = static_cast<unsigned char>(body[at]);
         Record record { body.substr(at + 1, keyLength), body.substr(at + 1 + keyLength, length - 1 - keyLength) };
         at += length;
+        if (onRecord)
+            record.value = onRecord(record.key, std::move(record.value));
         if (record.value.empty())
             topic.newest.erase(record.key);
         else
--- a/Tests/Soak/StoreStandIn.h
+++ b/Tests/Soak/StoreStandIn.h
@@ -4,10 +4,11 @@
 #pragma once
 
 #include "Base/Json.h"
-#include "Shell/Connection/HttpServer.h"
+#include "Support/KeepAliveServer.h"
 
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -35,6 +36,9 @@
     StoreStandIn(const StoreStandIn&) = delete;
     StoreStandIn& operator=(const StoreStandIn&) = delete;
 
+    /// Hook: returns the value to store in place of the one that a process appends. Set before any process connects.
+    std::function<std::string(const std::string& key, std::string value)> onRecord;
+
     void setBehaviour(StoreBehaviour behaviour);
     /// Drops all history except the newest record of each key; waiting reads are never answered.
     void compact();
@@ -85,7 +89,7 @@
     Answer newest(const std::string& query);
     Answer append(const std::string& query, const std::string& body);
     static Answer conflict(const char* reason);
-    static void addRecords(Topic& topic, const std::string& body);
+    void addRecords(Topic& topic, const std::string& body) const;
     void answerRead(const WaitingRead& read);
     void answerDueReads();
     void runBackgroundLoop();
@@ -99,7 +103,7 @@
     std::condition_variable m_changed;
     bool m_stopping = false;
     std::thread m_backgroundThread;
-    std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<KeepAliveServer> m_server;
 };
 
 } // namespace Plantainpier
