Process: Leave half of a host's connections unused, so that silent ones can be replaced

Cause: a host of the platform serves 64 connections. It does not learn that a connection has gone silent, so after a burst had used all of them no new one was accepted. Ruled out: the time to find the silence (the new job had started on the other host after 1517 ms). Change: a side has at most 28 orders in flight; with two lists that is 30 connections, and 30 new ones can take their place. Starts beyond that wait for an answer, and are refused if the host begins to drain meanwhile. Lists are not held up.

--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -139,6 +139,7 @@
     m_leaseBound.reset();
     m_clockMilliseconds = 0;
     raiseLocalFence();
+    m_waitingStarts.clear();
     m_halts.clear();
     m_paces.clear();
     m_acknowledgedPaces.clear();
@@ -378,14 +379,10 @@
     m_acknowledgedNumber = std::max(m_acknowledgedNumber, orders.acknowledgedNumber);
     m_listWanted = true;
     for (const Wire::StartOrder& start : orders.starts) {
-        if (m_host->draining || m_candidate) {
-            const char* reason = m_host->draining ? "draining" : "candidate_announced";
-            sendResult(now, start.task, start.run, Wire::OrderOutcome::Refused, reason, actions);
-            continue;
-        }
-        actions.push_back(StartOnHost {
+        m_waitingStarts.push_back(StartOnHost {
             m_host->hostId, m_host->incarnation, fence(), m_leaseUntilMilliseconds, m_clockMilliseconds, start });
     }
+    sendStarts(now, actions);
     for (const Wire::HaltOrder& halt : orders.halts)
         addHalt(now, halt.task, halt.run, "stopped_before_it_ran");
     for (const Wire::PaceOrder& pace : orders.paces)
@@ -393,6 +390,45 @@
     sendPaces(now, actions);
 }
 
+bool HostAgent::maySendOrder() const { return m_ordersInFlight < m_timing.maximumOrdersInFlight; }
+
+void HostAgent::sendWaitingOrders(Instant now, Actions& actions)
+{
+    if (!m_host)
+        return;
+    sendStarts(now, actions);
+    sendPaces(now, actions);
+}
+
+void HostAgent::sendHalts(Instant now, Actions& actions)
+{
+    for (std::pair<const RunKey, Halt>& entry : m_halts) {
+        Halt& halt = entry.second;
+        if (halt.inFlight || halt.answered || now < halt.nextSendAt)
+            continue;
+        if (!maySendOrder())
+            return;
+        ++m_ordersInFlight;
+        halt.inFlight = true;
+        actions.push_back(HaltOnHost { m_host->hostId, m_host->incarnation, fence(), halt.order });
+    }
+}
+
+void HostAgent::sendStarts(Instant now, Actions& actions)
+{
+    while (!m_waitingStarts.empty() && maySendOrder()) {
+        StartOnHost start = std::move(m_waitingStarts.front());
+        m_waitingStarts.pop_front();
+        if (m_host->draining || m_candidate) {
+            const char* reason = m_host->draining ? "draining" : "candidate_announced";
+            sendResult(now, start.order.task, start.order.run, Wire::OrderOutcome::Refused, reason, actions);
+            continue;
+        }
+        ++m_ordersInFlight;
+        actions.push_back(std::move(start));
+    }
+}
+
 void HostAgent::adoptOwnerFence(Instant now, std::int64_t fence)
 {
     m_ownerFence = fence;
@@ -419,6 +455,14 @@
 }
 
 void HostAgent::onStartResponse(Instant now, const StartOnHost& order, const HostResponse& response, Actions& actions)
+{
+    --m_ordersInFlight;
+    handleStartResponse(now, order, response, actions);
+    sendWaitingOrders(now, actions);
+}
+
+void HostAgent::handleStartResponse(
+    Instant now, const StartOnHost& order, const HostResponse& response, Actions& actions)
 {
     if (!isForCurrentIncarnation(order))
         return;
@@ -485,16 +529,16 @@
 
 void HostAgent::onHaltResponse(Instant now, const HaltOnHost& order, const HostResponse& response, Actions& actions)
 {
-    (void)actions;
+    --m_ordersInFlight;
     std::map<RunKey, Halt>::iterator it = m_halts.find(runKey(order.order.task, order.order.run));
-    if (it == m_halts.end() || !isForCurrentIncarnation(order))
-        return;
-    it->second.inFlight = false;
-    it->second.answered = response.answer == HostAnswer::Done;
-    it->second.answeredAt = now;
-    it->second.nextSendAt = now + m_timing.orderRetryDelay;
-    if (it->second.answered)
-        m_listWanted = true;
+    if (it != m_halts.end() && isForCurrentIncarnation(order)) {
+        it->second.inFlight = false;
+        it->second.answered = response.answer == HostAnswer::Done;
+        it->second.answeredAt = now;
+        it->second.nextSendAt = now + m_timing.orderRetryDelay;
+        m_listWanted = m_listWanted || it->second.answered;
+    }
+    sendWaitingOrders(now, actions);
 }
 
 void HostAgent::addPace(Instant now, const Wire::PaceOrder& order)
@@ -518,6 +562,9 @@
         PendingPace& pace = entry.second;
         if (pace.callsInFlight.contains(pace.newestCall) || now < pace.nextSendAt)
             continue;
+        if (!maySendOrder())
+            return;
+        ++m_ordersInFlight;
         pace.overlapped = !pace.callsInFlight.empty();
         pace.newestCall = ++m_lastPaceCall;
         pace.callsInFlight.insert(pace.newestCall);
@@ -527,6 +574,14 @@
 }
 
 void HostAgent::onPaceResponse(Instant now, const SetPaceOnHost& order, const HostResponse& response, Actions& actions)
+{
+    --m_ordersInFlight;
+    handlePaceResponse(now, order, response, actions);
+    sendWaitingOrders(now, actions);
+}
+
+void HostAgent::handlePaceResponse(
+    Instant now, const SetPaceOnHost& order, const HostResponse& response, Actions& actions)
 {
     std::map<RunKey, PendingPace>::iterator it = m_paces.find(runKey(order.order.task, order.order.run));
     if (!isForCurrentIncarnation(order) || it == m_paces.end() || it->second.callsInFlight.erase(order.callNumber) == 0)
@@ -545,7 +600,6 @@
     }
     // The newest order is repeated once all earlier calls have been answered.
     pace.nextSendAt = pace.callsInFlight.empty() ? now : now + m_timing.longestPaceRetryDelay;
-    sendPaces(now, actions);
 }
 
 void HostAgent::onPaceNotSet(Instant now, PendingPace& pace, const HostResponse& response, Actions& actions)
@@ -820,14 +874,8 @@
         actions.push_back(makeInquiry(now));
     if (!m_host)
         return;
-    for (std::pair<const RunKey, Halt>& entry : m_halts) {
-        Halt& halt = entry.second;
-        if (halt.inFlight || halt.answered || now < halt.nextSendAt)
-            continue;
-        halt.inFlight = true;
-        actions.push_back(HaltOnHost { m_host->hostId, m_host->incarnation, fence(), halt.order });
-    }
-    sendPaces(now, actions);
+    sendHalts(now, actions);
+    sendWaitingOrders(now, actions);
     reportAcknowledgedPaces(now, actions);
     // Without an owner there is no recipient for a report and no fence for a list.
     const bool due = m_listWanted || m_ownerLink.isUp();
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -51,6 +51,10 @@
     Duration ownerReadWait = milliseconds(700);
     /// The platform's longest lease.
     Duration longestLease = seconds(10);
+    /// Orders to the host that may be unanswered at a time; each takes a connection, as do two lists. The platform's
+    /// hosts serve 64 connections and go on counting those that have gone silent, so less than half of them are used:
+    /// then as many new ones can take their place.
+    std::size_t maximumOrdersInFlight = 28;
 };
 
 /// Runs one side without a clock, threads or sockets. One object per process.
@@ -124,9 +128,17 @@
     void reportAnnouncement(Instant now, Actions& actions);
     void applyClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
     void onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions);
+    /// Whether one more order may be sent to the host now.
+    bool maySendOrder() const;
+    /// Sends the starts and paces that wait, as far as maySendOrder() allows.
+    void sendWaitingOrders(Instant now, Actions& actions);
+    void sendHalts(Instant now, Actions& actions);
+    void sendStarts(Instant now, Actions& actions);
     void addStartPace(Instant now, const Wire::StartOrder& start, Actions& actions);
     void addPace(Instant now, const Wire::PaceOrder& order);
     void sendPaces(Instant now, Actions& actions);
+    void handleStartResponse(Instant now, const StartOnHost& order, const HostResponse& response, Actions& actions);
+    void handlePaceResponse(Instant now, const SetPaceOnHost& order, const HostResponse& response, Actions& actions);
     void onPaceNotSet(Instant now, PendingPace& pace, const HostResponse& response, Actions& actions);
     /// Records what the host has acknowledged, to report it with the next message to the owner.
     void acknowledgePace(Instant now, const Wire::TaskName& task, int run, int percent);
@@ -232,6 +244,10 @@
     Instant m_listSentAt;
     Instant m_lastListAnswerAt;
     Instant m_nextListAt;
+    /// Orders that the host has not answered. Those to earlier incarnations count too, because they use connections.
+    std::size_t m_ordersInFlight = 0;
+    /// Starts that wait until fewer orders are in flight, with the fence that was in force when they arrived.
+    std::deque<StartOnHost> m_waitingStarts;
     std::map<RunKey, Halt> m_halts;
     /// The newest unacknowledged pace order of each run. Only this one is repeated, so that an older order cannot
     /// override it.
--- a/Tests/Process/SilentConnectionTest.cpp
+++ b/Tests/Process/SilentConnectionTest.cpp
@@ -233,8 +233,8 @@
     /// The platform's bound contact_ms.
     static constexpr std::chrono::milliseconds contactTime { 3000 };
     static constexpr int longRunningTasks = 2;
-    /// Enough tasks that start at once for sixty connections to each host.
-    static constexpr int tasksOfWideJob = 60 * RelayedSystem::hostCount;
+    /// Starts all its tasks at once, so that each side opens as many connections to its host as it may.
+    static constexpr int tasksOfWideJob = 120;
 
     using Silence = std::function<void(RelayedSystem& system)>;
 
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -5,6 +5,8 @@
 #include "Wire/Codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+#include <set>
 
 using namespace Plantainpier;
 
@@ -26,6 +28,8 @@
     CPPUNIT_TEST(aStartThatALaterIncarnationAnswersIsNotReported);
     CPPUNIT_TEST(aStartResponseThatAListOvertookDoesNotEndTheHost);
     CPPUNIT_TEST(aStartRefusedAsOldIsHalted);
+    CPPUNIT_TEST(ordersLeaveConnectionsOfTheHostUnused);
+    CPPUNIT_TEST(startsThatWaitAreRefusedOnceTheHostDrains);
     CPPUNIT_TEST(anAnnouncementRevokesADepartureNotice);
     CPPUNIT_TEST(aDepartureNoticeEndsADrainingHostOnceThePortIsClosed);
     CPPUNIT_TEST(anAnnouncementOfAnotherHostEndsNoLivingHost);
@@ -384,6 +388,64 @@
         CPPUNIT_ASSERT_EQUAL(Wire::OrderOutcome::Started, report.results.at(0).outcome);
     }
 
+    static Wire::HostOrders makeWideOrders(int starts)
+    {
+        Wire::HostOrders orders = Harness::makeStartOrders(4);
+        const Wire::StartOrder first = orders.starts.at(0);
+        for (int n = 1; n < starts; ++n) {
+            orders.starts.push_back(first);
+            orders.starts.back().task.index = first.task.index + n;
+        }
+        return orders;
+    }
+
+    // Guards against a burst that uses up the connections which a host serves, so that none is left to replace them
+    // when they go silent.
+    void ordersLeaveConnectionsOfTheHostUnused()
+    {
+        constexpr int starts = 60;
+        const std::size_t limit = HostAgentTiming {}.maximumOrdersInFlight;
+        constexpr std::size_t connectionsOfAHost = 64;
+        constexpr std::size_t lists = 2;
+        CPPUNIT_ASSERT(2 * (limit + lists) <= connectionsOfAHost);
+        Harness harness;
+        std::deque<StartOnHost> unanswered;
+        for (const StartOnHost& start : actionsOf<StartOnHost>(harness.sendOrders(10, makeWideOrders(starts))))
+            unanswered.push_back(start);
+        CPPUNIT_ASSERT_EQUAL(limit, unanswered.size());
+        std::set<int> sent;
+        for (int n = 0; !unanswered.empty(); ++n) {
+            sent.insert(unanswered.front().order.task.index);
+            Actions actions;
+            harness.agent.onStartResponse(at(11 + n), unanswered.front(), makeResponse(HostAnswer::Done), actions);
+            unanswered.pop_front();
+            for (const StartOnHost& start : actionsOf<StartOnHost>(actions))
+                unanswered.push_back(start);
+            CPPUNIT_ASSERT(unanswered.size() <= limit);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(starts), sent.size());
+    }
+
+    // Guards against starts on a draining host that were ordered before it began to drain.
+    void startsThatWaitAreRefusedOnceTheHostDrains()
+    {
+        Harness harness;
+        const std::vector<StartOnHost> sent = actionsOf<StartOnHost>(harness.sendOrders(10, makeWideOrders(60)));
+        HostDescription draining = describeHost(1, 2);
+        draining.draining = true;
+        Actions actions;
+        harness.agent.onAnnouncement(at(20), draining, actions);
+        Actions after;
+        harness.agent.onStartResponse(at(21), sent.at(0), makeResponse(HostAnswer::Done), after);
+        CPPUNIT_ASSERT(actionsOf<StartOnHost>(after).empty());
+        std::size_t refused = 0;
+        for (const Wire::HostReport& report : messagesOf<Wire::HostReport>(after)) {
+            for (const Wire::OrderResult& result : report.results)
+                refused += result.outcome == Wire::OrderOutcome::Refused && result.reason == "draining" ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(60) - sent.size(), refused);
+    }
+
     // Guards against a second run of a task that has ended: the host refuses a repeated start order as old.
     void aStartRefusedAsOldIsHalted()
     {
