Connection: End accepted links on which nothing arrives for 10 s

Cause: the process that opened a link replaces it when it goes silent; the one that accepted it kept two threads, a queue and a descriptor for each such link for good, in an owner for each side and entry. Change: accepted links end after 10 s without a message. Who opens a link sends heartbeats a second apart at most, so nothing more is sent. Result: LinkTest.anAcceptedLinkThatFallsSilentEnds, which failed before (did not end without heartbeats); LinkTest passed.

--- a/Source/Shell/Connection/LinkHub.cpp
+++ b/Source/Shell/Connection/LinkHub.cpp
@@ -20,12 +20,14 @@
 {
 }
 
-Result<std::unique_ptr<LinkHub>> LinkHub::create(const std::string& address, int port, LinkHooks hooks)
+Result<std::unique_ptr<LinkHub>> LinkHub::create(
+    const std::string& address, int port, LinkHooks hooks, Duration acceptedTimeout)
 {
     std::unique_ptr<LinkHub> hub(new LinkHub(std::move(hooks)));
     try {
         hub->m_server = std::make_shared<TServerSocket>(address, port);
         hub->m_server->setSendTimeout(sendTimeoutMilliseconds);
+        hub->m_server->setRecvTimeout(static_cast<int>(toMilliseconds(acceptedTimeout)));
         hub->m_server->listen();
     } catch (const std::exception& exception) {
         return Error { ErrorCode::AddressInUse,
--- a/Source/Shell/Connection/LinkHub.h
+++ b/Source/Shell/Connection/LinkHub.h
@@ -13,7 +13,13 @@
 /// The Thrift port and the links of one process. Used by DecisionProcess; lives for the process.
 class LinkHub {
 public:
-    static Result<std::unique_ptr<LinkHub>> create(const std::string& address, int port, LinkHooks hooks);
+    /// How long the peer of an accepted link may send nothing. A peer that opens a link sends heartbeats on it, a
+    /// second apart at most (LinkTiming), and opens a new link if it gets no answer; without this limit the silent one
+    /// would keep its threads and its descriptor for good.
+    static constexpr Duration acceptedLinkTimeout = seconds(10);
+
+    static Result<std::unique_ptr<LinkHub>> create(
+        const std::string& address, int port, LinkHooks hooks, Duration acceptedTimeout = acceptedLinkTimeout);
     ~LinkHub();
     LinkHub(const LinkHub&) = delete;
     LinkHub& operator=(const LinkHub&) = delete;
--- a/Tests/Process/LinkTest.cpp
+++ b/Tests/Process/LinkTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(theEndOfALinkIsReportedAfterItsMessages);
     CPPUNIT_TEST(aRefusedMessageEndsItsLink);
     CPPUNIT_TEST(aHeartbeatPassesQueuedMessages);
+    CPPUNIT_TEST(anAcceptedLinkThatFallsSilentEnds);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int sentMessages = 20;
@@ -74,7 +75,7 @@
     }
 
     /// Opens the port of a hub and returns its number.
-    int openHub(std::function<bool(LinkId link)> takeMessage)
+    int openHub(std::function<bool(LinkId link)> takeMessage, Duration acceptedTimeout = LinkHub::acceptedLinkTimeout)
     {
         LinkHooks hooks;
         hooks.onUp = [](LinkId) {};
@@ -86,7 +87,7 @@
         hooks.onMessage
             = [takeMessage = std::move(takeMessage)](LinkId link, PeerMessage&&) { return takeMessage(link); };
         const int port = findFreePort();
-        Result<std::unique_ptr<LinkHub>> hub = LinkHub::create("127.0.0.1", port, std::move(hooks));
+        Result<std::unique_ptr<LinkHub>> hub = LinkHub::create("127.0.0.1", port, std::move(hooks), acceptedTimeout);
         CPPUNIT_ASSERT(isOk(hub));
         m_hub = takeValue(std::move(hub));
         return port;
@@ -134,6 +135,31 @@
         CPPUNIT_ASSERT_EQUAL(sentMessages, m_messages);
     }
 
+    // Guards against an owner that keeps two threads and a descriptor for each connection that has ever gone silent:
+    // the other end has replaced it and says nothing.
+    void anAcceptedLinkThatFallsSilentEnds()
+    {
+        constexpr Duration timeout = milliseconds(400);
+        constexpr int heartbeats = 6;
+        const int port = openHub(
+            [this](LinkId) {
+                std::lock_guard<std::mutex> lock(m_mutex);
+                ++m_messages;
+                return true;
+            },
+            timeout);
+        const std::shared_ptr<TSocket> socket = std::make_shared<TSocket>("127.0.0.1", port);
+        socket->open();
+        Wire::PeerClient peer(std::make_shared<TCompactProtocol>(std::make_shared<TFramedTransport>(socket)));
+        for (int n = 0; n < heartbeats; ++n) {
+            peer.ping(Wire::Ping());
+            CPPUNIT_ASSERT_MESSAGE("ended although heartbeats arrive", !hasEnded(timeout / 4));
+        }
+        CPPUNIT_ASSERT_MESSAGE("did not end without heartbeats", hasEnded(4 * timeout));
+        m_hub->stop();
+        CPPUNIT_ASSERT_EQUAL(heartbeats, m_messages);
+    }
+
     // Guards against a living peer that is taken for dead because its heartbeats wait behind the orders or reports that
     // it sends.
     void aHeartbeatPassesQueuedMessages()
