--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -1,5 +1,8 @@
 #include "Soak/Soak.h"
 
+#include "Wire/Codec.h"
+#include "Wire/Generated/plantainpier_types.h"
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -20,6 +23,7 @@
     constexpr int hostPortOffset = 500;
     constexpr int hostRelayPortOffset = 600;
     constexpr int peerPortOffset = 700;
+    constexpr int peerRelayPortOffset = 800;
     /// The second set of announce and peer ports begins this far behind the first one.
     constexpr int otherPortsOffset = 50;
     constexpr unsigned nodeFaultKinds = 9;
@@ -33,6 +37,8 @@
     constexpr unsigned foreignAnnouncementPeriod = 4;
     /// Every such number of faults, on average, is accompanied by a machine fault.
     constexpr unsigned machineFaultPeriod = 3;
+    /// Every such number of faults, on average, is accompanied by a silence of all open connections.
+    constexpr unsigned silencePeriod = 8;
     /// Every such number of faults, on average, is accompanied by a request of an operator: zones stay closed for some
     /// seconds longer than the bound.
     constexpr unsigned zoneRequestPeriod = 8;
@@ -119,6 +125,7 @@
     , m_random(m_options.seed)
     , m_foreignRandom(m_options.seed + 1)
     , m_machineRandom(m_options.seed + 2)
+    , m_silenceRandom(m_options.seed + 4)
     , m_zoneRandom(m_options.seed + 3)
     , m_hostFaultWeight(3 + draw(12))
 {
@@ -207,6 +214,18 @@
     m_http = takeValue(std::move(http));
     m_store = takeValue(std::move(store));
     m_store->put("keyed.op", "config", configuration(1));
+    if (m_options.silences) {
+        // Followers find the owner by its claim, so a claim that names the relay's port leads them there.
+        m_store->onRecord = [](const std::string& key, std::string value) {
+            std::optional<Wire::OwnerClaim> claim = Wire::decode<Wire::OwnerClaim>(value);
+            if (key != "owner" || !claim)
+                return value;
+            claim->port += peerRelayPortOffset - peerPortOffset;
+            return Wire::encode(*claim);
+        };
+        for (int n = 0; n < m_options.entries; ++n)
+            m_peerRelays.push_back(std::make_unique<Relay>(portOf(peerRelayPortOffset, n), portOf(peerPortOffset, n)));
+    }
     for (int n = 0; n < m_options.entries + m_options.hosts; ++n) {
         Node node;
         const bool entry = n < m_options.entries;
@@ -408,6 +427,20 @@
     }
 }
 
+void Soak::injectSilence()
+{
+    noteFault("all-silent");
+    for (const Node& node : m_nodes)
+        node.storeRelay->silenceExisting(true, true);
+    for (const std::unique_ptr<Relay>& relay : m_hostRelays)
+        relay->silenceExisting(true, true);
+    for (const std::unique_ptr<Relay>& relay : m_peerRelays)
+        relay->silenceExisting(true, true);
+    // For the platform's rules this counts as a reset of all connections.
+    changeDisruptions(storeContact(), 1);
+    changeDisruptions(storeContact(), -1);
+}
+
 void Soak::stopMachine(std::size_t host)
 {
     Node& node = m_nodes[static_cast<std::size_t>(m_options.entries) + host];
@@ -822,6 +855,8 @@
                 injectForeignAnnouncement();
             if (m_options.machineFaults && m_machineRandom() % machineFaultPeriod == 0)
                 injectMachineFault();
+            if (m_options.silences && m_silenceRandom() % silencePeriod == 0)
+                injectSilence();
             if (m_options.zoneClosures && m_zoneRandom() % zoneRequestPeriod == 0)
                 injectZoneRequest();
             pause(50 + draw(600));
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -25,6 +25,9 @@
     int jobsPerSecond = 4;
     /// Whether faults that hit a host and its side together, or only some connections of a host, are injected too.
     bool machineFaults = false;
+    /// Whether all open connections to hosts, to the store and between the processes go silent at one moment, now and
+    /// then.
+    bool silences = false;
     /// Whether operators close and reopen availability zones.
     bool zoneClosures = false;
     int firstPort = 21'000;
@@ -97,6 +100,8 @@
     void injectZoneRequest();
     void noteFault(const std::string& fault);
     void injectMachineFault();
+    /// Silences all open connections; new ones work.
+    void injectSilence();
     /// Breaks the connections of the host and stops its side at once; the side's successor starts while it stops.
     void stopMachine(std::size_t host);
     void injectStoreFault(unsigned kind);
@@ -141,6 +146,8 @@
     std::mt19937 m_foreignRandom;
     /// Draws machine faults, for the same reason.
     std::mt19937 m_machineRandom;
+    /// Draws silences, for the same reason.
+    std::mt19937 m_silenceRandom;
     /// Draws requests of operators, for the same reason.
     std::mt19937 m_zoneRandom;
     std::set<std::string> m_closedZones;
@@ -148,6 +155,8 @@
     std::shared_ptr<HttpClient> m_http;
     std::unique_ptr<StoreStandIn> m_store;
     std::vector<std::unique_ptr<Relay>> m_hostRelays;
+    /// Before the peer ports of the entries; only with silences.
+    std::vector<std::unique_ptr<Relay>> m_peerRelays;
     std::vector<std::unique_ptr<HostStandIn>> m_hosts;
     std::vector<Node> m_nodes;
     std::vector<Recovery> m_recoveries;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -24,6 +24,7 @@
         options.firstPort = parsed["port"].as<int>();
         options.jobsPerSecond = parsed["rate"].as<int>();
         options.machineFaults = parsed["machine-faults"].as<bool>();
+        options.silences = parsed["silences"].as<bool>();
         options.zoneClosures = parsed["zone-closures"].as<bool>();
         options.nodeProgram = parsed["program"].as<std::string>();
         options.folder = parsed["folder"].as<std::string>() + "/seed-" + std::to_string(options.seed);
@@ -55,9 +56,11 @@
             "hosts", "hosts, each with a side process", cxxopts::value<int>()->default_value("4"))(
             "rate", "submitted jobs per second", cxxopts::value<int>()->default_value("4"))("machine-faults",
             "also inject faults that hit a host and its side together, or only some connections of a host",
+            cxxopts::value<bool>()->default_value("false"))("silences",
+            "also silence all open connections at one moment, now and then",
             cxxopts::value<bool>()->default_value("false"))("zone-closures",
             "also close and reopen availability zones as operators do", cxxopts::value<bool>()->default_value("false"))(
-            "port", "first of 800 ports", cxxopts::value<int>()->default_value("21000"))("program",
+            "port", "first of 900 ports", cxxopts::value<int>()->default_value("21000"))("program",
             "path of plantainpier-node",
             cxxopts::value<std::string>()->default_value(NODE_PROGRAM))("folder", "folder for settings and logs",
             cxxopts::value<std::string>()->default_value("soak-logs"))("help", "show this help");
