--- a/Source/Shell/Connection/ConnectionTable.h
+++ b/Source/Shell/Connection/ConnectionTable.h
@@ -16,7 +16,7 @@
 using ConnectionId = std::uint64_t;
 constexpr ConnectionId noConnection = 0;
 
-/// Lives as long as the HttpClient. Used on the client's thread only.
+/// Lives as long as the HttpClient. Used on the client's thread only, and by its destructor once that thread has ended.
 class ConnectionTable {
 public:
     /// Adds a connection whose socket was opened for a request to this peer (address and port).
--- a/Tests/Process/LeasedHost.cpp
+++ b/Tests/Process/LeasedHost.cpp
@@ -15,8 +15,6 @@
     constexpr std::int64_t capacityMilliCores = 64'000;
     constexpr std::int64_t capacityMegabytes = 250'000;
 
-    Json emptyList() { return Json::array(); }
-
 } // namespace
 
 LeasedHost::LeasedHost(std::string id, int port, int sidePort, std::shared_ptr<HttpClient> http)
@@ -70,10 +68,10 @@
 
 Json LeasedHost::listRuns() const
 {
-    Json running = emptyList();
+    Json running = Json::array();
     for (const std::pair<const std::string, Run>& entry : m_runs)
         running.push_back({ entry.first, entry.second.number, "", 100, 0 });
-    Json ended = emptyList();
+    Json ended = Json::array();
     for (const std::pair<const std::int64_t, Json>& entry : m_ends)
         ended.push_back(entry.second);
     return Json { { "clock_ms", clockMilliseconds() }, { "born", m_born }, { "running", running }, { "ended", ended } };
--- a/Tests/Process/LeasedHost.h
+++ b/Tests/Process/LeasedHost.h
@@ -25,7 +25,7 @@
     static constexpr const char* longRunningPayload = "lasting";
     static constexpr std::chrono::milliseconds taskDuration { 300 };
 
-    /// Listens on the port and announces itself at the side's port, which must not be this host's side's relay.
+    /// Listens on the port and announces itself to the side that listens on sidePort.
     LeasedHost(std::string id, int port, int sidePort, std::shared_ptr<HttpClient> http);
     ~LeasedHost();
     LeasedHost(const LeasedHost&) = delete;
