Process: Send all waiting orders of a message in one place

Cause: onOrders sent starts and paces by two calls that sendWaitingOrders makes too. Change: one call; the actions and their order are the same, since halts and paces are only queued between the two.

--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -382,12 +382,11 @@
         m_waitingStarts.push_back(StartOnHost {
             m_host->hostId, m_host->incarnation, fence(), m_leaseUntilMilliseconds, m_clockMilliseconds, start });
     }
-    sendStarts(now, actions);
     for (const Wire::HaltOrder& halt : orders.halts)
         addHalt(now, halt.task, halt.run, "stopped_before_it_ran");
     for (const Wire::PaceOrder& pace : orders.paces)
         addPace(now, pace);
-    sendPaces(now, actions);
+    sendWaitingOrders(now, actions);
 }
 
 bool HostAgent::maySendOrder() const { return m_ordersInFlight < m_timing.maximumOrdersInFlight; }
