Tests: Redirect followers to a relay in one place

Cause: the soak and SilentConnectionTest each decoded owner claims and raised their port by the same lines, through a hook of the store stand-in that served nothing else. Change: StoreStandIn::setOwnerPortOffset in place of the hook and both copies.

--- a/Tests/Process/SilentConnectionTest.cpp
+++ b/Tests/Process/SilentConnectionTest.cpp
@@ -5,13 +5,10 @@
 #include "Process/LeasedHost.h"
 #include "Process/Relay.h"
 #include "Soak/StoreStandIn.h"
-#include "Wire/Codec.h"
-#include "Wire/Generated/plantainpier_types.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <filesystem>
 #include <fstream>
-#include <future>
 #include <iostream>
 #include <unistd.h>
 
@@ -37,14 +34,7 @@
         std::filesystem::create_directories(m_folder);
         m_store = takeValue(StoreStandIn::create(storePort, 1));
         m_store->put("keyed.op", "config", configuration());
-        // Followers find the owner by its claim, so a claim that names the relay's port leads them there.
-        m_store->onRecord = [](const std::string& key, std::string value) {
-            std::optional<Wire::OwnerClaim> claim = Wire::decode<Wire::OwnerClaim>(value);
-            if (key != "owner" || !claim)
-                return value;
-            claim->port += peerRelayOffset;
-            return Wire::encode(*claim);
-        };
+        m_store->setOwnerPortOffset(peerRelayOffset);
         for (int n = 0; n < entryCount + hostCount; ++n)
             m_storeRelays.push_back(std::make_unique<Relay>(storeRelayPort + n, storePort));
         for (int n = 0; n < entryCount; ++n)
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -1,8 +1,5 @@
 #include "Soak/Soak.h"
 
-#include "Wire/Codec.h"
-#include "Wire/Generated/plantainpier_types.h"
-
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -215,14 +212,7 @@
     m_store = takeValue(std::move(store));
     m_store->put("keyed.op", "config", configuration(1));
     if (m_options.silences) {
-        // Followers find the owner by its claim, so a claim that names the relay's port leads them there.
-        m_store->onRecord = [](const std::string& key, std::string value) {
-            std::optional<Wire::OwnerClaim> claim = Wire::decode<Wire::OwnerClaim>(value);
-            if (key != "owner" || !claim)
-                return value;
-            claim->port += peerRelayPortOffset - peerPortOffset;
-            return Wire::encode(*claim);
-        };
+        m_store->setOwnerPortOffset(peerRelayPortOffset - peerPortOffset);
         for (int n = 0; n < m_options.entries; ++n)
             m_peerRelays.push_back(std::make_unique<Relay>(portOf(peerRelayPortOffset, n), portOf(peerPortOffset, n)));
     }
--- a/Tests/Soak/StoreStandIn.cpp
+++ b/Tests/Soak/StoreStandIn.cpp
@@ -1,5 +1,8 @@
 #include "Soak/StoreStandIn.h"
 
+#include "Decision/Process/OwnerRecords.h"
+#include "Wire/Codec.h"
+
 #include <sodium.h>
 
 namespace Plantainpier {
@@ -200,8 +203,7 @@
         const std::size_t keyLength = static_cast<unsigned char>(body[at]);
         Record record { body.substr(at + 1, keyLength), body.substr(at + 1 + keyLength, length - 1 - keyLength) };
         at += length;
-        if (onRecord)
-            record.value = onRecord(record.key, std::move(record.value));
+        redirectOwnerClaim(record);
         if (record.value.empty())
             topic.newest.erase(record.key);
         else
@@ -210,6 +212,17 @@
     }
 }
 
+void StoreStandIn::redirectOwnerClaim(Record& record) const
+{
+    if (m_ownerPortOffset == 0 || record.key != OwnerRecords::claimKey)
+        return;
+    std::optional<Wire::OwnerClaim> claim = Wire::decode<Wire::OwnerClaim>(record.value);
+    if (!claim)
+        return;
+    claim->port += m_ownerPortOffset;
+    record.value = Wire::encode(*claim);
+}
+
 void StoreStandIn::onRead(const std::shared_ptr<HttpCall>& call)
 {
     WaitingRead read { call, queryValue(call->query, "topic"), integerParameter(call->query, "from", 0), {} };
--- a/Tests/Soak/StoreStandIn.h
+++ b/Tests/Soak/StoreStandIn.h
@@ -8,7 +8,6 @@
 
 #include <condition_variable>
 #include <deque>
-#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -36,9 +35,9 @@
     StoreStandIn(const StoreStandIn&) = delete;
     StoreStandIn& operator=(const StoreStandIn&) = delete;
 
-    /// Hook: returns the value to store in place of the one that a process appends. Set before any process connects.
-    std::function<std::string(const std::string& key, std::string value)> onRecord;
-
+    /// Owner claims are stored with their port raised by this offset, which leads followers to a relay before the
+    /// owner. Set before any process connects.
+    void setOwnerPortOffset(int offset) { m_ownerPortOffset = offset; }
     void setBehaviour(StoreBehaviour behaviour);
     /// Drops all history except the newest record of each key; waiting reads are never answered.
     void compact();
@@ -90,6 +89,7 @@
     Answer append(const std::string& query, const std::string& body);
     static Answer conflict(const char* reason);
     void addRecords(Topic& topic, const std::string& body) const;
+    void redirectOwnerClaim(Record& record) const;
     void answerRead(const WaitingRead& read);
     void answerDueReads();
     void runBackgroundLoop();
@@ -97,6 +97,7 @@
     std::mutex m_mutex;
     std::mt19937 m_random;
     StoreBehaviour m_behaviour = StoreBehaviour::Normal;
+    int m_ownerPortOffset = 0;
     std::map<std::string, Topic> m_topics;
     std::vector<WaitingRead> m_waitingReads;
     std::vector<DelayedAppend> m_delayedAppends;
