--- a/review/standins-3/cases.cc
+++ b/review/standins-3/cases.cc
@@ -498,6 +498,49 @@
     return lost > 0 ? 1 : 0;
 }
 
+/// A few of many jobs can never be done. A plan of long tasks comes after them, and small jobs after that.
+int poison(Deployment& deployment, Record& record, bool trouble)
+{
+    // Of 80 jobs within 3 s, 4 can never be done.
+    constexpr int goodJobs = 76;
+    constexpr int poisonedJobs = 4;
+    const Json good { { "spec", "work=200 a small job" }, { "steps", { step(2, 500, 200, 200) } } };
+    Json poisoned { { "spec", "work=100 fails" }, { "steps", { step(6, 500, 200, 100) } } };
+    if (!trouble)
+        poisoned["spec"] = "work=100";
+    std::vector<Job> jobs;
+    const Time begun = now();
+    for (int n = 0; n < goodJobs + poisonedJobs; ++n) {
+        const Json& body = n < goodJobs ? good : poisoned;
+        const std::string id = jobId(n < goodJobs ? "a0a0" : "b0b0", n);
+        if (deployment.submit(id, body) == 200 && n < goodJobs)
+            jobs.push_back(Job { id, body });
+        std::this_thread::sleep_until(begun + Ms(30) * (n + 1) + (n >= goodJobs ? Ms(400) : Ms(0)));
+    }
+    wait(deployment, record, 6);
+    const Json plan { { "spec", "work=60000 a plan" }, { "steps", { step(3, 4000, 4000, 60000) } } };
+    jobs.push_back(Job { jobId("c0c0", 0), plan });
+    if (deployment.submit(jobs.back().id, plan) != 200)
+        return 2;
+    for (int n = 0; n < 6; ++n) {
+        wait(deployment, record, 2);
+        const std::string id = jobId("d0d0", n);
+        if (deployment.submit(id, good) == 200)
+            jobs.push_back(Job { id, good });
+    }
+    record.add("end of the traffic: %zu jobs were accepted, beside those that can never be done", jobs.size());
+    wait(deployment, record, static_cast<int>(finishTime.count()));
+    logExecutors(deployment, record);
+    for (const Job& job : jobs) {
+        const std::string state = deployment.state(job.id);
+        if (state != "completed")
+            record.add("client: GET %s: %s", job.id.c_str(), state.c_str());
+    }
+    const int lost = countLost(deployment, jobs, record);
+    record.add("result: %d jobs lost", lost);
+    return lost > 0 ? 1 : 0;
+}
+
 int run(int argc, char** argv)
 {
     if (argc != 4)
@@ -531,6 +574,8 @@
             result = stale(deployment, record, trouble);
         else if (name == "gang")
             result = gang(deployment, record, trouble);
+        else if (name == "poison")
+            result = poison(deployment, record, trouble);
         else if (name == "former")
             result = former(deployment, record, trouble);
         else if (name == "cancelled")
--- a/review/standins-3/world.hh
+++ b/review/standins-3/world.hh
@@ -627,7 +627,7 @@
     bool late = false;
 };
 
-/// The first word of a spec tells an executor how long the task takes: "work=MS".
+/// The first words of a spec tell an executor how long the task takes, "work=MS", and whether it always fails: "fails".
 inline Ms workOf(const std::string& spec)
 {
     const std::size_t at = spec.find("work=");
@@ -791,8 +791,10 @@
         const std::map<std::string, int>::const_iterator highest = m_highest.find(task);
         if (it != m_runs.end() || (highest != m_highest.end() && run <= highest->second))
             return refuse("old");
+        const std::string spec = body.value("spec", "");
         m_events.push_back(RunEvent { task, run, m_id, now(), std::nullopt, {}, std::nullopt, late });
-        m_runs[task] = Run { run, now() + workOf(body.value("spec", "")), "done", m_events.size() - 1 };
+        m_runs[task] = Run { run, now() + workOf(spec), spec.find(" fails") == std::string::npos ? "done" : "failed",
+            m_events.size() - 1 };
         return Response { 200, base().dump() };
     }
 
@@ -802,7 +804,7 @@
         const int run = body.value("run", 0);
         m_highest[task] = std::max(m_highest[task], run);
         const std::map<std::string, Run>::iterator it = m_runs.find(task);
-        if (it != m_runs.end() && it->second.run <= run && it->second.how == "done") {
+        if (it != m_runs.end() && it->second.run <= run && it->second.how != "stopped") {
             it->second.how = "stopped";
             it->second.endsAt = now() + Ms(100);
         }
