--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/cases ] && [ -x target/platform/plantainpier-node ] || exit 2
 work=$(mktemp -d) || exit 2
-target/review-3/cases poison review/14 "$work"
+target/review-3/cases former review/14 "$work"
 code=$?
 rm -rf "$work"
 exit "$code"
