review: Case 15, stops that wait for starts

Cause: a side sends starts that wait before any stop, and a stop leaves the waiting start of its run. Replaces the record that the store can't take, which review/2 shows.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/cases ] && [ -x target/platform/plantainpier-node ] || exit 2
 work=$(mktemp -d) || exit 2
-target/review-3/cases progress review/15 "$work"
+target/review-3/cases cancelled review/15 "$work"
 code=$?
 rm -rf "$work"
 exit "$code"
