Process: Send no orders of an owner whose claim may have been followed

The store turned the owner away and served the others; a side that waited for news of claims on a silent connection stayed with the former owner.

Cause: nobody asked how old a belief of ownership was. The owner went on for 9 s after its newest confirmed pulse, because it cannot tell an outage for all from one of its own; a side followed it for as long as its read of the claims waited, 8.7 s.

Ruled out: a shorter hold (stops work in an outage for all); sides that read each second (a silent connection stays unnoticed).

Now orders and pongs carry the age of the owner's evidence. A side sends starts, halts and paces only while the evidence is 1.5 s old at most; else it reads the claims over a new connection, and goes on if none is later, or if two reads fail, since then the store is down for it as well. Who reads a later claim tells the former owner, which steps down before its next pass. A side drops what waits from a former owner. An entry that reads a pulse of a later term reads the claims at once.

OrderSimulation loses the farewell, since its histories are about former owners that go on.

--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -489,7 +489,7 @@
     }
 }
 
-void JobOwner::sendOrders(Actions& actions)
+void JobOwner::sendOrders(Instant now, Actions& actions)
 {
     for (std::pair<const std::string, Host>& entry : m_state.hosts.hosts()) {
         Host& host = entry.second;
@@ -503,6 +503,7 @@
         orders.term = m_state.term;
         orders.fence = host.fence;
         orders.acceptsChanges = true;
+        orders.__set_ownershipAgeMilliseconds(toMilliseconds(m_state.ownershipAge(now)));
         orders.hostId = host.hostId;
         orders.incarnation = host.incarnation;
         orders.leaseUntilMilliseconds = host.leaseUntilMilliseconds;
@@ -563,7 +564,7 @@
     assignWritesToEnds();
     acknowledgePersistedEnds();
     grantLeases(now);
-    sendOrders(actions);
+    sendOrders(now, actions);
     removeExpiredJobs(now);
 }
 
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -100,7 +100,7 @@
     void assignWritesToEnds();
     void acknowledgePersistedEnds();
     void grantLeases(Instant now);
-    void sendOrders(Actions& actions);
+    void sendOrders(Instant now, Actions& actions);
     /// Whether the progress of the job is stored, so that no later owner can revert its outcome.
     bool isOutcomeStored(const JobState& job) const;
     /// Whether tasks may be started now. Logs when starts are held back, and when they go on.
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -147,10 +147,9 @@
     OwnerCounters counters;
 
     /// No other entry can own the jobs, according to a recent confirmation by the store.
-    bool isOwnershipCertain(Instant now) const
-    {
-        return !handedOver && now - pulseConfirmedAt <= rules.ownershipCertainFor;
-    }
+    bool isOwnershipCertain(Instant now) const { return !handedOver && ownershipAge(now) <= rules.ownershipCertainFor; }
+    /// Time since the newest pulse that the store has confirmed was sent: no later owner can have followed before that.
+    Duration ownershipAge(Instant now) const { return now - pulseConfirmedAt; }
     bool mayGrantLeases(Instant now) const { return !handedOver && now < ownershipConfirmedAt + rules.ownershipHold; }
 
     /// Whether the closed zones are known as of a time that is recent enough for starts.
--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -30,6 +30,7 @@
     : m_identity(std::move(identity))
     , m_timing(timing)
     , m_claimWatcher(StoreTopic::Owners, WatchTiming {})
+    , m_ownershipCheck(timing.ownershipCheck)
 {
 }
 
@@ -309,12 +310,7 @@
 
 void HostAgent::onLinkUp(Instant now, LinkId link, Actions& actions)
 {
-    Wire::NodeHello hello;
-    hello.nodeId = m_identity.nodeId;
-    hello.incarnation = m_identity.incarnation;
-    hello.isSide = true;
-    hello.term = m_owner.term;
-    if (!m_ownerLink.onUp(now, link, hello, actions)) {
+    if (!m_ownerLink.onUp(now, link, makeHello(), actions)) {
         actions.push_back(CloseLink { link });
         return;
     }
@@ -329,11 +325,11 @@
 void HostAgent::onLinkDown(Instant now, LinkId link, Actions& actions)
 {
     const bool wasUp = m_ownerLink.isUp();
-    if (m_ownerLink.onDown(now, link) && wasUp)
-        actions.push_back(WriteLog {
-            LogLine("owner_link_lost").add("owner", m_owner.claim.nodeId).add("term", m_owner.term).text() });
-    if (wasUp)
-        m_claimWatcher.restartRead();
+    if (!m_ownerLink.onDown(now, link) || !wasUp)
+        return;
+    actions.push_back(
+        WriteLog { LogLine("owner_link_lost").add("owner", m_owner.claim.nodeId).add("term", m_owner.term).text() });
+    m_claimWatcher.restartRead();
 }
 
 void HostAgent::onMessage(Instant now, LinkId link, const PeerMessage& message, Actions& actions)
@@ -341,6 +337,9 @@
     m_ownerLink.onMessageReceived(now, link);
     if (link != m_ownerLink.link())
         return;
+    const Wire::Pong* pong = std::get_if<Wire::Pong>(&message);
+    if (pong && pong->__isset.ownershipAgeMilliseconds)
+        m_ownershipCheck.onOwnerAge(now, milliseconds(pong->ownershipAgeMilliseconds));
     if (const Wire::HostOrders* orders = std::get_if<Wire::HostOrders>(&message))
         onOrders(now, *orders, actions);
     // The greeting means that the owner has just taken over. Reports sent before that are lost.
@@ -356,6 +355,8 @@
         return;
     m_term = orders.term;
     m_ownerAcceptsChanges = orders.acceptsChanges;
+    // Owners of earlier versions do not state the age.
+    m_ownershipCheck.onOwnerAge(now, milliseconds(orders.ownershipAgeMilliseconds));
     if (orders.fence > m_ownerFence)
         adoptOwnerFence(now, orders.fence);
     if (!isForCurrentIncarnation(orders)) {
@@ -383,7 +384,7 @@
             m_host->hostId, m_host->incarnation, fence(), m_leaseUntilMilliseconds, m_clockMilliseconds, start });
     }
     for (const Wire::HaltOrder& halt : orders.halts)
-        addHalt(now, halt.task, halt.run, "stopped_before_it_ran");
+        addHalt(now, halt.task, halt.run, "stopped_before_it_ran").isOwners = true;
     for (const Wire::PaceOrder& pace : orders.paces)
         addPace(now, pace);
     sendWaitingOrders(now, actions);
@@ -393,18 +394,43 @@
 
 void HostAgent::sendWaitingOrders(Instant now, Actions& actions)
 {
-    if (!m_host)
+    if (!m_host || !hasOrdersToSend() || !mayFollowOwner(now, actions))
         return;
     sendStarts(now, actions);
     sendPaces(now, actions);
 }
 
+bool HostAgent::hasOrdersToSend() const
+{
+    return !m_waitingStarts.empty() || !m_paces.empty()
+        || std::any_of(m_halts.begin(), m_halts.end(), [](const std::pair<const RunKey, Halt>& entry) {
+               return entry.second.isOwners && !entry.second.inFlight && !entry.second.answered;
+           });
+}
+
+bool HostAgent::mayFollowOwner(Instant now, Actions& actions)
+{
+    const bool mayFollow = m_ownershipCheck.mayAct(now);
+    if (mayFollow == m_ordersHeld) {
+        m_ordersHeld = !mayFollow;
+        actions.push_back(WriteLog { LogLine(mayFollow ? "orders_resumed" : "orders_held")
+                                         .add("term", m_owner.term)
+                                         .add("evidence_age_ms", toMilliseconds(m_ownershipCheck.age(now)))
+                                         .add("store_down", m_ownershipCheck.isStoreDown())
+                                         .add("starts", m_waitingStarts.size())
+                                         .text() });
+    }
+    return mayFollow;
+}
+
 void HostAgent::sendHalts(Instant now, Actions& actions)
 {
     for (std::pair<const RunKey, Halt>& entry : m_halts) {
         Halt& halt = entry.second;
         if (halt.inFlight || halt.answered || now < halt.nextSendAt)
             continue;
+        if (halt.isOwners && !mayFollowOwner(now, actions))
+            continue;
         if (!maySendOrder())
             return;
         ++m_ordersInFlight;
@@ -433,6 +459,8 @@
     m_ownerFence = fence;
     m_localFenceRaises = 0;
     m_fencedSince.reset();
+    // The owner counts them as void once the host is listed under the new fence.
+    m_waitingStarts.clear();
     abandonPaces();
     // A list sent under a lower fence does not show which orders may still be carried out. The list is abandoned, so
     // whether the host has restarted meanwhile is unconfirmed.
@@ -443,14 +471,14 @@
     m_nextListAt = now;
 }
 
-void HostAgent::addHalt(Instant now, const Wire::TaskName& task, int run, const std::string& reason)
+HostAgent::Halt& HostAgent::addHalt(Instant now, const Wire::TaskName& task, int run, const std::string& reason)
 {
     Halt halt;
     halt.order.task = task;
     halt.order.run = run;
     halt.reason = reason;
     halt.nextSendAt = now;
-    m_halts.insert_or_assign(runKey(task, run), std::move(halt));
+    return m_halts.insert_or_assign(runKey(task, run), std::move(halt)).first->second;
 }
 
 void HostAgent::onStartResponse(Instant now, const StartOnHost& order, const HostResponse& response, Actions& actions)
@@ -838,36 +866,69 @@
             actions.push_back(skippedRecordLog("claim_unreadable", record, errorOf(claim)));
         if (!isOk(claim) || record.offset + 1 <= m_owner.term)
             continue;
+        if (m_owner.term > 0)
+            dropOrders(actions);
         m_owner = CurrentOwner { record.offset + 1, valueOf(claim) };
         actions.push_back(
             WriteLog { LogLine("owner_seen").add("term", m_owner.term).add("owner", valueOf(claim).nodeId).text() });
     }
     if (m_owner.term > 0)
-        m_ownerLink.setOwner(now, m_owner.term, m_owner.claim.address, m_owner.claim.port, actions);
+        m_ownerLink.setOwner(now, m_owner.term, m_owner.claim.address, m_owner.claim.port, makeHello(), actions);
+}
+
+Wire::NodeHello HostAgent::makeHello() const
+{
+    Wire::NodeHello hello;
+    hello.nodeId = m_identity.nodeId;
+    hello.incarnation = m_identity.incarnation;
+    hello.isSide = true;
+    hello.term = m_owner.term;
+    return hello;
+}
+
+void HostAgent::dropOrders(Actions& actions)
+{
+    if (hasOrdersToSend())
+        actions.push_back(WriteLog { LogLine("orders_dropped")
+                                         .add("why", "later_claim")
+                                         .add("term", m_owner.term)
+                                         .add("starts", m_waitingStarts.size())
+                                         .add("paces", m_paces.size())
+                                         .text() });
+    m_waitingStarts.clear();
+    std::erase_if(m_halts, [](const std::pair<const RunKey, Halt>& entry) {
+        return entry.second.isOwners && !entry.second.inFlight && !entry.second.answered;
+    });
+    abandonPaces();
 }
 
 void HostAgent::onReadResponse(Instant now, std::uint64_t callId, const ReadResponse& response, Actions& actions)
 {
-    if (callId == m_claimReadCall)
-        applyClaims(now, m_claimWatcher.onReadResponse(now, response), actions);
+    if (callId != m_claimReadCall)
+        return;
+    if (response.answered)
+        m_ownershipCheck.onReadAnswered(now, response.records.empty());
+    else if (m_isCheckInFlight && !response.truncated)
+        m_ownershipCheck.onCheckFailed();
+    m_isCheckInFlight = false;
+    applyClaims(now, m_claimWatcher.onReadResponse(now, response), actions);
+    sendWaitingOrders(now, actions);
 }
 
 void HostAgent::onNewestResponse(Instant now, std::uint64_t callId, const NewestResponse& response, Actions& actions)
 {
-    if (callId == m_claimReadCall)
-        applyClaims(now, m_claimWatcher.onNewestResponse(now, response), actions);
+    if (callId != m_claimReadCall)
+        return;
+    // Pages may lag behind the log, so they are no evidence.
+    if (m_isCheckInFlight && !response.answered)
+        m_ownershipCheck.onCheckFailed();
+    m_isCheckInFlight = false;
+    applyClaims(now, m_claimWatcher.onNewestResponse(now, response), actions);
 }
 
 void HostAgent::tick(Instant now, Actions& actions)
 {
-    m_claimWatcher.setReadWait(m_ownerLink.isUp() ? WatchTiming {}.readWait : m_timing.ownerReadWait);
-    if (!m_claimWatcher.isReadInFlight()) {
-        std::optional<Action> read = m_claimWatcher.nextRead(now, m_lastCallId + 1);
-        if (read) {
-            m_claimReadCall = ++m_lastCallId;
-            actions.push_back(std::move(*read));
-        }
-    }
+    readClaims(now, actions);
     m_ownerLink.tick(now, false, actions);
     if (m_candidate && !m_inquiryInFlight && now >= m_nextInquiryAt)
         actions.push_back(makeInquiry(now));
@@ -883,6 +944,29 @@
     actions.push_back(makeList(now));
 }
 
+void HostAgent::readClaims(Instant now, Actions& actions)
+{
+    const bool needsEvidence = m_ownershipCheck.isOwnerUncertain() || hasOrdersToSend();
+    const bool isCheckDue = needsEvidence && !m_ownershipCheck.isCertain(now);
+    // The read in flight may wait for seconds, or for good on a connection that has gone silent.
+    if (isCheckDue && !m_isCheckInFlight)
+        m_claimWatcher.restartRead();
+    if (m_claimWatcher.isReadInFlight())
+        return;
+    const bool mayWaitLong = m_ownerLink.isUp() && !m_ownershipCheck.isOwnerUncertain();
+    m_claimWatcher.setReadWait(mayWaitLong ? WatchTiming {}.readWait : m_timing.ownerReadWait);
+    const std::uint64_t callId = m_lastCallId + 1;
+    std::optional<Action> read = isCheckDue ? m_claimWatcher.nextCheck(now, callId, m_ownershipCheck.checkTimeout())
+                                            : m_claimWatcher.nextRead(now, callId);
+    if (!read)
+        return;
+    m_claimReadCall = ++m_lastCallId;
+    m_isCheckInFlight = isCheckDue;
+    if (const ReadStore* sent = std::get_if<ReadStore>(&*read))
+        m_ownershipCheck.onReadSent(now, sent->wait);
+    actions.push_back(std::move(*read));
+}
+
 ListHost HostAgent::makeList(Instant now)
 {
     m_incarnationUnconfirmed = m_incarnationUnconfirmed || now - m_lastListAnswerAt > contactValidity;
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -7,6 +7,7 @@
 #include "Decision/Job/HostRegistry.h"
 #include "Decision/Process/LeaseBound.h"
 #include "Decision/Process/Ownership.h"
+#include "Decision/Process/OwnershipCheck.h"
 #include "Decision/Process/PeerLink.h"
 #include "Decision/Process/ReportedRuns.h"
 
@@ -49,6 +50,7 @@
     /// Longest wait of a read of the owner claims while this side is not connected to an owner. Bounds how late a new
     /// owner is found.
     Duration ownerReadWait = milliseconds(700);
+    OwnershipCheckTiming ownershipCheck;
     /// The platform's longest lease.
     Duration longestLease = seconds(10);
     /// Orders to the host that may be unanswered at a time; each takes a connection, as do two lists. The platform's
@@ -90,6 +92,8 @@
         Wire::HaltOrder order;
         /// Reported to the owner if the host turns out not to have the run.
         std::string reason;
+        /// Ordered by the owner, rather than by this side for a start that has no answer.
+        bool isOwners = false;
         bool inFlight = false;
         bool answered = false;
         Instant answeredAt;
@@ -126,7 +130,15 @@
     void passOverCandidate(std::int64_t answeredIncarnation, Actions& actions);
     void logPassedOver(const HostDescription& host, std::int64_t answeredIncarnation, Actions& actions) const;
     void reportAnnouncement(Instant now, Actions& actions);
+    void readClaims(Instant now, Actions& actions);
     void applyClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
+    Wire::NodeHello makeHello() const;
+    /// Drops the orders of a former owner that have not been sent to the host.
+    void dropOrders(Actions& actions);
+    /// Whether there are orders of the owner that have not been sent to the host.
+    bool hasOrdersToSend() const;
+    /// Whether orders of the owner may be sent to the host now.
+    bool mayFollowOwner(Instant now, Actions& actions);
     void onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions);
     /// Whether one more order may be sent to the host now.
     bool maySendOrder() const;
@@ -155,7 +167,7 @@
         return m_host && m_host->hostId == order.hostId && m_host->incarnation == order.incarnation;
     }
     void adoptOwnerFence(Instant now, std::int64_t fence);
-    void addHalt(Instant now, const Wire::TaskName& task, int run, const std::string& reason);
+    Halt& addHalt(Instant now, const Wire::TaskName& task, int run, const std::string& reason);
     void onListFenced(Instant now, const ListHost& order, Actions& actions);
     void onListFailed(Instant now, const char* reason, Actions& actions);
     void onConnectionRefused(Instant now, Actions& actions);
@@ -188,6 +200,11 @@
     HostAgentTiming m_timing;
     StoreTopicWatcher m_claimWatcher;
     std::uint64_t m_claimReadCall = 0;
+    OwnershipCheck m_ownershipCheck;
+    /// The read of the claims in flight is a check.
+    bool m_isCheckInFlight = false;
+    /// Orders of the owner wait for evidence that it has no successor.
+    bool m_ordersHeld = false;
     std::uint64_t m_lastCallId = 0;
     PeerLink m_ownerLink;
     CurrentOwner m_owner;
--- a/Source/Decision/Process/JobEntryCore.cpp
+++ b/Source/Decision/Process/JobEntryCore.cpp
@@ -77,7 +77,7 @@
 void JobEntryCore::onOwnershipChange(Instant now, bool owns, Actions& actions)
 {
     if (owns) {
-        m_ownerLink.disconnect(actions);
+        m_ownerLink.disconnect(now, makeHello(), actions);
         m_ownership.owner()->setPolicy(m_policy);
         m_ownership.owner()->setZoneClosures(m_zoneClosures);
         // A greeting makes peers that connected during the take-over send their reports and calls again.
@@ -93,7 +93,7 @@
     m_followers.clear();
     const CurrentOwner& current = m_ownership.currentOwner();
     if (current.term > 0 && current.claim.nodeId != m_identity.nodeId)
-        m_ownerLink.setOwner(now, current.term, current.claim.address, current.claim.port, actions);
+        m_ownerLink.setOwner(now, current.term, current.claim.address, current.claim.port, makeHello(), actions);
 }
 
 void JobEntryCore::onClientCall(Instant now, CallerToken token, ClientCall call, Actions& actions)
@@ -298,6 +298,7 @@
             forwardCall(now, entry.first, entry.second, actions);
         return;
     }
+    m_ownership.onTermReported(now, hello.term, actions);
     // Only the owner accepts followers. Any other process closes the connection to signal that it is not the owner.
     const bool owns = m_ownership.owner() || m_ownership.isTakingOver();
     if (!owns || hello.term > m_ownership.currentOwner().term)
@@ -312,6 +313,8 @@
     if (const Wire::Ping* ping = std::get_if<Wire::Ping>(&message)) {
         Wire::Pong pong;
         pong.number = ping->number;
+        if (owner)
+            pong.__set_ownershipAgeMilliseconds(toMilliseconds(owner->state().ownershipAge(now)));
         actions.push_back(SendMessage { link, pong });
     } else if (const Wire::JobReply* reply = std::get_if<Wire::JobReply>(&message)) {
         onReply(*reply, actions);
--- a/Source/Decision/Process/Message.h
+++ b/Source/Decision/Process/Message.h
@@ -168,6 +168,9 @@
     StoreTopic topic = StoreTopic::Owners;
     std::int64_t fromOffset = 0;
     Duration wait {};
+    /// Set for a read that must not be lost with a kept connection that has gone silent: the read is made on a new
+    /// connection and fails after this time.
+    std::optional<Duration> newConnectionTimeout {};
 };
 
 struct ReadResponse {
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -17,6 +17,8 @@
     constexpr const char* noPulseReason = "no_sign_of_life";
     /// A pulse with a later answer is logged.
     constexpr Duration slowPulse = milliseconds(500);
+    /// Timeout of a read of the claims that a report of a later term has caused.
+    constexpr Duration claimCheckTimeout = milliseconds(400);
 
     const char* reasonToStepDown(const OwnerState& state)
     {
@@ -39,15 +41,7 @@
 void Ownership::tick(Instant now, std::int64_t unixMilliseconds, Actions& actions)
 {
     m_unixMilliseconds = unixMilliseconds;
-    const bool isDisconnected = m_linkBroken || m_linkSilent;
-    m_claimWatcher.setReadWait(isDisconnected ? m_timing.silenceTimeoutWhenDisconnected : WatchTiming {}.readWait);
-    if (!m_claimWatcher.isReadInFlight()) {
-        std::optional<Action> read = m_claimWatcher.nextRead(now, m_lastCallId + 1);
-        if (read) {
-            m_claimReadCall = nextCallId();
-            actions.push_back(std::move(*read));
-        }
-    }
+    readClaims(now, actions);
     const bool isFollowing = m_stage == Stage::Following && m_claimWatcher.hasReadWholeTopic();
     if (isFollowing && m_current.term > 0 && !m_pulseWatcher.isReadInFlight()) {
         m_pulseWatcher.setReadWait(m_linkBroken ? m_timing.silenceTimeoutWhenDisconnected : m_timing.silenceTimeout);
@@ -101,6 +95,32 @@
         m_resigned = true;
 }
 
+void Ownership::readClaims(Instant now, Actions& actions)
+{
+    const bool isDisconnected = m_linkBroken || m_linkSilent;
+    m_claimWatcher.setReadWait(isDisconnected ? m_timing.silenceTimeoutWhenDisconnected : WatchTiming {}.readWait);
+    if (m_claimWatcher.isReadInFlight())
+        return;
+    const std::uint64_t callId = m_lastCallId + 1;
+    std::optional<Action> read = m_claimCheckDue ? m_claimWatcher.nextCheck(now, callId, claimCheckTimeout)
+                                                 : m_claimWatcher.nextRead(now, callId);
+    if (!read)
+        return;
+    m_claimReadCall = nextCallId();
+    actions.push_back(std::move(*read));
+}
+
+void Ownership::onTermReported(Instant now, std::int64_t term, Actions& actions)
+{
+    if (term <= m_current.term)
+        return;
+    if (!m_claimCheckDue)
+        m_claimWatcher.restartRead();
+    m_claimCheckDue = true;
+    if (m_stage == Stage::Fencing || m_stage == Stage::Loading || m_stage == Stage::Owning)
+        stepDown(now, "later_term_reported", actions);
+}
+
 void Ownership::sendDuePulse(Instant now, Actions& actions)
 {
     const bool isDue = !m_pulseInFlight && now - m_pulseSentAt >= m_timing.pulseInterval;
@@ -111,6 +131,11 @@
 
 void Ownership::runOwner(Instant now, Actions& actions)
 {
+    // What arrived since the last tick may show a later owner. Nothing is ordered after that.
+    if (m_owner->isFenced()) {
+        stepDown(now, reasonToStepDown(m_owner->state()), actions);
+        return;
+    }
     if (!m_pulseInFlight && now >= m_nextStoreCallAt
         && (m_resigning || now - m_pulseSentAt >= m_timing.pulseInterval)) {
         // The store answers a repeated number with the outcome of the first append. A resignation therefore needs a
@@ -309,6 +334,7 @@
         if (term <= m_current.term)
             continue;
         m_current = CurrentOwner { term, *claim };
+        m_claimCheckDue = false;
         // The connection to the former owner says nothing about this one.
         setLinkBroken(false);
         m_claimReason = nullptr;
@@ -345,6 +371,8 @@
                 now + withClockMargin(milliseconds(pulse->predecessorsHoldMilliseconds)) };
         if (pulse->term < m_current.term)
             continue;
+        // The read of the claims may wait on a connection that has gone silent.
+        onTermReported(now, pulse->term, actions);
         m_lastPulseReadAt = now;
         if (!pulse->resigning)
             m_claimReason = nullptr;
@@ -365,6 +393,7 @@
 bool Ownership::onReadResponse(Instant now, std::uint64_t callId, const ReadResponse& response, Actions& actions)
 {
     if (callId == m_claimReadCall) {
+        m_claimCheckDue = m_claimCheckDue && !response.answered;
         applyClaims(now, m_claimWatcher.onReadResponse(now, response), actions);
         return true;
     }
--- a/Source/Decision/Process/Ownership.h
+++ b/Source/Decision/Process/Ownership.h
@@ -65,6 +65,8 @@
     /// This process has closed a silent connection to the owner. A busy owner is slow, so this does not shorten the
     /// timeout after which this process claims the ownership.
     void setLinkSilent() { m_linkSilent = true; }
+    /// A peer has read a claim of this term. An owner of an earlier term ends its ownership.
+    void onTermReported(Instant now, std::int64_t term, Actions& actions);
     /// Prevents further claims and hands the ownership over if this process has it.
     void resign(Instant now, Actions& actions);
     bool hasResigned() const { return m_resigned; }
@@ -102,6 +104,7 @@
         Owning,
     };
 
+    void readClaims(Instant now, Actions& actions);
     void applyClaims(Instant now, const std::vector<StoreRecord>& records, Actions& actions);
     LeaseWait formerLeaseWait(Instant now) const;
     void finishTakeOver(Instant now, Actions& actions);
@@ -155,6 +158,9 @@
     Instant m_pulseReadSentAt;
     /// How long the store was asked to wait for a pulse.
     Duration m_pulseReadWait {};
+    /// A later term than the newest claim read was reported, so the next read of the claims does not wait and is made
+    /// on a new connection.
+    bool m_claimCheckDue = false;
     /// Reason and time of the next claim; the reason is null while no claim is planned.
     const char* m_claimReason = nullptr;
     Instant m_claimAt;
--- a/Source/Decision/Process/PeerLink.cpp
+++ b/Source/Decision/Process/PeerLink.cpp
@@ -9,6 +9,8 @@
     /// Ids of dialed links start here, apart from those of accepted links.
     constexpr LinkId firstDialedLinkId = LinkId(1) << 32;
     constexpr Duration redialDelay = milliseconds(150);
+    /// Time for the farewell to a former owner to be sent. That owner closes the connection sooner if it receives it.
+    constexpr Duration farewellTime = seconds(1);
 
     /// Machines of the platform run with a twentieth of a core at times, so answers may take nearly as long as these
     /// limits.
@@ -32,21 +34,29 @@
 
 LinkId PeerLink::nextLinkId() { return ++m_lastLinkId; }
 
-void PeerLink::setOwner(Instant now, std::int64_t term, const std::string& address, int port, Actions& actions)
+void PeerLink::setOwner(Instant now, std::int64_t term, const std::string& address, int port,
+    const Wire::NodeHello& farewell, Actions& actions)
 {
     if (term == m_term && address == m_address && port == m_port)
         return;
-    disconnect(actions);
+    disconnect(now, farewell, actions);
     m_term = term;
     m_address = address;
     m_port = port;
     m_nextDialAt = now;
 }
 
-void PeerLink::disconnect(Actions& actions)
+void PeerLink::disconnect(Instant now, const Wire::NodeHello& farewell, Actions& actions)
 {
-    if (m_link != noLink)
+    if (m_up) {
+        if (m_formerLink != noLink)
+            actions.push_back(CloseLink { m_formerLink });
+        m_formerLink = m_link;
+        m_closeFormerLinkAt = now + farewellTime;
+        actions.push_back(SendMessage { m_link, farewell });
+    } else if (m_link != noLink) {
         actions.push_back(CloseLink { m_link });
+    }
     m_link = noLink;
     m_up = false;
     m_monitor.reset();
@@ -77,6 +87,8 @@
 
 bool PeerLink::onDown(Instant now, LinkId link)
 {
+    if (link == m_formerLink)
+        m_formerLink = noLink;
     if (link != m_link || link == noLink)
         return false;
     m_link = noLink;
@@ -94,6 +106,10 @@
 
 bool PeerLink::tick(Instant now, bool busy, Actions& actions)
 {
+    if (m_formerLink != noLink && now >= m_closeFormerLinkAt) {
+        actions.push_back(CloseLink { m_formerLink });
+        m_formerLink = noLink;
+    }
     if (m_address.empty())
         return false;
     if (m_link == noLink) {
--- a/Source/Decision/Process/PeerLink.h
+++ b/Source/Decision/Process/PeerLink.h
@@ -15,10 +15,12 @@
 public:
     PeerLink();
 
-    /// Sets the owner to connect to and closes the connection to any other owner.
-    void setOwner(Instant now, std::int64_t term, const std::string& address, int port, Actions& actions);
-    /// Closes the connection and makes no new one until an owner is set.
-    void disconnect(Actions& actions);
+    /// Sets the owner to connect to and leaves any other owner.
+    void setOwner(Instant now, std::int64_t term, const std::string& address, int port, const Wire::NodeHello& farewell,
+        Actions& actions);
+    /// Leaves the owner and makes no new connection until an owner is set. The farewell carries the term of a later
+    /// owner: the former one may have no other way to learn that it has been followed, as when the store turns it away.
+    void disconnect(Instant now, const Wire::NodeHello& farewell, Actions& actions);
     /// Closes the connection and makes a new one to the same owner.
     void redial(Instant now, Actions& actions);
     /// Returns true if the link is this connection.
@@ -41,6 +43,9 @@
     std::int64_t m_term = 0;
     LinkId m_link = noLink;
     LinkId m_lastLinkId;
+    /// The connection to the former owner. It stays open for a while so that the farewell is sent.
+    LinkId m_formerLink = noLink;
+    Instant m_closeFormerLinkAt;
     std::optional<LinkMonitor> m_monitor;
     bool m_up = false;
     Instant m_nextDialAt;
--- a/Source/Decision/Process/StoreTopicWatcher.cpp
+++ b/Source/Decision/Process/StoreTopicWatcher.cpp
@@ -29,6 +29,19 @@
     return ReadStore { callId, m_topic, m_nextOffset, wait };
 }
 
+std::optional<Action> StoreTopicWatcher::nextCheck(Instant now, std::uint64_t callId, Duration timeout)
+{
+    // A read that has timed out was sent long enough ago.
+    if (now - m_readStartedAt >= m_timing.retryDelay)
+        m_nextReadAt = std::min(m_nextReadAt, now);
+    std::optional<Action> action = nextRead(now, callId);
+    if (ReadStore* read = action ? std::get_if<ReadStore>(&*action) : nullptr) {
+        read->wait = Duration::zero();
+        read->newConnectionTimeout = timeout;
+    }
+    return action;
+}
+
 std::vector<StoreRecord> StoreTopicWatcher::onReadResponse(Instant now, const ReadResponse& response)
 {
     m_readInFlight = false;
--- a/Source/Decision/Process/StoreTopicWatcher.h
+++ b/Source/Decision/Process/StoreTopicWatcher.h
@@ -34,6 +34,8 @@
 
     /// The read to make now; none while a read is in flight or a retry delay lasts.
     std::optional<Action> nextRead(Instant now, std::uint64_t callId);
+    /// The same, but a read of the log does not wait and is made on a new connection with this timeout.
+    std::optional<Action> nextCheck(Instant now, std::uint64_t callId, Duration timeout);
     /// The new records of a response, in order.
     std::vector<StoreRecord> onReadResponse(Instant now, const ReadResponse& response);
     std::vector<StoreRecord> onNewestResponse(Instant now, const NewestResponse& response);
--- a/Source/Wire/Generated/plantainpier_types.cpp
+++ b/Source/Wire/Generated/plantainpier_types.cpp
@@ -1255,6 +1255,11 @@
 void Pong::__set_number(const int64_t val) {
   this->number = val;
 }
+
+void Pong::__set_ownershipAgeMilliseconds(const int64_t val) {
+  this->ownershipAgeMilliseconds = val;
+__isset.ownershipAgeMilliseconds = true;
+}
 std::ostream& operator<<(std::ostream& out, const Pong& obj)
 {
   obj.printTo(out);
@@ -1291,6 +1296,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ownershipAgeMilliseconds);
+          this->__isset.ownershipAgeMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1312,6 +1325,11 @@
   xfer += oprot->writeI64(this->number);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.ownershipAgeMilliseconds) {
+    xfer += oprot->writeFieldBegin("ownershipAgeMilliseconds", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->ownershipAgeMilliseconds);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1320,24 +1338,29 @@
 void swap(Pong &a, Pong &b) {
   using ::std::swap;
   swap(a.number, b.number);
+  swap(a.ownershipAgeMilliseconds, b.ownershipAgeMilliseconds);
   swap(a.__isset, b.__isset);
 }
 
 Pong::Pong(const Pong& other20) noexcept {
   number = other20.number;
+  ownershipAgeMilliseconds = other20.ownershipAgeMilliseconds;
   __isset = other20.__isset;
 }
 Pong::Pong(Pong&& other21) noexcept {
   number = other21.number;
+  ownershipAgeMilliseconds = other21.ownershipAgeMilliseconds;
   __isset = other21.__isset;
 }
 Pong& Pong::operator=(const Pong& other22) noexcept {
   number = other22.number;
+  ownershipAgeMilliseconds = other22.ownershipAgeMilliseconds;
   __isset = other22.__isset;
   return *this;
 }
 Pong& Pong::operator=(Pong&& other23) noexcept {
   number = other23.number;
+  ownershipAgeMilliseconds = other23.ownershipAgeMilliseconds;
   __isset = other23.__isset;
   return *this;
 }
@@ -1345,6 +1368,7 @@
   using ::apache::thrift::to_string;
   out << "Pong(";
   out << "number=" << to_string(number);
+  out << ", " << "ownershipAgeMilliseconds="; (__isset.ownershipAgeMilliseconds ? (out << to_string(ownershipAgeMilliseconds)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8418,6 +8442,11 @@
 void HostOrders::__set_acceptsChanges(const bool val) {
   this->acceptsChanges = val;
 }
+
+void HostOrders::__set_ownershipAgeMilliseconds(const int64_t val) {
+  this->ownershipAgeMilliseconds = val;
+__isset.ownershipAgeMilliseconds = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostOrders& obj)
 {
   obj.printTo(out);
@@ -8562,6 +8591,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ownershipAgeMilliseconds);
+          this->__isset.ownershipAgeMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8643,6 +8680,11 @@
   xfer += oprot->writeBool(this->acceptsChanges);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.ownershipAgeMilliseconds) {
+    xfer += oprot->writeFieldBegin("ownershipAgeMilliseconds", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->ownershipAgeMilliseconds);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8660,6 +8702,7 @@
   swap(a.paces, b.paces);
   swap(a.fence, b.fence);
   swap(a.acceptsChanges, b.acceptsChanges);
+  swap(a.ownershipAgeMilliseconds, b.ownershipAgeMilliseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -8674,6 +8717,7 @@
   paces = other254.paces;
   fence = other254.fence;
   acceptsChanges = other254.acceptsChanges;
+  ownershipAgeMilliseconds = other254.ownershipAgeMilliseconds;
   __isset = other254.__isset;
 }
 HostOrders::HostOrders(HostOrders&& other255) noexcept {
@@ -8687,6 +8731,7 @@
   paces = std::move(other255.paces);
   fence = other255.fence;
   acceptsChanges = other255.acceptsChanges;
+  ownershipAgeMilliseconds = other255.ownershipAgeMilliseconds;
   __isset = other255.__isset;
 }
 HostOrders& HostOrders::operator=(const HostOrders& other256) {
@@ -8700,6 +8745,7 @@
   paces = other256.paces;
   fence = other256.fence;
   acceptsChanges = other256.acceptsChanges;
+  ownershipAgeMilliseconds = other256.ownershipAgeMilliseconds;
   __isset = other256.__isset;
   return *this;
 }
@@ -8714,6 +8760,7 @@
   paces = std::move(other257.paces);
   fence = other257.fence;
   acceptsChanges = other257.acceptsChanges;
+  ownershipAgeMilliseconds = other257.ownershipAgeMilliseconds;
   __isset = other257.__isset;
   return *this;
 }
@@ -8730,6 +8777,7 @@
   out << ", " << "paces=" << to_string(paces);
   out << ", " << "fence=" << to_string(fence);
   out << ", " << "acceptsChanges=" << to_string(acceptsChanges);
+  out << ", " << "ownershipAgeMilliseconds="; (__isset.ownershipAgeMilliseconds ? (out << to_string(ownershipAgeMilliseconds)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Source/Wire/Generated/plantainpier_types.h
+++ b/Source/Wire/Generated/plantainpier_types.h
@@ -603,8 +603,9 @@
 std::ostream& operator<<(std::ostream& out, const Ping& obj);
 
 typedef struct _Pong__isset {
-  _Pong__isset() : number(false) {}
+  _Pong__isset() : number(false), ownershipAgeMilliseconds(false) {}
   bool number :1;
+  bool ownershipAgeMilliseconds :1;
 } _Pong__isset;
 
 class Pong : public virtual ::apache::thrift::TBase {
@@ -615,20 +616,28 @@
   Pong& operator=(const Pong&) noexcept;
   Pong& operator=(Pong&&) noexcept;
   Pong() noexcept
-       : number(0) {
+       : number(0),
+         ownershipAgeMilliseconds(0) {
   }
 
   virtual ~Pong() noexcept;
   int64_t number;
+  int64_t ownershipAgeMilliseconds;
 
   _Pong__isset __isset;
 
   void __set_number(const int64_t val);
 
+  void __set_ownershipAgeMilliseconds(const int64_t val);
+
   bool operator == (const Pong & rhs) const
   {
     if (!(number == rhs.number))
       return false;
+    if (__isset.ownershipAgeMilliseconds != rhs.__isset.ownershipAgeMilliseconds)
+      return false;
+    else if (__isset.ownershipAgeMilliseconds && !(ownershipAgeMilliseconds == rhs.ownershipAgeMilliseconds))
+      return false;
     return true;
   }
   bool operator != (const Pong &rhs) const {
@@ -3208,7 +3217,7 @@
 std::ostream& operator<<(std::ostream& out, const PaceOrder& obj);
 
 typedef struct _HostOrders__isset {
-  _HostOrders__isset() : term(false), hostId(false), incarnation(false), leaseUntilMilliseconds(false), acknowledgedNumber(false), starts(false), halts(false), paces(false), fence(false), acceptsChanges(false) {}
+  _HostOrders__isset() : term(false), hostId(false), incarnation(false), leaseUntilMilliseconds(false), acknowledgedNumber(false), starts(false), halts(false), paces(false), fence(false), acceptsChanges(false), ownershipAgeMilliseconds(false) {}
   bool term :1;
   bool hostId :1;
   bool incarnation :1;
@@ -3219,6 +3228,7 @@
   bool paces :1;
   bool fence :1;
   bool acceptsChanges :1;
+  bool ownershipAgeMilliseconds :1;
 } _HostOrders__isset;
 
 class HostOrders : public virtual ::apache::thrift::TBase {
@@ -3235,7 +3245,8 @@
                leaseUntilMilliseconds(0),
                acknowledgedNumber(0),
                fence(0),
-               acceptsChanges(0) {
+               acceptsChanges(0),
+               ownershipAgeMilliseconds(0) {
   }
 
   virtual ~HostOrders() noexcept;
@@ -3249,6 +3260,7 @@
   std::vector<PaceOrder>  paces;
   int64_t fence;
   bool acceptsChanges;
+  int64_t ownershipAgeMilliseconds;
 
   _HostOrders__isset __isset;
 
@@ -3272,6 +3284,8 @@
 
   void __set_acceptsChanges(const bool val);
 
+  void __set_ownershipAgeMilliseconds(const int64_t val);
+
   bool operator == (const HostOrders & rhs) const
   {
     if (!(term == rhs.term))
@@ -3294,6 +3308,10 @@
       return false;
     if (!(acceptsChanges == rhs.acceptsChanges))
       return false;
+    if (__isset.ownershipAgeMilliseconds != rhs.__isset.ownershipAgeMilliseconds)
+      return false;
+    else if (__isset.ownershipAgeMilliseconds && !(ownershipAgeMilliseconds == rhs.ownershipAgeMilliseconds))
+      return false;
     return true;
   }
   bool operator != (const HostOrders &rhs) const {
--- a/Source/Wire/plantainpier.thrift
+++ b/Source/Wire/plantainpier.thrift
@@ -48,9 +48,13 @@
   3: i32 sidesPresent
 }
 
-// Either direction: the heartbeat of a data link. Pong repeats the number of the Ping that it answers.
+// Either direction: the heartbeat of a data link. Pong repeats the number of the Ping that it answers. The owner of the
+// jobs adds ownershipAgeMilliseconds, as in HostOrders.
 struct Ping { 1: i64 number }
-struct Pong { 1: i64 number }
+struct Pong {
+  1: i64 number
+  2: optional i64 ownershipAgeMilliseconds
+}
 
 // Entry to side: run one request. budgetMicroseconds is the time left until the caller's deadline.
 struct RunRequest {
@@ -418,9 +422,13 @@
   9: i64 fence
   // The owner accepts reports with changesOnly set.
   10: bool acceptsChanges
+  // Time since the pulse that the store confirmed last was sent: no later owner can have followed before that. Absent in
+  // orders of earlier versions.
+  11: optional i64 ownershipAgeMilliseconds
 }
 
-// First message on a link to the owner, and its answer.
+// First message on a link to the owner, and its answer. Also the last message to an owner whose follower has read a later
+// claim, with the term of that claim.
 struct NodeHello {
   1: string nodeId
   2: i64 incarnation
--- a/Tests/Support/OrderSimulation.cpp
+++ b/Tests/Support/OrderSimulation.cpp
@@ -878,6 +878,12 @@
                     || connection.process != process)
                     continue;
                 const LinkId link = entry.first;
+                const Wire::NodeHello* hello = std::get_if<Wire::NodeHello>(&send->message);
+                if (hello && hello->term > connection.term) {
+                    // The farewell is lost with the connection: these histories are about former owners that go on.
+                    close(n, process, connection.sideLink);
+                    break;
+                }
                 if (const Wire::HostReport* report = std::get_if<Wire::HostReport>(&send->message))
                     sendToOwner(link, [this, link, report = *report](JobOwner& owner, Actions& more) {
                         owner.onReport(at(m_now), link, report, more);
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -49,6 +49,9 @@
     CPPUNIT_TEST(connectsAnewWhenTheHostKeepsRefusingItsFence);
     CPPUNIT_TEST(aHostThatEndedWithoutAnOwnerIsReportedToTheNext);
     CPPUNIT_TEST(anEndedIncarnationIsNotReportedBesideTheNextOne);
+    CPPUNIT_TEST(ordersOfAnUncertainOwnerWaitForACheck);
+    CPPUNIT_TEST(ordersAreCarriedOutWhenNoCheckIsAnswered);
+    CPPUNIT_TEST(ordersAreDroppedWhenACheckShowsALaterClaim);
     CPPUNIT_TEST_SUITE_END();
 
     static HostDescription describeHost(std::int64_t incarnation, std::int64_t sequence)
@@ -399,6 +402,88 @@
         return orders;
     }
 
+    static Wire::HostOrders makeOrdersOfAge(std::int64_t ageMilliseconds)
+    {
+        Wire::HostOrders orders = Harness::makeStartOrders(4);
+        orders.__set_ownershipAgeMilliseconds(ageMilliseconds);
+        Wire::HaltOrder halt;
+        halt.task = makeTask("00000000000000bb", 0, 0);
+        halt.run = 1;
+        orders.halts.push_back(halt);
+        return orders;
+    }
+
+    static std::size_t countOrders(const Actions& actions)
+    {
+        return actionsOf<StartOnHost>(actions).size() + actionsOf<HaltOnHost>(actions).size();
+    }
+
+    // Guards against starts and halts for an owner that may have been followed.
+    void ordersOfAnUncertainOwnerWaitForACheck()
+    {
+        Harness harness;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOrders(harness.sendOrders(5000, makeOrdersOfAge(2000))));
+        const Actions actions = harness.tick(5005);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOrders(actions));
+        const ReadStore check = actionsOf<ReadStore>(actions).at(0);
+        CPPUNIT_ASSERT(check.wait == Duration::zero());
+        CPPUNIT_ASSERT(check.newConnectionTimeout.has_value());
+        ReadResponse empty;
+        empty.answered = true;
+        Actions answered;
+        harness.agent.onReadResponse(at(5010), check.callId, empty, answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), countOrders(answered) + countOrders(harness.tick(5015)));
+    }
+
+    // Guards against work that stops when the store is down for all.
+    void ordersAreCarriedOutWhenNoCheckIsAnswered()
+    {
+        Harness harness;
+        harness.sendOrders(5000, makeOrdersOfAge(2000));
+        const OwnershipCheckTiming timing;
+        std::size_t checks = 0;
+        std::size_t orders = 0;
+        int now = 5000;
+        while (orders == 0 && now < 8000) {
+            now += 5;
+            const Actions actions = harness.tick(now);
+            orders += countOrders(actions);
+            for (const ReadStore& check : actionsOf<ReadStore>(actions)) {
+                ++checks;
+                now += static_cast<int>(toMilliseconds(timing.checkTimeout));
+                Actions failed;
+                harness.agent.onReadResponse(at(now), check.callId, ReadResponse(), failed);
+                orders += countOrders(failed);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(timing.failuresUntilStoreIsDown), checks);
+        CPPUNIT_ASSERT(now < 5000 + 1200);
+    }
+
+    // Guards against orders of a former owner that a side still sends after it has read the next claim.
+    void ordersAreDroppedWhenACheckShowsALaterClaim()
+    {
+        Harness harness;
+        harness.sendOrders(5000, makeOrdersOfAge(2000));
+        const ReadStore check = actionsOf<ReadStore>(harness.tick(5005)).at(0);
+        Wire::OwnerClaim claim;
+        claim.nodeId = "entry-2";
+        claim.address = "127.0.0.1";
+        claim.port = 10;
+        ReadResponse response;
+        response.answered = true;
+        response.records.push_back(StoreRecord { "owner", Wire::encode(claim), 7 });
+        Actions actions;
+        harness.agent.onReadResponse(at(5010), check.callId, response, actions);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOrders(actions));
+        // The former owner learns of the claim.
+        const std::vector<Wire::NodeHello> farewells = messagesOf<Wire::NodeHello>(actions);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), farewells.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(8), farewells[0].term);
+        for (int now = 5015; now < 8000; now += 5)
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOrders(harness.tick(now)));
+    }
+
     // Guards against a burst that uses up the connections which a host serves, so that none is left to replace them
     // when they go silent.
     void ordersLeaveConnectionsOfTheHostUnused()
