Job: Send starts in messages that fit, and few at a time

Cause: a pass sent all starts for a host in one message, with the spec in each; a link closes on a frame of more than 8 MiB, and the next pass made the same message again. Class: unbounded at the sender, bounded at the receiver, repeated as it was.

Now a host gets at most 64 starts that it has not confirmed, so that further tasks stay with the owner, which can cancel them or place them elsewhere; orders are divided into messages of some 256 KiB (gangs may exceed the 64); a host has at most 20,000 runs, so that a list fits into a frame as well. No run is stopped for a task that only waits for confirmations.

--- a/Source/Decision/Job/HostRegistry.cpp
+++ b/Source/Decision/Job/HostRegistry.cpp
@@ -50,6 +50,7 @@
 HostRun& HostRegistry::addRun(Host& host, HostRun run)
 {
     addToCommitted(host, run, 1);
+    host.unconfirmedStarts += run.phase == RunPhase::Ordered ? 1 : 0;
     const RunKey key = runKey(run.task, run.run);
     return host.runs.insert_or_assign(key, std::move(run)).first->second;
 }
@@ -62,9 +63,17 @@
     HostRun run = std::move(it->second);
     host.runs.erase(it);
     addToCommitted(host, run, -1);
+    host.unconfirmedStarts -= run.phase == RunPhase::Ordered ? 1 : 0;
     return run;
 }
 
+void HostRegistry::setPhase(Host& host, HostRun& run, RunPhase phase)
+{
+    host.unconfirmedStarts -= run.phase == RunPhase::Ordered ? 1 : 0;
+    run.phase = phase;
+    host.unconfirmedStarts += run.phase == RunPhase::Ordered ? 1 : 0;
+}
+
 void HostRegistry::changePace(Host& host, HostRun& run, int orderedPercent, std::optional<int> acknowledgedPercent)
 {
     if (run.filler)
--- a/Source/Decision/Job/HostRegistry.h
+++ b/Source/Decision/Job/HostRegistry.h
@@ -193,6 +193,8 @@
     /// it, or 0 until that write is assigned.
     std::deque<std::pair<std::int64_t, std::uint64_t>> unpersistedEnds;
     std::map<RunKey, HostRun> runs;
+    /// Number of runs in the phase Ordered.
+    std::size_t unconfirmedStarts = 0;
     /// Sum of all runs; fillers commit memory and accelerators only.
     Wire::Resources committed;
     ProcessorUse processorUse;
@@ -222,6 +224,7 @@
     static HostRun& addRun(Host& host, HostRun run);
     /// Removes a run and frees the run's demand. Returns nothing if there is no such run.
     static std::optional<HostRun> removeRun(Host& host, const RunKey& key);
+    static void setPhase(Host& host, HostRun& run, RunPhase phase);
     /// Records the ordered pace of a run of the host.
     static void setOrderedPace(Host& host, HostRun& run, int percent);
     /// Records what the side of the host reports of a run's pace.
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -1,6 +1,7 @@
 #include "Decision/Job/JobOwner.h"
 
 #include "Decision/Job/JobLimits.h"
+#include "Decision/Job/OrderMessages.h"
 #include "Wire/Codec.h"
 
 #include <algorithm>
@@ -509,8 +510,8 @@
         orders.leaseUntilMilliseconds = host.leaseUntilMilliseconds;
         orders.acknowledgedNumber = host.acknowledgedNumber;
         host.acknowledgementDue = false;
-        actions.push_back(SendMessage { host.link, std::move(orders) });
-        orders = Wire::HostOrders();
+        for (Wire::HostOrders& message : OrderMessages::divide(std::exchange(orders, Wire::HostOrders())))
+            actions.push_back(SendMessage { host.link, std::move(message) });
     }
 }
 
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -114,6 +114,7 @@
             entry.second.ofEarlierIncarnation = true;
             entry.second.listNumber = 0;
         }
+        host.unconfirmedStarts = earlier->unconfirmedStarts;
         host.committed = earlier->committed;
         host.processorUse = earlier->processorUse;
         host.newestLink = earlier->newestLink;
@@ -352,7 +353,7 @@
         m_fenced = true;
     if (result.outcome == Wire::OrderOutcome::Started) {
         if (it->second.phase == RunPhase::Ordered) {
-            it->second.phase = RunPhase::Running;
+            HostRegistry::setPhase(host, it->second, RunPhase::Running);
             it->second.listNumber = host.listNumber;
             haltIfEndMayBeLost(host, it->second, actions);
         }
@@ -384,7 +385,7 @@
     }
     HostRun& run = it->second;
     if (run.phase == RunPhase::Ordered)
-        run.phase = RunPhase::Running;
+        HostRegistry::setPhase(host, run, RunPhase::Running);
     recordStart(now, host, listedRun.task, &run, Evidence::List, actions);
     // The halt order may have been lost with an earlier connection, so it is sent again.
     if (run.phase == RunPhase::Halting && run.fence < host.fence)
@@ -711,7 +712,7 @@
 {
     if (run.phase == RunPhase::Halting && std::string_view(reason) != "unresolved_order")
         return;
-    run.phase = RunPhase::Halting;
+    HostRegistry::setPhase(host, run, RunPhase::Halting);
     ++m_state.counters.haltedRuns;
     Wire::HaltOrder order;
     order.task = run.task;
--- a/Source/Decision/Job/TaskScheduler.cpp
+++ b/Source/Decision/Job/TaskScheduler.cpp
@@ -252,7 +252,8 @@
             continue;
         }
         if (!host) {
-            lacksRoom = true;
+            // A host that takes in no more starts at the moment may have room.
+            lacksRoom = hostCounts.count(HostEligibility::StartsPending) == 0;
             recordWait(task, reasonWithoutHost(hostCounts));
             break;
         }
--- a/Source/Decision/Placement/HostEligibility.h
+++ b/Source/Decision/Placement/HostEligibility.h
@@ -23,6 +23,10 @@
     RefusesConnections,
     /// The last report of the host is too old.
     Silent,
+    /// As many starts as the host's side takes in at a time have been ordered and are not confirmed.
+    StartsPending,
+    /// The host has as many runs as a report can list.
+    TooManyRuns,
     Quarantined,
     /// The host is on probation after a quarantine: it gets one task at a time until one completes.
     OnProbation,
@@ -54,6 +58,8 @@
     NamedValue { HostEligibility::NoLink, "no_link" },
     NamedValue { HostEligibility::RefusesConnections, "refuses_connections" },
     NamedValue { HostEligibility::Silent, "silent" },
+    NamedValue { HostEligibility::StartsPending, "starts_pending" },
+    NamedValue { HostEligibility::TooManyRuns, "too_many_runs" },
     NamedValue { HostEligibility::Quarantined, "quarantined" },
     NamedValue { HostEligibility::OnProbation, "on_trial" },
     NamedValue { HostEligibility::MayForgetEnds, "may_forget_ends" },
--- a/Source/Decision/Placement/Placement.cpp
+++ b/Source/Decision/Placement/Placement.cpp
@@ -136,6 +136,10 @@
     const Wire::StepDefinition& step = request.definition;
     if (now - host.lastContactAt > m_rules.maximumReportAge)
         return HostEligibility::Silent;
+    if (host.unconfirmedStarts >= m_rules.maximumUnconfirmedStarts && !step.gang)
+        return HostEligibility::StartsPending;
+    if (host.runs.size() >= m_rules.maximumRuns)
+        return HostEligibility::TooManyRuns;
     if (now < host.health.quarantinedUntil)
         return HostEligibility::Quarantined;
     if (host.health.onProbation && isTrialUnderWay(host, now))
--- a/Source/Decision/Placement/Placement.h
+++ b/Source/Decision/Placement/Placement.h
@@ -15,6 +15,12 @@
 struct PlacementRules {
     /// A host that has not reported for longer gets no new tasks.
     Duration maximumReportAge = milliseconds(1500);
+    /// Starts of a host that are ordered and not confirmed. Further tasks stay with the owner, which can still cancel
+    /// them or place them elsewhere. A side sends some 20 starts to its host at a time. Gangs start as a whole, so they
+    /// may exceed this.
+    std::size_t maximumUnconfirmedStarts = 64;
+    /// Runs of a host. The report of the host's list is one message, whose size is limited.
+    std::size_t maximumRuns = 20'000;
     /// Share of its processors that a serving task uses on average; fillers may use the rest.
     double servingLoad = 0.6;
     /// Share of a host's memory that fillers must leave free, so that urgent tasks can start at once.
