Process: Send halts before paces and starts, and drop starts that are halted

Cause: one bound of 28 unanswered orders for all kinds, first come first served. Each answer gave its place to the next waiting start; halts were sent on a tick only, if a place was free then; the halt of a run left its start in the queue. Paces waited behind starts as well.

Now halts go first whenever a place gets free, then paces, then starts; starts may take 20 of the 28 places, paces and starts 24 (OrderSlots). A halt drops the waiting start of its run, which is reported as absent at once. Halts are kept by the time at which they are due (PendingHalts), so an answer costs no search through all of them, and a list no comparison of each halt with each row.

--- a/Source/Decision/Process/HostAgent.cpp
+++ b/Source/Decision/Process/HostAgent.cpp
@@ -12,17 +12,8 @@
     constexpr Duration contactValidity = milliseconds(100);
     /// Number of ended incarnations that are kept for the next owner.
     constexpr std::size_t keptEndedHosts = 8;
-
-    Wire::OrderResult makeResult(
-        const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome, const std::string& reason)
-    {
-        Wire::OrderResult result;
-        result.task = task;
-        result.run = run;
-        result.outcome = outcome;
-        result.reason = reason;
-        return result;
-    }
+    /// Reported for a halted run that the host does not have.
+    constexpr const char* stoppedReason = "stopped_before_it_ran";
 
 } // namespace
 
@@ -31,6 +22,8 @@
     , m_timing(timing)
     , m_claimWatcher(StoreTopic::Owners, WatchTiming {})
     , m_ownershipCheck(timing.ownershipCheck)
+    , m_orderSlots(timing.maximumOrdersInFlight, timing.reservedOrdersInFlight)
+    , m_halts(timing.orderRetryDelay)
 {
 }
 
@@ -69,11 +62,16 @@
 
 void HostAgent::sendResult(Instant now, const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome,
     const std::string& reason, Actions& actions)
+{
+    sendResults(now, { PendingHalts::makeResult(task, run, outcome, reason) }, actions);
+}
+
+void HostAgent::sendResults(Instant now, std::vector<Wire::OrderResult> results, Actions& actions)
 {
     if (!m_host)
         return;
     Wire::HostReport report = makeReport(now);
-    report.results.push_back(makeResult(task, run, outcome, reason));
+    report.results = std::move(results);
     addAcknowledgedPaces(report);
     sendReport(std::move(report), actions);
 }
@@ -383,29 +381,50 @@
         m_waitingStarts.push_back(StartOnHost {
             m_host->hostId, m_host->incarnation, fence(), m_leaseUntilMilliseconds, m_clockMilliseconds, start });
     }
-    for (const Wire::HaltOrder& halt : orders.halts)
-        addHalt(now, halt.task, halt.run, "stopped_before_it_ran").isOwners = true;
+    addHalts(now, orders.halts, actions);
     for (const Wire::PaceOrder& pace : orders.paces)
         addPace(now, pace);
     sendWaitingOrders(now, actions);
 }
 
-bool HostAgent::maySendOrder() const { return m_ordersInFlight < m_timing.maximumOrdersInFlight; }
+void HostAgent::addHalts(Instant now, const std::vector<Wire::HaltOrder>& halts, Actions& actions)
+{
+    if (halts.empty())
+        return;
+    std::set<RunKey> halted;
+    for (const Wire::HaltOrder& halt : halts)
+        halted.insert(runKey(halt.task, halt.run));
+    std::vector<Wire::OrderResult> results;
+    std::erase_if(m_waitingStarts, [&halted, &results](const StartOnHost& start) {
+        if (halted.erase(runKey(start.order.task, start.order.run)) == 0)
+            return false;
+        results.push_back(
+            PendingHalts::makeResult(start.order.task, start.order.run, Wire::OrderOutcome::Absent, stoppedReason));
+        return true;
+    });
+    for (const Wire::HaltOrder& halt : halts) {
+        if (halted.contains(runKey(halt.task, halt.run)))
+            m_halts.add(now, HaltOrigin::Owner, halt.task, halt.run, stoppedReason);
+    }
+    if (!results.empty())
+        sendResults(now, std::move(results), actions);
+}
 
 void HostAgent::sendWaitingOrders(Instant now, Actions& actions)
 {
-    if (!m_host || !hasOrdersToSend() || !mayFollowOwner(now, actions))
+    if (!m_host)
+        return;
+    const bool mayFollow = hasOrdersToSend() && mayFollowOwner(now, actions);
+    sendHalts(now, mayFollow, actions);
+    if (!mayFollow)
         return;
-    sendStarts(now, actions);
     sendPaces(now, actions);
+    sendStarts(now, actions);
 }
 
 bool HostAgent::hasOrdersToSend() const
 {
-    return !m_waitingStarts.empty() || !m_paces.empty()
-        || std::any_of(m_halts.begin(), m_halts.end(), [](const std::pair<const RunKey, Halt>& entry) {
-               return entry.second.isOwners && !entry.second.inFlight && !entry.second.answered;
-           });
+    return !m_waitingStarts.empty() || !m_paces.empty() || m_halts.hasUnsent(HaltOrigin::Owner);
 }
 
 bool HostAgent::mayFollowOwner(Instant now, Actions& actions)
@@ -423,25 +442,22 @@
     return mayFollow;
 }
 
-void HostAgent::sendHalts(Instant now, Actions& actions)
+void HostAgent::sendHalts(Instant now, bool mayFollow, Actions& actions)
 {
-    for (std::pair<const RunKey, Halt>& entry : m_halts) {
-        Halt& halt = entry.second;
-        if (halt.inFlight || halt.answered || now < halt.nextSendAt)
-            continue;
-        if (halt.isOwners && !mayFollowOwner(now, actions))
-            continue;
-        if (!maySendOrder())
+    while (m_orderSlots.isFree(HostOrderKind::Halt)) {
+        std::optional<Wire::HaltOrder> halt = m_halts.takeDue(now, HaltOrigin::Side);
+        if (!halt && mayFollow)
+            halt = m_halts.takeDue(now, HaltOrigin::Owner);
+        if (!halt)
             return;
-        ++m_ordersInFlight;
-        halt.inFlight = true;
-        actions.push_back(HaltOnHost { m_host->hostId, m_host->incarnation, fence(), halt.order });
+        m_orderSlots.take();
+        actions.push_back(HaltOnHost { m_host->hostId, m_host->incarnation, fence(), std::move(*halt) });
     }
 }
 
 void HostAgent::sendStarts(Instant now, Actions& actions)
 {
-    while (!m_waitingStarts.empty() && maySendOrder()) {
+    while (!m_waitingStarts.empty() && m_orderSlots.isFree(HostOrderKind::Start)) {
         StartOnHost start = std::move(m_waitingStarts.front());
         m_waitingStarts.pop_front();
         if (m_host->draining || m_candidate) {
@@ -449,7 +465,7 @@
             sendResult(now, start.order.task, start.order.run, Wire::OrderOutcome::Refused, reason, actions);
             continue;
         }
-        ++m_ordersInFlight;
+        m_orderSlots.take();
         actions.push_back(std::move(start));
     }
 }
@@ -471,19 +487,9 @@
     m_nextListAt = now;
 }
 
-HostAgent::Halt& HostAgent::addHalt(Instant now, const Wire::TaskName& task, int run, const std::string& reason)
-{
-    Halt halt;
-    halt.order.task = task;
-    halt.order.run = run;
-    halt.reason = reason;
-    halt.nextSendAt = now;
-    return m_halts.insert_or_assign(runKey(task, run), std::move(halt)).first->second;
-}
-
 void HostAgent::onStartResponse(Instant now, const StartOnHost& order, const HostResponse& response, Actions& actions)
 {
-    --m_ordersInFlight;
+    m_orderSlots.release();
     handleStartResponse(now, order, response, actions);
     sendWaitingOrders(now, actions);
 }
@@ -508,13 +514,13 @@
         // Hosts start every task at full pace.
         acknowledgePace(now, start.task, start.run, fullPacePercent);
         sendResult(now, start.task, start.run, Wire::OrderOutcome::Started, {}, actions);
-        addStartPace(now, start, actions);
+        addStartPace(now, start);
         return;
     case HostAnswer::Refused:
         // The host has a record of a run with this number or a higher one. It may be this run, which may have ended
         // meanwhile; the next list shows this.
         if (response.reason == "old") {
-            addHalt(now, start.task, start.run, response.reason);
+            m_halts.add(now, HaltOrigin::Side, start.task, start.run, response.reason);
             return;
         }
         sendResult(now, start.task, start.run, Wire::OrderOutcome::Refused,
@@ -536,12 +542,12 @@
                                          .add("task", start.task.index)
                                          .add("run", start.run)
                                          .text() });
-        addHalt(now, start.task, start.run, "start_unanswered");
+        m_halts.add(now, HaltOrigin::Side, start.task, start.run, "start_unanswered");
         return;
     }
 }
 
-void HostAgent::addStartPace(Instant now, const Wire::StartOrder& start, Actions& actions)
+void HostAgent::addStartPace(Instant now, const Wire::StartOrder& start)
 {
     // A newer pace order overrides the pace of the start order.
     if (start.percent >= fullPacePercent || m_paces.contains(runKey(start.task, start.run)))
@@ -551,19 +557,14 @@
     pace.run = start.run;
     pace.percent = start.percent;
     addPace(now, pace);
-    sendPaces(now, actions);
 }
 
 void HostAgent::onHaltResponse(Instant now, const HaltOnHost& order, const HostResponse& response, Actions& actions)
 {
-    --m_ordersInFlight;
-    std::map<RunKey, Halt>::iterator it = m_halts.find(runKey(order.order.task, order.order.run));
-    if (it != m_halts.end() && isForCurrentIncarnation(order)) {
-        it->second.inFlight = false;
-        it->second.answered = response.answer == HostAnswer::Done;
-        it->second.answeredAt = now;
-        it->second.nextSendAt = now + m_timing.orderRetryDelay;
-        m_listWanted = m_listWanted || it->second.answered;
+    m_orderSlots.release();
+    if (isForCurrentIncarnation(order)) {
+        const bool isKnown = m_halts.onAnswer(now, order.order, response.answer == HostAnswer::Done);
+        m_listWanted = m_listWanted || (isKnown && response.answer == HostAnswer::Done);
     }
     sendWaitingOrders(now, actions);
 }
@@ -589,9 +590,9 @@
         PendingPace& pace = entry.second;
         if (pace.callsInFlight.contains(pace.newestCall) || now < pace.nextSendAt)
             continue;
-        if (!maySendOrder())
+        if (!m_orderSlots.isFree(HostOrderKind::Pace))
             return;
-        ++m_ordersInFlight;
+        m_orderSlots.take();
         pace.overlapped = !pace.callsInFlight.empty();
         pace.newestCall = ++m_lastPaceCall;
         pace.callsInFlight.insert(pace.newestCall);
@@ -602,7 +603,7 @@
 
 void HostAgent::onPaceResponse(Instant now, const SetPaceOnHost& order, const HostResponse& response, Actions& actions)
 {
-    --m_ordersInFlight;
+    m_orderSlots.release();
     handlePaceResponse(now, order, response, actions);
     sendWaitingOrders(now, actions);
 }
@@ -709,27 +710,6 @@
     m_pacesToReport.clear();
 }
 
-void HostAgent::resolveHalts(const HostResponse& response, Wire::HostReport& report)
-{
-    for (std::map<RunKey, Halt>::iterator it = m_halts.begin(); it != m_halts.end();) {
-        const bool running = std::any_of(response.running.begin(), response.running.end(),
-            [&it](const Wire::RunningTask& row) { return runKey(row.task, row.run) == it->first; });
-        const bool ended = std::any_of(response.ended.begin(), response.ended.end(),
-            [&it](const Wire::EndedTask& row) { return runKey(row.task, row.run) == it->first; });
-        // Only a complete list that was sent after the host accepted the halt shows that the run is absent.
-        const bool isComplete = ended || !response.isIncomplete;
-        const bool isConclusive = it->second.answered && it->second.answeredAt <= m_listSentAt && isComplete;
-        if (!isConclusive || running) {
-            ++it;
-            continue;
-        }
-        if (!ended)
-            report.results.push_back(
-                makeResult(it->second.order.task, it->second.order.run, Wire::OrderOutcome::Absent, it->second.reason));
-        it = m_halts.erase(it);
-    }
-}
-
 void HostAgent::onListResponse(Instant now, const ListHost& order, const HostResponse& response, Actions& actions)
 {
     if (m_inquiryInFlight && order.listNumber == m_inquiryNumber) {
@@ -762,7 +742,7 @@
         report.clockMilliseconds = response.clockMilliseconds;
         report.running = response.running;
         report.ended = response.ended;
-        resolveHalts(response, report);
+        report.results = m_halts.resolve(response, m_listSentAt);
         resolvePaces(response, report);
         sendListReport(now, std::move(report), actions);
         const bool unacknowledged = std::any_of(response.ended.begin(), response.ended.end(),
@@ -896,9 +876,7 @@
                                          .add("paces", m_paces.size())
                                          .text() });
     m_waitingStarts.clear();
-    std::erase_if(m_halts, [](const std::pair<const RunKey, Halt>& entry) {
-        return entry.second.isOwners && !entry.second.inFlight && !entry.second.answered;
-    });
+    m_halts.dropUnsent(HaltOrigin::Owner);
     abandonPaces();
 }
 
@@ -934,7 +912,6 @@
         actions.push_back(makeInquiry(now));
     if (!m_host)
         return;
-    sendHalts(now, actions);
     sendWaitingOrders(now, actions);
     reportAcknowledgedPaces(now, actions);
     // Without an owner there is no recipient for a report and no fence for a list.
--- a/Source/Decision/Process/HostAgent.h
+++ b/Source/Decision/Process/HostAgent.h
@@ -6,9 +6,11 @@
 #include "Base/LogLine.h"
 #include "Decision/Job/HostRegistry.h"
 #include "Decision/Process/LeaseBound.h"
+#include "Decision/Process/OrderSlots.h"
 #include "Decision/Process/Ownership.h"
 #include "Decision/Process/OwnershipCheck.h"
 #include "Decision/Process/PeerLink.h"
+#include "Decision/Process/PendingHalts.h"
 #include "Decision/Process/ReportedRuns.h"
 
 #include <deque>
@@ -57,6 +59,9 @@
     /// hosts serve 64 connections and go on counting those that have gone silent, so less than half of them are used:
     /// then as many new ones can take their place.
     std::size_t maximumOrdersInFlight = 28;
+    /// Of these, the number that only halts may take, and as many that starts leave to paces and halts. A host that
+    /// leaves starts unanswered holds each of them for the timeout of a call.
+    std::size_t reservedOrdersInFlight = 4;
 };
 
 /// Runs one side without a clock, threads or sockets. One object per process.
@@ -87,19 +92,6 @@
     std::int64_t fence() const { return m_ownerFence + m_localFenceRaises; }
 
 private:
-    /// A halt order, kept until a list confirms that the run is over.
-    struct Halt {
-        Wire::HaltOrder order;
-        /// Reported to the owner if the host turns out not to have the run.
-        std::string reason;
-        /// Ordered by the owner, rather than by this side for a start that has no answer.
-        bool isOwners = false;
-        bool inFlight = false;
-        bool answered = false;
-        Instant answeredAt;
-        Instant nextSendAt;
-    };
-
     /// The newest pace order of a run, kept until the host has acknowledged it.
     struct PendingPace {
         Wire::PaceOrder order;
@@ -140,13 +132,13 @@
     /// Whether orders of the owner may be sent to the host now.
     bool mayFollowOwner(Instant now, Actions& actions);
     void onOrders(Instant now, const Wire::HostOrders& orders, Actions& actions);
-    /// Whether one more order may be sent to the host now.
-    bool maySendOrder() const;
-    /// Sends the starts and paces that wait, as far as maySendOrder() allows.
+    /// Takes in the halts of one message. A start that waits is dropped instead of being halted.
+    void addHalts(Instant now, const std::vector<Wire::HaltOrder>& halts, Actions& actions);
+    /// Sends the orders that wait, as far as the host's slots allow: halts first, then paces, then starts.
     void sendWaitingOrders(Instant now, Actions& actions);
-    void sendHalts(Instant now, Actions& actions);
+    void sendHalts(Instant now, bool mayFollow, Actions& actions);
     void sendStarts(Instant now, Actions& actions);
-    void addStartPace(Instant now, const Wire::StartOrder& start, Actions& actions);
+    void addStartPace(Instant now, const Wire::StartOrder& start);
     void addPace(Instant now, const Wire::PaceOrder& order);
     void sendPaces(Instant now, Actions& actions);
     void handleStartResponse(Instant now, const StartOnHost& order, const HostResponse& response, Actions& actions);
@@ -167,7 +159,6 @@
         return m_host && m_host->hostId == order.hostId && m_host->incarnation == order.incarnation;
     }
     void adoptOwnerFence(Instant now, std::int64_t fence);
-    Halt& addHalt(Instant now, const Wire::TaskName& task, int run, const std::string& reason);
     void onListFenced(Instant now, const ListHost& order, Actions& actions);
     void onListFailed(Instant now, const char* reason, Actions& actions);
     void onConnectionRefused(Instant now, Actions& actions);
@@ -176,7 +167,6 @@
     /// its previous reading shows this, because the clock restarts with each incarnation.
     bool isOtherIncarnation(const HostResponse& response, std::int64_t previousClock) const;
     ListHost makeList(Instant now);
-    void resolveHalts(const HostResponse& response, Wire::HostReport& report);
     /// The log line of an incarnation's end, to which the caller adds what the end was concluded from.
     LogLine hostEndedLine(Instant now, const char* reason) const;
     void endAfterResponse(
@@ -195,6 +185,7 @@
     void sendListReport(Instant now, Wire::HostReport report, Actions& actions);
     void sendResult(Instant now, const Wire::TaskName& task, int run, Wire::OrderOutcome::type outcome,
         const std::string& reason, Actions& actions);
+    void sendResults(Instant now, std::vector<Wire::OrderResult> results, Actions& actions);
 
     NodeIdentity m_identity;
     HostAgentTiming m_timing;
@@ -262,10 +253,10 @@
     Instant m_lastListAnswerAt;
     Instant m_nextListAt;
     /// Orders that the host has not answered. Those to earlier incarnations count too, because they use connections.
-    std::size_t m_ordersInFlight = 0;
+    OrderSlots m_orderSlots;
     /// Starts that wait until fewer orders are in flight, with the fence that was in force when they arrived.
     std::deque<StartOnHost> m_waitingStarts;
-    std::map<RunKey, Halt> m_halts;
+    PendingHalts m_halts;
     /// The newest unacknowledged pace order of each run. Only this one is repeated, so that an older order cannot
     /// override it.
     std::map<RunKey, PendingPace> m_paces;
