Job: Write no record that the store refuses for its size

Cause: the progress of a job was one record, which outgrows what the store takes (262,144 bytes); the append was repeated for ever, and everything waited behind it. A job whose definition is too large did the same.

Now a job whose definition does not fit is answered as invalid at once, with both sizes (setting store_record_bytes). Progress is stored in parts of 500 tasks, of which those with changes are written, part 0 last: it has the outcome and the former key, so small jobs and records of earlier versions are as before. A record of interference that is too large is not written.

--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -5,6 +5,7 @@
 #include "Wire/Codec.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace Plantainpier {
 
@@ -28,6 +29,8 @@
             passIntervalPerHost * static_cast<std::int64_t>(hosts), minimumPassInterval, maximumPassInterval);
     }
 
+    constexpr const char* unreadableRecordText = "the value cannot be decoded as a record of this kind";
+
     bool isKeyOfKind(const std::string& key, char kind) { return key.size() > 2 && key[0] == kind && key[1] == '/'; }
 
 } // namespace
@@ -46,8 +49,7 @@
 
 void JobOwner::loadRecords(const std::vector<StoreRecord>& records)
 {
-    const Result<Success> unreadable
-        = Error { ErrorCode::MalformedBody, "the value cannot be decoded as a record of this kind" };
+    const Result<Success> unreadable = Error { ErrorCode::MalformedBody, unreadableRecordText };
     for (const StoreRecord& record : records) {
         if (record.key.size() <= 2)
             continue;
@@ -61,13 +63,7 @@
             else
                 m_loadErrors.emplace_back(record.key, errorOf(checked).message);
         } else if (isKeyOfKind(record.key, 'p')) {
-            std::optional<Wire::JobProgress> progress = Wire::decode<Wire::JobProgress>(record.value);
-            const bool valid = progress && progress->outcome >= Wire::JobOutcome::Open
-                && progress->outcome <= Wire::JobOutcome::Cancelled;
-            if (valid)
-                m_loadedProgress[id] = std::move(*progress);
-            else
-                m_loadErrors.emplace_back(record.key, errorOf(unreadable).message);
+            loadProgress(record);
         } else if (isKeyOfKind(record.key, 'c')) {
             m_loadedCancellations.insert(id);
         } else if (record.key == StoreKey::interference()) {
@@ -97,6 +93,34 @@
     }
 }
 
+void JobOwner::loadProgress(const StoreRecord& record)
+{
+    const std::size_t separator = record.key.find('/', 2);
+    const std::string id = record.key.substr(2, separator == std::string::npos ? separator : separator - 2);
+    int part = 0;
+    bool isValid = true;
+    if (separator != std::string::npos) {
+        const char* end = record.key.data() + record.key.size();
+        const std::from_chars_result number = std::from_chars(record.key.data() + separator + 1, end, part);
+        isValid = number.ec == std::errc() && number.ptr == end && part > 0;
+    }
+    std::optional<Wire::JobProgress> read = Wire::decode<Wire::JobProgress>(record.value);
+    isValid
+        = isValid && read && read->outcome >= Wire::JobOutcome::Open && read->outcome <= Wire::JobOutcome::Cancelled;
+    if (!isValid) {
+        m_loadErrors.emplace_back(record.key, unreadableRecordText);
+        return;
+    }
+    LoadedProgress& loaded = m_loadedProgress[id];
+    loaded.progress.marks.insert(loaded.progress.marks.end(), read->marks.begin(), read->marks.end());
+    if (part > 0) {
+        loaded.parts.insert(part);
+        return;
+    }
+    loaded.progress.outcome = read->outcome;
+    loaded.progress.started = read->started;
+}
+
 void JobOwner::finishLoad(Instant now, std::int64_t unixMilliseconds, Instant leasesEnd, Actions& actions)
 {
     m_state.unixMilliseconds = unixMilliseconds;
@@ -111,10 +135,8 @@
         entry.second = std::make_unique<JobState>(
             std::move(definition), accepted, entry.second->definition().acceptedUnixMilliseconds);
         JobState& job = *entry.second;
-        std::map<std::string, Wire::JobProgress>::iterator it = m_loadedProgress.find(entry.first);
-        job.restoreProgress(now, it == m_loadedProgress.end() ? Wire::JobProgress() : it->second, unixMilliseconds);
-        if (it == m_loadedProgress.end())
-            job.setOutcome(Wire::JobOutcome::Open);
+        const LoadedProgress& loaded = m_loadedProgress[entry.first];
+        job.restoreProgress(now, loaded.progress, loaded.parts, unixMilliseconds);
         if (m_loadedCancellations.contains(entry.first) && job.isOpen())
             job.setOutcome(Wire::JobOutcome::Cancelled);
         if (!job.isOpen()) {
@@ -249,6 +271,18 @@
     Wire::JobDefinition definition = call.job;
     definition.acceptedTerm = m_state.term;
     definition.acceptedUnixMilliseconds = m_state.unixMilliseconds;
+    std::string encoded = Wire::encode(definition);
+    if (!fitsStore(StoreKey::job(call.jobId), encoded)) {
+        ++m_state.counters.refused;
+        answer.kind = Wire::JobReplyKind::Invalid;
+        answer.reason = "the job takes " + std::to_string(encoded.size())
+            + " bytes in the store, which takes records of " + std::to_string(m_state.rules.maximumRecordBytes)
+            + ": submit fewer or shorter steps";
+        actions.push_back(
+            WriteLog { line.add("outcome", "invalid").add("why", "too_large").add("bytes", encoded.size()).text() });
+        sendReply(origin, answer, actions);
+        return;
+    }
     std::unique_ptr<JobState> job = std::make_unique<JobState>(definition, now, m_state.unixMilliseconds);
     if (m_overloadControl.rejects(now, *job, answer, line)) {
         ++m_state.counters.refused;
@@ -257,12 +291,18 @@
         return;
     }
     const std::uint64_t sequenceNumber = m_state.storeWriter.enqueue(
-        now, StoreRecord { StoreKey::job(call.jobId), Wire::encode(definition) }, Urgency::Immediate);
+        now, StoreRecord { StoreKey::job(call.jobId), std::move(encoded) }, Urgency::Immediate);
     m_state.jobs[call.jobId] = std::move(job);
     m_pendingReplies.push_back(PendingReply { origin, sequenceNumber, answer, call.jobId });
     actions.push_back(WriteLog { line.add("outcome", "storing").text() });
 }
 
+bool JobOwner::fitsStore(const std::string& key, const std::string& value) const
+{
+    // A record of a keyed topic begins with the length of its key, in one byte.
+    return 1 + key.size() + value.size() <= m_state.rules.maximumRecordBytes;
+}
+
 void JobOwner::replyNoSuchJob(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions)
 {
     Wire::JobReply answer;
@@ -414,8 +454,10 @@
         JobState* job = m_state.findJob(jobId);
         if (!job)
             continue;
-        sequenceNumber = m_state.storeWriter.enqueue(
-            now, StoreRecord { StoreKey::progress(jobId), Wire::encode(job->progress()) }, Urgency::Immediate);
+        for (const ProgressPart& part : job->takeChangedProgress())
+            sequenceNumber = m_state.storeWriter.enqueue(now,
+                StoreRecord { StoreKey::progress(jobId, part.number), Wire::encode(part.progress) },
+                Urgency::Immediate);
         job->progressSequenceNumber = sequenceNumber;
         if (!job->isOpen())
             m_finishedAt.emplace(jobId, now);
@@ -436,6 +478,8 @@
     if (record.serving.empty() || value == m_writtenInterference)
         return;
     m_writtenInterference = value;
+    if (!fitsStore(StoreKey::interference(), value))
+        return;
     m_state.storeWriter.enqueue(now, StoreRecord { StoreKey::interference(), std::move(value) },
         isHandOver ? Urgency::Immediate : Urgency::Lazy);
 }
@@ -535,8 +579,11 @@
             ++it;
             continue;
         }
-        for (const std::string& key :
-            { StoreKey::job(it->first), StoreKey::progress(it->first), StoreKey::cancellation(it->first) })
+        std::vector<std::string> keys { StoreKey::job(it->first), StoreKey::progress(it->first),
+            StoreKey::cancellation(it->first) };
+        for (const int part : job ? job->storedParts() : std::set<int>())
+            keys.push_back(StoreKey::progress(it->first, part));
+        for (const std::string& key : keys)
             m_state.storeWriter.enqueue(now, StoreRecord { key, {} }, Urgency::Lazy);
         m_state.jobs.erase(it->first);
         it = m_finishedAt.erase(it);
--- a/Source/Decision/Job/JobOwner.h
+++ b/Source/Decision/Job/JobOwner.h
@@ -81,10 +81,13 @@
         std::string jobId;
     };
 
+    void loadProgress(const StoreRecord& record);
     void submitJob(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     void cancelJob(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     void replyStatus(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
     void replyWaitingCount(Instant now, const CallOrigin& origin, const Wire::JobCall& call, Actions& actions);
+    /// Whether the store takes the record. It would refuse a larger one each time, and everything that waits behind it.
+    bool fitsStore(const std::string& key, const std::string& value) const;
     /// Why a submission is refused now; empty if it is accepted.
     std::string refusalReason(Instant now, const Wire::JobCall& call) const;
     /// Replies that there is no such job, or refuses while another entry may own the jobs and have a record of this
@@ -115,7 +118,14 @@
     OverloadControl m_overloadControl;
     TaskScheduler m_scheduler;
     std::deque<PendingReply> m_pendingReplies;
-    std::map<std::string, Wire::JobProgress> m_loadedProgress;
+    /// The progress of a job that was read from the store: the marks of all parts, and which parts other than part 0.
+    struct LoadedProgress {
+        LoadedProgress() { progress.outcome = Wire::JobOutcome::Open; }
+
+        Wire::JobProgress progress;
+        std::set<int> parts;
+    };
+    std::map<std::string, LoadedProgress> m_loadedProgress;
     std::set<std::string> m_loadedCancellations;
     /// Ids of hosts that had departed recently.
     std::vector<std::string> m_loadedDepartures;
--- a/Source/Decision/Job/JobState.cpp
+++ b/Source/Decision/Job/JobState.cpp
@@ -43,8 +43,11 @@
 {
     for (const Duration criticalPath : m_remainingCriticalPaths)
         m_criticalPath = std::max(m_criticalPath, criticalPath);
-    for (const Wire::StepDefinition& step : m_definition.steps)
+    m_firstTasks.push_back(0);
+    for (const Wire::StepDefinition& step : m_definition.steps) {
         m_workCoreSeconds += coreSeconds(step);
+        m_firstTasks.push_back(m_firstTasks.back() + step.count);
+    }
     const Duration allowedDuration = std::chrono::duration_cast<Duration>(m_criticalPath * m_definition.stretch)
         + milliseconds(m_definition.objectiveMilliseconds);
     m_due = accepted + allowedDuration;
@@ -145,12 +148,25 @@
             --step.waitingTasks;
         task.completed = true;
         task.checkpoint.clear();
+        m_changedParts.insert(progressPart(step.occurrence, step.step, static_cast<std::int64_t>(n)));
         ++step.completedTasks;
     }
     if (step.completedTasks == static_cast<int>(step.tasks.size()))
         openSteps(now, step.occurrence);
 }
 
+void JobState::recordFailure(const StepState& step, TaskState& task, int run)
+{
+    task.failedRuns.push_back(run);
+    m_changedParts.insert(progressPart(step.occurrence, step.step, &task - step.tasks.data()));
+}
+
+void JobState::setCheckpoint(const StepState& step, TaskState& task, const std::string& checkpoint)
+{
+    task.checkpoint = checkpoint;
+    m_changedParts.insert(progressPart(step.occurrence, step.step, &task - step.tasks.data()));
+}
+
 void JobState::markWaiting(Instant now, StepState& step, TaskState& task)
 {
     if (task.completed || !task.runs.empty())
@@ -194,32 +210,62 @@
     return count;
 }
 
-Wire::JobProgress JobState::progress() const
+int JobState::progressPart(int occurrence, int step, std::int64_t index) const
+{
+    const std::int64_t task = occurrence * m_firstTasks.back() + m_firstTasks[static_cast<std::size_t>(step)] + index;
+    return static_cast<int>(task / tasksPerProgressPart);
+}
+
+std::vector<ProgressPart> JobState::takeChangedProgress()
+{
+    std::vector<ProgressPart> parts;
+    m_changedParts.erase(0);
+    for (const int part : m_changedParts)
+        parts.push_back(ProgressPart { part, makeProgress(part) });
+    parts.push_back(ProgressPart { 0, makeProgress(0) });
+    m_storedParts.insert(m_changedParts.begin(), m_changedParts.end());
+    m_changedParts.clear();
+    return parts;
+}
+
+Wire::JobProgress JobState::makeProgress(int part) const
 {
     Wire::JobProgress progress;
     progress.outcome = m_outcome;
     progress.started = m_started;
-    for (const StepState& step : m_steps) {
-        for (std::size_t n = 0; n < step.tasks.size(); ++n) {
-            const TaskState& task = step.tasks[n];
-            if (!task.completed && task.failedRuns.empty() && task.checkpoint.empty())
+    const std::int64_t first = part * tasksPerProgressPart;
+    const std::int64_t end
+        = std::min(first + tasksPerProgressPart, m_firstTasks.back() * std::int64_t(m_occurrencesAdded));
+    for (std::int64_t task = first; task < end;) {
+        const int occurrence = static_cast<int>(task / m_firstTasks.back());
+        const std::int64_t taskOfOccurrence = task % m_firstTasks.back();
+        const int stepNumber = static_cast<int>(
+            std::upper_bound(m_firstTasks.begin(), m_firstTasks.end(), taskOfOccurrence) - m_firstTasks.begin() - 1);
+        const StepState& step = m_steps[static_cast<std::size_t>(occurrence) * m_definition.steps.size()
+            + static_cast<std::size_t>(stepNumber)];
+        const std::int64_t firstOfStep = task - (taskOfOccurrence - m_firstTasks[static_cast<std::size_t>(stepNumber)]);
+        for (; task < end && task < firstOfStep + static_cast<std::int64_t>(step.tasks.size()); ++task) {
+            const TaskState& state = step.tasks[static_cast<std::size_t>(task - firstOfStep)];
+            if (!state.completed && state.failedRuns.empty() && state.checkpoint.empty())
                 continue;
             Wire::TaskMark mark;
             mark.occurrence = step.occurrence;
             mark.step = step.step;
-            mark.index = static_cast<std::int32_t>(n);
-            mark.completed = task.completed;
-            mark.failedRuns = task.failedRuns;
-            mark.checkpoint = task.checkpoint;
+            mark.index = static_cast<std::int32_t>(task - firstOfStep);
+            mark.completed = state.completed;
+            mark.failedRuns = state.failedRuns;
+            mark.checkpoint = state.checkpoint;
             progress.marks.push_back(std::move(mark));
         }
     }
     return progress;
 }
 
-void JobState::restoreProgress(Instant now, const Wire::JobProgress& progress, std::int64_t unixMilliseconds)
+void JobState::restoreProgress(
+    Instant now, const Wire::JobProgress& progress, const std::set<int>& storedParts, std::int64_t unixMilliseconds)
 {
     addDueOccurrences(now, unixMilliseconds);
+    m_storedParts = storedParts;
     m_outcome = progress.outcome;
     // A mark records the end of a run. Records of earlier versions hold marks alone.
     m_started = progress.started || !progress.marks.empty();
@@ -228,7 +274,13 @@
         StepState* step = findStep(mark.occurrence, mark.step);
         if (!step || mark.index < 0 || static_cast<std::size_t>(mark.index) >= step->tasks.size())
             continue;
+        // Earlier versions stored all marks in part 0.
+        const int part = progressPart(mark.occurrence, mark.step, mark.index);
+        if (!storedParts.contains(part))
+            m_changedParts.insert(part);
         TaskState& task = step->tasks[static_cast<std::size_t>(mark.index)];
+        if (task.completed)
+            continue;
         task.failedRuns = mark.failedRuns;
         for (const int run : mark.failedRuns)
             task.lastRun = std::max(task.lastRun, run);
--- a/Source/Decision/Job/JobState.h
+++ b/Source/Decision/Job/JobState.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,16 @@
     std::vector<Instant> roomExpectedUntil;
 };
 
+/// A part of a job's progress: one record in the store, whose size is limited. Part 0 has the outcome.
+struct ProgressPart {
+    int number = 0;
+    Wire::JobProgress progress;
+};
+
+/// Number of tasks, over all steps and occurrences of a job, whose progress one record holds. A task takes some 15
+/// bytes and its checkpoint.
+constexpr std::int64_t tasksPerProgressPart = 500;
+
 /// A job from its acceptance until its removal. Used by JobOwner and the owner's components.
 class JobState {
 public:
@@ -108,6 +119,9 @@
     TaskState* findTask(const Wire::TaskName& name);
     /// Marks a task, or all tasks of a gang, as completed and opens the steps that this allows to start.
     void completeTask(Instant now, StepState& step, std::size_t index);
+    /// Counts a failed run of the task.
+    void recordFailure(const StepState& step, TaskState& task, int run);
+    void setCheckpoint(const StepState& step, TaskState& task, const std::string& checkpoint);
     /// Returns the task to waiting if no run of it is left.
     void markWaiting(Instant now, StepState& step, TaskState& task);
     /// All tasks of all occurrences are completed.
@@ -123,9 +137,15 @@
     /// Target completion time of the first occurrence.
     Instant due() const { return m_due; }
 
-    Wire::JobProgress progress() const;
-    /// Restores the progress that an earlier owner persisted. Call before any task is placed.
-    void restoreProgress(Instant now, const Wire::JobProgress& progress, std::int64_t unixMilliseconds);
+    /// Returns the parts of the progress that have changed since the last call. Part 0 is always the last one, so that
+    /// an outcome is not stored before the ends that it follows from.
+    std::vector<ProgressPart> takeChangedProgress();
+    /// The parts other than part 0 that may be in the store.
+    const std::set<int>& storedParts() const { return m_storedParts; }
+    /// Restores the progress that an earlier owner persisted, with the marks of all parts. storedParts: the parts other
+    /// than part 0 that were read. Call before any task is placed.
+    void restoreProgress(Instant now, const Wire::JobProgress& progress, const std::set<int>& storedParts,
+        std::int64_t unixMilliseconds);
 
     /// Sequence number of the newest write of the job's progress.
     std::uint64_t progressSequenceNumber = 0;
@@ -133,8 +153,15 @@
 private:
     void addOccurrence(Instant now, int occurrence, Instant due);
     void openSteps(Instant now, int occurrence);
+    int progressPart(int occurrence, int step, std::int64_t index) const;
+    Wire::JobProgress makeProgress(int part) const;
 
     Wire::JobDefinition m_definition;
+    /// By step: number of tasks of the steps before it. The last element is the number of tasks of an occurrence.
+    std::vector<std::int64_t> m_firstTasks;
+    /// Parts other than part 0 with changes, and those that may be in the store.
+    std::set<int> m_changedParts;
+    std::set<int> m_storedParts;
     Wire::JobOutcome::type m_outcome = Wire::JobOutcome::Open;
     bool m_started = false;
     Instant m_accepted;
--- a/Source/Decision/Job/OwnerState.h
+++ b/Source/Decision/Job/OwnerState.h
@@ -38,6 +38,8 @@
     /// For this long after a confirmed pulse was sent, no successor claims the ownership. After that, without a newer
     /// pulse, the owner may have been replaced.
     Duration ownershipCertainFor = milliseconds(700);
+    /// The largest record that the store takes, with its key.
+    std::size_t maximumRecordBytes = 262'144;
     /// Retry delay sent to callers that are refused, such as while the store is unavailable or ownership is uncertain.
     Duration storeRetryAfter = seconds(1);
     /// An owner starts nothing if it has not learned of closed zones for this time. Unset: no start is held back.
@@ -220,7 +222,11 @@
 /// Keys of the owner's records in the store.
 namespace StoreKey {
     inline std::string job(const std::string& jobId) { return "j/" + jobId; }
-    inline std::string progress(const std::string& jobId) { return "p/" + jobId; }
+    /// Part 0 of a job's progress has the key that the whole progress has in earlier versions.
+    inline std::string progress(const std::string& jobId, int part = 0)
+    {
+        return "p/" + jobId + (part == 0 ? std::string() : "/" + std::to_string(part));
+    }
     inline std::string cancellation(const std::string& jobId) { return "c/" + jobId; }
     inline std::string host(const std::string& hostId) { return "h/" + hostId; }
     inline std::string interference() { return "i/pressures"; }
--- a/Source/Decision/Job/RunTracker.cpp
+++ b/Source/Decision/Job/RunTracker.cpp
@@ -495,7 +495,7 @@
         return;
     task->formerRun = FormerRun { host.hostId, run, fate };
     if (!checkpoint.empty())
-        task->checkpoint = checkpoint;
+        job->setCheckpoint(*step, *task, checkpoint);
     job->markWaiting(now, *step, *task);
     m_state.scheduleDue = true;
 }
@@ -503,7 +503,7 @@
 void RunTracker::onTaskFailed(
     Instant now, JobState& job, const StepState& step, TaskState& task, int run, const Host& host, Actions& actions)
 {
-    task.failedRuns.push_back(run);
+    job.recordFailure(step, task, run);
     ++m_state.counters.failedTasks;
     task.notBefore = now + m_state.rules.retryDelayAfterFailure;
     m_state.markDirty(now, job.definition().jobId, false);
--- a/Source/Shell/Process/NodeSettings.cpp
+++ b/Source/Shell/Process/NodeSettings.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+    /// A part of a job's progress has to fit.
+    constexpr std::int64_t minimumRecordBytes = 65'536;
+    constexpr std::int64_t maximumRecordBytes = std::int64_t(1) << 30;
     constexpr std::size_t maximumNameBytes = 256;
     constexpr int maximumPort = 65'535;
     constexpr double millisecondsPerSecond = 1000;
@@ -120,6 +123,8 @@
     settings.overloadOrder = readName(reader, "overload_order", overloadOrderNames, settings.overloadOrder);
     settings.finishedJobRetention = readSeconds("status_memory_s", settings.finishedJobRetention);
     settings.shutdownTimeout = readSeconds("shutdown_s", settings.shutdownTimeout);
+    settings.maximumRecordBytes = static_cast<std::size_t>(reader.optionalInteger("store_record_bytes",
+        minimumRecordBytes, maximumRecordBytes, static_cast<std::int64_t>(settings.maximumRecordBytes)));
     if (!reader.errors().empty()) {
         Error error = joinErrors(reader.errors());
         error.code = ErrorCode::SettingsInvalid;
@@ -147,7 +152,7 @@
         "client_address", "health_address", "announce_address", "host_address", "advice_address", "machines_address",
         "service", "processor_share", "longest_lease_ms", "harm_ms", "halt_ms", "zone_closure_ms",
         "interference_record_s", "remote_factor", "locality_wait", "filler_placement", "admission", "overload_order",
-        "status_memory_s", "shutdown_s" };
+        "status_memory_s", "shutdown_s", "store_record_bytes" };
     return keys;
 }
 
--- a/Source/Shell/Process/NodeSettings.h
+++ b/Source/Shell/Process/NodeSettings.h
@@ -54,6 +54,8 @@
     AdmissionMode admission = AdmissionMode::Off;
     OverloadOrder overloadOrder = OverloadOrder::LeastSlack;
     Duration finishedJobRetention = seconds(120);
+    /// The largest record that the store takes, in bytes.
+    std::size_t maximumRecordBytes = 262'144;
     /// Time between the request to shut down and the forced end of the process.
     Duration shutdownTimeout = seconds(6);
 };
--- a/Tests/Unit/OddEntryTest.cpp
+++ b/Tests/Unit/OddEntryTest.cpp
@@ -507,8 +507,8 @@
     // Guards against a negative lease or shutdown time that results from a number out of range.
     void reportsSettingsThatAreTooLarge()
     {
-        for (const char* key :
-            { "longest_lease_ms", "harm_ms", "halt_ms", "status_memory_s", "shutdown_s", "processor_share" }) {
+        for (const char* key : { "longest_lease_ms", "harm_ms", "halt_ms", "status_memory_s", "shutdown_s",
+                 "processor_share", "store_record_bytes" }) {
             const Result<NodeSettings> settings = parseNodeSettings(
                 R"({"id":"e","zone":"z","address":"10.0.0.1","peer_port":7720,"store_address":"10.0.0.2:81",")"
                 + std::string(key) + R"(":1e300})");
