--- a/Tests/Unit/MessageBoundsTest.cpp
+++ b/Tests/Unit/MessageBoundsTest.cpp
@@ -84,6 +84,7 @@
     {
         constexpr int hosts = 3;
         constexpr int tasks = 7000;
+        constexpr std::size_t allTasks = std::size_t(2) * tasks;
         OwnerHarness harness;
         for (int n = 0; n < hosts; ++n)
             harness.announceAndReport(10, makeLargeHost(hostName(n), 10), linkOf(n));
@@ -91,13 +92,13 @@
         harness.submit(100, makeWideJob("00000000000000c1", tasks));
         harness.submit(100, makeWideJob("00000000000000c2", tasks));
         std::size_t largest = 0;
-        for (int now = 110; now < 10'000 && harness.startOrders.size() < 2 * tasks; now += 10) {
+        for (int now = 110; now < 10'000 && harness.startOrders.size() < allTasks; now += 10) {
             harness.tick(now);
             largest = std::max(largest, largestMessage(harness));
             CPPUNIT_ASSERT_MESSAGE(std::to_string(largest) + " bytes", largest < frameBytes);
             confirmStarts(harness, now);
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2 * tasks), harness.startOrders.size());
+        CPPUNIT_ASSERT_EQUAL(allTasks, harness.startOrders.size());
     }
 
     // Guards against a bound on starts that keeps a gang, which starts as a whole, waiting for good.
