Job, Process: Write counts, refusals and a timeout once

The count of unconfirmed starts stood beside each use of addToCommitted(), which keeps the other sums of a host; submitJob() built its refusal a third time; the timeout of a check of the claims was a constant of Ownership and of OwnershipCheckTiming; three stages were listed where isTakingOver() says two of them. Change: addToCommitted() keeps the count; one lambda refuses; Ownership uses the figure of OwnershipCheckTiming. Behaviour is as before.

--- a/Source/Decision/Job/HostRegistry.cpp
+++ b/Source/Decision/Job/HostRegistry.cpp
@@ -12,8 +12,11 @@
         return run.demand.milliProcessors * run.highestPacePercent() / fullPacePercent;
     }
 
+    /// Adds the run to the host's sums, or removes it from them.
     void addToCommitted(Host& host, const HostRun& run, std::int64_t sign)
     {
+        if (run.phase == RunPhase::Ordered)
+            host.unconfirmedStarts += static_cast<std::size_t>(sign);
         if (run.filler)
             host.processorUse.fillers += sign * pacedMilliCores(run);
         else
@@ -50,7 +53,6 @@
 HostRun& HostRegistry::addRun(Host& host, HostRun run)
 {
     addToCommitted(host, run, 1);
-    host.unconfirmedStarts += run.phase == RunPhase::Ordered ? 1 : 0;
     const RunKey key = runKey(run.task, run.run);
     return host.runs.insert_or_assign(key, std::move(run)).first->second;
 }
@@ -63,15 +65,14 @@
     HostRun run = std::move(it->second);
     host.runs.erase(it);
     addToCommitted(host, run, -1);
-    host.unconfirmedStarts -= run.phase == RunPhase::Ordered ? 1 : 0;
     return run;
 }
 
 void HostRegistry::setPhase(Host& host, HostRun& run, RunPhase phase)
 {
-    host.unconfirmedStarts -= run.phase == RunPhase::Ordered ? 1 : 0;
+    addToCommitted(host, run, -1);
     run.phase = phase;
-    host.unconfirmedStarts += run.phase == RunPhase::Ordered ? 1 : 0;
+    addToCommitted(host, run, 1);
 }
 
 void HostRegistry::changePace(Host& host, HostRun& run, int orderedPercent, std::optional<int> acknowledgedPercent)
--- a/Source/Decision/Job/JobOwner.cpp
+++ b/Source/Decision/Job/JobOwner.cpp
@@ -259,13 +259,17 @@
     LogLine line("submit");
     line.add("job", call.jobId).add("queue", call.queue).add("steps", call.job.steps.size());
     line.add("policy_version", call.policyVersion).add("open_jobs", m_state.openJobs.size());
-    if (!reason.empty()) {
+    const auto refuse = [&] {
         ++m_state.counters.refused;
+        actions.push_back(WriteLog { line.text() });
+        sendReply(origin, answer, actions);
+    };
+    if (!reason.empty()) {
         answer.kind = Wire::JobReplyKind::Refused;
         answer.reason = reason;
         answer.retryAfterMilliseconds = toMilliseconds(m_state.rules.storeRetryAfter);
-        actions.push_back(WriteLog { line.add("outcome", "refused").add("why", reason).text() });
-        sendReply(origin, answer, actions);
+        line.add("outcome", "refused").add("why", reason);
+        refuse();
         return;
     }
     Wire::JobDefinition definition = call.job;
@@ -273,21 +277,17 @@
     definition.acceptedUnixMilliseconds = m_state.unixMilliseconds;
     std::string encoded = Wire::encode(definition);
     if (!fitsStore(StoreKey::job(call.jobId), encoded)) {
-        ++m_state.counters.refused;
         answer.kind = Wire::JobReplyKind::Invalid;
         answer.reason = "the job takes " + std::to_string(encoded.size())
             + " bytes in the store, which takes records of " + std::to_string(m_state.rules.maximumRecordBytes)
             + ": submit fewer or shorter steps";
-        actions.push_back(
-            WriteLog { line.add("outcome", "invalid").add("why", "too_large").add("bytes", encoded.size()).text() });
-        sendReply(origin, answer, actions);
+        line.add("outcome", "invalid").add("why", "too_large").add("bytes", encoded.size());
+        refuse();
         return;
     }
     std::unique_ptr<JobState> job = std::make_unique<JobState>(definition, now, m_state.unixMilliseconds);
     if (m_overloadControl.rejects(now, *job, answer, line)) {
-        ++m_state.counters.refused;
-        actions.push_back(WriteLog { line.text() });
-        sendReply(origin, answer, actions);
+        refuse();
         return;
     }
     const std::uint64_t sequenceNumber = m_state.storeWriter.enqueue(
--- a/Source/Decision/Process/Ownership.cpp
+++ b/Source/Decision/Process/Ownership.cpp
@@ -1,6 +1,7 @@
 #include "Decision/Process/Ownership.h"
 
 #include "Decision/Process/OwnerRecords.h"
+#include "Decision/Process/OwnershipCheck.h"
 #include "Wire/Codec.h"
 
 #include <cmath>
@@ -17,8 +18,6 @@
     constexpr const char* noPulseReason = "no_sign_of_life";
     /// A pulse with a later answer is logged.
     constexpr Duration slowPulse = milliseconds(500);
-    /// Timeout of a read of the claims that a report of a later term has caused.
-    constexpr Duration claimCheckTimeout = milliseconds(400);
 
     const char* reasonToStepDown(const OwnerState& state)
     {
@@ -102,8 +101,9 @@
     if (m_claimWatcher.isReadInFlight())
         return;
     const std::uint64_t callId = m_lastCallId + 1;
-    std::optional<Action> read = m_claimCheckDue ? m_claimWatcher.nextCheck(now, callId, claimCheckTimeout)
-                                                 : m_claimWatcher.nextRead(now, callId);
+    std::optional<Action> read = m_claimCheckDue
+        ? m_claimWatcher.nextCheck(now, callId, OwnershipCheckTiming {}.checkTimeout)
+        : m_claimWatcher.nextRead(now, callId);
     if (!read)
         return;
     m_claimReadCall = nextCallId();
@@ -117,7 +117,7 @@
     if (!m_claimCheckDue)
         m_claimWatcher.restartRead();
     m_claimCheckDue = true;
-    if (m_stage == Stage::Fencing || m_stage == Stage::Loading || m_stage == Stage::Owning)
+    if (isTakingOver() || m_stage == Stage::Owning)
         stepDown(now, "later_term_reported", actions);
 }
 
