Tests: Call a simulated process's core in one place, build halts in one place

OwnedFleet told entries from sides six times in the same words; HostAgentTest built a halt by hand beside makeHalt(). Change: withCore(), and makeHalt() for both. No assertion has changed.

--- a/Tests/Support/OwnedFleet.cpp
+++ b/Tests/Support/OwnedFleet.cpp
@@ -18,6 +18,15 @@
     constexpr int readMargin = 700;
     constexpr std::int64_t hostMilliCores = 16'000;
 
+    /// Calls the process's core, an entry's or a side's: both handle answers of the store and links alike.
+    template <typename Process, typename Handle> void withCore(Process& process, const Handle& handle)
+    {
+        if (process.entry)
+            handle(*process.entry);
+        else
+            handle(*process.agent);
+    }
+
 } // namespace
 
 OwnedFleet::OwnedFleet(std::size_t entries, std::size_t sides)
@@ -185,10 +194,7 @@
             [this, isLost, onTimeout, id = newest->callId, response](Process& sender, Actions& actions) {
                 if (isLost)
                     onTimeout(sender);
-                if (sender.entry)
-                    sender.entry->onNewestResponse(at(m_now), id, response, actions);
-                else
-                    sender.agent->onNewestResponse(at(m_now), id, response, actions);
+                withCore(sender, [&](auto& core) { core.onNewestResponse(at(m_now), id, response, actions); });
             });
     } else if (read) {
         // A wait that the store has begun is lost with the connection.
@@ -223,10 +229,7 @@
     if (m_openReads.erase({ n, callId }) == 0)
         return false;
     Actions actions;
-    if (m_processes[n].entry)
-        m_processes[n].entry->onReadResponse(at(m_now), callId, response, actions);
-    else
-        m_processes[n].agent->onReadResponse(at(m_now), callId, response, actions);
+    withCore(m_processes[n], [&](auto& core) { core.onReadResponse(at(m_now), callId, response, actions); });
     perform(n, std::move(actions));
     return true;
 }
@@ -250,10 +253,7 @@
     const std::size_t target = static_cast<std::size_t>(order.port) - 1;
     if (isCut(n, target)) {
         deliver(n, connectTimeout, [this, link = order.link](Process& opener, Actions& actions) {
-            if (opener.entry)
-                opener.entry->onLinkDown(at(m_now), link, actions);
-            else
-                opener.agent->onLinkDown(at(m_now), link, actions);
+            withCore(opener, [&](auto& core) { core.onLinkDown(at(m_now), link, actions); });
         });
         return;
     }
@@ -263,10 +263,7 @@
     connection.ends[1] = LinkEnd { target, ++m_lastAcceptedLink };
     for (const LinkEnd& end : connection.ends) {
         deliver(end.process, linkDelay, [this, link = end.link](Process& process, Actions& actions) {
-            if (process.entry)
-                process.entry->onLinkUp(at(m_now), link, actions);
-            else
-                process.agent->onLinkUp(at(m_now), link, actions);
+            withCore(process, [&](auto& core) { core.onLinkUp(at(m_now), link, actions); });
         });
     }
 }
@@ -285,10 +282,7 @@
     deliver(other.process, delay, [this, &other](Process& process, Actions& actions) {
         if (std::exchange(other.closed, true))
             return;
-        if (process.entry)
-            process.entry->onLinkDown(at(m_now), other.link, actions);
-        else
-            process.agent->onLinkDown(at(m_now), other.link, actions);
+        withCore(process, [&](auto& core) { core.onLinkDown(at(m_now), other.link, actions); });
     });
 }
 
@@ -307,10 +301,7 @@
     deliver(other.process, linkDelay, [this, &other, message = message.message](Process& process, Actions& actions) {
         if (other.closed)
             return;
-        if (process.entry)
-            process.entry->onMessage(at(m_now), other.link, message, actions);
-        else
-            process.agent->onMessage(at(m_now), other.link, message, actions);
+        withCore(process, [&](auto& core) { core.onMessage(at(m_now), other.link, message, actions); });
     });
 }
 
--- a/Tests/Unit/HostAgentTest.cpp
+++ b/Tests/Unit/HostAgentTest.cpp
@@ -405,14 +405,19 @@
         return orders;
     }
 
+    static Wire::HaltOrder makeHalt(const Wire::TaskName& task)
+    {
+        Wire::HaltOrder halt;
+        halt.task = task;
+        halt.run = 1;
+        return halt;
+    }
+
     static Wire::HostOrders makeOrdersOfAge(std::int64_t ageMilliseconds)
     {
         Wire::HostOrders orders = Harness::makeStartOrders(4);
         orders.__set_ownershipAgeMilliseconds(ageMilliseconds);
-        Wire::HaltOrder halt;
-        halt.task = makeTask("00000000000000bb", 0, 0);
-        halt.run = 1;
-        orders.halts.push_back(halt);
+        orders.halts.push_back(makeHalt(makeTask("00000000000000bb", 0, 0)));
         return orders;
     }
 
@@ -487,14 +492,6 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOrders(harness.tick(now)));
     }
 
-    static Wire::HaltOrder makeHalt(const Wire::TaskName& task)
-    {
-        Wire::HaltOrder halt;
-        halt.task = task;
-        halt.run = 1;
-        return halt;
-    }
-
     // Guards against tasks of a cancelled job that run on because starts without an answer take all slots, and waiting
     // starts each slot that gets free.
     void haltsPassStartsThatTheHostLeavesUnanswered()
